--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -194,7 +194,7 @@
         await this.waitUntil("a change", async () => {
             const answer = await this.sendOperate("POST", "/v1/changes", change);
             body = answer?.body ?? {};
-            return answer !== undefined;
+            return answer !== undefined && answer.status < 500;
         });
         return body;
     }
--- /dev/null
+++ b/packages/cli/src/timeline/encode-chrome-trace.test.ts
@@ -0,0 +1,23 @@
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+import { mergeHybridTime } from "@daisylock/core/events/merge-hybrid-time.js";
+import { describe, expect, it } from "@jest/globals";
+
+import { describeEvent } from "./describe-event.js";
+import { encodeChromeTrace } from "./encode-chrome-trace.js";
+
+describe("the time line", () => {
+    it("puts a receipt after its sending, whatever the clocks say", () => {
+        const sent = mergeHybridTime({ wallMs: 5_000, counter: 3 }, 4_000);
+        const received = mergeHybridTime({ wallMs: 100, counter: 0 }, 200, sent);
+        expect([sent, received]).toEqual([{ wallMs: 5_000, counter: 4 }, { wallMs: 5_000, counter: 5 }]);
+    });
+
+    it("has one row a process in the trace format", () => {
+        const event = { time: { wallMs: 1, counter: 2 }, process: "a1", zone: "a", kind: EventKind.LeaderElected };
+        const trace = JSON.parse(encodeChromeTrace([event, { ...event, process: "b1" }])) as {
+            traceEvents: { pid: number }[];
+        };
+        expect(trace.traceEvents.map(({ pid }) => pid)).toEqual([0, 1, 0, 1]);
+        expect(describeEvent({ ...event, vm: "vm-1" })).toContain("vm=vm-1");
+    });
+});
