--- a/packages/bench/src/site/system.test.ts
+++ b/packages/bench/src/site/system.test.ts
@@ -16,7 +16,7 @@
     sendRequest({ entry: readEntry(name), route: "book", key: site.keys.get("spas"), ...extra });
 
 /** Grants a key and waits until every entry knows it. */
-async function grantKey(name: string): Promise<void> {
+async function createKey(name: string): Promise<void> {
     site.keys.set("spas", await fleet.createKey(name, "spas"));
     for (const process of fleet.plan.processes) {
         await fleet.waitUntil("the new key", async () => (await send(process.name)).outcome === Outcome.Answer);
@@ -185,7 +185,7 @@
             const unrecorded = await send("c2", { route: "hours", key: undefined, isUnrepeatable: true });
             expect(unrecorded.outcome).toBe(Outcome.OutcomeUnknown);
             fleet.setLinks(LinkState.Open, "c");
-            await grantKey("key-spas-2");
+            await createKey("key-spas-2");
             await fleet.waitUntil(
                 "service with the new key",
                 async () => (await send("c2")).outcome === Outcome.Answer,
@@ -202,7 +202,7 @@
                 "the revocation behind the cut",
                 async () => (await send(`${other}2`)).status === 401,
             );
-            await grantKey("key-spas-3");
+            await createKey("key-spas-3");
             await fleet.waitUntil(
                 "the new key behind the cut",
                 async () => (await send(`${other}2`)).outcome === Outcome.Answer,
