Let a committed lower grant lift no allowance

Cause: when an entry still used more than its lowered allowance, the lower ceiling was committed as a grant, and applying it raised the allowance to that ceiling again, so that the entry kept starting requests instead of giving way. The sum stayed within the limit; demand elsewhere waited.

--- a/packages/core/src/allocation/allocation.test.ts
+++ b/packages/core/src/allocation/allocation.test.ts
@@ -202,6 +202,31 @@
             expect(first.allowedTeam + second.inUse).toBeLessThanOrEqual(Math.max(2, second.inUse));
         });
 
+        it("does not lift an allowance that was lowered when the lower grant is committed", () => {
+            const control = createControl();
+            const leader = createLeaderState("l/1", control.tables, control.grants, 0);
+            const [first, second] = ["a", "b"].map(zone => new FakeEntry(`e${zone}`, zone, "1")) as [
+                FakeEntry,
+                FakeEntry,
+            ];
+            for (let now = 0; now < 500; now += 100) {
+                first.sync(leader, 9, now);
+                runPlans(leader, control, now);
+            }
+            first.inUse = upperLimit - 1;
+            second.sync(leader, 9, 500);
+            runPlans(leader, control, 500);
+            first.sync(leader, 0, 600);
+            const lowered = first.allowedTeam;
+            expect(lowered).toBeLessThan(first.inUse);
+            for (let now = 700; now < 1_200; now += 100) {
+                first.sync(leader, 9, now);
+                second.sync(leader, 9, now);
+                runPlans(leader, control, now);
+                expect(leader.teams.get("spas")?.grants.get("ea@1")?.allowed).toBeLessThanOrEqual(lowered);
+            }
+        });
+
         it("never lets entries use more than limit and slots together, whatever the order of events", () => {
             const step = fc.record({ entry: fc.nat(2), action: fc.nat(6), value: fc.nat(12) });
             fc.assert(
--- a/packages/core/src/allocation/apply-team-grants.ts
+++ b/packages/core/src/allocation/apply-team-grants.ts
@@ -15,17 +15,22 @@
     for (const { team, holder, granted } of grants) {
         const resource = openResource(state.teams, team);
         const current = resource.grants.get(holder);
+        const ceiling = current?.ceiling ?? 0;
+        if (granted === 0 && ceiling === 0) {
+            resource.grants.delete(holder);
+        }
+        // A grant that only records a lower ceiling lifts no allowance.
+        if (granted <= ceiling) {
+            continue;
+        }
         // Limits and confirmations may have moved while the grants were committed.
         const free = Math.max(0, resource.capacity - countGranted(resource));
-        const units = Math.min(granted, (current?.ceiling ?? 0) + free);
+        const units = Math.min(granted, ceiling + free);
         if (units < granted) {
             state.staleTeams.add(team);
         }
         if (units > (current?.allowed ?? 0)) {
             applyRaise(resource, holder, units, state.sequence, Invariant.LimitNotExceeded);
         }
-        else if (granted === 0 && current?.ceiling === 0) {
-            resource.grants.delete(holder);
-        }
     }
 }
