--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,10 @@
+export default {
+    extensionsToTreatAsEsm: [".ts"],
+    testMatch: ["<rootDir>/packages/*/src/**/*.test.ts", "<rootDir>/tools/**/*.test.ts"],
+    testTimeout: 60000,
+    transform: { "^.+\\.ts$": ["@swc/jest", { jsc: { parser: { syntax: "typescript" }, target: "es2022" } }] },
+    moduleNameMapper: {
+        "^@daisylock/([^/]+)/(.*)\\.js$": "<rootDir>/packages/$1/src/$2.ts",
+        "^(\\.{1,2}/.*)\\.js$": "$1",
+    },
+};
--- /dev/null
+++ b/packages/bench/src/callers/send-request.ts
@@ -0,0 +1,60 @@
+import { HeaderName } from "@daisylock/protocol/http/header-name.js";
+import type { Outcome } from "@daisylock/protocol/http/outcome.js";
+import { type OutgoingHttpHeaders, request } from "node:http";
+
+import type { CallerAnswer } from "./caller-answer.js";
+import type { CallerOptions } from "./caller-options.js";
+
+/**
+ * Sends a request as a caller.
+ * @param options - the request
+ * @returns the answer; its outcome is `undefined` when the transfer failed
+ */
+export function sendRequest(options: CallerOptions): Promise<CallerAnswer> {
+    const failed: CallerAnswer = { status: 0, outcome: undefined, body: "", retryAfterSeconds: undefined };
+    return new Promise(resolve => {
+        const outgoing = request(`http://${options.entry}/v1/routes/${options.route}${options.path ?? "/"}`, {
+            method: options.body === undefined ? "GET" : "POST",
+            agent: options.agent,
+            headers: buildHeaders(options),
+        }, incoming => {
+            const chunks: Buffer[] = [];
+            incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
+            incoming.on("error", () => resolve(failed));
+            incoming.on("end", () => {
+                const retryAfter = incoming.headers["retry-after"];
+                resolve({
+                    status: incoming.statusCode ?? 0,
+                    outcome: incoming.headers[HeaderName.Outcome] as Outcome | undefined,
+                    body: Buffer.concat(chunks).toString(),
+                    retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter),
+                });
+            });
+        });
+        outgoing.on("error", () => resolve(failed));
+        outgoing.end(options.body);
+    });
+}
+
+function buildHeaders(options: CallerOptions): OutgoingHttpHeaders {
+    const headers: OutgoingHttpHeaders = {};
+    if (options.key !== undefined) {
+        headers["authorization"] = `Bearer ${options.key}`;
+    }
+    if (options.requestId !== undefined) {
+        headers[HeaderName.RequestId] = options.requestId;
+    }
+    if (options.isUnrepeatable === true) {
+        headers[HeaderName.Unrepeatable] = "true";
+    }
+    if (options.isUrgent === true) {
+        headers[HeaderName.Urgent] = "true";
+    }
+    if (options.deadlineMs !== undefined) {
+        headers[HeaderName.DeadlineMs] = options.deadlineMs;
+    }
+    if (options.body !== undefined) {
+        headers["content-length"] = Buffer.byteLength(options.body);
+    }
+    return headers;
+}
--- /dev/null
+++ b/packages/bench/src/targets/send-announcement.ts
@@ -0,0 +1,46 @@
+import type { AnnouncementReply } from "@daisylock/protocol/target/announcement-reply.js";
+import type { Announcement } from "@daisylock/protocol/target/announcement.js";
+import { Agent, request } from "node:http";
+
+const agent = new Agent({ keepAlive: true, maxSockets: 16 });
+const timeoutMs = 2_000;
+
+/**
+ * Announces a target to one entry.
+ * @param entry - the entry's target listener
+ * @param vm - the VM
+ * @param token - the targets' token
+ * @param announcement - what it says
+ * @returns the reply; `undefined` when the entry refused
+ */
+export function sendAnnouncement(
+    entry: string,
+    vm: string,
+    token: string,
+    announcement: Announcement,
+): Promise<AnnouncementReply | undefined> {
+    const content = Buffer.from(JSON.stringify(announcement));
+    return new Promise((resolve, reject) => {
+        const outgoing = request(`http://${entry}/v1/targets/${vm}`, {
+            method: "PUT",
+            agent,
+            timeout: timeoutMs,
+            headers: {
+                "authorization": `Bearer ${token}`,
+                "content-type": "application/json",
+                "content-length": content.length,
+            },
+        }, incoming => {
+            const chunks: Buffer[] = [];
+            incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
+            incoming.on("error", reject);
+            incoming.on("end", () => {
+                const isAccepted = incoming.statusCode === 200;
+                resolve(isAccepted ? JSON.parse(Buffer.concat(chunks).toString()) as AnnouncementReply : undefined);
+            });
+        });
+        outgoing.on("timeout", () => outgoing.destroy());
+        outgoing.on("error", reject);
+        outgoing.end(content);
+    });
+}
--- /dev/null
+++ b/packages/bench/src/targets/stand-in-target.ts
@@ -0,0 +1,188 @@
+import { HeaderName } from "@daisylock/protocol/http/header-name.js";
+import type { AnnouncementReply } from "@daisylock/protocol/target/announcement-reply.js";
+import type { Announcement } from "@daisylock/protocol/target/announcement.js";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+import { sendAnnouncement } from "./send-announcement.js";
+import type { StandInOptions } from "./stand-in-options.js";
+import { TargetFault } from "./target-fault.js";
+import type { TargetRun } from "./target-run.js";
+
+const lateMs = 3_000;
+
+/** A target for tests and experiments: announces itself, answers, and fails on demand. */
+export class StandInTarget {
+    fault = TargetFault.None;
+    /** Most requests that ran at once. */
+    peakRunning = 0;
+    private readonly server: Server;
+    private readonly running = new Map<string, TargetRun>();
+    private readonly sockets = new Set<Socket>();
+    private silentSockets = new Set<Socket>();
+    private incarnation = Date.now();
+    private timer: NodeJS.Timeout | undefined;
+    private isLeaving = false;
+    private releases = new Set<string>();
+
+    /**
+     * @param options - how it is set up
+     */
+    constructor(private readonly options: StandInOptions) {
+        this.server = createServer({ keepAliveTimeout: 60_000, requestTimeout: 0 }, (request, response) => {
+            this.serve(request, response).catch(() => response.destroy());
+        });
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
+    }
+
+    /** Starts to serve and to announce itself. */
+    async start(): Promise<void> {
+        const [host = "", port = ""] = this.options.address.split(":");
+        await new Promise<void>(resolve => this.server.listen(Number(port), host, resolve));
+        this.announce();
+    }
+
+    /** Stops at once, as a process that is killed. */
+    async stop(): Promise<void> {
+        clearTimeout(this.timer);
+        this.running.clear();
+        const closed = new Promise(resolve => this.server.close(resolve));
+        this.server.closeAllConnections();
+        await closed;
+    }
+
+    /** Starts again after stop, as a new incarnation. */
+    async restart(): Promise<void> {
+        this.incarnation = Math.max(Date.now(), this.incarnation + 1);
+        this.isLeaving = false;
+        await this.start();
+    }
+
+    /**
+     * Sets what the target does wrong from now on.
+     * @param fault - the fault
+     */
+    setFault(fault: TargetFault): void {
+        this.fault = fault;
+        this.silentSockets = new Set(fault === TargetFault.SilentConnections ? this.sockets : []);
+    }
+
+    /** Announces that it takes no new work, and resolves once no entry sends it any. */
+    async leave(): Promise<void> {
+        this.isLeaving = true;
+        this.releases = new Set();
+        clearTimeout(this.timer);
+        this.announce();
+        while (this.releases.size < this.options.announceTo.length) {
+            await new Promise(resolve => setTimeout(resolve, 50));
+        }
+    }
+
+    /**
+     * Counts the requests that it runs.
+     * @returns their number
+     */
+    countRunning(): number {
+        return this.running.size;
+    }
+
+    private announce(): void {
+        const announcement: Announcement = {
+            address: this.options.address,
+            incarnation: this.incarnation,
+            slots: this.options.slots,
+            state: this.isLeaving ? "leaving" : "ready",
+            running: [...this.running.values()].map(run => ({ dispatch: run.dispatchId, team: run.team })),
+        };
+        for (const entry of this.options.announceTo) {
+            sendAnnouncement(entry, this.options.vm, this.options.token, announcement).then(
+                reply => this.noteReply(entry, reply),
+                () => undefined,
+            );
+        }
+        this.timer = setTimeout(() => this.announce(), this.options.announceMs);
+    }
+
+    private noteReply(entry: string, reply: AnnouncementReply | undefined): void {
+        if (this.isLeaving && reply?.isReleased === true) {
+            this.releases.add(entry);
+        }
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (this.silentSockets.has(request.socket)) {
+            return;
+        }
+        const run = this.startRun(request);
+        try {
+            await this.serveRun(run, request, response);
+        }
+        finally {
+            run.endedAt = performance.now();
+            this.running.delete(run.dispatchId);
+        }
+    }
+
+    private startRun(request: IncomingMessage): TargetRun {
+        const run: TargetRun = {
+            vm: this.options.vm,
+            requestId: String(request.headers[HeaderName.RequestId]),
+            dispatchId: String(request.headers[HeaderName.DispatchId]),
+            team: String(request.headers[HeaderName.Team]),
+            startedAt: performance.now(),
+            endedAt: undefined,
+        };
+        this.running.set(run.dispatchId, run);
+        this.peakRunning = Math.max(this.peakRunning, this.running.size);
+        this.options.noteRun?.(run);
+        return run;
+    }
+
+    private async serveRun(run: TargetRun, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        response.setHeader(HeaderName.DispatchId, this.fault === TargetFault.Cross ? "another" : run.dispatchId);
+        if (this.fault === TargetFault.Fail) {
+            request.resume();
+            response.writeHead(500, { "content-length": 0 }).end();
+            return;
+        }
+        if (request.url?.startsWith("/echo") === true) {
+            await echoBody(request, response);
+            return;
+        }
+        const received = await countBody(request);
+        if (this.fault === TargetFault.Stall) {
+            await new Promise(resolve => request.socket.once("close", resolve));
+            return;
+        }
+        const extraMs = this.fault === TargetFault.Late ? lateMs : 0;
+        await new Promise(resolve => setTimeout(resolve, this.options.pickServiceMs() + extraMs));
+        this.sendAnswer(run, received, response);
+    }
+
+    private sendAnswer(run: TargetRun, received: number, response: ServerResponse): void {
+        const answer = Buffer.from(JSON.stringify({ vm: this.options.vm, requestId: run.requestId, received }));
+        response.writeHead(200, { "content-type": "application/json", "content-length": answer.length });
+        if (this.fault === TargetFault.Truncate) {
+            response.write(answer.subarray(0, answer.length / 2), () => response.destroy());
+            return;
+        }
+        response.end(answer);
+    }
+}
+
+async function countBody(request: IncomingMessage): Promise<number> {
+    let bytes = 0;
+    for await (const chunk of request) {
+        bytes += (chunk as Buffer).length;
+    }
+    return bytes;
+}
+
+async function echoBody(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.writeHead(200, { "content-type": "application/octet-stream" });
+    request.pipe(response);
+    await new Promise(resolve => response.once("close", resolve));
+}
--- /dev/null
+++ b/packages/cli/src/commands/plan-edits.ts
@@ -0,0 +1,49 @@
+import { ObjectKind } from "@daisylock/core/tables/object-kind.js";
+import { isDeepStrictEqual } from "node:util";
+
+/** An edit that has not been checked by the system yet. */
+interface PlannedEdit {
+    readonly kind: ObjectKind;
+    readonly name: string;
+    readonly value?: unknown;
+}
+
+const fileKinds = [ObjectKind.Team, ObjectKind.Pool, ObjectKind.Vm, ObjectKind.Route];
+
+/**
+ * Plans the edits that make the tables equal to a file.
+ * @param tables - the tables as the API lists them
+ * @param wanted - content of the file: objects by kind and name
+ * @param isPruning - whether objects that the file does not name are removed; keys never are
+ * @returns the edits
+ */
+export function planEdits(
+    tables: Record<string, unknown>,
+    wanted: Record<string, unknown>,
+    isPruning: boolean,
+): PlannedEdit[] {
+    return fileKinds.flatMap(kind => planKind(kind, tables, wanted, isPruning));
+}
+
+function planKind(
+    kind: ObjectKind,
+    tables: Record<string, unknown>,
+    wanted: Record<string, unknown>,
+    isPruning: boolean,
+): PlannedEdit[] {
+    const current = new Map((tables[kind] as { name: string }[]).map(({ name, ...rest }) => [name, rest]));
+    const edits: PlannedEdit[] = [];
+    const objects = (wanted[kind] ?? {}) as Record<string, object>;
+    for (const [name, value] of Object.entries(objects)) {
+        const { revision: _revision, ...existing } = (current.get(name) ?? {}) as { revision?: number };
+        if (!isDeepStrictEqual({ ...existing }, { ...value })) {
+            edits.push({ kind, name, value: { ...value } });
+        }
+    }
+    for (const name of isPruning ? current.keys() : []) {
+        if (objects[name] === undefined) {
+            edits.push({ kind, name });
+        }
+    }
+    return edits;
+}
--- /dev/null
+++ b/packages/cli/src/commands/status-command.ts
@@ -0,0 +1,27 @@
+import type { CommandModule } from "yargs";
+
+import { CommandContext } from "../command-context.js";
+import { OutputFormat } from "../output/output-format.js";
+import { printResult } from "../output/print-result.js";
+
+const sections = ["entries", "pools", "teams"] as const;
+
+/** Shows the whole system as the leader sees it. */
+export const statusCommand: CommandModule = {
+    command: "status",
+    describe: "Show keepers, entries, pools and teams, and where the tables are in force",
+    handler: async options => {
+        const context = new CommandContext(options);
+        const status = await context.client.sendChecked("GET", "/v1/status");
+        if (context.output === OutputFormat.Json) {
+            printResult(context.output, status);
+            return;
+        }
+        const { entries: _entries, pools: _pools, teams: _teams, ...summary } = status;
+        printResult(context.output, summary);
+        for (const section of sections) {
+            process.stdout.write(`\n${section}\n`);
+            printResult(context.output, status, status[section] as Record<string, unknown>[]);
+        }
+    },
+};
--- /dev/null
+++ b/packages/cli/src/output/output-format.ts
@@ -0,0 +1,5 @@
+/** How results are printed. */
+export enum OutputFormat {
+    Table = "table",
+    Json = "json",
+}
--- /dev/null
+++ b/packages/cli/src/output/print-result.ts
@@ -0,0 +1,71 @@
+import Table from "cli-table3";
+
+import { OutputFormat } from "./output-format.js";
+
+/**
+ * Prints a result on standard output, as JSON or as a table of the rows in it.
+ * @param format - how
+ * @param result - the result
+ * @param rows - the rows to show in a table; the fields of the result when absent
+ */
+export function printResult(
+    format: OutputFormat,
+    result: Record<string, unknown>,
+    rows?: readonly Record<string, unknown>[],
+): void {
+    if (format === OutputFormat.Json) {
+        process.stdout.write(`${JSON.stringify(result, undefined, 2)}\n`);
+        return;
+    }
+    process.stdout.write(`${rows === undefined ? formatFields(result) : formatRows(rows)}\n`);
+}
+
+/** No colours and no box, so that pipes and narrow terminals get plain text. */
+const plainStyle = {
+    chars: {
+        "top": "",
+        "top-mid": "",
+        "top-left": "",
+        "top-right": "",
+        "bottom": "",
+        "bottom-mid": "",
+        "bottom-left": "",
+        "bottom-right": "",
+        "left": "",
+        "left-mid": "",
+        "mid": "",
+        "mid-mid": "",
+        "right": "",
+        "right-mid": "",
+        "middle": "  ",
+    },
+    style: { "head": [], "border": [], "padding-left": 0, "padding-right": 0 },
+};
+
+function formatRows(rows: readonly Record<string, unknown>[]): string {
+    const [first] = rows;
+    if (first === undefined) {
+        return "(none)";
+    }
+    const columns = Object.keys(first);
+    const table = new Table({ ...plainStyle, head: columns });
+    for (const row of rows) {
+        table.push(columns.map(column => formatValue(row[column])));
+    }
+    return table.toString();
+}
+
+function formatFields(result: Record<string, unknown>): string {
+    const table = new Table(plainStyle);
+    for (const [name, value] of Object.entries(result)) {
+        table.push([name, formatValue(value)]);
+    }
+    return table.toString();
+}
+
+function formatValue(value: unknown): string {
+    if (value === undefined) {
+        return "";
+    }
+    return typeof value === "object" ? JSON.stringify(value) : String(value as string | number | boolean);
+}
--- /dev/null
+++ b/packages/cli/src/timeline/format-event.ts
@@ -0,0 +1,13 @@
+import type { EventRecord } from "@daisylock/core/events/event-record.js";
+
+/**
+ * Formats an event as one line of text.
+ * @param event - the event
+ * @returns the line
+ */
+export function formatEvent(event: EventRecord): string {
+    const { time, process, zone, kind, ...fields } = event;
+    const at = `${new Date(time.wallMs).toISOString().slice(11, 23)}+${time.counter}`;
+    const rest = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`).join(" ");
+    return `${at.padEnd(16)} ${zone}/${process.padEnd(12)} ${kind.padEnd(20)} ${rest}`.trimEnd();
+}
--- /dev/null
+++ b/packages/cli/src/timeline/timeline-format.ts
@@ -0,0 +1,7 @@
+/** How a time line is printed. */
+export enum TimelineFormat {
+    Text = "text",
+    JsonLines = "jsonl",
+    /** For the trace viewers of browsers. */
+    Chrome = "chrome",
+}
--- /dev/null
+++ b/packages/core/src/admission/estimate.ts
@@ -0,0 +1,6 @@
+/** How long a new request would wait. */
+export interface Estimate {
+    readonly waitMs: number;
+    /** Slots on which the estimate rests; 0 when there is none to go by. */
+    readonly slots: number;
+}
--- /dev/null
+++ b/packages/core/src/admission/open-queue.ts
@@ -0,0 +1,26 @@
+import type { PoolAdmission } from "./pool-admission.js";
+import type { TeamQueue } from "./team-queue.js";
+
+/**
+ * Returns a team's queue for a pool, made on first use.
+ * @param pool - admission of the pool
+ * @param team - name of the team
+ * @returns the queue
+ */
+export function openQueue(pool: PoolAdmission, team: string): TeamQueue {
+    let queue = pool.queues.get(team);
+    if (queue === undefined) {
+        queue = {
+            team,
+            urgent: [],
+            normal: [],
+            waiting: 0,
+            running: 0,
+            sharedVirtualMs: 0,
+            localVirtualMs: 0,
+            unreportedMs: 0,
+        };
+        pool.queues.set(team, queue);
+    }
+    return queue;
+}
--- /dev/null
+++ b/packages/core/src/admission/refusal.ts
@@ -0,0 +1,8 @@
+import type { RefusalReason } from "../answers/refusal-reason.js";
+
+/** A refusal of a request that was certainly not run. */
+export interface Refusal {
+    readonly reason: RefusalReason;
+    /** When asking again may help, milliseconds from now. */
+    readonly retryAfterMs?: number | undefined;
+}
--- /dev/null
+++ b/packages/core/src/admission/take-dispatches.ts
@@ -0,0 +1,85 @@
+import { assertInvariant } from "../invariants/assert-invariant.js";
+import { Invariant } from "../invariants/invariant.js";
+import type { AdmissionState } from "./admission-state.js";
+import type { Dispatch } from "./dispatch.js";
+import { openPool } from "./open-pool.js";
+import { pickQueue } from "./pick-queue.js";
+import { pickTarget } from "./pick-target.js";
+import type { PoolAdmission } from "./pool-admission.js";
+import { settleWaiting } from "./settle-waiting.js";
+import type { TargetSlots } from "./target-slots.js";
+import type { TeamQueue } from "./team-queue.js";
+import type { WaitingRequest } from "./waiting-request.js";
+
+/**
+ * Starts as many waiting requests of a pool as slots and limits allow.
+ * @param state - the entry
+ * @param poolName - the pool
+ * @param now - monotonic milliseconds
+ * @returns the requests that start, each with its target
+ */
+export function takeDispatches(state: AdmissionState, poolName: string, now: number): Dispatch[] {
+    const pool = openPool(state, poolName);
+    const dispatches: Dispatch[] = [];
+    const passedOver = new Set<string>();
+    for (;;) {
+        const queue = pickQueue(state, pool, passedOver);
+        const request = queue === undefined ? undefined : readNext(queue);
+        if (queue === undefined || request === undefined) {
+            return dispatches;
+        }
+        const target = pickTarget(state, pool, request.avoid, now);
+        if (target === undefined) {
+            passedOver.add(queue.team);
+            continue;
+        }
+        dispatches.push(startRequest(state, pool, queue, request, target, now));
+    }
+}
+
+function readNext(queue: TeamQueue): WaitingRequest | undefined {
+    for (const list of [queue.urgent, queue.normal]) {
+        while (list[0]?.isSettled === true) {
+            list.shift();
+        }
+        if (list[0] !== undefined) {
+            return list[0];
+        }
+    }
+    return undefined;
+}
+
+function startRequest(
+    state: AdmissionState,
+    pool: PoolAdmission,
+    queue: TeamQueue,
+    request: WaitingRequest,
+    target: TargetSlots,
+    now: number,
+): Dispatch {
+    settleWaiting(state, request);
+    const limit = state.teams.get(request.team);
+    assertInvariant(
+        limit !== undefined && limit.inUse < limit.allowed,
+        Invariant.LimitNotExceeded,
+        () => `team ${request.team} would use ${(limit?.inUse ?? 0) + 1} of ${limit?.allowed ?? 0}`,
+    );
+    if (limit !== undefined) {
+        limit.inUse += 1;
+    }
+    target.inUse += 1;
+    assertInvariant(
+        target.inUse <= target.allowed,
+        Invariant.SlotsNotExceeded,
+        () => `${target.vm} would use ${target.inUse} of ${target.allowed} slots`,
+    );
+    queue.running += 1;
+    const chargedMs = pool.meanServiceMs;
+    chargeSlotTime(state, queue, chargedMs);
+    return { request, target, startedAt: now, chargedMs };
+}
+
+function chargeSlotTime(state: AdmissionState, queue: TeamQueue, milliseconds: number): void {
+    queue.localVirtualMs += milliseconds / (state.shares.get(queue.team) ?? 1);
+    queue.unreportedMs += milliseconds;
+}
--- /dev/null
+++ b/packages/core/src/admission/take-expired.ts
@@ -0,0 +1,36 @@
+import type { AdmissionState } from "./admission-state.js";
+import { settleWaiting } from "./settle-waiting.js";
+import type { WaitingRequest } from "./waiting-request.js";
+
+/**
+ * Takes the requests out of the queues that can no longer start in time.
+ * @param state - the entry
+ * @param now - monotonic milliseconds
+ * @returns the requests, each to be refused
+ */
+export function takeExpired(state: AdmissionState, now: number): WaitingRequest[] {
+    const expired: WaitingRequest[] = [];
+    for (const pool of state.pools.values()) {
+        for (const queue of pool.queues.values()) {
+            if (queue.waiting > 0) {
+                collectExpired(queue.urgent, now, expired);
+                collectExpired(queue.normal, now, expired);
+            }
+        }
+    }
+    for (const request of expired) {
+        settleWaiting(state, request);
+    }
+    return expired;
+}
+
+function collectExpired(list: WaitingRequest[], now: number, expired: WaitingRequest[]): void {
+    for (const request of list) {
+        if (!request.isSettled && request.startBy <= now) {
+            expired.push(request);
+        }
+    }
+    while (list[0] !== undefined && (list[0].isSettled || list[0].startBy <= now)) {
+        list.shift();
+    }
+}
--- /dev/null
+++ b/packages/core/src/admission/target-slots.ts
@@ -0,0 +1,18 @@
+import type { TargetHealth } from "../health/target-health.js";
+import type { TargetState } from "./target-state.js";
+
+/** A target on which this entry may use slots. */
+export interface TargetSlots {
+    readonly vm: string;
+    pool: string;
+    zone: string;
+    /** Counts the starts of the target; a higher one replaces a lower one. */
+    incarnation: number;
+    /** IP and port. */
+    address: string;
+    state: TargetState;
+    /** Slots that this entry may use. */
+    allowed: number;
+    inUse: number;
+    health: TargetHealth;
+}
--- /dev/null
+++ b/packages/core/src/admission/waiting-request.ts
@@ -0,0 +1,14 @@
+/** A request that waits for a slot. */
+export interface WaitingRequest {
+    readonly id: number;
+    readonly pool: string;
+    readonly team: string;
+    readonly isUrgent: boolean;
+    readonly enqueuedAt: number;
+    /** Latest useful start, monotonic milliseconds. */
+    readonly startBy: number;
+    /** Targets that already failed this request. */
+    readonly avoid: ReadonlySet<string>;
+    /** Set once the request no longer waits; it is then skipped. */
+    isSettled: boolean;
+}
--- /dev/null
+++ b/packages/core/src/allocation/apply-raise.ts
@@ -0,0 +1,32 @@
+import { assertInvariant } from "../invariants/assert-invariant.js";
+import type { Invariant } from "../invariants/invariant.js";
+import { countGranted } from "./count-granted.js";
+import type { ResourceGrants } from "./resource-grants.js";
+
+/**
+ * Raises a holder's allowance.
+ * @param resource - the resource
+ * @param holder - the holder
+ * @param units - the new allowance
+ * @param sequence - sequence of the change
+ * @param invariant - what is broken if the sum goes above the capacity
+ */
+export function applyRaise(
+    resource: ResourceGrants,
+    holder: string,
+    units: number,
+    sequence: number,
+    invariant: Invariant,
+): void {
+    const grant = resource.grants.get(holder) ?? { allowed: 0, ceiling: 0, sequence };
+    resource.grants.set(holder, grant);
+    const isGrowing = units > grant.ceiling;
+    grant.allowed = units;
+    grant.ceiling = Math.max(grant.ceiling, units);
+    grant.sequence = sequence;
+    assertInvariant(
+        !isGrowing || countGranted(resource) <= resource.capacity,
+        invariant,
+        () => `granted ${countGranted(resource)} of ${resource.capacity} after a raise for ${holder}`,
+    );
+}
--- /dev/null
+++ b/packages/core/src/allocation/apply-team-grants.ts
@@ -0,0 +1,24 @@
+import type { TeamGrant } from "../control/team-grant.js";
+import { Invariant } from "../invariants/invariant.js";
+import { applyRaise } from "./apply-raise.js";
+import type { LeaderState } from "./leader-state.js";
+import { openResource } from "./open-resource.js";
+
+/**
+ * Lets the holders use grants that were committed.
+ * @param state - the leader
+ * @param grants - the committed grants
+ */
+export function applyTeamGrants(state: LeaderState, grants: readonly TeamGrant[]): void {
+    state.sequence += 1;
+    for (const { team, holder, granted } of grants) {
+        const resource = openResource(state.teams, team);
+        const current = resource.grants.get(holder);
+        if (granted > (current?.allowed ?? 0)) {
+            applyRaise(resource, holder, granted, state.sequence, Invariant.LimitNotExceeded);
+        }
+        else if (granted === 0 && current?.ceiling === 0) {
+            resource.grants.delete(holder);
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/allocation/create-leader-state.ts
@@ -0,0 +1,42 @@
+import { ObjectKind } from "../tables/object-kind.js";
+import type { Tables } from "../tables/tables.js";
+import type { LeaderState } from "./leader-state.js";
+
+/**
+ * Creates the soft state of a new leader from the replicated state.
+ * @param session - unique name of this leadership
+ * @param tables - the replicated tables, read only
+ * @param grants - the replicated grants by team and holder
+ * @param now - monotonic milliseconds
+ * @returns the state
+ */
+export function createLeaderState(
+    session: string,
+    tables: Tables,
+    grants: ReadonlyMap<string, ReadonlyMap<string, number>>,
+    now: number,
+): LeaderState {
+    const state: LeaderState = {
+        session,
+        startedAt: now,
+        tables,
+        sequence: 1,
+        entries: new Map(),
+        targets: new Map(),
+        slots: new Map(),
+        teams: new Map(),
+        shares: new Map(),
+        lost: new Map(),
+        stalePools: new Set(),
+        staleTeams: new Set(),
+        plannedRevision: -1,
+    };
+    for (const [team, holders] of grants) {
+        const capacity = tables.objects[ObjectKind.Team].get(team)?.value.upperLimit ?? 0;
+        const entries = [...holders].map(([holder, units]) =>
+            [holder, { allowed: units, ceiling: units, sequence: 1 }] as const
+        );
+        state.teams.set(team, { capacity, grants: new Map(entries) });
+    }
+    return state;
+}
--- /dev/null
+++ b/packages/core/src/allocation/demand.ts
@@ -0,0 +1,5 @@
+/** How much of a resource one holder could use. */
+export interface Demand {
+    readonly holder: string;
+    readonly wanted: number;
+}
--- /dev/null
+++ b/packages/core/src/allocation/leader-state.ts
@@ -0,0 +1,26 @@
+import type { Tables } from "../tables/tables.js";
+import type { EntryView } from "./entry-view.js";
+import type { LostHolder } from "./lost-holder.js";
+import type { ResourceGrants } from "./resource-grants.js";
+import type { ShareAccount } from "./share-account.js";
+import type { TargetView } from "./target-view.js";
+
+/** The soft state of a leader; a new leader builds it again from the entries' reports. */
+export interface LeaderState {
+    /** Unique for each time that a keeper becomes leader. */
+    readonly session: string;
+    readonly startedAt: number;
+    readonly tables: Tables;
+    sequence: number;
+    readonly entries: Map<string, EntryView>;
+    readonly targets: Map<string, TargetView>;
+    readonly slots: Map<string, ResourceGrants>;
+    readonly teams: Map<string, ResourceGrants>;
+    readonly shares: Map<string, Map<string, ShareAccount>>;
+    readonly lost: Map<string, LostHolder>;
+    /** Pools and teams whose plan has to be made again. */
+    readonly stalePools: Set<string>;
+    readonly staleTeams: Set<string>;
+    /** Table revision for which the plans were made. */
+    plannedRevision: number;
+}
--- /dev/null
+++ b/packages/core/src/allocation/plan-team-grants.ts
@@ -0,0 +1,83 @@
+import type { TeamGrant } from "../control/team-grant.js";
+import { allocationTiming } from "./allocation-timing.js";
+import type { Demand } from "./demand.js";
+import type { LeaderState } from "./leader-state.js";
+import { lowerGrants } from "./lower-grants.js";
+import { planRaises } from "./plan-raises.js";
+import { splitCapacity } from "./split-capacity.js";
+
+/**
+ * Plans the parts of the upper limit of every stale team. Allowances that fall do so at once; those that rise have to
+ * be committed first.
+ * @param state - the leader
+ * @param recorded - the grants in the replicated state, by team and holder
+ * @param now - monotonic milliseconds
+ * @returns grants to commit, those that fall first; to be passed to applyTeamGrants afterwards
+ */
+export function planTeamGrants(
+    state: LeaderState,
+    recorded: ReadonlyMap<string, ReadonlyMap<string, number>>,
+    now: number,
+): TeamGrant[] {
+    const lowered: TeamGrant[] = [];
+    const raised: TeamGrant[] = [];
+    for (const team of state.staleTeams) {
+        const resource = state.teams.get(team);
+        if (resource === undefined) {
+            continue;
+        }
+        const plan = splitCapacity(
+            resource.capacity - countHeldByOthers(state, team, now),
+            listDemands(state, team, now),
+        );
+        addLeaving(state, plan);
+        lowerGrants(resource, plan, ++state.sequence);
+        const raises = planRaises(resource, plan);
+        for (const [holder, granted] of recorded.get(team) ?? []) {
+            const ceiling = resource.grants.get(holder)?.ceiling ?? 0;
+            if (ceiling < granted && !raises.has(holder)) {
+                lowered.push({ team, holder, granted: ceiling });
+            }
+        }
+        for (const [holder, granted] of raises) {
+            raised.push({ team, holder, granted });
+        }
+    }
+    state.staleTeams.clear();
+    return [...lowered, ...raised];
+}
+
+/** An entry that is leaving hands everything back. */
+function addLeaving(state: LeaderState, plan: Map<string, number>): void {
+    for (const view of state.entries.values()) {
+        if (view.isLeaving) {
+            plan.set(view.holder, 0);
+        }
+    }
+}
+
+function isPlanned(state: LeaderState, entry: string, now: number): boolean {
+    const view = state.entries.get(entry);
+    return view !== undefined && !view.isLeaving && now - view.heardAt <= allocationTiming.entrySilent;
+}
+
+function listDemands(state: LeaderState, team: string, now: number): Demand[] {
+    const demands: Demand[] = [];
+    for (const view of state.entries.values()) {
+        if (isPlanned(state, view.entry, now)) {
+            const wanted = Math.max(view.teamDemand.get(team)?.wanted ?? 0, view.teamUse.get(team) ?? 0);
+            demands.push({ holder: view.holder, wanted });
+        }
+    }
+    return demands;
+}
+
+/** Units that silent, leaving and lost holders may be using. */
+function countHeldByOthers(state: LeaderState, team: string, now: number): number {
+    const planned = new Set(listDemands(state, team, now).map(demand => demand.holder));
+    let held = 0;
+    for (const [holder, grant] of state.teams.get(team)?.grants ?? []) {
+        held += planned.has(holder) ? 0 : grant.ceiling;
+    }
+    return held;
+}
--- /dev/null
+++ b/packages/core/src/allocation/read-allowances.ts
@@ -0,0 +1,77 @@
+import { TargetState } from "../admission/target-state.js";
+import { countGranted } from "./count-granted.js";
+import type { EntryAllowances } from "./entry-allowances.js";
+import type { EntryReport } from "./entry-report.js";
+import type { LeaderState } from "./leader-state.js";
+import { readHolder } from "./read-holder.js";
+
+/**
+ * Reads what changed for an entry since the sequence that it has applied.
+ * @param state - the leader
+ * @param report - the entry's report
+ * @returns allowances to apply
+ */
+export function readAllowances(state: LeaderState, report: EntryReport): EntryAllowances {
+    const holder = readHolder(report.entry, report.incarnation);
+    const since = report.isFull ? 0 : report.seenSequence;
+    return {
+        sequence: state.sequence,
+        teams: readTeams(state, holder, since),
+        slots: readSlots(state, holder, since),
+        shares: readShares(state, report),
+        lostHolders: [...state.lost.keys()],
+        releasedTargets: readReleased(state, report.entry),
+    };
+}
+
+function readReleased(state: LeaderState, entry: string): string[] {
+    const released: string[] = [];
+    for (const view of state.targets.values()) {
+        if (view.state !== TargetState.Leaving || !view.registrars.has(entry)) {
+            continue;
+        }
+        const resource = state.slots.get(view.vm);
+        if (resource === undefined || (resource.capacity === 0 && countGranted(resource) === 0)) {
+            released.push(view.vm);
+        }
+    }
+    return released;
+}
+
+function readTeams(state: LeaderState, holder: string, since: number): EntryAllowances["teams"] {
+    const rows: EntryAllowances["teams"] = [];
+    for (const [team, resource] of state.teams) {
+        const grant = resource.grants.get(holder);
+        if (grant !== undefined && grant.sequence > since) {
+            rows.push({ team, allowed: grant.allowed });
+        }
+    }
+    return rows;
+}
+
+function readSlots(state: LeaderState, holder: string, since: number): EntryAllowances["slots"] {
+    const rows: EntryAllowances["slots"] = [];
+    for (const [vm, resource] of state.slots) {
+        const grant = resource.grants.get(holder);
+        const view = state.targets.get(vm);
+        if (grant === undefined || view === undefined || Math.max(grant.sequence, view.sequence) <= since) {
+            continue;
+        }
+        rows.push({
+            vm,
+            incarnation: view.incarnation,
+            address: view.address,
+            state: view.state,
+            allowed: grant.allowed,
+        });
+    }
+    return rows;
+}
+
+function readShares(state: LeaderState, report: EntryReport): EntryAllowances["shares"] {
+    return report.demands.map(row => ({
+        pool: row.pool,
+        team: row.team,
+        virtualMs: state.shares.get(row.pool)?.get(row.team)?.virtualMs ?? 0,
+    }));
+}
--- /dev/null
+++ b/packages/core/src/allocation/read-holder.ts
@@ -0,0 +1,9 @@
+/**
+ * Builds the name under which an entry holds grants.
+ * @param entry - name of the entry
+ * @param incarnation - its incarnation
+ * @returns the holder's name
+ */
+export function readHolder(entry: string, incarnation: string): string {
+    return `${entry}@${incarnation}`;
+}
--- /dev/null
+++ b/packages/core/src/allocation/share-account.ts
@@ -0,0 +1,8 @@
+/** A team's use of a pool over all entries. */
+export interface ShareAccount {
+    /** Slot time divided by the share, milliseconds. */
+    virtualMs: number;
+    /** Slot time, milliseconds. */
+    usedMs: number;
+    activeAt: number;
+}
--- /dev/null
+++ b/packages/core/src/allocation/split-capacity.ts
@@ -0,0 +1,26 @@
+import type { Demand } from "./demand.js";
+
+/**
+ * Splits a capacity in whole units: max-min fair by demand, what is left over evenly as headroom.
+ * @param capacity - units to split
+ * @param demands - the holders and their demand
+ * @returns units by holder; their sum is the capacity unless there is no holder
+ */
+export function splitCapacity(capacity: number, demands: readonly Demand[]): Map<string, number> {
+    const shares = new Map<string, number>();
+    const ordered = [...demands].sort((a, b) => a.wanted - b.wanted || (a.holder < b.holder ? -1 : 1));
+    let remaining = Math.max(0, Math.floor(capacity));
+    ordered.forEach((demand, position) => {
+        const fair = Math.floor(remaining / (ordered.length - position));
+        const units = Math.min(Math.ceil(demand.wanted), fair);
+        shares.set(demand.holder, units);
+        remaining -= units;
+    });
+    for (let position = 0; remaining > 0 && ordered.length > 0; position++) {
+        const units = Math.ceil(remaining / (ordered.length - position % ordered.length));
+        const holder = ordered[ordered.length - 1 - position % ordered.length]?.holder ?? "";
+        shares.set(holder, (shares.get(holder) ?? 0) + units);
+        remaining -= units;
+    }
+    return shares;
+}
--- /dev/null
+++ b/packages/core/src/control/apply-change.ts
@@ -0,0 +1,99 @@
+import canonicalize from "canonicalize";
+import { createHash } from "node:crypto";
+
+import { applyTableUpdate } from "../tables/apply-table-update.js";
+import { checkEdits } from "../tables/check-edits.js";
+import { computeTableDigest } from "../tables/compute-table-digest.js";
+import type { TableEdit } from "../tables/table-edit.js";
+import type { ChangeCommand } from "./change-command.js";
+import { ChangeOutcome } from "./change-outcome.js";
+import type { ChangeResult } from "./change-result.js";
+import type { ControlState } from "./control-state.js";
+
+/** Six days of changes at the target of 1,700 a day. */
+const maxRememberedChanges = 10_000;
+const maxRecentUpdates = 256;
+
+/**
+ * Applies a change of the tables, or explains why not.
+ * @param state - the replicated state, changed in place
+ * @param command - the change
+ * @returns the answer, the same one for the same change id
+ */
+export function applyChange(state: ControlState, command: ChangeCommand): ChangeResult {
+    const contentDigest = computeContentDigest(command);
+    const known = state.changes.get(command.changeId);
+    if (known !== undefined) {
+        return known.contentDigest === contentDigest
+            ? known.result
+            : { outcome: ChangeOutcome.IdReused, revision: state.tables.revision };
+    }
+    const result = decideChange(state, command);
+    state.changes.set(command.changeId, { contentDigest, result });
+    dropOldest(state.changes, maxRememberedChanges);
+    return result;
+}
+
+function computeContentDigest(command: ChangeCommand): string {
+    const content = { base: command.baseRevision, edits: command.edits };
+    const text = canonicalize(JSON.parse(JSON.stringify(content))) ?? "";
+    return createHash("sha256").update(text).digest("hex").slice(0, 32);
+}
+
+function decideChange(state: ControlState, command: ChangeCommand): ChangeResult {
+    const revision = state.tables.revision;
+    const conflict = findConflict(state, command);
+    if (conflict !== undefined) {
+        return { outcome: ChangeOutcome.Conflict, revision, winner: conflict };
+    }
+    const faults = checkEdits(state.tables, command.edits);
+    if (faults.length > 0) {
+        return { outcome: ChangeOutcome.Invalid, revision, faults };
+    }
+    acceptEdits(state, command.edits);
+    return { outcome: ChangeOutcome.Accepted, revision: state.tables.revision };
+}
+
+function findConflict(state: ControlState, command: ChangeCommand): ChangeResult["winner"] {
+    const { tables } = state;
+    if (command.baseRevision !== undefined && command.baseRevision !== tables.revision) {
+        return describeWinner(state, "tables", tables.revision);
+    }
+    for (const edit of command.edits) {
+        const actual = tables.objects[edit.kind].get(edit.name)?.revision ?? 0;
+        if (edit.ifRevision !== undefined && edit.ifRevision !== actual) {
+            return describeWinner(state, `${edit.kind}/${edit.name}`, actual);
+        }
+    }
+    return undefined;
+}
+
+function describeWinner(state: ControlState, object: string, revision: number): ChangeResult["winner"] {
+    for (const [changeId, { result }] of state.changes) {
+        if (result.outcome === ChangeOutcome.Accepted && result.revision === revision) {
+            return { changeId, object, revision };
+        }
+    }
+    return { changeId: "", object, revision };
+}
+
+function acceptEdits(state: ControlState, edits: readonly TableEdit[]): void {
+    const { tables } = state;
+    const revision = tables.revision + 1;
+    const stored = edits.map(edit => ({ ...edit, ifRevision: undefined }));
+    const update = { revision, digest: computeTableDigest(tables.digest, revision, stored), edits: stored };
+    applyTableUpdate(tables, update);
+    state.recentUpdates.push(update);
+    if (state.recentUpdates.length > maxRecentUpdates) {
+        state.recentUpdates.shift();
+    }
+}
+
+function dropOldest(map: Map<string, unknown>, limit: number): void {
+    for (const key of map.keys()) {
+        if (map.size <= limit) {
+            return;
+        }
+        map.delete(key);
+    }
+}
--- /dev/null
+++ b/packages/core/src/control/apply-command.ts
@@ -0,0 +1,32 @@
+import { applyChange } from "./apply-change.js";
+import { applyDispatch } from "./apply-dispatch.js";
+import { applyGrants } from "./apply-grants.js";
+import { applyOutcome } from "./apply-outcome.js";
+import { CommandKind } from "./command-kind.js";
+import type { CommandResults } from "./command-results.js";
+import type { ControlCommand } from "./control-command.js";
+import type { ControlState } from "./control-state.js";
+
+const handlers = {
+    [CommandKind.ChangeTables]: applyChange,
+    [CommandKind.RecordDispatch]: applyDispatch,
+    [CommandKind.RecordOutcome]: applyOutcome,
+    [CommandKind.SetGrants]: applyGrants,
+};
+
+/**
+ * Applies one committed command. Deterministic: every replica reaches the same state.
+ * @param state - the replicated state, changed in place
+ * @param command - the command
+ * @returns the result for the proposer
+ */
+export function applyCommand<Command extends ControlCommand>(
+    state: ControlState,
+    command: Command,
+): CommandResults[Command["kind"]] {
+    const handler = handlers[command.kind] as unknown as (
+        state: ControlState,
+        command: Command,
+    ) => CommandResults[Command["kind"]];
+    return handler(state, command);
+}
--- /dev/null
+++ b/packages/core/src/control/apply-outcome.ts
@@ -0,0 +1,18 @@
+import type { ControlState } from "./control-state.js";
+import { DispatchState } from "./dispatch-state.js";
+import type { OutcomeCommand } from "./outcome-command.js";
+
+/**
+ * Records how a claimed request ended.
+ * @param state - the replicated state, changed in place
+ * @param command - the outcome
+ * @returns false when the request is not claimed by this attempt
+ */
+export function applyOutcome(state: ControlState, command: OutcomeCommand): boolean {
+    const record = state.dispatches.get(command.dispatchId);
+    if (record?.attempt !== command.attempt || record.state !== DispatchState.Dispatched) {
+        return false;
+    }
+    state.dispatches.set(command.dispatchId, { ...record, state: command.state, answer: command.answer });
+    return true;
+}
--- /dev/null
+++ b/packages/core/src/control/command-kind.ts
@@ -0,0 +1,7 @@
+/** The kinds of command in the replicated log. */
+export enum CommandKind {
+    ChangeTables = "change-tables",
+    RecordDispatch = "record-dispatch",
+    RecordOutcome = "record-outcome",
+    SetGrants = "set-grants",
+}
--- /dev/null
+++ b/packages/core/src/control/control-command.ts
@@ -0,0 +1,7 @@
+import type { ChangeCommand } from "./change-command.js";
+import type { DispatchCommand } from "./dispatch-command.js";
+import type { GrantsCommand } from "./grants-command.js";
+import type { OutcomeCommand } from "./outcome-command.js";
+
+/** A command of the replicated log. */
+export type ControlCommand = ChangeCommand | DispatchCommand | OutcomeCommand | GrantsCommand;
--- /dev/null
+++ b/packages/core/src/control/dispatch-record.ts
@@ -0,0 +1,12 @@
+import type { DispatchState } from "./dispatch-state.js";
+import type { RecordedAnswer } from "./recorded-answer.js";
+
+/** What is remembered of one unrepeatable request. */
+export interface DispatchRecord {
+    readonly attempt: string;
+    readonly fingerprint: string;
+    readonly state: DispatchState;
+    /** Wall clock of the claim, milliseconds. */
+    readonly at: number;
+    readonly answer?: RecordedAnswer | undefined;
+}
--- /dev/null
+++ b/packages/core/src/control/encode-control-state.ts
@@ -0,0 +1,16 @@
+import { encodeTables } from "../tables/encode-tables.js";
+import type { ControlState } from "./control-state.js";
+
+/**
+ * Encodes the replicated state for a snapshot.
+ * @param state - the state
+ * @returns text for decodeControlState
+ */
+export function encodeControlState(state: ControlState): string {
+    return JSON.stringify({
+        tables: encodeTables(state.tables),
+        changes: [...state.changes],
+        dispatches: [...state.dispatches],
+        grants: [...state.grants].map(([team, holders]) => [team, [...holders]]),
+    });
+}
--- /dev/null
+++ b/packages/core/src/control/recorded-answer.ts
@@ -0,0 +1,7 @@
+/** A target's answer that is kept for callers who ask again. */
+export interface RecordedAnswer {
+    readonly status: number;
+    readonly contentType: string;
+    /** Base64; `undefined` when the body was too large to keep. */
+    readonly body?: string | undefined;
+}
--- /dev/null
+++ b/packages/core/src/events/event-record.ts
@@ -0,0 +1,17 @@
+import type { EventKind } from "./event-kind.js";
+import type { HybridTime } from "./hybrid-time.js";
+
+/** One event of the time line. */
+export interface EventRecord {
+    readonly time: HybridTime;
+    readonly process: string;
+    readonly zone: string;
+    readonly kind: EventKind;
+    readonly request?: string | undefined;
+    readonly vm?: string | undefined;
+    readonly team?: string | undefined;
+    readonly pool?: string | undefined;
+    readonly revision?: number | undefined;
+    readonly change?: string | undefined;
+    readonly detail?: string | undefined;
+}
--- /dev/null
+++ b/packages/core/src/invariants/invariant.ts
@@ -0,0 +1,13 @@
+/** The invariants that the program asserts while it runs. */
+export enum Invariant {
+    OneLeaderPerTerm = "one-leader-per-term",
+    CommittedEntriesStay = "committed-entries-stay",
+    RevisionNeverDecreases = "revision-never-decreases",
+    DecisionsNeedLease = "decisions-need-lease",
+    LimitNotExceeded = "limit-not-exceeded",
+    SlotsNotExceeded = "slots-not-exceeded",
+    VmInOnePool = "vm-in-one-pool",
+    NoStaleService = "no-stale-service",
+    OneDispatchForUnrepeatable = "one-dispatch-for-unrepeatable",
+    BudgetKept = "budget-kept",
+}
--- /dev/null
+++ b/packages/core/src/keys/presented-key.ts
@@ -0,0 +1,5 @@
+/** A key as a caller presents it. */
+export interface PresentedKey {
+    readonly id: string;
+    readonly secret: string;
+}
--- /dev/null
+++ b/packages/core/src/log/append-entry.ts
@@ -0,0 +1,23 @@
+import { EntryKind } from "./entry-kind.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+import { updateMembers } from "./update-members.js";
+import { updatePeers } from "./update-peers.js";
+
+/**
+ * Appends an entry of the current term to the leader's log.
+ * @param state - the leader
+ * @param kind - kind of the entry
+ * @param payload - its content
+ * @returns index of the entry
+ */
+export function appendEntry(state: RaftState, kind: EntryKind, payload: string): number {
+    const index = readLastIndex(state) + 1;
+    state.entries.push({ index, term: state.hard.term, kind, payload });
+    state.unsavedFrom = Math.min(state.unsavedFrom ?? index, index);
+    if (kind === EntryKind.Members) {
+        updateMembers(state);
+        updatePeers(state);
+    }
+    return index;
+}
--- /dev/null
+++ b/packages/core/src/log/change-members.ts
@@ -0,0 +1,43 @@
+import { EntryKind } from "./entry-kind.js";
+import { MemberChangeFault } from "./member-change-fault.js";
+import type { Members } from "./members.js";
+import { proposeEntry } from "./propose-entry.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+
+/** Entries by which a learner may lag and still become a voter. */
+const maxLearnerLag = 16;
+
+/**
+ * Proposes new members. At most one voter may change at a time, and only a learner that has caught up may become
+ * a voter.
+ * @param state - the leader
+ * @param next - the new members
+ * @param now - monotonic milliseconds
+ * @returns index of the entry, or why the change is refused
+ */
+export function changeMembers(state: RaftState, next: Members, now: number): number | MemberChangeFault {
+    if (state.role !== RaftRole.Leader) {
+        return MemberChangeFault.NotLeader;
+    }
+    if (state.membersIndex > state.commitIndex) {
+        return MemberChangeFault.ChangePending;
+    }
+    const added = Object.keys(next.voters).filter(id => !Object.hasOwn(state.members.voters, id));
+    const removed = Object.keys(state.members.voters).filter(id => !Object.hasOwn(next.voters, id));
+    if (added.length + removed.length > 1) {
+        return MemberChangeFault.TooManyVoters;
+    }
+    if (Object.keys(next.voters).length === 0) {
+        return MemberChangeFault.NoVoters;
+    }
+    if (added.some(id => !isCaughtUp(state, id))) {
+        return MemberChangeFault.LearnerBehind;
+    }
+    return proposeEntry(state, EntryKind.Members, JSON.stringify(next), now) ?? MemberChangeFault.NotLeader;
+}
+
+function isCaughtUp(state: RaftState, id: string): boolean {
+    const matchIndex = state.peers.get(id)?.matchIndex ?? 0;
+    return matchIndex > 0 && matchIndex + maxLearnerLag >= state.commitIndex;
+}
--- /dev/null
+++ b/packages/core/src/log/confirm-persisted.ts
@@ -0,0 +1,18 @@
+import { advanceCommit } from "./advance-commit.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+
+/**
+ * Notes that hard state, snapshot and all entries are on disk.
+ * @param state - the keeper
+ */
+export function confirmPersisted(state: RaftState): void {
+    state.isHardStateUnsaved = false;
+    state.isSnapshotUnsaved = false;
+    state.unsavedFrom = undefined;
+    state.persistedIndex = readLastIndex(state);
+    if (state.role === RaftRole.Leader) {
+        advanceCommit(state);
+    }
+}
--- /dev/null
+++ b/packages/core/src/log/handle-append-reply.ts
@@ -0,0 +1,39 @@
+import { advanceCommit } from "./advance-commit.js";
+import { RaftMessageKind } from "./raft-message-kind.js";
+import type { RaftMessage } from "./raft-message.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+import { sendAppend } from "./send-append.js";
+
+type AppendReply = Extract<RaftMessage, { kind: RaftMessageKind.AppendReply }>;
+
+/**
+ * Notes how far a peer has come and sends it what it still lacks.
+ * @param state - the leader
+ * @param message - the peer's reply
+ * @param now - monotonic milliseconds
+ */
+export function handleAppendReply(state: RaftState, message: AppendReply, now: number): void {
+    const peer = state.peers.get(message.from);
+    if (state.role !== RaftRole.Leader || message.term !== state.hard.term || peer === undefined) {
+        return;
+    }
+    peer.ackedSentAt = Math.max(peer.ackedSentAt, message.sentAt);
+    peer.isWaiting = false;
+    if (!message.isAccepted && message.index <= peer.matchIndex) {
+        // Either an old reply, or a disk that lost what it had acknowledged; the next heartbeat tells.
+        return;
+    }
+    if (!message.isAccepted) {
+        peer.nextIndex = Math.min(message.index, readLastIndex(state) + 1);
+        sendAppend(state, message.from, peer, now);
+        return;
+    }
+    peer.matchIndex = Math.max(peer.matchIndex, message.index);
+    peer.nextIndex = peer.matchIndex + 1;
+    advanceCommit(state);
+    if (peer.nextIndex <= readLastIndex(state)) {
+        sendAppend(state, message.from, peer, now);
+    }
+}
--- /dev/null
+++ b/packages/core/src/log/handle-append.ts
@@ -0,0 +1,102 @@
+import { assertInvariant } from "../invariants/assert-invariant.js";
+import { Invariant } from "../invariants/invariant.js";
+import { EntryKind } from "./entry-kind.js";
+import type { LogEntry } from "./log-entry.js";
+import { RaftMessageKind } from "./raft-message-kind.js";
+import type { RaftMessage } from "./raft-message.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+import { readTerm } from "./read-term.js";
+import { startFollowing } from "./start-following.js";
+import { updateMembers } from "./update-members.js";
+
+type Append = Extract<RaftMessage, { kind: RaftMessageKind.Append }>;
+
+/**
+ * Takes over entries from the leader.
+ * @param state - the follower
+ * @param message - the entries and what must precede them
+ * @param now - monotonic milliseconds
+ */
+export function handleAppend(state: RaftState, message: Append, now: number): void {
+    if (message.term < state.hard.term) {
+        reply(state, message, false, 0);
+        return;
+    }
+    assertInvariant(
+        state.role !== RaftRole.Leader,
+        Invariant.OneLeaderPerTerm,
+        () => `${state.id} and ${message.from} both lead term ${message.term}`,
+    );
+    startFollowing(state, message.term, message.from, now);
+    state.leaderHeardAt = now;
+    if (message.previousIndex < state.base.index) {
+        reply(state, message, false, state.commitIndex + 1);
+        return;
+    }
+    if (readTerm(state, message.previousIndex) !== message.previousTerm) {
+        reply(state, message, false, computeRetryIndex(state, message.previousIndex));
+        return;
+    }
+    for (const entry of message.entries) {
+        storeEntry(state, entry);
+    }
+    const matchIndex = message.previousIndex + message.entries.length;
+    state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex));
+    reply(state, message, true, matchIndex);
+}
+
+/** Skips the whole term that conflicts, so that repair takes one round a term. */
+function computeRetryIndex(state: RaftState, previousIndex: number): number {
+    const lastIndex = readLastIndex(state);
+    if (previousIndex > lastIndex) {
+        return lastIndex + 1;
+    }
+    const conflicting = readTerm(state, previousIndex);
+    let index = previousIndex;
+    while (index > state.commitIndex + 1 && readTerm(state, index - 1) === conflicting) {
+        index -= 1;
+    }
+    return index;
+}
+
+function storeEntry(state: RaftState, entry: LogEntry): void {
+    const existing = readTerm(state, entry.index);
+    if (existing === entry.term) {
+        return;
+    }
+    if (existing !== undefined) {
+        truncateFrom(state, entry.index);
+    }
+    state.entries.push(entry);
+    state.unsavedFrom = Math.min(state.unsavedFrom ?? entry.index, entry.index);
+    if (entry.kind === EntryKind.Members) {
+        updateMembers(state);
+    }
+}
+
+function truncateFrom(state: RaftState, index: number): void {
+    assertInvariant(
+        index > state.commitIndex,
+        Invariant.CommittedEntriesStay,
+        () => `${state.id} would drop entry ${index}, committed up to ${state.commitIndex}`,
+    );
+    state.entries.length = index - state.base.index - 1;
+    state.persistedIndex = Math.min(state.persistedIndex, index - 1);
+    if (state.membersIndex >= index) {
+        updateMembers(state);
+    }
+}
+
+function reply(state: RaftState, message: Append, isAccepted: boolean, index: number): void {
+    state.outbox.push({
+        kind: RaftMessageKind.AppendReply,
+        from: state.id,
+        to: message.from,
+        term: state.hard.term,
+        isAccepted,
+        index,
+        sentAt: message.sentAt,
+    });
+}
--- /dev/null
+++ b/packages/core/src/log/handle-snapshot-chunk.ts
@@ -0,0 +1,77 @@
+import type { Members } from "./members.js";
+import { RaftMessageKind } from "./raft-message-kind.js";
+import type { RaftMessage } from "./raft-message.js";
+import type { RaftState } from "./raft-state.js";
+import { readTerm } from "./read-term.js";
+import { startFollowing } from "./start-following.js";
+import { updateMembers } from "./update-members.js";
+
+type SnapshotChunk = Extract<RaftMessage, { kind: RaftMessageKind.SnapshotChunk }>;
+
+/**
+ * Takes over a part of the leader's snapshot and installs it when whole.
+ * @param state - the follower
+ * @param message - the part
+ * @param now - monotonic milliseconds
+ */
+export function handleSnapshotChunk(state: RaftState, message: SnapshotChunk, now: number): void {
+    if (message.term < state.hard.term) {
+        reply(state, message, 0, false);
+        return;
+    }
+    startFollowing(state, message.term, message.from, now);
+    state.leaderHeardAt = now;
+    if (message.snapshotIndex <= state.commitIndex) {
+        reply(state, message, 0, true);
+        return;
+    }
+    const received = takeChunk(state, message);
+    if (!message.isLast || received !== message.offset + message.data.length) {
+        reply(state, message, received, false);
+        return;
+    }
+    install(state, message);
+    reply(state, message, received, true);
+}
+
+function takeChunk(state: RaftState, message: SnapshotChunk): number {
+    if (state.incoming?.index !== message.snapshotIndex) {
+        state.incoming = { index: message.snapshotIndex, data: "" };
+    }
+    if (message.offset === state.incoming.data.length) {
+        state.incoming.data += message.data;
+    }
+    return state.incoming.data.length;
+}
+
+function install(state: RaftState, message: SnapshotChunk): void {
+    const isLogKept = readTerm(state, message.snapshotIndex) === message.snapshotTerm;
+    const kept = isLogKept ? state.entries.filter(entry => entry.index > message.snapshotIndex) : [];
+    state.snapshot = {
+        index: message.snapshotIndex,
+        term: message.snapshotTerm,
+        members: JSON.parse(message.members) as Members,
+        data: state.incoming?.data ?? "",
+    };
+    state.incoming = undefined;
+    state.base = { index: message.snapshotIndex, term: message.snapshotTerm };
+    state.entries = kept;
+    state.commitIndex = message.snapshotIndex;
+    state.persistedIndex = message.snapshotIndex + kept.length;
+    state.unsavedFrom = undefined;
+    state.isSnapshotUnsaved = true;
+    updateMembers(state);
+}
+
+function reply(state: RaftState, message: SnapshotChunk, offset: number, isInstalled: boolean): void {
+    state.outbox.push({
+        kind: RaftMessageKind.SnapshotReply,
+        from: state.id,
+        to: message.from,
+        term: state.hard.term,
+        snapshotIndex: message.snapshotIndex,
+        offset,
+        isInstalled,
+        sentAt: message.sentAt,
+    });
+}
--- /dev/null
+++ b/packages/core/src/log/handle-snapshot-reply.ts
@@ -0,0 +1,32 @@
+import { advanceCommit } from "./advance-commit.js";
+import { RaftMessageKind } from "./raft-message-kind.js";
+import type { RaftMessage } from "./raft-message.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { sendAppend } from "./send-append.js";
+
+type SnapshotReply = Extract<RaftMessage, { kind: RaftMessageKind.SnapshotReply }>;
+
+/**
+ * Sends the next part of the snapshot, or goes on with the log after it.
+ * @param state - the leader
+ * @param message - how far the peer has come
+ * @param now - monotonic milliseconds
+ */
+export function handleSnapshotReply(state: RaftState, message: SnapshotReply, now: number): void {
+    const peer = state.peers.get(message.from);
+    if (state.role !== RaftRole.Leader || message.term !== state.hard.term || peer === undefined) {
+        return;
+    }
+    peer.ackedSentAt = Math.max(peer.ackedSentAt, message.sentAt);
+    if (message.isInstalled) {
+        peer.snapshotOffset = undefined;
+        peer.matchIndex = Math.max(peer.matchIndex, message.snapshotIndex);
+        peer.nextIndex = peer.matchIndex + 1;
+        advanceCommit(state);
+    }
+    else if (peer.snapshotOffset !== undefined) {
+        peer.snapshotOffset = message.snapshotIndex === state.snapshot.index ? message.offset : 0;
+    }
+    sendAppend(state, message.from, peer, now);
+}
--- /dev/null
+++ b/packages/core/src/log/handle-vote-request.ts
@@ -0,0 +1,61 @@
+import { isVoter } from "./is-voter.js";
+import { RaftMessageKind } from "./raft-message-kind.js";
+import type { RaftMessage } from "./raft-message.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+import { readTerm } from "./read-term.js";
+import { scheduleElection } from "./schedule-election.js";
+import { setTerm } from "./set-term.js";
+import { startFollowing } from "./start-following.js";
+
+type VoteRequest = Extract<RaftMessage, { kind: RaftMessageKind.PreVote | RaftMessageKind.Vote }>;
+
+/**
+ * Answers a request for a vote. Refuses while this keeper hears a leader, which keeps that leader's lease true.
+ * @param state - the keeper
+ * @param message - the request
+ * @param now - monotonic milliseconds
+ */
+export function handleVoteRequest(state: RaftState, message: VoteRequest, now: number): void {
+    const isPreVote = message.kind === RaftMessageKind.PreVote;
+    if (!isVoter(state, message.from) || isLeaderHeard(state, now)) {
+        reply(state, message, false);
+        return;
+    }
+    if (!isPreVote && message.term > state.hard.term) {
+        startFollowing(state, message.term, undefined, now);
+    }
+    const isGranted = message.term >= state.hard.term && isLogRecent(state, message)
+        && (isPreVote || isVoteFree(state, message));
+    if (isGranted && !isPreVote) {
+        setTerm(state, message.term, message.from);
+        scheduleElection(state, now);
+    }
+    reply(state, message, isGranted);
+}
+
+function isLeaderHeard(state: RaftState, now: number): boolean {
+    return state.role === RaftRole.Leader || now < state.leaderHeardAt + state.timing.electionMin;
+}
+
+function isLogRecent(state: RaftState, message: VoteRequest): boolean {
+    const lastIndex = readLastIndex(state);
+    const lastTerm = readTerm(state, lastIndex) ?? 0;
+    return message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= lastIndex);
+}
+
+function isVoteFree(state: RaftState, message: VoteRequest): boolean {
+    return message.term === state.hard.term
+        && (state.hard.votedFor === undefined || state.hard.votedFor === message.from);
+}
+
+function reply(state: RaftState, message: VoteRequest, isGranted: boolean): void {
+    state.outbox.push({
+        kind: message.kind === RaftMessageKind.PreVote ? RaftMessageKind.PreVoteReply : RaftMessageKind.VoteReply,
+        from: state.id,
+        to: message.from,
+        term: isGranted ? message.term : state.hard.term,
+        isGranted,
+    });
+}
--- /dev/null
+++ b/packages/core/src/log/hard-state.ts
@@ -0,0 +1,5 @@
+/** What a keeper must not forget about its votes. */
+export interface HardState {
+    readonly term: number;
+    readonly votedFor: string | undefined;
+}
--- /dev/null
+++ b/packages/core/src/log/raft-message.ts
@@ -0,0 +1,60 @@
+import type { LogEntry } from "./log-entry.js";
+import type { RaftMessageKind } from "./raft-message-kind.js";
+
+interface Envelope {
+    readonly from: string;
+    readonly to: string;
+    readonly term: number;
+}
+
+interface VoteRequest extends Envelope {
+    readonly kind: RaftMessageKind.PreVote | RaftMessageKind.Vote;
+    readonly lastIndex: number;
+    readonly lastTerm: number;
+}
+
+interface VoteReply extends Envelope {
+    readonly kind: RaftMessageKind.PreVoteReply | RaftMessageKind.VoteReply;
+    readonly isGranted: boolean;
+}
+
+interface Append extends Envelope {
+    readonly kind: RaftMessageKind.Append;
+    readonly previousIndex: number;
+    readonly previousTerm: number;
+    readonly entries: readonly LogEntry[];
+    readonly commitIndex: number;
+    /** Leader's monotonic clock when it sent this, milliseconds. */
+    readonly sentAt: number;
+}
+
+interface AppendReply extends Envelope {
+    readonly kind: RaftMessageKind.AppendReply;
+    readonly isAccepted: boolean;
+    /** Last index known to match, or a hint where to try next. */
+    readonly index: number;
+    readonly sentAt: number;
+}
+
+interface SnapshotChunk extends Envelope {
+    readonly kind: RaftMessageKind.SnapshotChunk;
+    readonly snapshotIndex: number;
+    readonly snapshotTerm: number;
+    readonly members: string;
+    readonly offset: number;
+    readonly data: string;
+    readonly isLast: boolean;
+    readonly sentAt: number;
+}
+
+interface SnapshotReply extends Envelope {
+    readonly kind: RaftMessageKind.SnapshotReply;
+    readonly snapshotIndex: number;
+    /** Characters received so far. */
+    readonly offset: number;
+    readonly isInstalled: boolean;
+    readonly sentAt: number;
+}
+
+/** A message between keepers. */
+export type RaftMessage = VoteRequest | VoteReply | Append | AppendReply | SnapshotChunk | SnapshotReply;
--- /dev/null
+++ b/packages/core/src/log/send-snapshot-chunk.ts
@@ -0,0 +1,31 @@
+import type { PeerProgress } from "./peer-progress.js";
+import { RaftMessageKind } from "./raft-message-kind.js";
+import type { RaftState } from "./raft-state.js";
+
+const chunkCharacters = 64 * 1024;
+
+/**
+ * Sends a peer the next part of the snapshot.
+ * @param state - the leader
+ * @param to - id of the peer
+ * @param peer - what is known of it
+ * @param now - monotonic milliseconds
+ */
+export function sendSnapshotChunk(state: RaftState, to: string, peer: PeerProgress, now: number): void {
+    const { snapshot } = state;
+    const offset = Math.min(peer.snapshotOffset ?? 0, snapshot.data.length);
+    peer.snapshotOffset = offset;
+    state.outbox.push({
+        kind: RaftMessageKind.SnapshotChunk,
+        from: state.id,
+        to,
+        term: state.hard.term,
+        snapshotIndex: snapshot.index,
+        snapshotTerm: snapshot.term,
+        members: JSON.stringify(snapshot.members),
+        offset,
+        data: snapshot.data.slice(offset, offset + chunkCharacters),
+        isLast: offset + chunkCharacters >= snapshot.data.length,
+        sentAt: now,
+    });
+}
--- /dev/null
+++ b/packages/core/src/log/send-to-all.ts
@@ -0,0 +1,14 @@
+import type { RaftState } from "./raft-state.js";
+import { sendAppend } from "./send-append.js";
+
+/**
+ * Sends every peer what it lacks and schedules the next heartbeat.
+ * @param state - the leader
+ * @param now - monotonic milliseconds
+ */
+export function sendToAll(state: RaftState, now: number): void {
+    state.heartbeatDue = now + state.timing.heartbeat;
+    for (const [id, peer] of state.peers) {
+        sendAppend(state, id, peer, now);
+    }
+}
--- /dev/null
+++ b/packages/core/src/log/start-bootstrap.ts
@@ -0,0 +1,27 @@
+import { EntryKind } from "./entry-kind.js";
+import type { Members } from "./members.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+import { setTerm } from "./set-term.js";
+import { startLeading } from "./start-leading.js";
+import { updateMembers } from "./update-members.js";
+
+/**
+ * Makes a keeper with an empty disk the first member of a new cluster.
+ * @param state - the keeper
+ * @param address - its own peer address
+ * @param now - monotonic milliseconds
+ * @returns false when the keeper already belongs to a cluster
+ */
+export function startBootstrap(state: RaftState, address: string, now: number): boolean {
+    if (readLastIndex(state) > 0 || Object.keys(state.members.voters).length > 0) {
+        return false;
+    }
+    const members: Members = { voters: { [state.id]: address }, learners: {} };
+    setTerm(state, state.hard.term + 1, state.id);
+    state.entries.push({ index: 1, term: state.hard.term, kind: EntryKind.Members, payload: JSON.stringify(members) });
+    state.unsavedFrom = 1;
+    updateMembers(state);
+    startLeading(state, now);
+    return true;
+}
--- /dev/null
+++ b/packages/core/src/log/start-election.ts
@@ -0,0 +1,52 @@
+import { isVoter } from "./is-voter.js";
+import { RaftMessageKind } from "./raft-message-kind.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+import { readTerm } from "./read-term.js";
+import { scheduleElection } from "./schedule-election.js";
+import { setTerm } from "./set-term.js";
+import { startLeading } from "./start-leading.js";
+
+/**
+ * Asks the voters for their vote, or first whether they would give it.
+ * @param state - the keeper
+ * @param isPreVote - true to ask without raising the term
+ * @param now - monotonic milliseconds
+ */
+export function startElection(state: RaftState, isPreVote: boolean, now: number): void {
+    scheduleElection(state, now);
+    if (!isVoter(state, state.id)) {
+        return;
+    }
+    state.leader = undefined;
+    state.role = isPreVote ? RaftRole.PreCandidate : RaftRole.Candidate;
+    state.votes = new Set([state.id]);
+    if (!isPreVote) {
+        setTerm(state, state.hard.term + 1, state.id);
+    }
+    const voters = Object.keys(state.members.voters);
+    if (voters.length === 1) {
+        startAlone(state, isPreVote, now);
+        return;
+    }
+    const lastIndex = readLastIndex(state);
+    for (const to of voters.filter(id => id !== state.id)) {
+        state.outbox.push({
+            kind: isPreVote ? RaftMessageKind.PreVote : RaftMessageKind.Vote,
+            from: state.id,
+            to,
+            term: isPreVote ? state.hard.term + 1 : state.hard.term,
+            lastIndex,
+            lastTerm: readTerm(state, lastIndex) ?? 0,
+        });
+    }
+}
+
+function startAlone(state: RaftState, isPreVote: boolean, now: number): void {
+    if (isPreVote) {
+        startElection(state, false, now);
+        return;
+    }
+    startLeading(state, now);
+}
--- /dev/null
+++ b/packages/core/src/log/start-following.ts
@@ -0,0 +1,21 @@
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { scheduleElection } from "./schedule-election.js";
+import { setTerm } from "./set-term.js";
+
+/**
+ * Becomes a follower.
+ * @param state - the keeper
+ * @param term - the term; a higher one forgets the vote
+ * @param leader - the leader of that term, when known
+ * @param now - monotonic milliseconds
+ */
+export function startFollowing(state: RaftState, term: number, leader: string | undefined, now: number): void {
+    if (term > state.hard.term) {
+        setTerm(state, term, undefined);
+    }
+    state.role = RaftRole.Follower;
+    state.leader = leader;
+    state.peers.clear();
+    scheduleElection(state, now);
+}
--- /dev/null
+++ b/packages/core/src/log/update-peers.ts
@@ -0,0 +1,27 @@
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+
+/**
+ * Makes the leader's list of peers match the members.
+ * @param state - the leader
+ */
+export function updatePeers(state: RaftState): void {
+    const ids = new Set([...Object.keys(state.members.voters), ...Object.keys(state.members.learners)]);
+    ids.delete(state.id);
+    for (const id of state.peers.keys()) {
+        if (!ids.has(id)) {
+            state.peers.delete(id);
+        }
+    }
+    for (const id of ids) {
+        if (!state.peers.has(id)) {
+            state.peers.set(id, {
+                nextIndex: readLastIndex(state) + 1,
+                matchIndex: 0,
+                isWaiting: false,
+                ackedSentAt: -1,
+                snapshotOffset: undefined,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/retries/retry-limits.ts
@@ -0,0 +1,6 @@
+/** Size of the retry budget. */
+export const retryLimits = {
+    /** Retries that each request adds to the budget. */
+    tokensPerRequest: 0.2,
+    maxTokens: 100,
+} as const;
--- /dev/null
+++ b/packages/core/src/tables/table-edit.ts
@@ -0,0 +1,14 @@
+import type { ObjectKind } from "./object-kind.js";
+import type { ObjectValues } from "./object-values.js";
+
+/** Sets or removes one object. */
+export type TableEdit = {
+    [Kind in ObjectKind]: {
+        readonly kind: Kind;
+        readonly name: string;
+        /** The new value; `undefined` removes the object. */
+        readonly value?: ObjectValues[Kind] | undefined;
+        /** Revision the object must have for the edit to apply; 0 means that it must not exist. */
+        readonly ifRevision?: number | undefined;
+    };
+}[ObjectKind];
--- /dev/null
+++ b/packages/daemon/src/clock/system-clock.ts
@@ -0,0 +1,17 @@
+import { Clock } from "./clock.js";
+
+/** The clocks of the machine. */
+export class SystemClock extends Clock {
+    override readMonotonic(): number {
+        return performance.now();
+    }
+
+    override readWall(): number {
+        return Date.now();
+    }
+
+    override schedule(delayMs: number, callback: () => void): () => void {
+        const timer = setTimeout(callback, delayMs);
+        return () => clearTimeout(timer);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/concurrency/wait-for.ts
@@ -0,0 +1,20 @@
+import csp from "js-csp";
+
+/**
+ * Waits for a promise in a goroutine; use with `yield*`.
+ * @param promise - the promise
+ * @returns its value
+ * @throws whatever the promise is rejected with
+ */
+export function* waitFor<Value>(promise: Promise<Value>): Generator<unknown, Value, unknown> {
+    const channel = csp.chan<{ value: Value } | { error: unknown }>(csp.buffers.fixed(1));
+    promise.then(
+        value => csp.offer(channel, { value }),
+        (error: unknown) => csp.offer(channel, { error }),
+    );
+    const settled = (yield csp.take(channel)) as { value: Value } | { error: Error };
+    if ("error" in settled) {
+        throw settled.error;
+    }
+    return settled.value;
+}
--- /dev/null
+++ b/packages/daemon/src/http/body-fault.ts
@@ -0,0 +1,6 @@
+/** What is wrong with a JSON body. */
+export enum BodyFault {
+    TooLarge = "too-large",
+    NotJson = "not-json",
+    Incomplete = "incomplete",
+}
--- /dev/null
+++ b/packages/daemon/src/peer/peer-clients.ts
@@ -0,0 +1,112 @@
+import { PeerClient } from "@daisylock/protocol/generated/peer.js";
+import { credentials, Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import Result from "true-myth/result";
+
+import type { EventLog } from "../events/event-log.js";
+import { encodeTime } from "./encode-time.js";
+import { MetadataKey } from "./metadata-key.js";
+import type { PeerCalls } from "./peer-calls.js";
+import { PeerFailureKind } from "./peer-failure-kind.js";
+import type { PeerFailure } from "./peer-failure.js";
+
+/** Timeouts in a row after which a connection is taken for silent and replaced. */
+const maxTimeouts = 2;
+
+const channelOptions = {
+    "grpc.initial_reconnect_backoff_ms": 100,
+    "grpc.min_reconnect_backoff_ms": 100,
+    "grpc.max_reconnect_backoff_ms": 1_000,
+    "grpc.keepalive_time_ms": 5_000,
+    "grpc.keepalive_timeout_ms": 2_000,
+    // Each client has its own connection, so that replacing the client replaces the connection.
+    "grpc.use_local_subchannel_pool": 1,
+    "grpc.max_receive_message_length": 64 * 1024 * 1024,
+};
+
+/** A unary method of the generated client. */
+type Call<Request, Reply> = (
+    request: Request,
+    metadata: Metadata,
+    options: { deadline: number },
+    callback: (error: ServiceError | null, reply: Reply) => void,
+) => unknown;
+
+type CallName = keyof PeerCalls;
+type RequestOf<Name extends CallName> = PeerCalls[Name]["request"];
+type ReplyOf<Name extends CallName> = PeerCalls[Name]["reply"];
+
+const failureKinds: Partial<Record<status, PeerFailureKind>> = {
+    [status.UNAVAILABLE]: PeerFailureKind.Unreachable,
+    [status.DEADLINE_EXCEEDED]: PeerFailureKind.TimedOut,
+    [status.FAILED_PRECONDITION]: PeerFailureKind.NoLeader,
+    [status.UNAUTHENTICATED]: PeerFailureKind.Unauthenticated,
+};
+
+/** Calls other processes of the cluster, with one connection an address. */
+export class PeerClients {
+    private readonly clients = new Map<string, { readonly client: PeerClient; timeouts: number }>();
+
+    /**
+     * @param secret - shared secret of the cluster
+     * @param events - source of hybrid times
+     */
+    constructor(private readonly secret: string, private readonly events: EventLog) {}
+
+    /**
+     * Calls a method of another process.
+     * @param address - peer address
+     * @param name - the method
+     * @param request - its request
+     * @param timeoutMs - milliseconds to wait for the reply
+     * @returns the reply, or how the call failed
+     */
+    send<Name extends CallName>(
+        address: string,
+        name: Name,
+        request: RequestOf<Name>,
+        timeoutMs: number,
+    ): Promise<Result<ReplyOf<Name>, PeerFailure>> {
+        const slot = this.openClient(address);
+        const metadata = new Metadata();
+        metadata.set(MetadataKey.Secret, this.secret);
+        metadata.set(MetadataKey.Time, encodeTime(this.events.readTime()));
+        const call = slot.client[name].bind(slot.client) as unknown as Call<RequestOf<Name>, ReplyOf<Name>>;
+        return new Promise(resolve => {
+            call(request, metadata, { deadline: Date.now() + timeoutMs }, (error, reply) => {
+                if (error === null) {
+                    slot.timeouts = 0;
+                    resolve(Result.ok(reply));
+                    return;
+                }
+                this.noteFailure(address, slot, error);
+                const kind = failureKinds[error.code] ?? PeerFailureKind.Internal;
+                resolve(Result.err({ kind, address, detail: error.details }));
+            });
+        });
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        for (const { client } of this.clients.values()) {
+            client.close();
+        }
+        this.clients.clear();
+    }
+
+    private openClient(address: string): { readonly client: PeerClient; timeouts: number } {
+        let slot = this.clients.get(address);
+        if (slot === undefined) {
+            slot = { client: new PeerClient(address, credentials.createInsecure(), channelOptions), timeouts: 0 };
+            this.clients.set(address, slot);
+        }
+        return slot;
+    }
+
+    private noteFailure(address: string, slot: { client: PeerClient; timeouts: number }, error: ServiceError): void {
+        slot.timeouts = error.code === status.DEADLINE_EXCEEDED ? slot.timeouts + 1 : 0;
+        if (slot.timeouts >= maxTimeouts && this.clients.get(address) === slot) {
+            this.clients.delete(address);
+            slot.client.close();
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/peer/peer-failure.ts
@@ -0,0 +1,8 @@
+import type { PeerFailureKind } from "./peer-failure-kind.js";
+
+/** A failed call to another process. */
+export interface PeerFailure {
+    readonly kind: PeerFailureKind;
+    readonly address: string;
+    readonly detail: string;
+}
--- /dev/null
+++ b/packages/daemon/src/root/control/control-client.ts
@@ -0,0 +1,113 @@
+import type { CommandResults } from "@daisylock/core/control/command-results.js";
+import type { ControlCommand } from "@daisylock/core/control/control-command.js";
+import Result from "true-myth/result";
+
+import type { Clock } from "../../clock/clock.js";
+import type { PeerCalls } from "../../peer/peer-calls.js";
+import type { PeerClients } from "../../peer/peer-clients.js";
+import { PeerFailureKind } from "../../peer/peer-failure-kind.js";
+import type { PeerFailure } from "../../peer/peer-failure.js";
+
+const retryDelayMs = 50;
+const attemptTimeoutMs = 1_200;
+
+type LeaderCall = "sync" | "propose" | "operate";
+
+/** Reaches the leader through any keeper, or through another entry when no keeper is reachable. */
+export class ControlClient {
+    private current = 0;
+    private readonly upstreams: readonly string[];
+
+    /**
+     * @param clients - connections to other processes
+     * @param clock - time for retries
+     * @param keepers - peer addresses of the keepers
+     * @param relays - peer addresses of entries that may pass calls on
+     */
+    constructor(
+        private readonly clients: PeerClients,
+        private readonly clock: Clock,
+        keepers: readonly string[],
+        relays: readonly string[],
+    ) {
+        this.upstreams = [...new Set([...keepers, ...relays])];
+    }
+
+    /**
+     * Sends one call to the upstream that last answered. A failure moves on to the next upstream.
+     * @param name - the call
+     * @param request - its request
+     * @param timeoutMs - milliseconds to wait
+     * @returns the reply, or how the call failed
+     */
+    async sendOnce<Name extends LeaderCall>(
+        name: Name,
+        request: PeerCalls[Name]["request"],
+        timeoutMs: number,
+    ): Promise<Result<PeerCalls[Name]["reply"], PeerFailure>> {
+        const position = this.current;
+        const address = this.upstreams[position % this.upstreams.length] ?? "";
+        const result = await this.clients.send(address, name, request, timeoutMs);
+        if (result.isErr && this.current === position) {
+            this.current = (position + 1) % this.upstreams.length;
+        }
+        return result;
+    }
+
+    /**
+     * Sends a call again and again, through one upstream after the other, until it is answered. The request must be
+     * idempotent.
+     * @param name - the call
+     * @param request - its request
+     * @param timeoutMs - milliseconds in all
+     * @returns the reply, or the last failure
+     */
+    async send<Name extends LeaderCall>(
+        name: Name,
+        request: PeerCalls[Name]["request"],
+        timeoutMs: number,
+    ): Promise<Result<PeerCalls[Name]["reply"], PeerFailure>> {
+        const endsAt = this.clock.readMonotonic() + timeoutMs;
+        for (;;) {
+            const leftMs = endsAt - this.clock.readMonotonic();
+            const result = await this.sendOnce(name, request, Math.max(1, Math.min(leftMs, attemptTimeoutMs)));
+            if (result.isOk || leftMs <= attemptTimeoutMs / 2) {
+                return result;
+            }
+            await new Promise<void>(resolve => this.clock.schedule(retryDelayMs, resolve));
+        }
+    }
+
+    /**
+     * Proposes a command of the replicated log.
+     * @param command - the command, idempotent by its id
+     * @param timeoutMs - milliseconds in all
+     * @returns its result; after a failure the command may or may not be committed
+     */
+    async sendCommand<Command extends ControlCommand>(
+        command: Command,
+        timeoutMs: number,
+    ): Promise<Result<CommandResults[Command["kind"]], PeerFailure>> {
+        const reply = await this.send("propose", { command: JSON.stringify(command), hops: 0 }, timeoutMs);
+        return reply.map(({ result }) => JSON.parse(result) as CommandResults[Command["kind"]]);
+    }
+
+    /**
+     * Passes a call on for another process.
+     * @param name - the call
+     * @param request - its request, with the number of times it was passed on
+     * @param timeoutMs - milliseconds to wait
+     * @returns the reply, or how the call failed
+     */
+    async forward<Name extends LeaderCall>(
+        name: Name,
+        request: PeerCalls[Name]["request"],
+        timeoutMs: number,
+    ): Promise<Result<PeerCalls[Name]["reply"], PeerFailure>> {
+        const maxHops = 2;
+        if (request.hops >= maxHops) {
+            return Result.err({ kind: PeerFailureKind.NoLeader, address: "", detail: "passed on too often" });
+        }
+        return this.sendOnce(name, { ...request, hops: request.hops + 1 }, timeoutMs);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/root/daemon.ts
@@ -0,0 +1,112 @@
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+
+import type { Clock } from "../clock/clock.js";
+import { runGoroutine } from "../concurrency/run-goroutine.js";
+import { EventLog } from "../events/event-log.js";
+import { MetricName } from "../metrics/metric-name.js";
+import { Metrics } from "../metrics/metrics.js";
+import { PeerClients } from "../peer/peer-clients.js";
+import { PeerListener } from "../peer/peer-listener.js";
+import { Role } from "../settings/role.js";
+import type { Settings } from "../settings/settings.js";
+import type { ChildSpec } from "../supervision/child-spec.js";
+import { Supervisor } from "../supervision/supervisor.js";
+import { buildPeerHandlers } from "./build-peer-handlers.js";
+import { ControlClient } from "./control/control-client.js";
+import { EntryPart } from "./entry/entry-part.js";
+import { KeeperPart } from "./keeper/keeper-part.js";
+import { LocalRequests } from "./operator/local-requests.js";
+import { OperatorListener } from "./operator/operator-listener.js";
+import type { ProcessParts } from "./process-parts.js";
+
+const restartPolicy = { maxRestarts: 3, periodMs: 60_000, delayMs: 500 };
+
+/** One process: the root of the supervisor tree. */
+export class Daemon {
+    readonly events: EventLog;
+    private readonly parts: ProcessParts;
+    private readonly root: Supervisor;
+
+    /**
+     * @param settings - checked settings
+     * @param clock - the clocks
+     */
+    constructor(settings: Settings, clock: Clock) {
+        const { node, cluster, limits } = settings;
+        this.events = new EventLog(node.name, node.zone, clock, limits.events);
+        const clients = new PeerClients(cluster.secret, this.events);
+        const relays = cluster.entries.filter(address => address !== settings.listen.peers);
+        this.parts = {
+            settings,
+            clock,
+            events: this.events,
+            metrics: new Metrics(settings.metrics.statsd, node.name, node.zone),
+            clients,
+            control: new ControlClient(clients, clock, cluster.keepers, relays),
+        };
+        this.root = new Supervisor("root", this.listChildren(), restartPolicy, clock, this.events);
+    }
+
+    /**
+     * Runs until stopped.
+     * @returns resolves after a stop
+     * @throws Escalation when a part failed too often
+     */
+    run(): Promise<void> {
+        this.events.addListener(event => {
+            if (event.kind === EventKind.InvariantBroken) {
+                this.parts.metrics.addCount(MetricName.InvariantsBroken);
+            }
+            if (event.kind === EventKind.ChildRestarted) {
+                this.parts.metrics.addCount(MetricName.ChildRestarts);
+            }
+        });
+        this.events.record(EventKind.ProcessStarted, { detail: this.parts.settings.node.roles.join(", ") });
+        return new Promise((resolve, reject) => {
+            runGoroutine(() => this.root.run(), error => {
+                this.parts.clients.close();
+                this.parts.metrics.close();
+                if (error === undefined) {
+                    resolve();
+                }
+                else {
+                    reject(error as Error);
+                }
+            });
+        });
+    }
+
+    /** Stops gracefully: callers first, state last. */
+    stop(): void {
+        this.root.stop();
+    }
+
+    private listChildren(): ChildSpec[] {
+        const { settings, clock, events, clients } = this.parts;
+        const { node, listen, cluster } = settings;
+        const keeperPart = node.roles.includes(Role.Keeper) && node.data !== undefined
+            ? new KeeperPart(this.parts, node.data)
+            : undefined;
+        const entryPart =
+            node.roles.includes(Role.Entry) && listen.callers !== undefined && listen.targets !== undefined
+                ? new EntryPart(this.parts, listen.callers, listen.targets)
+                : undefined;
+        const local = new LocalRequests(settings, keeperPart?.keeper, clients);
+        const handlers = buildPeerHandlers({ parts: this.parts, keeperPart, registry: entryPart?.registry, local });
+        const children: ChildSpec[] = [{
+            name: "peer-listener",
+            create: () => new PeerListener(listen.peers, cluster.secret, handlers, clock, events),
+        }];
+        if (keeperPart !== undefined) {
+            children.push({ name: "keeper-supervisor", create: () => keeperPart.buildSupervisor() });
+        }
+        if (entryPart !== undefined) {
+            children.push({ name: "entry-supervisor", create: () => entryPart.buildSupervisor() });
+        }
+        children.push({
+            name: "operator-listener",
+            create: () => new OperatorListener(settings, request => handlers.operate(request)),
+        });
+        return children;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/callers/caller-listener.ts
@@ -0,0 +1,82 @@
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import { Mailbox } from "../../../concurrency/mailbox.js";
+import { runGoroutine } from "../../../concurrency/run-goroutine.js";
+import { waitFor } from "../../../concurrency/wait-for.js";
+import { HttpListener } from "../../../http/http-listener.js";
+import { sendJson } from "../../../http/send-json.js";
+import { Worker } from "../../../supervision/worker.js";
+import type { CallerSurroundings } from "./caller-surroundings.js";
+import { RequestFlow } from "./request-flow.js";
+
+const healthPath = "/v1/health";
+
+/** Serves callers. */
+export class CallerListener extends Worker {
+    override readonly name = "caller-listener";
+    private readonly mailbox = new Mailbox<never>(1);
+    private readonly listener: HttpListener;
+
+    /**
+     * @param address - where to listen
+     * @param surroundings - the entry
+     */
+    constructor(address: string, private readonly surroundings: CallerSurroundings) {
+        super();
+        const { limits } = surroundings.state.settings;
+        this.listener = new HttpListener(address, {
+            maxHeaderBytes: limits.max_header_bytes,
+            maxConnections: limits.max_connections,
+            headerTimeoutMs: limits.header_timeout_ms,
+            idleTimeoutMs: limits.idle_timeout_ms,
+        }, (request, response) => this.serve(request, response));
+    }
+
+    override *run(): Generator<unknown, void, unknown> {
+        yield* waitFor(this.listener.start());
+        yield* this.mailbox.take();
+        yield* this.drain();
+    }
+
+    override stop(): void {
+        this.surroundings.state.isLeaving = true;
+        this.mailbox.close();
+    }
+
+    /** The balancer sees the failing health check first; only then is nothing accepted any more. */
+    private *drain(): Generator<unknown, void, unknown> {
+        const { state, clock, events } = this.surroundings;
+        const { leave_notice_ms, shutdown_ms } = state.settings.limits;
+        yield* waitFor(new Promise<void>(resolve => clock.schedule(leave_notice_ms, resolve)));
+        const cutOff = yield* waitFor(this.listener.stop(shutdown_ms));
+        events.record(EventKind.ProcessStopping, { detail: `${cutOff} requests cut off` });
+        this.surroundings.connections.close();
+    }
+
+    private serve(request: IncomingMessage, response: ServerResponse): void {
+        if (request.url === healthPath) {
+            this.serveHealth(response);
+            return;
+        }
+        const flow = new RequestFlow(this.surroundings, request, response);
+        runGoroutine(() => flow.run(), error => {
+            if (error !== undefined) {
+                this.handleFailure(response, error);
+            }
+            // What the caller still sends of a refused request is read and dropped, so that it sees the answer.
+            request.resume();
+        });
+    }
+
+    private serveHealth(response: ServerResponse): void {
+        const { state } = this.surroundings;
+        const isReady = !state.isLeaving && Number.isFinite(state.freshness.readAge());
+        sendJson(response, isReady ? 200 : 503, { ready: isReady, fresh: state.freshness.isFresh() });
+    }
+
+    private handleFailure(response: ServerResponse, error: unknown): void {
+        this.surroundings.events.record(EventKind.InvariantBroken, { detail: String(error) });
+        response.destroy();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/callers/check-authorization.ts
@@ -0,0 +1,40 @@
+import type { Refusal } from "@daisylock/core/admission/refusal.js";
+import { RefusalReason } from "@daisylock/core/answers/refusal-reason.js";
+import { verifyKey } from "@daisylock/core/keys/verify-key.js";
+import { Access } from "@daisylock/core/tables/access.js";
+import { IsolatedService } from "@daisylock/core/tables/isolated-service.js";
+import Result from "true-myth/result";
+
+import type { EntryState } from "../entry-state.js";
+import type { Authorization } from "./authorization.js";
+import type { CallerRequest } from "./caller-request.js";
+
+const retryAfterMs = 1_000;
+
+/**
+ * Checks whether a request may use its route now. An unknown route and a key that is missing, unknown, revoked or of
+ * another team get one and the same refusal.
+ * @param state - the entry
+ * @param request - the request
+ * @returns team and pool, or the refusal
+ */
+export function checkAuthorization(state: EntryState, request: CallerRequest): Result<Authorization, Refusal> {
+    const { tables, freshness } = state;
+    if (!Number.isFinite(freshness.readAge())) {
+        return Result.err({ reason: RefusalReason.KeysNotFresh, retryAfterMs });
+    }
+    const route = tables.objects.route.get(request.route)?.value;
+    const keyTeam = verifyKey(tables, request.key ?? "");
+    if (route === undefined || (route.access === Access.Keyed && keyTeam !== route.team)) {
+        return Result.err({ reason: RefusalReason.NotAuthorized });
+    }
+    const isolated = tables.objects.team.get(route.team)?.value.isolatedService;
+    const needsFreshKeys = route.access === Access.Keyed && isolated !== IsolatedService.Continue;
+    if (needsFreshKeys && !freshness.isFresh()) {
+        return Result.err({ reason: RefusalReason.KeysNotFresh, retryAfterMs });
+    }
+    if (!tables.objects.pool.has(route.pool)) {
+        return Result.err({ reason: RefusalReason.PoolUnknown, retryAfterMs });
+    }
+    return Result.ok({ team: route.team, pool: route.pool });
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/callers/parse-caller-request.ts
@@ -0,0 +1,80 @@
+import type { Refusal } from "@daisylock/core/admission/refusal.js";
+import { RefusalReason } from "@daisylock/core/answers/refusal-reason.js";
+import { HeaderName } from "@daisylock/protocol/http/header-name.js";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import Result from "true-myth/result";
+
+import type { Settings } from "../../../settings/settings.js";
+import type { CallerRequest } from "./caller-request.js";
+
+const routePattern = /^\/v1\/routes\/([a-z0-9][a-z0-9._-]{0,62})(\/[^#]*|\?[^#]*)?$/;
+const requestIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
+const bearerPattern = /^Bearer ([\x21-\x7e]{1,256})$/i;
+
+/**
+ * Parses a caller's request.
+ * @param request - the HTTP request
+ * @param limits - bounds of the listener
+ * @param now - monotonic milliseconds
+ * @returns the request, or why it is refused
+ */
+export function parseCallerRequest(
+    request: IncomingMessage,
+    limits: Settings["limits"],
+    now: number,
+): Result<CallerRequest, Refusal> {
+    const route = routePattern.exec(request.url ?? "");
+    const id = readHeader(request, HeaderName.RequestId) ?? randomUUID();
+    const deadlineMs = parseDeadline(readHeader(request, HeaderName.DeadlineMs), limits);
+    const bodyBytes = parseLength(request);
+    const isUnrepeatable = parseMark(readHeader(request, HeaderName.Unrepeatable));
+    const isUrgent = parseMark(readHeader(request, HeaderName.Urgent));
+    const isMalformed = route === null || !requestIdPattern.test(id) || deadlineMs === undefined
+        || isUnrepeatable === undefined || isUrgent === undefined;
+    if (isMalformed) {
+        return Result.err({ reason: RefusalReason.MalformedRequest });
+    }
+    if (bodyBytes !== undefined && bodyBytes > limits.max_body_bytes) {
+        return Result.err({ reason: RefusalReason.BodyTooLarge });
+    }
+    const rest = route[2] ?? "/";
+    return Result.ok({
+        id,
+        route: route[1] ?? "",
+        path: rest.startsWith("/") ? rest : `/${rest}`,
+        method: request.method ?? "GET",
+        headers: request.headers,
+        key: bearerPattern.exec(request.headers.authorization ?? "")?.[1],
+        isUnrepeatable,
+        isUrgent,
+        deadlineAt: now + deadlineMs,
+        bodyBytes,
+    });
+}
+
+function readHeader(request: IncomingMessage, name: HeaderName): string | undefined {
+    const value = request.headers[name];
+    return Array.isArray(value) ? value.join(",") : value;
+}
+
+function parseDeadline(text: string | undefined, limits: Settings["limits"]): number | undefined {
+    if (text === undefined) {
+        return limits.default_deadline_ms;
+    }
+    const isNumber = /^\d{1,9}$/.test(text);
+    return isNumber ? Math.min(Number(text), limits.max_deadline_ms) : undefined;
+}
+
+function parseMark(text: string | undefined): boolean | undefined {
+    const marks: Readonly<Record<string, boolean>> = { true: true, false: false };
+    return text === undefined ? false : marks[text];
+}
+
+function parseLength(request: IncomingMessage): number | undefined {
+    const length = request.headers["content-length"];
+    if (length !== undefined) {
+        return Number(length);
+    }
+    return request.headers["transfer-encoding"] === undefined ? 0 : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/callers/request-flow.ts
@@ -0,0 +1,320 @@
+import type { Dispatch } from "@daisylock/core/admission/dispatch.js";
+import type { Refusal } from "@daisylock/core/admission/refusal.js";
+import { RefusalReason } from "@daisylock/core/answers/refusal-reason.js";
+import { UnknownReason } from "@daisylock/core/answers/unknown-reason.js";
+import { DispatchOutcome } from "@daisylock/core/control/dispatch-outcome.js";
+import type { DispatchResult } from "@daisylock/core/control/dispatch-result.js";
+import { DispatchState } from "@daisylock/core/control/dispatch-state.js";
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+import { assertInvariant } from "@daisylock/core/invariants/assert-invariant.js";
+import { Invariant } from "@daisylock/core/invariants/invariant.js";
+import { isRetryLeft } from "@daisylock/core/retries/is-retry-left.js";
+import { noteRequest } from "@daisylock/core/retries/note-request.js";
+import { takeRetry } from "@daisylock/core/retries/take-retry.js";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import { waitFor } from "../../../concurrency/wait-for.js";
+import { MetricName } from "../../../metrics/metric-name.js";
+import { AttemptEnd } from "../forwarding/attempt-end.js";
+import type { AttemptResult } from "../forwarding/attempt-result.js";
+import { readBody } from "../forwarding/read-body.js";
+import type { RequestBody } from "../forwarding/request-body.js";
+import { TargetAttempt } from "../forwarding/target-attempt.js";
+import { AnswerWriter } from "./answer-writer.js";
+import type { Authorization } from "./authorization.js";
+import type { CallerRequest } from "./caller-request.js";
+import type { CallerSurroundings } from "./caller-surroundings.js";
+import { checkAuthorization } from "./check-authorization.js";
+import type { Claim } from "./claim.js";
+import { parseCallerRequest } from "./parse-caller-request.js";
+
+/** When a caller is asked to come back where nothing better is known, milliseconds. */
+const retryAfterMs = 1_000;
+
+let nextDispatchNumber = 1;
+
+/** The way of one request from its arrival to its answer. */
+export class RequestFlow {
+    private readonly startedAt: number;
+    private answer: AnswerWriter;
+    private claim: Claim | undefined;
+    private isIdChecked = false;
+    /** Why the request may have run, once an attempt ended without telling. */
+    private unknown: UnknownReason | undefined;
+    private readonly avoid = new Set<string>();
+
+    /**
+     * @param surroundings - the entry
+     * @param incoming - the caller's request
+     * @param response - the caller's response
+     */
+    constructor(
+        private readonly surroundings: CallerSurroundings,
+        private readonly incoming: IncomingMessage,
+        private readonly response: ServerResponse,
+    ) {
+        this.startedAt = surroundings.clock.readMonotonic();
+        this.answer = new AnswerWriter(response, "");
+    }
+
+    /** The goroutine of the request. */
+    *run(): Generator<unknown, void, unknown> {
+        const { state } = this.surroundings;
+        const parsed = parseCallerRequest(this.incoming, state.settings.limits, this.startedAt);
+        if (parsed.isErr) {
+            this.answer.writeRefusal(parsed.error);
+            this.noteRefused(parsed.error);
+            return;
+        }
+        const call = parsed.value;
+        this.answer = new AnswerWriter(this.response, call.id);
+        const authorized = checkAuthorization(state, call);
+        if (authorized.isErr) {
+            this.refuse(call, authorized.error);
+            return;
+        }
+        const { replay_bytes, body_stall_ms } = state.settings.limits;
+        const body = yield* waitFor(readBody(this.incoming, call.bodyBytes, replay_bytes, body_stall_ms));
+        if (body.isErr) {
+            this.refuse(call, { reason: RefusalReason.Cancelled });
+            return;
+        }
+        noteRequest(this.surroundings.retries);
+        if (call.isUnrepeatable && !(yield* this.sendClaim(call, authorized.value, body.value))) {
+            return;
+        }
+        yield* this.runAttempts(call, authorized.value, body.value);
+    }
+
+    /** Claims an unrepeatable request; answers it and returns false when this flow may not run it. */
+    private *sendClaim(
+        call: CallerRequest,
+        { team }: Authorization,
+        body: RequestBody,
+    ): Generator<unknown, boolean, unknown> {
+        const content = body.kind === "buffered" ? body.content : undefined;
+        const reply = yield* waitFor(this.surroundings.recorder.sendClaim(team, call, content));
+        if (reply.isErr) {
+            this.writeUnknown(call, UnknownReason.RecordUnreachable, retryAfterMs);
+            return false;
+        }
+        const { claim, result } = reply.value;
+        if (result.outcome === DispatchOutcome.Claimed) {
+            this.claim = claim;
+            this.isIdChecked = true;
+            return true;
+        }
+        this.answerUnclaimed(call, result);
+        return false;
+    }
+
+    private answerUnclaimed(call: CallerRequest, { outcome, record }: DispatchResult): void {
+        if (outcome !== DispatchOutcome.AlreadyClaimed) {
+            const isFull = outcome === DispatchOutcome.Full;
+            this.isIdChecked = true;
+            this.refuse(call, { reason: isFull ? RefusalReason.NotRecordable : RefusalReason.RequestIdReused });
+            return;
+        }
+        if (record?.state !== DispatchState.Completed) {
+            this.writeUnknown(call, UnknownReason.EarlierAttempt, retryAfterMs);
+            return;
+        }
+        if (record.answer?.body === undefined) {
+            this.writeUnknown(call, UnknownReason.AnswerNotKept);
+            return;
+        }
+        this.answer.writeRecorded(record.answer);
+    }
+
+    private *runAttempts(
+        call: CallerRequest,
+        authorization: Authorization,
+        body: RequestBody,
+    ): Generator<unknown, void, unknown> {
+        const { limits } = this.surroundings.state.settings;
+        for (let attempt = 1; attempt <= limits.max_attempts; attempt++) {
+            const dispatch = yield* this.waitForSlot(call, authorization);
+            if (dispatch === undefined) {
+                return;
+            }
+            const isLast = attempt === limits.max_attempts;
+            const result = yield* this.runAttempt(call, authorization, body, dispatch, isLast);
+            if (this.isOver(call, result)) {
+                return;
+            }
+            if (isLast || !this.isRetryAllowed(call, body, result)) {
+                break;
+            }
+            this.avoid.add(dispatch.target.vm);
+            this.surroundings.metrics.addCount(MetricName.RequestsRetried);
+            this.record(EventKind.RequestRetried, call, dispatch, result.reason ?? result.end);
+        }
+        this.refuse(call, { reason: RefusalReason.AttemptsFailed, retryAfterMs });
+    }
+
+    private *waitForSlot(
+        call: CallerRequest,
+        authorization: Authorization,
+    ): Generator<unknown, Dispatch | undefined, unknown> {
+        const { desk, state, clock, metrics } = this.surroundings;
+        const now = clock.readMonotonic();
+        const startBy = Math.min(call.deadlineAt, now + state.settings.limits.max_queue_ms);
+        const wait = desk.openWait({ ...authorization, isUrgent: call.isUrgent, startBy, avoid: this.avoid });
+        this.response.once("close", wait.cancel);
+        const decision = yield* waitFor(wait.decision);
+        this.response.off("close", wait.cancel);
+        metrics.recordTime(MetricName.RequestWait, clock.readMonotonic() - now);
+        if (decision.isErr) {
+            this.refuse(call, decision.error);
+            return undefined;
+        }
+        const dispatch = decision.value;
+        const refusal = this.checkStillAuthorized(call, authorization);
+        if (refusal !== undefined) {
+            desk.settle(dispatch, { isStillRunning: false, isTargetFault: false });
+            this.refuse(call, refusal);
+            return undefined;
+        }
+        return dispatch;
+    }
+
+    /** A key may have been revoked, or the route changed, while the request waited. */
+    private checkStillAuthorized(call: CallerRequest, before: Authorization): Refusal | undefined {
+        const now = checkAuthorization(this.surroundings.state, call);
+        if (now.isErr) {
+            return now.error;
+        }
+        const isSame = now.value.team === before.team && now.value.pool === before.pool;
+        return isSame ? undefined : { reason: RefusalReason.NoTarget, retryAfterMs };
+    }
+
+    private *runAttempt(
+        call: CallerRequest,
+        { team }: Authorization,
+        body: RequestBody,
+        dispatch: Dispatch,
+        isLast: boolean,
+    ): Generator<unknown, AttemptResult, unknown> {
+        const { state, connections, watch, desk, abandoned, clock, retries } = this.surroundings;
+        const { limits, node } = state.settings;
+        const { vm, address, incarnation } = dispatch.target;
+        assertInvariant(
+            !call.isUnrepeatable || (this.claim !== undefined && this.unknown === undefined),
+            Invariant.OneDispatchForUnrepeatable,
+            () => `${call.id} would be sent without a claim or twice`,
+        );
+        const dispatchId = `${node.name}@${state.incarnation}/${nextDispatchNumber++}`;
+        this.record(EventKind.RequestDispatched, call, dispatch, dispatchId);
+        const attempt = new TargetAttempt({
+            call,
+            body,
+            response: this.response,
+            team,
+            address,
+            dispatchId,
+            agent: call.isUnrepeatable ? undefined : connections.open(address),
+            mayTryElsewhere: !isLast && !call.isUnrepeatable && body.kind === "buffered" && isRetryLeft(retries),
+            connectTimeoutMs: limits.connect_timeout_ms,
+            bodyStallMs: limits.body_stall_ms,
+            maxBodyBytes: limits.max_body_bytes,
+            clock,
+        });
+        watch.add(vm, address, dispatchId, attempt);
+        const result = yield* waitFor(attempt.run());
+        watch.drop(vm, dispatchId);
+        desk.settle(dispatch, result);
+        if (result.isStillRunning) {
+            abandoned.add(dispatch, dispatchId, incarnation);
+        }
+        return result;
+    }
+
+    /** Finishes the flow if the attempt decided the answer. */
+    private isOver(call: CallerRequest, result: AttemptResult): boolean {
+        switch (result.end) {
+            case AttemptEnd.Answered:
+                this.noteAnswered(call, result);
+                return true;
+            case AttemptEnd.BrokenOff:
+                // The transfer fails visibly: a part of an answer is never passed off as the whole.
+                this.response.destroy();
+                this.noteUnknown(call, result.reason ?? UnknownReason.ConnectionLost);
+                return true;
+            case AttemptEnd.CallerGone:
+                this.noteUnknown(call, result.reason ?? UnknownReason.ConnectionLost);
+                return true;
+            case AttemptEnd.Unknown:
+                this.unknown = result.reason;
+                return false;
+            case AttemptEnd.ErrorAnswer:
+                this.unknown = UnknownReason.TargetError;
+                return false;
+            case AttemptEnd.NotRun:
+                return false;
+        }
+    }
+
+    private isRetryAllowed(call: CallerRequest, body: RequestBody, result: AttemptResult): boolean {
+        const isSafe = result.end === AttemptEnd.NotRun || !call.isUnrepeatable;
+        const isBodyKept = body.kind === "buffered" || !body.source.readableDidRead;
+        const isInTime = this.surroundings.clock.readMonotonic() < call.deadlineAt;
+        return isSafe && isBodyKept && isInTime && takeRetry(this.surroundings.retries);
+    }
+
+    /** Answers that the request was not run, or that it may have run when an attempt or an earlier sending left that open. */
+    private refuse(call: CallerRequest, refusal: Refusal): void {
+        if (this.unknown !== undefined) {
+            this.writeUnknown(call, this.unknown);
+            return;
+        }
+        if (call.isUnrepeatable && !this.isIdChecked) {
+            this.writeUnknown(call, UnknownReason.RecordUnreachable, refusal.retryAfterMs ?? retryAfterMs);
+            return;
+        }
+        if (this.claim !== undefined) {
+            this.surroundings.recorder.sendOutcome(this.claim, DispatchState.NotRun, undefined);
+        }
+        this.answer.writeRefusal(refusal);
+        this.noteRefused(refusal, call);
+    }
+
+    private writeUnknown(call: CallerRequest, reason: UnknownReason, laterMs?: number): void {
+        this.answer.writeUnknown(reason, laterMs);
+        this.noteUnknown(call, reason);
+    }
+
+    private noteAnswered(call: CallerRequest, result: AttemptResult): void {
+        const { recorder, metrics, clock } = this.surroundings;
+        if (this.claim !== undefined) {
+            recorder.sendOutcome(this.claim, DispatchState.Completed, result.answer);
+        }
+        metrics.addCount(MetricName.RequestsAnswered);
+        metrics.recordTime(MetricName.RequestDuration, clock.readMonotonic() - this.startedAt);
+        this.record(EventKind.RequestAnswered, call, undefined, String(result.status));
+    }
+
+    private noteRefused(refusal: Refusal, call?: CallerRequest): void {
+        this.surroundings.metrics.addCount(MetricName.RequestsRefused, { reason: refusal.reason });
+        this.record(EventKind.RequestRefused, call, undefined, refusal.reason);
+    }
+
+    private noteUnknown(call: CallerRequest, reason: UnknownReason): void {
+        this.surroundings.metrics.addCount(MetricName.RequestsUnknown, { reason });
+        this.record(EventKind.RequestUnknown, call, undefined, reason);
+    }
+
+    private record(
+        kind: EventKind,
+        call: CallerRequest | undefined,
+        dispatch: Dispatch | undefined,
+        detail: string,
+    ): void {
+        this.surroundings.events.record(kind, {
+            request: call?.id,
+            vm: dispatch?.target.vm,
+            team: dispatch?.request.team,
+            pool: dispatch?.request.pool,
+            detail,
+        });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/follower/build-report.ts
@@ -0,0 +1,114 @@
+import { readHolder } from "@daisylock/core/allocation/read-holder.js";
+import { SyncRequest } from "@daisylock/protocol/generated/peer.js";
+
+import type { EntryState } from "../entry-state.js";
+import type { TargetRegistry } from "../targets/target-registry.js";
+import type { PendingReport } from "./pending-report.js";
+
+/** What a report is built from. */
+interface ReportSource {
+    readonly state: EntryState;
+    readonly registry: TargetRegistry;
+    readonly pending: PendingReport;
+    readonly isFull: boolean;
+    /** Registry version that the leader knows. */
+    readonly knownVersion: number;
+    /** Monotonic milliseconds. */
+    readonly now: number;
+}
+
+/**
+ * Builds an entry's report to the leader.
+ * @param source - the entry's state
+ * @returns the report
+ */
+export function buildReport(source: ReportSource): SyncRequest {
+    const { state, registry, pending, isFull } = source;
+    const { node, listen } = state.settings;
+    return SyncRequest.fromPartial({
+        entry: node.name,
+        incarnation: state.incarnation,
+        zone: node.zone,
+        address: listen.peers,
+        revision: state.tables.revision,
+        digest: state.tables.digest,
+        hops: 0,
+        session: state.session,
+        seenSequence: state.seenSequence,
+        isFull,
+        isLeaving: state.isLeaving,
+        reportNumber: pending.number,
+        targets: listTargets(registry, isFull ? 0 : source.knownVersion),
+        demands: listDemands(state, pending),
+        teams: listTeams(state),
+        slots: listSlots(state, isFull),
+        ...collectResidues(source),
+    });
+}
+
+function listTargets(registry: TargetRegistry, sinceVersion: number): SyncRequest["targets"] {
+    return registry.listSince(sinceVersion).map(({ vm, incarnation, address, state, slots }) => (
+        { vm, incarnation, address, state, slots }
+    ));
+}
+
+function listDemands(state: EntryState, pending: PendingReport): SyncRequest["demands"] {
+    const rows: SyncRequest["demands"] = [];
+    for (const pool of state.admission.pools.values()) {
+        for (const queue of pool.queues.values()) {
+            const usedMs = pending.usedMs.get(`${pool.name}/${queue.team}`) ?? 0;
+            if (queue.running > 0 || queue.waiting > 0 || usedMs !== 0) {
+                const { team, running, waiting } = queue;
+                rows.push({ pool: pool.name, team, running, waiting, usedMs });
+            }
+        }
+    }
+    return rows;
+}
+
+function listTeams(state: EntryState): SyncRequest["teams"] {
+    return [...state.admission.teams]
+        .filter(([, limit]) => limit.inUse > 0)
+        .map(([team, limit]) => ({ team, inUse: limit.inUse }));
+}
+
+function listSlots(state: EntryState, isFull: boolean): SyncRequest["slots"] {
+    const rows: SyncRequest["slots"] = [];
+    for (const target of state.admission.targets.values()) {
+        const held = Math.max(target.inUse, target.allowed);
+        if (held > 0 && (isFull || target.inUse > target.allowed)) {
+            rows.push({ vm: target.vm, inUse: isFull ? held : target.inUse });
+        }
+    }
+    return rows;
+}
+
+type Residues = Pick<SyncRequest, "residues" | "residueAgeMs" | "residueTargets">;
+
+function collectResidues(source: ReportSource): Residues {
+    const { state, registry, now } = source;
+    const lost = new Set(state.lostHolders);
+    const own = readHolder(state.settings.node.name, state.incarnation);
+    lost.delete(own);
+    if (lost.size === 0) {
+        return { residues: [], residueAgeMs: 0, residueTargets: [] };
+    }
+    const counts = new Map<string, number>();
+    let oldest = now;
+    const targets = registry.listSince(0);
+    for (const target of targets) {
+        oldest = Math.min(oldest, target.heardAt);
+        for (const [dispatch, team] of target.running) {
+            const holder = dispatch.slice(0, dispatch.lastIndexOf("/"));
+            if (lost.has(holder)) {
+                const key = `${holder} ${team}`;
+                counts.set(key, (counts.get(key) ?? 0) + 1);
+            }
+        }
+    }
+    const residues = [...counts].map(([key, running]) => {
+        const [holder = "", team = ""] = key.split(" ");
+        return { holder, team, running };
+    });
+    return { residues, residueAgeMs: now - oldest, residueTargets: targets.map(target => target.vm) };
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/forwarding/abandoned-book.ts
@@ -0,0 +1,117 @@
+import type { Dispatch } from "@daisylock/core/admission/dispatch.js";
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+
+import type { Clock } from "../../../clock/clock.js";
+import type { EventLog } from "../../../events/event-log.js";
+import type { AdmissionDesk } from "../admission/admission-desk.js";
+
+/** Time after giving up at which a target's word counts: what was under way to it has arrived by then. */
+const marginMs = 1_500;
+
+interface Abandoned {
+    readonly dispatch: Dispatch;
+    readonly dispatchId: string;
+    readonly incarnation: number;
+    readonly since: number;
+}
+
+/** What a target says that it runs. */
+interface TargetWord {
+    readonly vm: string;
+    readonly incarnation: number;
+    readonly heardAt: number;
+    readonly running: { has(dispatchId: string): boolean };
+}
+
+/** Requests that were given up while their targets may still run them; they count as running until a target denies it. */
+export class AbandonedBook {
+    private readonly byVm = new Map<string, Abandoned[]>();
+
+    /**
+     * @param desk - takes back what the requests held
+     * @param clock - monotonic time
+     * @param events - where releases are recorded
+     */
+    constructor(
+        private readonly desk: AdmissionDesk,
+        private readonly clock: Clock,
+        private readonly events: EventLog,
+    ) {}
+
+    /**
+     * Adds a request that was given up.
+     * @param dispatch - the request
+     * @param dispatchId - its name at the target
+     * @param incarnation - the target's incarnation when it was sent
+     */
+    add(dispatch: Dispatch, dispatchId: string, incarnation: number): void {
+        const { vm } = dispatch.target;
+        const list = this.byVm.get(vm) ?? [];
+        list.push({ dispatch, dispatchId, incarnation, since: this.clock.readMonotonic() });
+        this.byVm.set(vm, list);
+    }
+
+    /**
+     * Releases the requests that a target no longer runs.
+     * @param word - what the target says
+     */
+    noteTarget(word: TargetWord): void {
+        const list = this.byVm.get(word.vm);
+        if (list === undefined) {
+            return;
+        }
+        const kept = list.filter(abandoned => !this.isOver(abandoned, word));
+        this.replace(word.vm, list, kept);
+    }
+
+    /**
+     * Releases the requests of a VM that is known to be gone.
+     * @param vm - the VM
+     */
+    dropTarget(vm: string): void {
+        this.replace(vm, this.byVm.get(vm) ?? [], []);
+    }
+
+    /**
+     * Lists the VMs that may still run given-up requests.
+     * @returns their names
+     */
+    listTargets(): string[] {
+        return [...this.byVm.keys()];
+    }
+
+    /**
+     * Counts the given-up requests that may still run.
+     * @returns their number
+     */
+    count(): number {
+        let sum = 0;
+        for (const list of this.byVm.values()) {
+            sum += list.length;
+        }
+        return sum;
+    }
+
+    private isOver(abandoned: Abandoned, word: TargetWord): boolean {
+        if (word.incarnation > abandoned.incarnation) {
+            return true;
+        }
+        return word.incarnation === abandoned.incarnation && word.heardAt > abandoned.since + marginMs
+            && !word.running.has(abandoned.dispatchId);
+    }
+
+    private replace(vm: string, before: readonly Abandoned[], after: Abandoned[]): void {
+        if (after.length > 0) {
+            this.byVm.set(vm, after);
+        }
+        else {
+            this.byVm.delete(vm);
+        }
+        for (const abandoned of before) {
+            if (!after.includes(abandoned)) {
+                this.desk.release(abandoned.dispatch);
+                this.events.record(EventKind.AbandonedReleased, { vm, detail: abandoned.dispatchId });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/forwarding/target-attempt.ts
@@ -0,0 +1,295 @@
+import { UnknownReason } from "@daisylock/core/answers/unknown-reason.js";
+import type { RecordedAnswer } from "@daisylock/core/control/recorded-answer.js";
+import { HeaderName } from "@daisylock/protocol/http/header-name.js";
+import {
+    type Agent,
+    type ClientRequest,
+    type IncomingMessage,
+    request as openRequest,
+    type ServerResponse,
+} from "node:http";
+
+import type { Clock } from "../../../clock/clock.js";
+import { splitAddress } from "../../../settings/split-address.js";
+import type { CallerRequest } from "../callers/caller-request.js";
+import { AttemptEnd } from "./attempt-end.js";
+import type { AttemptResult } from "./attempt-result.js";
+import { buildAnswerHeaders } from "./build-answer-headers.js";
+import { buildTargetHeaders } from "./build-target-headers.js";
+import type { RequestBody } from "./request-body.js";
+
+/** Largest answer that is kept for callers who ask again, bytes. */
+const maxRecordedBytes = 4_096;
+/** Answers that say that the target is broken rather than the request. */
+const errorStatuses: ReadonlySet<number> = new Set([500, 502, 503, 504]);
+
+/** One attempt's parts. */
+interface AttemptParts {
+    readonly call: CallerRequest;
+    readonly body: RequestBody;
+    readonly response: ServerResponse;
+    readonly team: string;
+    readonly address: string;
+    readonly dispatchId: string;
+    /** Connections to use; `undefined` for a new one. */
+    readonly agent: Agent | undefined;
+    /** Whether an error answer of the target may be dropped in favour of another attempt. */
+    readonly mayTryElsewhere: boolean;
+    readonly connectTimeoutMs: number;
+    readonly bodyStallMs: number;
+    readonly maxBodyBytes: number;
+    readonly clock: Clock;
+}
+
+/** Sends a request to one target and passes its answer on. */
+export class TargetAttempt {
+    private readonly result: Promise<AttemptResult>;
+    private resolve: (result: AttemptResult) => void = () => undefined;
+    private isSettled = false;
+    private isConnected = false;
+    private hasHead = false;
+    private outgoing: ClientRequest | undefined;
+    private readonly cancellers: (() => void)[] = [];
+    private recorded: Buffer[] | undefined;
+    private cancelDeadline: () => void = () => undefined;
+
+    /**
+     * @param parts - what to send where
+     */
+    constructor(private readonly parts: AttemptParts) {
+        this.result = new Promise(resolve => {
+            this.resolve = resolve;
+        });
+    }
+
+    /**
+     * Sends the request.
+     * @returns how it ended
+     */
+    run(): Promise<AttemptResult> {
+        const { clock, call, response } = this.parts;
+        const outgoing = this.openOutgoing();
+        this.outgoing = outgoing;
+        const connectTimer = clock.schedule(this.parts.connectTimeoutMs, () => this.handleConnectTimeout());
+        const deadlineTimer = clock.schedule(
+            Math.max(1, call.deadlineAt - clock.readMonotonic()),
+            () => this.refuse(UnknownReason.DeadlineExceeded, false),
+        );
+        const handleClose = () => this.handleCallerClose();
+        response.once("close", handleClose);
+        this.cancelDeadline = deadlineTimer;
+        this.cancellers.push(connectTimer, deadlineTimer, () => response.off("close", handleClose));
+        outgoing.once("socket", socket => {
+            if (socket.connecting) {
+                socket.once("connect", () => this.handleConnect(connectTimer));
+                return;
+            }
+            this.handleConnect(connectTimer);
+        });
+        outgoing.once("response", incoming => this.handleResponse(incoming));
+        outgoing.on("error", () => this.handleError());
+        return this.result;
+    }
+
+    /**
+     * Gives up, unless an answer has begun.
+     * @param reason - why
+     * @param isTargetFault - whether the target is to blame
+     */
+    refuse(reason: UnknownReason, isTargetFault: boolean): void {
+        if (this.hasHead) {
+            this.finish({ end: AttemptEnd.BrokenOff, reason, isStillRunning: true, isTargetFault });
+            return;
+        }
+        const end = this.isConnected ? AttemptEnd.Unknown : AttemptEnd.NotRun;
+        this.finish({ end, reason, isStillRunning: this.isConnected, isTargetFault });
+    }
+
+    /**
+     * Tells whether the target has begun to answer.
+     * @returns true once the head of the answer has arrived
+     */
+    isAnswering(): boolean {
+        return this.hasHead;
+    }
+
+    private openOutgoing(): ClientRequest {
+        const { call, body, address, agent, dispatchId, team } = this.parts;
+        const { host, port } = splitAddress(address);
+        const bodyBytes = body.kind === "buffered" ? body.content.length : call.bodyBytes;
+        const outgoing = openRequest({
+            host,
+            port,
+            method: call.method,
+            path: call.path,
+            agent: agent ?? false,
+            headers: buildTargetHeaders({
+                headers: call.headers,
+                address,
+                requestId: call.id,
+                dispatchId,
+                team,
+                bodyBytes,
+                hasBody: bodyBytes !== 0,
+            }),
+        });
+        this.sendBody(outgoing, body);
+        return outgoing;
+    }
+
+    private sendBody(outgoing: ClientRequest, body: RequestBody): void {
+        if (body.kind === "buffered") {
+            outgoing.end(body.content.length > 0 ? body.content : undefined);
+            return;
+        }
+        body.source.once("error", () => this.handleCallerClose());
+        let bytes = 0;
+        body.source.on("data", (chunk: Buffer) => {
+            bytes += chunk.length;
+            if (bytes > this.parts.maxBodyBytes) {
+                this.refuse(UnknownReason.BodyTooLarge, false);
+            }
+        });
+        body.source.pipe(outgoing);
+    }
+
+    private handleConnect(cancelConnectTimer: () => void): void {
+        this.isConnected = true;
+        cancelConnectTimer();
+    }
+
+    private handleConnectTimeout(): void {
+        if (!this.isConnected) {
+            this.finish({ end: AttemptEnd.NotRun, isStillRunning: false, isTargetFault: true });
+        }
+    }
+
+    private handleError(): void {
+        this.refuse(UnknownReason.ConnectionLost, true);
+    }
+
+    private handleCallerClose(): void {
+        if (!this.parts.response.writableFinished) {
+            this.finish({ end: AttemptEnd.CallerGone, isStillRunning: this.isConnected, isTargetFault: false });
+        }
+    }
+
+    private handleResponse(incoming: IncomingMessage): void {
+        const status = incoming.statusCode ?? 502;
+        if (incoming.headers[HeaderName.DispatchId] !== this.parts.dispatchId) {
+            this.finish({
+                end: AttemptEnd.Unknown,
+                reason: UnknownReason.ForeignAnswer,
+                isStillRunning: true,
+                isTargetFault: true,
+            });
+            return;
+        }
+        if (incoming.headers[HeaderName.NotRun] === "true") {
+            incoming.resume();
+            this.finish({ end: AttemptEnd.NotRun, isStillRunning: false, isTargetFault: false, status }, true);
+            return;
+        }
+        if (this.parts.call.method !== "HEAD" && !isBounded(incoming)) {
+            this.refuse(UnknownReason.ConnectionLost, true);
+            return;
+        }
+        if (errorStatuses.has(status) && this.parts.mayTryElsewhere) {
+            incoming.resume();
+            const isStillRunning = false;
+            this.finish({ end: AttemptEnd.ErrorAnswer, isStillRunning, isTargetFault: true, status }, true);
+            return;
+        }
+        this.passOn(incoming, status);
+    }
+
+    private passOn(incoming: IncomingMessage, status: number): void {
+        const { response, call } = this.parts;
+        this.hasHead = true;
+        // From here on, progress counts rather than the deadline.
+        this.cancelDeadline();
+        this.watchProgress(incoming, -1);
+        response.writeHead(status, buildAnswerHeaders(incoming.headers, call.id));
+        if (call.isUnrepeatable) {
+            this.recordChunks(incoming);
+        }
+        incoming.on("error", () => this.refuse(UnknownReason.ConnectionLost, true));
+        incoming.on("aborted", () => this.refuse(UnknownReason.ConnectionLost, true));
+        incoming.on("end", () => {
+            if (incoming.complete) {
+                this.finishAnswer(incoming, status);
+            }
+        });
+        incoming.pipe(response);
+    }
+
+    /** Ends an answer of which nothing moved for a whole period, on either side. */
+    private watchProgress(incoming: IncomingMessage, seenBytes: number): void {
+        const { clock, bodyStallMs, response } = this.parts;
+        const cancel = clock.schedule(bodyStallMs, () => {
+            const movedBytes = (incoming.socket?.bytesRead ?? 0) + (response.socket?.bytesWritten ?? 0);
+            if (movedBytes === seenBytes) {
+                this.refuse(UnknownReason.ConnectionSilent, true);
+                return;
+            }
+            this.watchProgress(incoming, movedBytes);
+        });
+        this.cancellers.push(cancel);
+    }
+
+    private finishAnswer(incoming: IncomingMessage, status: number): void {
+        this.finish({
+            end: AttemptEnd.Answered,
+            isStillRunning: false,
+            isTargetFault: errorStatuses.has(status),
+            status,
+            answer: this.readRecorded(incoming, status),
+        }, true);
+    }
+
+    private recordChunks(incoming: IncomingMessage): void {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        this.recorded = chunks;
+        incoming.on("data", (chunk: Buffer) => {
+            bytes += chunk.length;
+            if (bytes > maxRecordedBytes) {
+                this.recorded = undefined;
+                return;
+            }
+            chunks.push(chunk);
+        });
+    }
+
+    private readRecorded(incoming: IncomingMessage, status: number): RecordedAnswer | undefined {
+        if (!this.parts.call.isUnrepeatable) {
+            return undefined;
+        }
+        const contentType = incoming.headers["content-type"] ?? "application/octet-stream";
+        const body = this.recorded === undefined ? undefined : Buffer.concat(this.recorded).toString("base64");
+        return { status, contentType, body };
+    }
+
+    /** The connection is kept for further requests only after a whole answer that was the right one. */
+    private finish(result: AttemptResult, isConnectionGood = false): void {
+        if (this.isSettled) {
+            return;
+        }
+        this.isSettled = true;
+        this.cancellers.forEach(cancel => cancel());
+        if (this.parts.body.kind === "streamed") {
+            this.parts.body.source.unpipe(this.outgoing);
+        }
+        if (!isConnectionGood) {
+            this.outgoing?.destroy();
+        }
+        this.resolve(result);
+    }
+}
+
+/** Tells whether the end of an answer can be told from a lost connection. */
+function isBounded(incoming: IncomingMessage): boolean {
+    const { headers, statusCode = 0 } = incoming;
+    const hasNoBody = statusCode === 204 || statusCode === 304 || statusCode < 200;
+    return hasNoBody || headers["content-length"] !== undefined || headers["transfer-encoding"] === "chunked";
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/targets/target-listener.ts
@@ -0,0 +1,95 @@
+import { TargetState } from "@daisylock/core/admission/target-state.js";
+import { formatIssues } from "@daisylock/protocol/operator/format-issues.js";
+import type { AnnouncementReply } from "@daisylock/protocol/target/announcement-reply.js";
+import { announcementSchema } from "@daisylock/protocol/target/announcement-schema.js";
+import type { Announcement } from "@daisylock/protocol/target/announcement.js";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import * as v from "valibot";
+
+import { Mailbox } from "../../../concurrency/mailbox.js";
+import { waitFor } from "../../../concurrency/wait-for.js";
+import { HttpListener } from "../../../http/http-listener.js";
+import { isTokenValid } from "../../../http/is-token-valid.js";
+import { readJson } from "../../../http/read-json.js";
+import { sendJson } from "../../../http/send-json.js";
+import { Worker } from "../../../supervision/worker.js";
+import type { EntryState } from "../entry-state.js";
+import type { TargetRegistry } from "./target-registry.js";
+
+const pathPattern = /^\/v1\/targets\/([a-z0-9][a-z0-9._-]{0,62})$/;
+const maxAnnouncementBytes = 256 * 1024;
+const stopMs = 500;
+
+/** Takes the announcements of targets. */
+export class TargetListener extends Worker {
+    override readonly name = "target-listener";
+    private readonly mailbox = new Mailbox<never>(1);
+    private readonly listener: HttpListener;
+
+    /**
+     * @param address - where to listen
+     * @param state - the entry
+     * @param registry - where announcements go
+     */
+    constructor(address: string, private readonly state: EntryState, private readonly registry: TargetRegistry) {
+        super();
+        const { limits } = state.settings;
+        this.listener = new HttpListener(address, {
+            maxHeaderBytes: limits.max_header_bytes,
+            maxConnections: limits.max_connections,
+            headerTimeoutMs: limits.header_timeout_ms,
+            idleTimeoutMs: limits.idle_timeout_ms,
+        }, (request, response) => {
+            this.serve(request, response).catch(() => response.destroy());
+        });
+    }
+
+    override *run(): Generator<unknown, void, unknown> {
+        yield* waitFor(this.listener.start());
+        yield* this.mailbox.take();
+        yield* waitFor(this.listener.stop(stopMs));
+    }
+
+    override stop(): void {
+        this.mailbox.close();
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (!isTokenValid(request, this.state.settings.cluster.target_token)) {
+            sendJson(response, 401, { type: "not-authorized" });
+            return;
+        }
+        const vm = pathPattern.exec(request.url ?? "")?.[1];
+        if (vm === undefined || request.method !== "PUT") {
+            sendJson(response, 404, { type: "not-found" });
+            return;
+        }
+        const body = await readJson(request, maxAnnouncementBytes);
+        const checked = v.safeParse(announcementSchema, body.isOk ? body.value : undefined);
+        if (!checked.success) {
+            sendJson(response, 400, { type: "malformed", faults: formatIssues(checked.issues) });
+            return;
+        }
+        this.answer(vm, checked.output, response);
+    }
+
+    /** A VM belongs to the pool that the tables say; an announcement claims nothing beyond that. */
+    private answer(vm: string, announcement: Announcement, response: ServerResponse): void {
+        const pool = this.state.tables.objects.vm.get(vm)?.value.pool;
+        if (pool === undefined) {
+            sendJson(response, 403, { type: "not-assigned" });
+            return;
+        }
+        if (!this.registry.recordAnnouncement(vm, announcement)) {
+            sendJson(response, 409, { type: "incarnation-outdated" });
+            return;
+        }
+        const isLeaving = this.registry.find(vm)?.state === TargetState.Leaving;
+        const reply: AnnouncementReply = {
+            leaseMs: this.state.settings.limits.target_lease_ms,
+            pool,
+            isReleased: isLeaving && this.state.releasedTargets.has(vm),
+        };
+        sendJson(response, 200, reply);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/root/entry/targets/target-registry.ts
@@ -0,0 +1,124 @@
+import { TargetState } from "@daisylock/core/admission/target-state.js";
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+import type { Announcement } from "@daisylock/protocol/target/announcement.js";
+
+import type { Clock } from "../../../clock/clock.js";
+import type { EventLog } from "../../../events/event-log.js";
+import type { Registration } from "./registration.js";
+
+/** The targets that announce themselves to this entry, each under a lease. */
+export class TargetRegistry {
+    private readonly registrations = new Map<string, Registration>();
+    private version = 0;
+    private readonly listeners: ((registration: Registration) => void)[] = [];
+
+    /**
+     * @param clock - monotonic time
+     * @param leaseMs - time within which a target has to announce itself again
+     * @param events - where changes are recorded
+     */
+    constructor(
+        private readonly clock: Clock,
+        private readonly leaseMs: number,
+        private readonly events: EventLog,
+    ) {}
+
+    /**
+     * Adds a listener for announcements.
+     * @param listener - called after each announcement and when a lease runs out
+     */
+    addListener(listener: (registration: Registration) => void): void {
+        this.listeners.push(listener);
+    }
+
+    /**
+     * Records an announcement.
+     * @param vm - the VM
+     * @param announcement - what it says
+     * @returns false when it comes from an earlier start of the target
+     */
+    recordAnnouncement(vm: string, announcement: Announcement): boolean {
+        const known = this.registrations.get(vm);
+        if (known !== undefined && announcement.incarnation < known.incarnation) {
+            return false;
+        }
+        const state = announcement.state === "ready" ? TargetState.Ready : TargetState.Leaving;
+        const registration: Registration = {
+            vm,
+            incarnation: announcement.incarnation,
+            address: announcement.address,
+            slots: announcement.slots,
+            state,
+            running: new Map(announcement.running.map(row => [row.dispatch, row.team])),
+            heardAt: this.clock.readMonotonic(),
+            version: known?.version ?? 0,
+        };
+        if (known === undefined || isChanged(known, registration)) {
+            registration.version = ++this.version;
+            this.recordChange(registration);
+        }
+        this.registrations.set(vm, registration);
+        this.notify(registration);
+        return true;
+    }
+
+    /** Marks the targets as gone whose lease ran out. */
+    dropExpired(): void {
+        const now = this.clock.readMonotonic();
+        for (const registration of this.registrations.values()) {
+            if (registration.state !== TargetState.Gone && now - registration.heardAt > this.leaseMs) {
+                registration.state = TargetState.Gone;
+                registration.version = ++this.version;
+                this.recordChange(registration);
+                this.notify(registration);
+            }
+        }
+    }
+
+    /**
+     * Finds a target.
+     * @param vm - the VM
+     * @returns its registration, gone ones included
+     */
+    find(vm: string): Registration | undefined {
+        return this.registrations.get(vm);
+    }
+
+    /**
+     * Lists the registrations that changed.
+     * @param sinceVersion - version up to which they are known
+     * @returns the registrations
+     */
+    listSince(sinceVersion: number): Registration[] {
+        return [...this.registrations.values()].filter(registration => registration.version > sinceVersion);
+    }
+
+    /**
+     * Reads the newest version.
+     * @returns the version
+     */
+    readVersion(): number {
+        return this.version;
+    }
+
+    private notify(registration: Registration): void {
+        for (const listener of this.listeners) {
+            listener(registration);
+        }
+    }
+
+    private recordChange(registration: Registration): void {
+        const kinds = {
+            [TargetState.Ready]: EventKind.TargetReady,
+            [TargetState.Leaving]: EventKind.TargetLeaving,
+            [TargetState.Gone]: EventKind.TargetGone,
+        };
+        const detail = `incarnation ${registration.incarnation}`;
+        this.events.record(kinds[registration.state], { vm: registration.vm, detail });
+    }
+}
+
+function isChanged(before: Registration, after: Registration): boolean {
+    return before.incarnation !== after.incarnation || before.address !== after.address
+        || before.slots !== after.slots || before.state !== after.state;
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/allocator.ts
@@ -0,0 +1,169 @@
+import { allocationTiming } from "@daisylock/core/allocation/allocation-timing.js";
+import { applyTeamGrants } from "@daisylock/core/allocation/apply-team-grants.js";
+import { createLeaderState } from "@daisylock/core/allocation/create-leader-state.js";
+import { dropSilentEntries } from "@daisylock/core/allocation/drop-silent-entries.js";
+import type { LeaderState } from "@daisylock/core/allocation/leader-state.js";
+import { planSlots } from "@daisylock/core/allocation/plan-slots.js";
+import { planTeamGrants } from "@daisylock/core/allocation/plan-team-grants.js";
+import { readAllowances } from "@daisylock/core/allocation/read-allowances.js";
+import { receiveReport } from "@daisylock/core/allocation/receive-report.js";
+import { updateCapacities } from "@daisylock/core/allocation/update-capacities.js";
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+import { encodeTables } from "@daisylock/core/tables/encode-tables.js";
+import type { TableUpdate } from "@daisylock/core/tables/table-update.js";
+import type { Tables } from "@daisylock/core/tables/tables.js";
+import { SyncReply, type SyncRequest } from "@daisylock/protocol/generated/peer.js";
+
+import type { Clock } from "../../clock/clock.js";
+import { Mailbox } from "../../concurrency/mailbox.js";
+import { waitFor } from "../../concurrency/wait-for.js";
+import type { EventLog } from "../../events/event-log.js";
+import { Worker } from "../../supervision/worker.js";
+import type { Keeper } from "./keeper.js";
+
+const planIntervalMs = 50;
+
+/** Gives out slots and parts of the teams' limits while this process's keeper leads. */
+export class Allocator extends Worker {
+    override readonly name = "allocator";
+    private readonly mailbox = new Mailbox<"plan">(1);
+    private leader: LeaderState | undefined;
+    private cancelTimer: () => void = () => undefined;
+
+    /**
+     * @param keeper - the keeper of this process
+     * @param clock - time
+     * @param events - where entries that come and go are recorded
+     */
+    constructor(
+        private readonly keeper: Keeper,
+        private readonly clock: Clock,
+        private readonly events: EventLog,
+    ) {
+        super();
+    }
+
+    override *run(): Generator<unknown, void, unknown> {
+        this.scheduleNext();
+        try {
+            while ((yield* this.mailbox.take()) !== undefined) {
+                yield* this.plan();
+            }
+        }
+        finally {
+            this.cancelTimer();
+            this.leader = undefined;
+        }
+    }
+
+    override stop(): void {
+        this.mailbox.close();
+    }
+
+    /**
+     * Answers an entry's report.
+     * @param request - the report
+     * @returns tables and allowances, or `undefined` when this keeper may not decide
+     */
+    handleSync(request: SyncRequest): SyncReply | undefined {
+        const leader = this.openLeader();
+        if (leader === undefined) {
+            return undefined;
+        }
+        const reply = SyncReply.fromPartial({ session: leader.session, reportNumber: request.reportNumber });
+        this.addTables(reply, request);
+        const isKnown = request.isFull || (request.session === leader.session && leader.entries.has(request.entry));
+        if (!isKnown) {
+            reply.needsFull = true;
+            return reply;
+        }
+        this.noteArrival(leader, request);
+        receiveReport(leader, request, this.clock.readMonotonic());
+        Object.assign(reply, readAllowances(leader, request));
+        return reply;
+    }
+
+    /**
+     * Reads the leader's view, for status pages.
+     * @returns the view, or `undefined` when this keeper may not decide
+     */
+    readLeader(): LeaderState | undefined {
+        return this.openLeader();
+    }
+
+    private scheduleNext(): void {
+        this.cancelTimer = this.clock.schedule(planIntervalMs, () => {
+            this.mailbox.put("plan");
+            this.scheduleNext();
+        });
+    }
+
+    private openLeader(): LeaderState | undefined {
+        if (!this.keeper.isDeciding()) {
+            return undefined;
+        }
+        const view = this.keeper.readView();
+        const session = `${view?.id ?? ""}/${view?.term ?? 0}`;
+        if (this.leader?.session !== session) {
+            const control = this.keeper.readControl();
+            this.leader = createLeaderState(session, control.tables, control.grants, this.clock.readMonotonic());
+        }
+        return this.leader;
+    }
+
+    private *plan(): Generator<unknown, void, unknown> {
+        const leader = this.openLeader();
+        const now = this.clock.readMonotonic();
+        if (leader === undefined || now - leader.startedAt < allocationTiming.settling) {
+            return;
+        }
+        for (const entry of dropSilentEntries(leader, now)) {
+            this.events.record(EventKind.EntryDropped, { detail: entry });
+        }
+        updateCapacities(leader);
+        planSlots(leader, now);
+        const grants = planTeamGrants(leader, this.keeper.readControl().grants, now);
+        if (grants.length === 0) {
+            return;
+        }
+        const result = yield* waitFor(this.keeper.sendCommand({ kind: CommandKind.SetGrants, grants }));
+        if (result.isOk && this.leader === leader) {
+            applyTeamGrants(leader, result.value);
+        }
+        else {
+            grants.forEach(grant => leader.staleTeams.add(grant.team));
+        }
+    }
+
+    private noteArrival(leader: LeaderState, request: SyncRequest): void {
+        if (!leader.entries.has(request.entry)) {
+            this.events.record(EventKind.EntryJoined, { detail: `${request.entry} in ${request.zone}` });
+        }
+    }
+
+    private addTables(reply: SyncReply, request: SyncRequest): void {
+        const { tables, recentUpdates } = this.keeper.readControl();
+        reply.revision = tables.revision;
+        const missing = listMissing(tables, recentUpdates, request);
+        if (missing === undefined) {
+            reply.tables = encodeTables(tables);
+            return;
+        }
+        reply.updates = missing.map(update => JSON.stringify(update));
+    }
+}
+
+/** Lists the updates after an entry's copy, or `undefined` when only a whole copy helps. */
+function listMissing(
+    tables: Tables,
+    recent: readonly TableUpdate[],
+    request: SyncRequest,
+): TableUpdate[] | undefined {
+    if (request.revision === tables.revision) {
+        return request.digest === tables.digest ? [] : undefined;
+    }
+    const position = recent.findIndex(update => update.revision === request.revision + 1);
+    const before = request.revision === 0 ? "" : recent[position - 1]?.digest;
+    return position < 0 || before !== request.digest ? undefined : recent.slice(position);
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/keeper-event-kind.ts
@@ -0,0 +1,9 @@
+/** The kinds of message to the keeper's goroutine. */
+export enum KeeperEventKind {
+    Tick = "tick",
+    Messages = "messages",
+    Command = "command",
+    Members = "members",
+    /** Makes this keeper, whose disk is empty, the first member of a new cluster. */
+    Bootstrap = "bootstrap",
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/keeper-event.ts
@@ -0,0 +1,33 @@
+import type { CommandResults } from "@daisylock/core/control/command-results.js";
+import type { ControlCommand } from "@daisylock/core/control/control-command.js";
+import type { MemberChangeFault } from "@daisylock/core/log/member-change-fault.js";
+import type { Members } from "@daisylock/core/log/members.js";
+import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
+import type Result from "true-myth/result";
+
+import type { KeeperEventKind } from "./keeper-event-kind.js";
+import type { ProposeFailure } from "./propose-failure.js";
+
+/** A message to the keeper's goroutine. */
+export type KeeperEvent =
+    | { readonly kind: KeeperEventKind.Tick }
+    | {
+        readonly kind: KeeperEventKind.Messages;
+        readonly messages: readonly RaftMessage[];
+        readonly fromAddress: string;
+    }
+    | {
+        readonly kind: KeeperEventKind.Command;
+        readonly command: ControlCommand;
+        readonly resolve: (result: Result<CommandResults[keyof CommandResults], ProposeFailure>) => void;
+    }
+    | {
+        readonly kind: KeeperEventKind.Members;
+        readonly members: Members;
+        readonly resolve: (result: Result<number, MemberChangeFault>) => void;
+    }
+    | {
+        readonly kind: KeeperEventKind.Bootstrap;
+        readonly address: string;
+        readonly resolve: (isDone: boolean) => void;
+    };
--- /dev/null
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -0,0 +1,358 @@
+import { applyCommand } from "@daisylock/core/control/apply-command.js";
+import type { CommandResults } from "@daisylock/core/control/command-results.js";
+import type { ControlCommand } from "@daisylock/core/control/control-command.js";
+import type { ControlState } from "@daisylock/core/control/control-state.js";
+import { createControlState } from "@daisylock/core/control/create-control-state.js";
+import { decodeControlState } from "@daisylock/core/control/decode-control-state.js";
+import { encodeControlState } from "@daisylock/core/control/encode-control-state.js";
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+import { changeMembers } from "@daisylock/core/log/change-members.js";
+import { compactLog } from "@daisylock/core/log/compact-log.js";
+import { confirmPersisted } from "@daisylock/core/log/confirm-persisted.js";
+import { createRaftState } from "@daisylock/core/log/create-raft-state.js";
+import { EntryKind } from "@daisylock/core/log/entry-kind.js";
+import { isLeaseValid } from "@daisylock/core/log/is-lease-valid.js";
+import type { LogEntry } from "@daisylock/core/log/log-entry.js";
+import type { MemberChangeFault } from "@daisylock/core/log/member-change-fault.js";
+import type { Members } from "@daisylock/core/log/members.js";
+import { proposeEntry } from "@daisylock/core/log/propose-entry.js";
+import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
+import { RaftRole } from "@daisylock/core/log/raft-role.js";
+import type { RaftState } from "@daisylock/core/log/raft-state.js";
+import type { RaftTiming } from "@daisylock/core/log/raft-timing.js";
+import { readLastIndex } from "@daisylock/core/log/read-last-index.js";
+import { receiveRaftMessage } from "@daisylock/core/log/receive-raft-message.js";
+import { startBootstrap } from "@daisylock/core/log/start-bootstrap.js";
+import { takeCommitted } from "@daisylock/core/log/take-committed.js";
+import { tickRaft } from "@daisylock/core/log/tick-raft.js";
+import Result from "true-myth/result";
+
+import type { Clock } from "../../clock/clock.js";
+import { Mailbox } from "../../concurrency/mailbox.js";
+import { waitFor } from "../../concurrency/wait-for.js";
+import type { EventLog } from "../../events/event-log.js";
+import { MetricName } from "../../metrics/metric-name.js";
+import type { Metrics } from "../../metrics/metrics.js";
+import { Worker } from "../../supervision/worker.js";
+import { KeeperEventKind } from "./keeper-event-kind.js";
+import type { KeeperEvent } from "./keeper-event.js";
+import type { KeeperView } from "./keeper-view.js";
+import { ProposalBook } from "./proposal-book.js";
+import { ProposeFailureKind } from "./propose-failure-kind.js";
+import type { ProposeFailure } from "./propose-failure.js";
+import type { KeeperDisk } from "./storage/keeper-disk.js";
+
+/** Events that may wait while a batch is written. Above it, proposals are refused and messages dropped. */
+const mailboxCapacity = 900;
+/** Events handled before one write to disk. */
+const maxBatch = 512;
+const tickMs = 25;
+
+/** What a keeper needs of its surroundings. */
+interface KeeperSurroundings {
+    readonly disk: KeeperDisk;
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly timing: RaftTiming;
+    readonly events: EventLog;
+    readonly metrics: Metrics;
+    /** Entries after which a snapshot is taken. */
+    readonly snapshotEntries: number;
+    /** Sends messages to other keepers, by address; loss is allowed. */
+    readonly send: (address: string, messages: readonly RaftMessage[]) => void;
+}
+
+/** Runs the replicated log of one keeper: takes events in batches, writes, sends, then applies. */
+export class Keeper extends Worker {
+    override readonly name = "keeper";
+    private readonly mailbox = new Mailbox<KeeperEvent>(mailboxCapacity);
+    private readonly proposals = new ProposalBook();
+    private raft: RaftState | undefined;
+    private control: ControlState = createControlState();
+    /** Addresses of keepers that have spoken; a new member knows no others. */
+    private readonly senders = new Map<string, string>();
+    private seenRole = RaftRole.Follower;
+    private cancelTick: () => void = () => undefined;
+    private isTickWaiting = false;
+
+    /**
+     * @param surroundings - disk, clock and the way to other keepers
+     */
+    constructor(private readonly surroundings: KeeperSurroundings) {
+        super();
+    }
+
+    override *run(): Generator<unknown, void, unknown> {
+        const { disk } = this.surroundings;
+        this.raft = yield* this.loadRaft();
+        this.scheduleTick();
+        try {
+            for (;;) {
+                const event = yield* this.mailbox.take();
+                if (event === undefined) {
+                    break;
+                }
+                this.handleBatch(this.raft, event);
+                yield* this.persist(this.raft);
+                this.sendMessages(this.raft);
+                this.applyCommitted(this.raft);
+                this.noteRole(this.raft);
+            }
+        }
+        finally {
+            this.cancelTick();
+            this.raft = undefined;
+            this.proposals.failAll();
+            disk.close().catch(() => undefined);
+        }
+    }
+
+    override stop(): void {
+        this.mailbox.close();
+    }
+
+    /**
+     * Proposes a command.
+     * @param command - the command
+     * @returns its result once committed and applied here
+     */
+    sendCommand<Command extends ControlCommand>(
+        command: Command,
+    ): Promise<Result<CommandResults[Command["kind"]], ProposeFailure>> {
+        return new Promise(resolve => {
+            const accepted = this.mailbox.put({
+                kind: KeeperEventKind.Command,
+                command,
+                resolve: resolve as Extract<KeeperEvent, { kind: KeeperEventKind.Command }>["resolve"],
+            });
+            if (!accepted) {
+                resolve(Result.err({ kind: ProposeFailureKind.Busy }));
+            }
+        });
+    }
+
+    /**
+     * Proposes new members.
+     * @param members - the members
+     * @returns index of the entry, or why not
+     */
+    sendMembers(members: Members): Promise<Result<number, MemberChangeFault>> {
+        return new Promise(resolve => this.mailbox.put({ kind: KeeperEventKind.Members, members, resolve }));
+    }
+
+    /**
+     * Makes this keeper the first member of a new cluster.
+     * @param address - its own peer address
+     * @returns false when it already has members
+     */
+    startCluster(address: string): Promise<boolean> {
+        return new Promise(resolve => this.mailbox.put({ kind: KeeperEventKind.Bootstrap, address, resolve }));
+    }
+
+    /**
+     * Receives messages from another keeper; drops them when too many wait.
+     * @param messages - the messages
+     * @param fromAddress - peer address of the sender
+     */
+    receive(messages: readonly RaftMessage[], fromAddress: string): void {
+        this.mailbox.put({ kind: KeeperEventKind.Messages, messages, fromAddress });
+    }
+
+    /**
+     * Tells whether this keeper may answer for the whole system now.
+     * @returns true while it leads and its lease is valid
+     */
+    isDeciding(): boolean {
+        return this.raft !== undefined && isLeaseValid(this.raft, this.surroundings.clock.readMonotonic());
+    }
+
+    /**
+     * Reads the replicated state as applied here.
+     * @returns the state, not to be changed
+     */
+    readControl(): ControlState {
+        return this.control;
+    }
+
+    /**
+     * Reads the keeper's position in the cluster.
+     * @returns the view, or `undefined` before the disk is loaded
+     */
+    readView(): KeeperView | undefined {
+        const raft = this.raft;
+        if (raft === undefined) {
+            return undefined;
+        }
+        const addresses = { ...raft.members.learners, ...raft.members.voters };
+        return {
+            id: raft.id,
+            role: raft.role,
+            term: raft.hard.term,
+            leader: raft.leader,
+            leaderAddress: raft.leader === undefined ? undefined : addresses[raft.leader],
+            members: raft.members,
+            commitIndex: raft.commitIndex,
+            lastIndex: readLastIndex(raft),
+            matchIndexes: Object.fromEntries([...raft.peers].map(([id, peer]) => [id, peer.matchIndex])),
+        };
+    }
+
+    private *loadRaft(): Generator<unknown, RaftState, unknown> {
+        const { disk, timing, random, clock } = this.surroundings;
+        const content = yield* waitFor(disk.load());
+        if (content.snapshot.data !== "") {
+            this.control = decodeControlState(content.snapshot.data);
+        }
+        return createRaftState({ ...content, timing, random, now: clock.readMonotonic() });
+    }
+
+    private scheduleTick(): void {
+        this.cancelTick = this.surroundings.clock.schedule(tickMs, () => {
+            if (!this.isTickWaiting) {
+                this.isTickWaiting = this.mailbox.put({ kind: KeeperEventKind.Tick });
+            }
+            this.scheduleTick();
+        });
+    }
+
+    private handleBatch(raft: RaftState, first: KeeperEvent): void {
+        let event: KeeperEvent | undefined = first;
+        for (let handled = 0; event !== undefined && handled < maxBatch; handled++) {
+            this.handleEvent(raft, event, this.surroundings.clock.readMonotonic());
+            event = handled + 1 < maxBatch ? this.mailbox.takeNow() : undefined;
+        }
+    }
+
+    private handleEvent(raft: RaftState, event: KeeperEvent, now: number): void {
+        switch (event.kind) {
+            case KeeperEventKind.Tick:
+                this.isTickWaiting = false;
+                tickRaft(raft, now);
+                break;
+            case KeeperEventKind.Messages:
+                for (const message of event.messages) {
+                    this.senders.set(message.from, event.fromAddress);
+                    receiveRaftMessage(raft, message, now);
+                }
+                break;
+            case KeeperEventKind.Command:
+                this.handleCommand(raft, event, now);
+                break;
+            case KeeperEventKind.Members: {
+                const index = changeMembers(raft, event.members, now);
+                event.resolve(typeof index === "number" ? Result.ok(index) : Result.err(index));
+                break;
+            }
+            case KeeperEventKind.Bootstrap:
+                event.resolve(startBootstrap(raft, event.address, now));
+                break;
+        }
+    }
+
+    private handleCommand(
+        raft: RaftState,
+        event: Extract<KeeperEvent, { kind: KeeperEventKind.Command }>,
+        now: number,
+    ): void {
+        const index = proposeEntry(raft, EntryKind.Command, JSON.stringify(event.command), now);
+        if (index === undefined) {
+            const leaderAddress = this.readView()?.leaderAddress;
+            event.resolve(Result.err({ kind: ProposeFailureKind.NotLeader, leaderAddress }));
+            return;
+        }
+        this.proposals.add(index, raft.hard.term, event.resolve);
+    }
+
+    private *persist(raft: RaftState): Generator<unknown, void, unknown> {
+        const { disk, clock, metrics } = this.surroundings;
+        const startedAt = clock.readMonotonic();
+        if (raft.isSnapshotUnsaved) {
+            yield* waitFor(disk.saveSnapshot(raft.snapshot, raft.base, {
+                hard: raft.hard,
+                truncateFrom: undefined,
+                entries: raft.entries,
+            }));
+            this.surroundings.events.record(EventKind.SnapshotSaved, { detail: `index ${raft.snapshot.index}` });
+        }
+        else if (raft.isHardStateUnsaved || raft.unsavedFrom !== undefined) {
+            yield* waitFor(disk.append({
+                hard: raft.isHardStateUnsaved ? raft.hard : undefined,
+                truncateFrom: raft.unsavedFrom,
+                entries: raft.unsavedFrom === undefined
+                    ? []
+                    : raft.entries.slice(raft.unsavedFrom - raft.base.index - 1),
+            }));
+            metrics.recordTime(MetricName.LogSync, clock.readMonotonic() - startedAt);
+        }
+        else {
+            return;
+        }
+        confirmPersisted(raft);
+    }
+
+    private sendMessages(raft: RaftState): void {
+        const addresses: Record<string, string> = { ...raft.members.learners, ...raft.members.voters };
+        const byReceiver = groupByReceiver(raft.outbox);
+        raft.outbox = [];
+        for (const [receiver, messages] of byReceiver) {
+            const address = addresses[receiver] ?? this.senders.get(receiver);
+            if (address !== undefined) {
+                this.surroundings.send(address, messages);
+            }
+        }
+    }
+
+    private applyCommitted(raft: RaftState): void {
+        if (raft.snapshot.index > raft.appliedIndex) {
+            this.control = decodeControlState(raft.snapshot.data);
+            raft.appliedIndex = raft.snapshot.index;
+        }
+        const term = raft.hard.term;
+        for (const entry of takeCommitted(raft)) {
+            this.applyEntry(entry, term);
+        }
+        if (raft.appliedIndex - raft.snapshot.index >= this.surroundings.snapshotEntries) {
+            compactLog(raft, encodeControlState(this.control));
+        }
+    }
+
+    private applyEntry(entry: LogEntry, term: number): void {
+        if (entry.kind === EntryKind.Members) {
+            this.surroundings.events.record(EventKind.MembersChanged, { detail: entry.payload });
+        }
+        if (entry.kind !== EntryKind.Command) {
+            this.proposals.resolve(entry, term, undefined);
+            return;
+        }
+        const command = JSON.parse(entry.payload) as ControlCommand;
+        const result = applyCommand(this.control, command);
+        this.surroundings.metrics.addCount(MetricName.LogCommits);
+        this.proposals.resolve(entry, term, result);
+    }
+
+    private noteRole(raft: RaftState): void {
+        if (raft.role === this.seenRole) {
+            return;
+        }
+        const { events, metrics } = this.surroundings;
+        if (raft.role === RaftRole.Leader) {
+            events.record(EventKind.LeaderElected, { detail: `term ${raft.hard.term}` });
+        }
+        else if (this.seenRole === RaftRole.Leader) {
+            events.record(EventKind.LeaderLost, { detail: `term ${raft.hard.term}` });
+            this.proposals.failAll();
+        }
+        this.seenRole = raft.role;
+        metrics.setLevel(MetricName.LogTerm, raft.hard.term);
+    }
+}
+
+function groupByReceiver(messages: readonly RaftMessage[]): Map<string, RaftMessage[]> {
+    const groups = new Map<string, RaftMessage[]>();
+    for (const message of messages) {
+        const group = groups.get(message.to) ?? [];
+        group.push(message);
+        groups.set(message.to, group);
+    }
+    return groups;
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/handle-entry-forget.ts
@@ -0,0 +1,37 @@
+import { allocationTiming } from "@daisylock/core/allocation/allocation-timing.js";
+import { noteLostHolder } from "@daisylock/core/allocation/note-lost-holder.js";
+import type { OperateRequest } from "@daisylock/protocol/generated/peer.js";
+
+import type { OperateContext } from "./operate-context.js";
+import type { OperateResult } from "./operate-result.js";
+
+/**
+ * Takes an operator's word that an entry has stopped for good, so that its parts of the teams' limits can be given to
+ * others once the targets have finished its requests.
+ * @param context - the leader
+ * @param _request - the request
+ * @param entry - name of the entry
+ * @returns the holders given up; refused while the entry is heard
+ */
+export function handleEntryForget(context: OperateContext, _request: OperateRequest, entry: string): OperateResult {
+    const leader = context.allocator.readLeader();
+    if (leader === undefined) {
+        return { status: 503, body: { type: "no-leader" } };
+    }
+    const now = context.clock.readMonotonic();
+    const view = leader.entries.get(entry);
+    if (view !== undefined && now - view.heardAt < allocationTiming.entrySilent) {
+        return { status: 409, body: { type: "entry-alive", heardMsAgo: Math.round(now - view.heardAt) } };
+    }
+    const holders = new Set<string>();
+    for (const resource of leader.teams.values()) {
+        for (const holder of resource.grants.keys()) {
+            if (holder.startsWith(`${entry}@`)) {
+                holders.add(holder);
+            }
+        }
+    }
+    leader.entries.delete(entry);
+    holders.forEach(holder => noteLostHolder(leader, holder, now));
+    return { status: 200, body: { lostHolders: [...holders] } };
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/handle-keeper-change.ts
@@ -0,0 +1,65 @@
+import type { Members } from "@daisylock/core/log/members.js";
+import type { OperateRequest } from "@daisylock/protocol/generated/peer.js";
+import { formatIssues } from "@daisylock/protocol/operator/format-issues.js";
+import { KeeperAction } from "@daisylock/protocol/operator/keeper-action.js";
+import { keeperRequestSchema } from "@daisylock/protocol/operator/keeper-request-schema.js";
+import * as v from "valibot";
+
+import { handleKeeperList } from "./handle-keeper-list.js";
+import type { OperateContext } from "./operate-context.js";
+import type { OperateResult } from "./operate-result.js";
+import { parseJson } from "./parse-json.js";
+
+const askTimeoutMs = 2_000;
+
+/**
+ * Adds a keeper as a learner, which becomes a voter once it has caught up, or removes one.
+ * @param context - the leader
+ * @param request - action, and address or id
+ * @returns the keepers afterwards
+ */
+export async function handleKeeperChange(context: OperateContext, request: OperateRequest): Promise<OperateResult> {
+    const checked = v.safeParse(keeperRequestSchema, parseJson(request.body));
+    if (!checked.success) {
+        return { status: 400, body: { type: "malformed", faults: formatIssues(checked.issues) } };
+    }
+    const { action, address, id } = checked.output;
+    const view = context.keeper.readView();
+    if (view === undefined) {
+        return { status: 503, body: { type: "no-leader" } };
+    }
+    if (action === KeeperAction.Remove && id !== undefined) {
+        return setMembers(context, dropMember(view.members, id));
+    }
+    if (action === KeeperAction.Add && address !== undefined) {
+        return addLearner(context, view.members, address);
+    }
+    return { status: 400, body: { type: "malformed", faults: ["add needs an address, remove needs an id"] } };
+}
+
+async function addLearner(context: OperateContext, members: Members, address: string): Promise<OperateResult> {
+    const request = { method: "GET", path: "/v1/process", body: "", ifMatch: "", changeId: "", hops: 0 };
+    const reply = await context.clients.send(address, "operate", request, askTimeoutMs);
+    const keeper = reply.isOk ? (parseJson(reply.value.body) as { keeper?: string }).keeper : undefined;
+    if (keeper === undefined) {
+        return { status: 502, body: { type: "keeper-unreachable", address } };
+    }
+    if (Object.hasOwn(members.voters, keeper) || Object.hasOwn(members.learners, keeper)) {
+        return handleKeeperList(context);
+    }
+    return setMembers(context, { ...members, learners: { ...members.learners, [keeper]: address } });
+}
+
+function dropMember(members: Members, id: string): Members {
+    const { [id]: _voter, ...voters } = members.voters;
+    const { [id]: _learner, ...learners } = members.learners;
+    return { voters, learners };
+}
+
+async function setMembers(context: OperateContext, members: Members): Promise<OperateResult> {
+    const result = await context.keeper.sendMembers(members);
+    if (result.isErr) {
+        return { status: 409, body: { type: result.error } };
+    }
+    return handleKeeperList(context);
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/handle-tables.ts
@@ -0,0 +1,21 @@
+import { ObjectKind } from "@daisylock/core/tables/object-kind.js";
+
+import type { OperateContext } from "./operate-context.js";
+import type { OperateResult } from "./operate-result.js";
+
+/**
+ * Lists all objects of the tables. Digests of keys are left out.
+ * @param context - the leader
+ * @returns revision and objects by kind
+ */
+export function handleTables(context: OperateContext): OperateResult {
+    const { tables } = context.keeper.readControl();
+    const body: Record<string, unknown> = { revision: tables.revision, digest: tables.digest };
+    for (const kind of Object.values(ObjectKind)) {
+        body[kind] = [...tables.objects[kind].values()].map(({ name, revision, value }) => {
+            const { salt: _salt, digest: _digest, ...shown } = value as unknown as Record<string, unknown>;
+            return { name, revision, ...shown };
+        });
+    }
+    return { status: 200, body };
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/operate-context.ts
@@ -0,0 +1,14 @@
+import type { Clock } from "../../../clock/clock.js";
+import type { EventLog } from "../../../events/event-log.js";
+import type { PeerClients } from "../../../peer/peer-clients.js";
+import type { Allocator } from "../allocator.js";
+import type { Keeper } from "../keeper.js";
+
+/** What answering operators needs of the leader. */
+export interface OperateContext {
+    readonly keeper: Keeper;
+    readonly allocator: Allocator;
+    readonly clients: PeerClients;
+    readonly clock: Clock;
+    readonly events: EventLog;
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/operate-handlers.ts
@@ -0,0 +1,28 @@
+import type { OperateRequest } from "@daisylock/protocol/generated/peer.js";
+
+import { handleChangeLookup } from "./handle-change-lookup.js";
+import { handleChange } from "./handle-change.js";
+import { handleEntryForget } from "./handle-entry-forget.js";
+import { handleKeeperChange } from "./handle-keeper-change.js";
+import { handleKeeperList } from "./handle-keeper-list.js";
+import { handleStatus } from "./handle-status.js";
+import { handleTables } from "./handle-tables.js";
+import type { OperateContext } from "./operate-context.js";
+import type { OperateResult } from "./operate-result.js";
+
+type Handler = (
+    context: OperateContext,
+    request: OperateRequest,
+    argument: string,
+) => OperateResult | Promise<OperateResult>;
+
+/** The operators' requests that the leader answers: method, path and handler. */
+export const operateHandlers: readonly (readonly [string, RegExp, Handler])[] = [
+    ["GET", /^\/v1\/tables$/, handleTables],
+    ["GET", /^\/v1\/status$/, handleStatus],
+    ["POST", /^\/v1\/changes$/, handleChange],
+    ["GET", /^\/v1\/changes\/([A-Za-z0-9._-]{8,64})$/, handleChangeLookup],
+    ["GET", /^\/v1\/keepers$/, handleKeeperList],
+    ["POST", /^\/v1\/keepers$/, handleKeeperChange],
+    ["DELETE", /^\/v1\/entries\/([a-z0-9-]{1,41})$/, handleEntryForget],
+];
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/operate-result.ts
@@ -0,0 +1,5 @@
+/** Answer to an operator's request. */
+export interface OperateResult {
+    readonly status: number;
+    readonly body: unknown;
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/proposal-book.ts
@@ -0,0 +1,51 @@
+import type { CommandResults } from "@daisylock/core/control/command-results.js";
+import type { LogEntry } from "@daisylock/core/log/log-entry.js";
+import Result from "true-myth/result";
+
+import { ProposeFailureKind } from "./propose-failure-kind.js";
+import type { ProposeFailure } from "./propose-failure.js";
+
+type Resolve = (result: Result<CommandResults[keyof CommandResults], ProposeFailure>) => void;
+
+/** The proposers that wait for their entries. */
+export class ProposalBook {
+    private readonly waiting = new Map<number, { readonly term: number; readonly resolve: Resolve }>();
+
+    /**
+     * Adds a proposer.
+     * @param index - index of its entry
+     * @param term - term of its entry
+     * @param resolve - receives the result
+     */
+    add(index: number, term: number, resolve: Resolve): void {
+        this.waiting.set(index, { term, resolve });
+    }
+
+    /**
+     * Resolves the proposer of an applied entry. An entry of another term has replaced the proposed one, which is then
+     * certainly not committed.
+     * @param entry - the entry
+     * @param term - current term
+     * @param result - result of the command
+     */
+    resolve(entry: LogEntry, term: number, result: CommandResults[keyof CommandResults] | undefined): void {
+        const proposal = this.waiting.get(entry.index);
+        if (proposal === undefined) {
+            return;
+        }
+        this.waiting.delete(entry.index);
+        if (proposal.term === entry.term && proposal.term <= term && result !== undefined) {
+            proposal.resolve(Result.ok(result));
+            return;
+        }
+        proposal.resolve(Result.err({ kind: ProposeFailureKind.NotLeader }));
+    }
+
+    /** Tells every proposer that its command may or may not be committed. */
+    failAll(): void {
+        for (const proposal of this.waiting.values()) {
+            proposal.resolve(Result.err({ kind: ProposeFailureKind.Unknown }));
+        }
+        this.waiting.clear();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/root/operator/local-requests.ts
@@ -0,0 +1,101 @@
+import type { EventRecord } from "@daisylock/core/events/event-record.js";
+import type { OperateReply, OperateRequest } from "@daisylock/protocol/generated/peer.js";
+import { KeeperAction } from "@daisylock/protocol/operator/keeper-action.js";
+import { keeperRequestSchema } from "@daisylock/protocol/operator/keeper-request-schema.js";
+import * as v from "valibot";
+
+import type { PeerClients } from "../../peer/peer-clients.js";
+import type { Settings } from "../../settings/settings.js";
+import type { Keeper } from "../keeper/keeper.js";
+import { parseJson } from "../keeper/operate/parse-json.js";
+
+const eventsTimeoutMs = 1_500;
+const maxEventsPerProcess = 5_000;
+
+/** The operators' requests that the process answers itself, whoever leads. */
+export class LocalRequests {
+    /**
+     * @param settings - settings of the process
+     * @param keeper - its keeper, if it has one
+     * @param clients - connections to other processes
+     */
+    constructor(
+        private readonly settings: Settings,
+        private readonly keeper: Keeper | undefined,
+        private readonly clients: PeerClients,
+    ) {}
+
+    /**
+     * Answers a request if it is one for this process.
+     * @param request - the request
+     * @returns the answer, or `undefined` when the leader has to answer
+     */
+    async run(request: OperateRequest): Promise<OperateReply | undefined> {
+        const url = new URL(request.path, "http://local");
+        if (request.method === "GET" && url.pathname === "/v1/process") {
+            return this.describeProcess();
+        }
+        if (request.method === "GET" && url.pathname === "/v1/events") {
+            return this.collectEvents(Number(url.searchParams.get("since") ?? 0));
+        }
+        if (request.method === "POST" && url.pathname === "/v1/keepers") {
+            return this.startCluster(request);
+        }
+        return undefined;
+    }
+
+    private describeProcess(): OperateReply {
+        const { node } = this.settings;
+        const keeper = this.keeper?.readView();
+        const memory = process.memoryUsage().rss;
+        const processor = process.cpuUsage();
+        const body = {
+            name: node.name,
+            zone: node.zone,
+            roles: node.roles,
+            keeper: keeper?.id,
+            role: keeper?.role,
+            term: keeper?.term,
+            memoryBytes: memory,
+            processorMicroseconds: processor.user + processor.system,
+        };
+        return { status: 200, body: JSON.stringify(body) };
+    }
+
+    private async collectEvents(sinceMs: number): Promise<OperateReply> {
+        const { keepers, entries } = this.settings.cluster;
+        const addresses = [...new Set([...keepers, ...entries])];
+        const silent: string[] = [];
+        let dropped = 0;
+        const events = await Promise.all(addresses.map(async address => {
+            const request = { sinceMs, limit: maxEventsPerProcess };
+            const reply = await this.clients.send(address, "readEvents", request, eventsTimeoutMs);
+            if (reply.isErr) {
+                silent.push(address);
+                return [];
+            }
+            dropped += reply.value.dropped;
+            return reply.value.events.map(text => JSON.parse(text) as EventRecord);
+        }));
+        const ordered = events.flat().sort(compareEvents);
+        return { status: 200, body: JSON.stringify({ events: ordered, silent, dropped }) };
+    }
+
+    private async startCluster(request: OperateRequest): Promise<OperateReply | undefined> {
+        const checked = v.safeParse(keeperRequestSchema, parseJson(request.body));
+        if (!checked.success || checked.output.action !== KeeperAction.Bootstrap) {
+            return undefined;
+        }
+        if (this.keeper === undefined) {
+            return { status: 409, body: JSON.stringify({ type: "not-a-keeper" }) };
+        }
+        const isDone = await this.keeper.startCluster(this.settings.listen.peers);
+        return isDone
+            ? { status: 200, body: JSON.stringify({ keeper: this.keeper.readView()?.id }) }
+            : { status: 409, body: JSON.stringify({ type: "already-bootstrapped" }) };
+    }
+}
+
+function compareEvents(a: EventRecord, b: EventRecord): number {
+    return a.time.wallMs - b.time.wallMs || a.time.counter - b.time.counter || (a.process < b.process ? -1 : 1);
+}
--- /dev/null
+++ b/packages/daemon/src/settings/load-settings.ts
@@ -0,0 +1,56 @@
+import { formatIssues } from "@daisylock/protocol/operator/format-issues.js";
+import { readFileSync } from "node:fs";
+import { parse, TomlError } from "smol-toml";
+import Result from "true-myth/result";
+import * as v from "valibot";
+
+import { Role } from "./role.js";
+import { SettingsFailure } from "./settings-failure.js";
+import { settingsSchema } from "./settings-schema.js";
+import type { Settings } from "./settings.js";
+
+/**
+ * Loads and checks a settings file.
+ * @param file - path of the file
+ * @returns the settings, or every fault found
+ */
+export function loadSettings(file: string): Result<Settings, SettingsFailure> {
+    const content = readContent(file);
+    if (content instanceof SettingsFailure) {
+        return Result.err(content);
+    }
+    const checked = v.safeParse(settingsSchema, content);
+    if (!checked.success) {
+        return Result.err(new SettingsFailure(file, formatIssues(checked.issues)));
+    }
+    const faults = checkRoles(checked.output);
+    return faults.length > 0 ? Result.err(new SettingsFailure(file, faults)) : Result.ok(checked.output);
+}
+
+function readContent(file: string): unknown {
+    try {
+        return parse(readFileSync(file, "utf8"));
+    }
+    catch (error) {
+        if (error instanceof TomlError) {
+            const summary = error.message.split("\n")[0] ?? "";
+            return new SettingsFailure(file, [`line ${error.line}: expected TOML: ${summary}`]);
+        }
+        return new SettingsFailure(file, [`expected a readable file: ${(error as Error).message}`]);
+    }
+}
+
+function checkRoles(settings: Settings): string[] {
+    const { node, listen } = settings;
+    const faults: string[] = [];
+    if (node.roles.includes(Role.Keeper) && node.data === undefined) {
+        faults.push("node.data: expected a folder, which the role keeper needs");
+    }
+    if (node.roles.includes(Role.Entry) && listen.callers === undefined) {
+        faults.push("listen.callers: expected an address, which the role entry needs");
+    }
+    if (node.roles.includes(Role.Entry) && listen.targets === undefined) {
+        faults.push("listen.targets: expected an address, which the role entry needs");
+    }
+    return faults;
+}
--- /dev/null
+++ b/packages/daemon/src/supervision/supervisor.ts
@@ -0,0 +1,122 @@
+import { EventKind } from "@daisylock/core/events/event-kind.js";
+import { InvariantViolation } from "@daisylock/core/invariants/invariant-violation.js";
+
+import type { Clock } from "../clock/clock.js";
+import { Mailbox } from "../concurrency/mailbox.js";
+import { runGoroutine } from "../concurrency/run-goroutine.js";
+import type { EventLog } from "../events/event-log.js";
+import type { ChildSpec } from "./child-spec.js";
+import { ChildStopped } from "./child-stopped.js";
+import { Escalation } from "./escalation.js";
+import type { RestartPolicy } from "./restart-policy.js";
+import { Worker } from "./worker.js";
+
+type Notice =
+    | { readonly kind: "ended"; readonly child: string; readonly error: unknown }
+    | { readonly kind: "restart"; readonly child: string }
+    | { readonly kind: "stop" };
+
+/** Each child sends at most one end and one restart notice at a time. */
+const noticesPerChild = 4;
+
+/** Starts children in order, restarts those that fail, and stops them in reverse order. */
+export class Supervisor extends Worker {
+    private readonly notices: Mailbox<Notice>;
+    private readonly running = new Map<string, Worker>();
+    private failures: number[] = [];
+    private isStopping = false;
+
+    /**
+     * @param name - name within the parent
+     * @param specs - the children, in starting order
+     * @param policy - how often they may fail
+     * @param clock - time for the policy
+     * @param events - where failures are recorded
+     */
+    constructor(
+        override readonly name: string,
+        private readonly specs: readonly ChildSpec[],
+        private readonly policy: RestartPolicy,
+        private readonly clock: Clock,
+        private readonly events: EventLog,
+    ) {
+        super();
+        this.notices = new Mailbox(specs.length * noticesPerChild + 1);
+    }
+
+    override *run(): Generator<unknown, void, unknown> {
+        for (const spec of this.specs) {
+            this.startChild(spec);
+        }
+        while (!this.isStopping) {
+            const notice = yield* this.notices.take();
+            if (notice === undefined || notice.kind === "stop") {
+                break;
+            }
+            const error = this.handleNotice(notice);
+            if (error !== undefined) {
+                yield* this.stopChildren();
+                throw error;
+            }
+        }
+        yield* this.stopChildren();
+    }
+
+    override stop(): void {
+        this.notices.put({ kind: "stop" });
+    }
+
+    private startChild(spec: ChildSpec): void {
+        const worker = spec.create();
+        this.running.set(spec.name, worker);
+        runGoroutine(
+            () => worker.run(),
+            error => this.notices.put({ kind: "ended", child: spec.name, error }),
+        );
+    }
+
+    private handleNotice(notice: Exclude<Notice, { kind: "stop" }>): Escalation | undefined {
+        if (notice.kind === "restart") {
+            this.restartChild(notice.child);
+            return undefined;
+        }
+        this.running.delete(notice.child);
+        const error = notice.error ?? new ChildStopped(notice.child);
+        const kind = error instanceof InvariantViolation ? EventKind.InvariantBroken : EventKind.ChildFailed;
+        this.events.record(kind, { detail: `${this.name}/${notice.child}: ${String(error)}` });
+        if (!this.isRestartAllowed()) {
+            return new Escalation(this.name, notice.child, error);
+        }
+        this.clock.schedule(this.policy.delayMs, () => this.notices.put({ kind: "restart", child: notice.child }));
+        return undefined;
+    }
+
+    private restartChild(child: string): void {
+        const spec = this.specs.find(candidate => candidate.name === child);
+        if (spec === undefined || this.isStopping) {
+            return;
+        }
+        this.events.record(EventKind.ChildRestarted, { detail: `${this.name}/${child}` });
+        this.startChild(spec);
+    }
+
+    private isRestartAllowed(): boolean {
+        const now = this.clock.readMonotonic();
+        this.failures = this.failures.filter(at => now - at < this.policy.periodMs);
+        this.failures.push(now);
+        return this.failures.length <= this.policy.maxRestarts;
+    }
+
+    private *stopChildren(): Generator<unknown, void, unknown> {
+        this.isStopping = true;
+        for (const spec of [...this.specs].reverse()) {
+            this.running.get(spec.name)?.stop();
+            while (this.running.has(spec.name)) {
+                const notice = yield* this.notices.take();
+                if (notice?.kind === "ended") {
+                    this.running.delete(notice.child);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/types/js-csp.d.ts
@@ -0,0 +1,19 @@
+declare module "js-csp" {
+    interface Channel<T> {
+        close(): void;
+        isClosed(): boolean;
+        readonly element?: T;
+    }
+    interface Csp {
+        chan<T>(buffer?: unknown): Channel<T>;
+        go(body: () => Generator<unknown, unknown, unknown>): Channel<unknown>;
+        take<T>(channel: Channel<T>): unknown;
+        offer<T>(channel: Channel<T>, value: T): boolean;
+        poll<T>(channel: Channel<T>): unknown;
+        readonly CLOSED: unknown;
+        readonly NO_VALUE: unknown;
+        readonly buffers: { fixed(size: number): unknown; sliding(size: number): unknown };
+    }
+    const csp: Csp;
+    export default csp;
+}
--- /dev/null
+++ b/packages/protocol/src/http/answer-rule.ts
@@ -0,0 +1,7 @@
+/** How a reason is shown to callers. */
+export interface AnswerRule {
+    readonly status: number;
+    /** Whether sending the same request again, with the same id, is safe and may help. */
+    readonly mayRetry: boolean;
+    readonly title: string;
+}
--- /dev/null
+++ b/packages/protocol/src/peer/encode-raft-messages.ts
@@ -0,0 +1,13 @@
+import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
+
+import { RaftBatch } from "../generated/peer.js";
+
+/**
+ * Encodes messages between keepers for sending.
+ * @param messages - the messages
+ * @param fromAddress - peer address of this process
+ * @returns a batch for one call
+ */
+export function encodeRaftMessages(messages: readonly RaftMessage[], fromAddress: string): RaftBatch {
+    return RaftBatch.fromPartial({ messages: messages as never, fromAddress });
+}
--- /dev/null
+++ b/packages/protocol/src/target/announcement-reply.ts
@@ -0,0 +1,9 @@
+/** Answer to a target's announcement. */
+export interface AnnouncementReply {
+    /** Time within which the target has to announce itself again, milliseconds. */
+    readonly leaseMs: number;
+    /** Pool to which the target belongs by the tables. */
+    readonly pool: string;
+    /** Whether no entry sends it new work any more, so that it may stop once its work has ended. */
+    readonly isReleased: boolean;
+}
