--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
             "curly": "error",
             "no-null": "off",
             "@typescript-eslint/require-await": "off",
+            "@typescript-eslint/no-unused-vars": ["error", { ignoreRestSiblings: true }],
             "@typescript-eslint/only-throw-error": "error",
             "@typescript-eslint/naming-convention": [
                 "error",
--- a/packages/cli/src/api/operator-client.ts
+++ b/packages/cli/src/api/operator-client.ts
@@ -91,7 +91,11 @@
     const lines = faults.map(fault =>
         typeof fault === "string" ? fault : Object.values(fault as Record<string, string>).join(" ")
     );
-    return [`refused (${status}): ${String(body["outcome"] ?? body["type"] ?? "no reason given")}`, ...lines].join(
+    return [`refused (${status}): ${readText(body["outcome"] ?? body["type"])}`, ...lines].join(
         "\n",
     );
 }
+
+function readText(value: unknown): string {
+    return typeof value === "string" ? value : "no reason given";
+}
--- a/packages/cli/src/commands/plan-edits.ts
+++ b/packages/cli/src/commands/plan-edits.ts
@@ -35,7 +35,7 @@
     const edits: PlannedEdit[] = [];
     const objects = (wanted[kind] ?? {}) as Record<string, object>;
     for (const [name, value] of Object.entries(objects)) {
-        const { revision: _revision, ...existing } = (current.get(name) ?? {}) as { revision?: number };
+        const { revision, ...existing } = (current.get(name) ?? {}) as { revision?: number };
         if (!isDeepStrictEqual({ ...existing }, { ...value })) {
             edits.push({ kind, name, value: { ...value } });
         }
--- a/packages/cli/src/commands/status-command.ts
+++ b/packages/cli/src/commands/status-command.ts
@@ -17,7 +17,7 @@
             printResult(context.output, status);
             return;
         }
-        const { entries: _entries, pools: _pools, teams: _teams, ...summary } = status;
+        const { entries, pools, teams, ...summary } = status;
         printResult(context.output, summary);
         for (const section of sections) {
             process.stdout.write(`\n${section}\n`);
--- a/packages/cli/src/commands/timeline-command.ts
+++ b/packages/cli/src/commands/timeline-command.ts
@@ -2,8 +2,8 @@
 import type { ArgumentsCamelCase, CommandModule } from "yargs";
 
 import { CommandContext } from "../command-context.js";
+import { describeEvent } from "../timeline/describe-event.js";
 import { encodeChromeTrace } from "../timeline/encode-chrome-trace.js";
-import { formatEvent } from "../timeline/format-event.js";
 import { TimelineFormat } from "../timeline/timeline-format.js";
 
 const filters = ["request", "vm", "team", "pool", "change", "process", "kind"] as const;
@@ -41,7 +41,7 @@
         process.stdout.write(`${encodeChromeTrace(events)}\n`);
         return;
     }
-    const formatLine = format === TimelineFormat.Text ? formatEvent : JSON.stringify;
+    const formatLine = format === TimelineFormat.Text ? describeEvent : JSON.stringify;
     for (const event of events) {
         process.stdout.write(`${formatLine(event)}\n`);
     }
--- a/packages/cli/src/output/print-result.ts
+++ b/packages/cli/src/output/print-result.ts
@@ -17,7 +17,7 @@
         process.stdout.write(`${JSON.stringify(result, undefined, 2)}\n`);
         return;
     }
-    process.stdout.write(`${rows === undefined ? formatFields(result) : formatRows(rows)}\n`);
+    process.stdout.write(`${rows === undefined ? buildFields(result) : buildRows(rows)}\n`);
 }
 
 /** No colours and no box, so that pipes and narrow terminals get plain text. */
@@ -42,7 +42,7 @@
     style: { "head": [], "border": [], "padding-left": 0, "padding-right": 0 },
 };
 
-function formatRows(rows: readonly Record<string, unknown>[]): string {
+function buildRows(rows: readonly Record<string, unknown>[]): string {
     const [first] = rows;
     if (first === undefined) {
         return "(none)";
@@ -50,22 +50,22 @@
     const columns = Object.keys(first);
     const table = new Table({ ...plainStyle, head: columns });
     for (const row of rows) {
-        table.push(columns.map(column => formatValue(row[column])));
+        table.push(columns.map(column => describeValue(row[column])));
     }
     return table.toString();
 }
 
-function formatFields(result: Record<string, unknown>): string {
+function buildFields(result: Record<string, unknown>): string {
     const table = new Table(plainStyle);
     for (const [name, value] of Object.entries(result)) {
-        table.push([name, formatValue(value)]);
+        table.push([name, describeValue(value)]);
     }
     return table.toString();
 }
 
-function formatValue(value: unknown): string {
-    if (value === undefined) {
-        return "";
+function describeValue(value: unknown): string {
+    if (typeof value === "string") {
+        return value;
     }
-    return typeof value === "object" ? JSON.stringify(value) : String(value as string | number | boolean);
+    return value === undefined ? "" : JSON.stringify(value);
 }
--- a/packages/cli/src/timeline/format-event.ts
+++ b/packages/cli/src/timeline/describe-event.ts
@@ -5,7 +5,7 @@
  * @param event - the event
  * @returns the line
  */
-export function formatEvent(event: EventRecord): string {
+export function describeEvent(event: EventRecord): string {
     const { time, process, zone, kind, ...fields } = event;
     const at = `${new Date(time.wallMs).toISOString().slice(11, 23)}+${time.counter}`;
     const rest = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`).join(" ");
--- a/packages/core/src/admission/enqueue-request.ts
+++ b/packages/core/src/admission/add-request.ts
@@ -1,10 +1,10 @@
 import { RefusalReason } from "../answers/refusal-reason.js";
 import type { AdmissionState } from "./admission-state.js";
 import { computeWait } from "./compute-wait.js";
-import { liftIdleQueue } from "./lift-idle-queue.js";
 import { openPool } from "./open-pool.js";
 import { openQueue } from "./open-queue.js";
 import type { Refusal } from "./refusal.js";
+import { updateIdleQueue } from "./update-idle-queue.js";
 import type { WaitingRequest } from "./waiting-request.js";
 
 /** Longest time that a request waits for the first slots of its pool to arrive, milliseconds. */
@@ -29,7 +29,7 @@
  * @param now - monotonic milliseconds
  * @returns the waiting request, or the refusal
  */
-export function enqueueRequest(
+export function addRequest(
     state: AdmissionState,
     request: AdmissionRequest,
     now: number,
@@ -53,7 +53,7 @@
         isSettled: false,
     };
     const queue = openQueue(pool, request.team);
-    liftIdleQueue(pool, queue);
+    updateIdleQueue(pool, queue);
     (request.isUrgent ? queue.urgent : queue.normal).push(waiting);
     queue.waiting += 1;
     state.waiting += 1;
--- a/packages/core/src/admission/take-dispatches.ts
+++ b/packages/core/src/admission/take-dispatches.ts
@@ -75,11 +75,11 @@
     );
     queue.running += 1;
     const chargedMs = pool.meanServiceMs;
-    chargeSlotTime(state, queue, chargedMs);
+    addSlotTime(state, queue, chargedMs);
     return { request, target, startedAt: now, chargedMs };
 }
 
-function chargeSlotTime(state: AdmissionState, queue: TeamQueue, milliseconds: number): void {
+function addSlotTime(state: AdmissionState, queue: TeamQueue, milliseconds: number): void {
     queue.localVirtualMs += milliseconds / (state.shares.get(queue.team) ?? 1);
     queue.unreportedMs += milliseconds;
 }
--- a/packages/core/src/admission/lift-idle-queue.ts
+++ b/packages/core/src/admission/update-idle-queue.ts
@@ -8,7 +8,7 @@
  * @param pool - the pool
  * @param queue - the queue that is about to get work
  */
-export function liftIdleQueue(pool: PoolAdmission, queue: TeamQueue): void {
+export function updateIdleQueue(pool: PoolAdmission, queue: TeamQueue): void {
     if (queue.waiting > 0 || queue.running > 0) {
         return;
     }
--- a/packages/core/src/allocation/split-capacity.ts
+++ b/packages/core/src/allocation/compute-split.ts
@@ -6,7 +6,7 @@
  * @param demands - the holders and their demand
  * @returns units by holder; their sum is the capacity unless there is no holder
  */
-export function splitCapacity(capacity: number, demands: readonly Demand[]): Map<string, number> {
+export function computeSplit(capacity: number, demands: readonly Demand[]): Map<string, number> {
     const shares = new Map<string, number>();
     const ordered = [...demands].sort((a, b) => a.wanted - b.wanted || (a.holder < b.holder ? -1 : 1));
     let remaining = Math.max(0, Math.floor(capacity));
--- a/packages/core/src/allocation/note-demands.ts
+++ b/packages/core/src/allocation/note-demands.ts
@@ -26,8 +26,8 @@
         addDemand(view.teamDemand, row.team, row.running, row.waiting);
         noteUse(state, row, isResent, now);
     }
-    markStarving(view.poolDemand, state.stalePools);
-    markStarving(view.teamDemand, state.staleTeams);
+    noteStarvingDemands(view.poolDemand, state.stalePools);
+    noteStarvingDemands(view.teamDemand, state.staleTeams);
 }
 
 function addDemand(demands: EntryView["poolDemand"], name: string, running: number, waiting: number): void {
@@ -37,7 +37,7 @@
     demands.set(name, demand);
 }
 
-function markStarving(demands: EntryView["poolDemand"], stale: Set<string>): void {
+function noteStarvingDemands(demands: EntryView["poolDemand"], stale: Set<string>): void {
     for (const [name, demand] of demands) {
         if (demand.waiting > 0) {
             stale.add(name);
--- a/packages/core/src/allocation/note-residues.ts
+++ b/packages/core/src/allocation/note-residues.ts
@@ -15,7 +15,7 @@
         const isAfterLoss = now - report.residueAgeMs > lost.since + allocationTiming.lossMargin;
         if (isAfterLoss) {
             noteReport(lost, holder, report);
-            lowerCeilings(state, holder, lost);
+            updateCeilings(state, holder, lost);
         }
     }
 }
@@ -33,7 +33,7 @@
     }
 }
 
-function lowerCeilings(state: LeaderState, holder: string, lost: LostHolder): void {
+function updateCeilings(state: LeaderState, holder: string, lost: LostHolder): void {
     if (!isEveryTargetHeard(state, lost)) {
         return;
     }
--- a/packages/core/src/allocation/note-targets.ts
+++ b/packages/core/src/allocation/note-targets.ts
@@ -10,12 +10,12 @@
  */
 export function noteTargets(state: LeaderState, report: EntryReport): void {
     if (report.isFull) {
-        forgetMissing(state, report);
+        dropMissing(state, report);
     }
     for (const row of report.targets) {
         const view = state.targets.get(row.vm);
         if (view === undefined || row.incarnation > view.incarnation) {
-            replaceView(state, report.entry, row);
+            setView(state, report.entry, row);
         }
         else if (row.incarnation === view.incarnation) {
             view.registrars.set(report.entry, row.state);
@@ -24,7 +24,7 @@
     }
 }
 
-function forgetMissing(state: LeaderState, report: EntryReport): void {
+function dropMissing(state: LeaderState, report: EntryReport): void {
     const named = new Set(report.targets.map(row => row.vm));
     for (const view of state.targets.values()) {
         if (!named.has(view.vm) && view.registrars.delete(report.entry)) {
@@ -33,7 +33,7 @@
     }
 }
 
-function replaceView(state: LeaderState, entry: string, row: EntryReport["targets"][number]): void {
+function setView(state: LeaderState, entry: string, row: EntryReport["targets"][number]): void {
     const view: TargetView = {
         vm: row.vm,
         incarnation: row.incarnation,
@@ -44,7 +44,7 @@
         sequence: ++state.sequence,
     };
     state.targets.set(row.vm, view);
-    markStale(state, row.vm);
+    noteStale(state, row.vm);
 }
 
 function updateView(state: LeaderState, view: TargetView, row: { address: string; slots: number }): void {
@@ -56,7 +56,7 @@
     view.address = row.address;
     view.slots = row.slots;
     view.sequence = ++state.sequence;
-    markStale(state, view.vm);
+    noteStale(state, view.vm);
 }
 
 /** A target is leaving once it told anyone so, and gone only when nobody hears it. */
@@ -68,7 +68,7 @@
     return states.includes(TargetState.Ready) ? TargetState.Ready : TargetState.Gone;
 }
 
-function markStale(state: LeaderState, vm: string): void {
+function noteStale(state: LeaderState, vm: string): void {
     const pool = state.tables.objects.vm.get(vm)?.value.pool;
     if (pool !== undefined) {
         state.stalePools.add(pool);
--- a/packages/core/src/allocation/plan-pool-slots.ts
+++ b/packages/core/src/allocation/plan-pool-slots.ts
@@ -1,6 +1,6 @@
+import { computeSplit } from "./compute-split.js";
 import type { SlotClaim } from "./slot-claim.js";
 import type { SlotSupply } from "./slot-supply.js";
-import { splitCapacity } from "./split-capacity.js";
 
 /** Slots by VM and holder. */
 type SlotPlan = Map<string, Map<string, number>>;
@@ -38,12 +38,12 @@
 
     constructor(private readonly supplies: readonly SlotSupply[], private readonly claims: readonly SlotClaim[]) {
         const capacity = supplies.reduce((sum, supply) => sum + supply.slots, 0);
-        this.due = splitCapacity(capacity, claims);
+        this.due = computeSplit(capacity, claims);
         for (const supply of supplies) {
             this.free.set(supply.vm, supply.slots);
             this.plan.set(supply.vm, new Map());
         }
-        this.nameCurrent();
+        this.addCurrent();
     }
 
     take(limit: PassLimit): void {
@@ -82,7 +82,7 @@
         return true;
     }
 
-    private nameCurrent(): void {
+    private addCurrent(): void {
         for (const claim of this.claims) {
             for (const vm of claim.current.keys()) {
                 this.plan.get(vm)?.set(claim.holder, 0);
--- a/packages/core/src/allocation/plan-slots.ts
+++ b/packages/core/src/allocation/plan-slots.ts
@@ -1,9 +1,9 @@
 import { TargetState } from "../admission/target-state.js";
 import { Invariant } from "../invariants/invariant.js";
 import { allocationTiming } from "./allocation-timing.js";
+import { applyLowering } from "./apply-lowering.js";
 import { applyRaise } from "./apply-raise.js";
 import type { LeaderState } from "./leader-state.js";
-import { lowerGrants } from "./lower-grants.js";
 import { openResource } from "./open-resource.js";
 import { planPoolSlots } from "./plan-pool-slots.js";
 import { planRaises } from "./plan-raises.js";
@@ -19,19 +19,19 @@
     if (state.stalePools.size === 0) {
         return;
     }
-    const vmsByPool = groupTargets(state);
+    const vmsByPool = collectTargets(state);
     for (const pool of state.stalePools) {
         const vms = vmsByPool.get(pool) ?? [];
         const supplies = listSupplies(state, vms);
         const plan = planPoolSlots(supplies, listClaims(state, pool, vms, now));
         for (const vm of vms) {
-            applyPlan(state, vm, plan.get(vm) ?? new Map());
+            applyPlan(state, vm, plan.get(vm) ?? new Map<string, number>());
         }
     }
     state.stalePools.clear();
 }
 
-function groupTargets(state: LeaderState): Map<string, string[]> {
+function collectTargets(state: LeaderState): Map<string, string[]> {
     const groups = new Map<string, string[]>();
     for (const vm of state.targets.keys()) {
         const pool = state.tables.objects.vm.get(vm)?.value.pool ?? "";
@@ -80,7 +80,7 @@
             plan.set(holder, 0);
         }
     }
-    lowerGrants(resource, plan, ++state.sequence);
+    applyLowering(resource, plan, ++state.sequence);
     for (const [holder, units] of planRaises(resource, plan)) {
         applyRaise(resource, holder, units, state.sequence, Invariant.SlotsNotExceeded);
     }
--- a/packages/core/src/allocation/plan-team-grants.ts
+++ b/packages/core/src/allocation/plan-team-grants.ts
@@ -1,10 +1,10 @@
 import type { TeamGrant } from "../control/team-grant.js";
 import { allocationTiming } from "./allocation-timing.js";
+import { applyLowering } from "./apply-lowering.js";
+import { computeSplit } from "./compute-split.js";
 import type { Demand } from "./demand.js";
 import type { LeaderState } from "./leader-state.js";
-import { lowerGrants } from "./lower-grants.js";
 import { planRaises } from "./plan-raises.js";
-import { splitCapacity } from "./split-capacity.js";
 
 /**
  * Plans the parts of the upper limit of every stale team. Allowances that fall do so at once; those that rise have to
@@ -26,12 +26,12 @@
         if (resource === undefined) {
             continue;
         }
-        const plan = splitCapacity(
+        const plan = computeSplit(
             resource.capacity - countHeldByOthers(state, team, now),
             listDemands(state, team, now),
         );
         addLeaving(state, plan);
-        lowerGrants(resource, plan, ++state.sequence);
+        applyLowering(resource, plan, ++state.sequence);
         const raises = planRaises(resource, plan);
         for (const [holder, granted] of recorded.get(team) ?? []) {
             const ceiling = resource.grants.get(holder)?.ceiling ?? 0;
--- a/packages/core/src/allocation/receive-report.ts
+++ b/packages/core/src/allocation/receive-report.ts
@@ -23,7 +23,7 @@
     view.revision = report.revision;
     if (view.isLeaving !== report.isLeaving) {
         view.isLeaving = report.isLeaving;
-        markAllStale(state);
+        noteAllStale(state);
     }
     noteTargets(state, report);
     noteDemands(state, view, report, isResent, now);
@@ -54,7 +54,7 @@
         teamUse: new Map(),
     };
     state.entries.set(report.entry, view);
-    markAllStale(state);
+    noteAllStale(state);
     return view;
 }
 
@@ -73,14 +73,14 @@
     return holders;
 }
 
-function markAllStale(state: LeaderState): void {
+function noteAllStale(state: LeaderState): void {
     state.plannedRevision = -1;
 }
 
 function confirmSlots(state: LeaderState, view: EntryView, report: EntryReport): void {
     const inUse = new Map(report.slots.map(row => [row.vm, row.inUse]));
     if (report.isFull) {
-        adoptSlots(state, view, inUse);
+        addHeldSlots(state, view, inUse);
     }
     for (const [vm, resource] of state.slots) {
         if (confirmGrant(resource, view.holder, report.seenSequence, inUse.get(vm) ?? 0)) {
@@ -90,7 +90,7 @@
 }
 
 /** A full report names the slots that the entry got from an earlier leader. */
-function adoptSlots(state: LeaderState, view: EntryView, held: ReadonlyMap<string, number>): void {
+function addHeldSlots(state: LeaderState, view: EntryView, held: ReadonlyMap<string, number>): void {
     for (const [vm, units] of held) {
         const resource = openResource(state.slots, vm);
         if (!resource.grants.has(view.holder)) {
--- a/packages/core/src/control/apply-change.ts
+++ b/packages/core/src/control/apply-change.ts
@@ -28,7 +28,7 @@
             ? known.result
             : { outcome: ChangeOutcome.IdReused, revision: state.tables.revision };
     }
-    const result = decideChange(state, command);
+    const result = runChange(state, command);
     state.changes.set(command.changeId, { contentDigest, result });
     dropOldest(state.changes, maxRememberedChanges);
     return result;
@@ -40,7 +40,7 @@
     return createHash("sha256").update(text).digest("hex").slice(0, 32);
 }
 
-function decideChange(state: ControlState, command: ChangeCommand): ChangeResult {
+function runChange(state: ControlState, command: ChangeCommand): ChangeResult {
     const revision = state.tables.revision;
     const conflict = findConflict(state, command);
     if (conflict !== undefined) {
@@ -50,7 +50,7 @@
     if (faults.length > 0) {
         return { outcome: ChangeOutcome.Invalid, revision, faults };
     }
-    acceptEdits(state, command.edits);
+    applyEdits(state, command.edits);
     return { outcome: ChangeOutcome.Accepted, revision: state.tables.revision };
 }
 
@@ -77,7 +77,7 @@
     return { changeId: "", object, revision };
 }
 
-function acceptEdits(state: ControlState, edits: readonly TableEdit[]): void {
+function applyEdits(state: ControlState, edits: readonly TableEdit[]): void {
     const { tables } = state;
     const revision = tables.revision + 1;
     const stored = edits.map(edit => ({ ...edit, ifRevision: undefined }));
--- a/packages/core/src/log/propose-entry.ts
+++ b/packages/core/src/log/add-proposal.ts
@@ -12,7 +12,7 @@
  * @param now - monotonic milliseconds
  * @returns its index, or `undefined` when this keeper does not lead
  */
-export function proposeEntry(state: RaftState, kind: EntryKind, payload: string, now: number): number | undefined {
+export function addProposal(state: RaftState, kind: EntryKind, payload: string, now: number): number | undefined {
     if (state.role !== RaftRole.Leader) {
         return undefined;
     }
--- a/packages/core/src/log/confirm-persisted.ts
+++ b/packages/core/src/log/confirm-persisted.ts
@@ -1,7 +1,7 @@
-import { advanceCommit } from "./advance-commit.js";
 import { RaftRole } from "./raft-role.js";
 import type { RaftState } from "./raft-state.js";
 import { readLastIndex } from "./read-last-index.js";
+import { updateCommit } from "./update-commit.js";
 
 /**
  * Notes that hard state, snapshot and all entries are on disk.
@@ -13,6 +13,6 @@
     state.unsavedFrom = undefined;
     state.persistedIndex = readLastIndex(state);
     if (state.role === RaftRole.Leader) {
-        advanceCommit(state);
+        updateCommit(state);
     }
 }
--- a/packages/core/src/log/create-raft-state.ts
+++ b/packages/core/src/log/create-raft-state.ts
@@ -3,7 +3,7 @@
 import { RaftRole } from "./raft-role.js";
 import type { RaftState } from "./raft-state.js";
 import type { RaftTiming } from "./raft-timing.js";
-import { scheduleElection } from "./schedule-election.js";
+import { setElectionTime } from "./set-election-time.js";
 import type { Snapshot } from "./snapshot.js";
 import { updateMembers } from "./update-members.js";
 
@@ -55,6 +55,6 @@
         isSnapshotUnsaved: false,
     };
     updateMembers(state);
-    scheduleElection(state, start.now);
+    setElectionTime(state, start.now);
     return state;
 }
--- a/packages/core/src/log/compact-log.ts
+++ b/packages/core/src/log/cut-log.ts
@@ -2,15 +2,13 @@
 import { readTerm } from "./read-term.js";
 import { updateMembers } from "./update-members.js";
 
-/** Applied entries that stay in the log, so that a peer a little behind needs no snapshot. */
-const keptEntries = 256;
-
 /**
  * Takes the applied state as the new snapshot and drops the entries that it replaces.
  * @param state - the keeper
  * @param data - the applied state at the applied index
+ * @param keptEntries - applied entries that stay, so that a peer a little behind needs no snapshot
  */
-export function compactLog(state: RaftState, data: string): void {
+export function cutLog(state: RaftState, data: string, keptEntries: number): void {
     const index = state.appliedIndex;
     const term = readTerm(state, index);
     if (term === undefined || index <= state.snapshot.index) {
--- a/packages/core/src/log/handle-append-reply.ts
+++ b/packages/core/src/log/handle-append-reply.ts
@@ -1,10 +1,10 @@
-import { advanceCommit } from "./advance-commit.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
 import { RaftRole } from "./raft-role.js";
 import type { RaftState } from "./raft-state.js";
 import { readLastIndex } from "./read-last-index.js";
 import { sendAppend } from "./send-append.js";
+import { updateCommit } from "./update-commit.js";
 
 type AppendReply = Extract<RaftMessage, { kind: RaftMessageKind.AppendReply }>;
 
@@ -32,7 +32,7 @@
     }
     peer.matchIndex = Math.max(peer.matchIndex, message.index);
     peer.nextIndex = peer.matchIndex + 1;
-    advanceCommit(state);
+    updateCommit(state);
     if (peer.nextIndex <= readLastIndex(state)) {
         sendAppend(state, message.from, peer, now);
     }
--- a/packages/core/src/log/handle-append.ts
+++ b/packages/core/src/log/handle-append.ts
@@ -21,7 +21,7 @@
  */
 export function handleAppend(state: RaftState, message: Append, now: number): void {
     if (message.term < state.hard.term) {
-        reply(state, message, false, 0);
+        sendReply(state, message, false, 0);
         return;
     }
     assertInvariant(
@@ -32,19 +32,19 @@
     startFollowing(state, message.term, message.from, now);
     state.leaderHeardAt = now;
     if (message.previousIndex < state.base.index) {
-        reply(state, message, false, state.commitIndex + 1);
+        sendReply(state, message, false, state.commitIndex + 1);
         return;
     }
     if (readTerm(state, message.previousIndex) !== message.previousTerm) {
-        reply(state, message, false, computeRetryIndex(state, message.previousIndex));
+        sendReply(state, message, false, computeRetryIndex(state, message.previousIndex));
         return;
     }
     for (const entry of message.entries) {
-        storeEntry(state, entry);
+        addEntry(state, entry);
     }
     const matchIndex = message.previousIndex + message.entries.length;
     state.commitIndex = Math.max(state.commitIndex, Math.min(message.commitIndex, matchIndex));
-    reply(state, message, true, matchIndex);
+    sendReply(state, message, true, matchIndex);
 }
 
 /** Skips the whole term that conflicts, so that repair takes one round a term. */
@@ -61,13 +61,13 @@
     return index;
 }
 
-function storeEntry(state: RaftState, entry: LogEntry): void {
+function addEntry(state: RaftState, entry: LogEntry): void {
     const existing = readTerm(state, entry.index);
     if (existing === entry.term) {
         return;
     }
     if (existing !== undefined) {
-        truncateFrom(state, entry.index);
+        cutFrom(state, entry.index);
     }
     state.entries.push(entry);
     state.unsavedFrom = Math.min(state.unsavedFrom ?? entry.index, entry.index);
@@ -76,7 +76,7 @@
     }
 }
 
-function truncateFrom(state: RaftState, index: number): void {
+function cutFrom(state: RaftState, index: number): void {
     assertInvariant(
         index > state.commitIndex,
         Invariant.CommittedEntriesStay,
@@ -89,7 +89,7 @@
     }
 }
 
-function reply(state: RaftState, message: Append, isAccepted: boolean, index: number): void {
+function sendReply(state: RaftState, message: Append, isAccepted: boolean, index: number): void {
     state.outbox.push({
         kind: RaftMessageKind.AppendReply,
         from: state.id,
--- a/packages/core/src/log/handle-snapshot-chunk.ts
+++ b/packages/core/src/log/handle-snapshot-chunk.ts
@@ -16,22 +16,22 @@
  */
 export function handleSnapshotChunk(state: RaftState, message: SnapshotChunk, now: number): void {
     if (message.term < state.hard.term) {
-        reply(state, message, 0, false);
+        sendReply(state, message, 0, false);
         return;
     }
     startFollowing(state, message.term, message.from, now);
     state.leaderHeardAt = now;
     if (message.snapshotIndex <= state.commitIndex) {
-        reply(state, message, 0, true);
+        sendReply(state, message, 0, true);
         return;
     }
     const received = takeChunk(state, message);
     if (!message.isLast || received !== message.offset + message.data.length) {
-        reply(state, message, received, false);
+        sendReply(state, message, received, false);
         return;
     }
-    install(state, message);
-    reply(state, message, received, true);
+    applySnapshot(state, message);
+    sendReply(state, message, received, true);
 }
 
 function takeChunk(state: RaftState, message: SnapshotChunk): number {
@@ -44,7 +44,7 @@
     return state.incoming.data.length;
 }
 
-function install(state: RaftState, message: SnapshotChunk): void {
+function applySnapshot(state: RaftState, message: SnapshotChunk): void {
     const isLogKept = readTerm(state, message.snapshotIndex) === message.snapshotTerm;
     const kept = isLogKept ? state.entries.filter(entry => entry.index > message.snapshotIndex) : [];
     state.snapshot = {
@@ -63,7 +63,7 @@
     updateMembers(state);
 }
 
-function reply(state: RaftState, message: SnapshotChunk, offset: number, isInstalled: boolean): void {
+function sendReply(state: RaftState, message: SnapshotChunk, offset: number, isInstalled: boolean): void {
     state.outbox.push({
         kind: RaftMessageKind.SnapshotReply,
         from: state.id,
--- a/packages/core/src/log/handle-vote-request.ts
+++ b/packages/core/src/log/handle-vote-request.ts
@@ -5,7 +5,7 @@
 import type { RaftState } from "./raft-state.js";
 import { readLastIndex } from "./read-last-index.js";
 import { readTerm } from "./read-term.js";
-import { scheduleElection } from "./schedule-election.js";
+import { setElectionTime } from "./set-election-time.js";
 import { setTerm } from "./set-term.js";
 import { startFollowing } from "./start-following.js";
 
@@ -20,7 +20,7 @@
 export function handleVoteRequest(state: RaftState, message: VoteRequest, now: number): void {
     const isPreVote = message.kind === RaftMessageKind.PreVote;
     if (!isVoter(state, message.from) || isLeaderHeard(state, now)) {
-        reply(state, message, false);
+        sendReply(state, message, false);
         return;
     }
     if (!isPreVote && message.term > state.hard.term) {
@@ -30,9 +30,9 @@
         && (isPreVote || isVoteFree(state, message));
     if (isGranted && !isPreVote) {
         setTerm(state, message.term, message.from);
-        scheduleElection(state, now);
+        setElectionTime(state, now);
     }
-    reply(state, message, isGranted);
+    sendReply(state, message, isGranted);
 }
 
 function isLeaderHeard(state: RaftState, now: number): boolean {
@@ -50,7 +50,7 @@
         && (state.hard.votedFor === undefined || state.hard.votedFor === message.from);
 }
 
-function reply(state: RaftState, message: VoteRequest, isGranted: boolean): void {
+function sendReply(state: RaftState, message: VoteRequest, isGranted: boolean): void {
     state.outbox.push({
         kind: message.kind === RaftMessageKind.PreVote ? RaftMessageKind.PreVoteReply : RaftMessageKind.VoteReply,
         from: state.id,
--- a/packages/core/src/log/schedule-election.ts
+++ b/packages/core/src/log/set-election-time.ts
@@ -5,7 +5,7 @@
  * @param state - the keeper
  * @param now - monotonic milliseconds
  */
-export function scheduleElection(state: RaftState, now: number): void {
+export function setElectionTime(state: RaftState, now: number): void {
     const { electionMin, electionMax } = state.timing;
     state.electionDue = now + electionMin + state.random() * (electionMax - electionMin);
 }
--- a/packages/core/src/log/change-members.ts
+++ b/packages/core/src/log/set-members.ts
@@ -1,7 +1,7 @@
+import { addProposal } from "./add-proposal.js";
 import { EntryKind } from "./entry-kind.js";
 import { MemberChangeFault } from "./member-change-fault.js";
 import type { Members } from "./members.js";
-import { proposeEntry } from "./propose-entry.js";
 import { RaftRole } from "./raft-role.js";
 import type { RaftState } from "./raft-state.js";
 
@@ -16,7 +16,7 @@
  * @param now - monotonic milliseconds
  * @returns index of the entry, or why the change is refused
  */
-export function changeMembers(state: RaftState, next: Members, now: number): number | MemberChangeFault {
+export function setMembers(state: RaftState, next: Members, now: number): number | MemberChangeFault {
     if (state.role !== RaftRole.Leader) {
         return MemberChangeFault.NotLeader;
     }
@@ -34,7 +34,7 @@
     if (added.some(id => !isCaughtUp(state, id))) {
         return MemberChangeFault.LearnerBehind;
     }
-    return proposeEntry(state, EntryKind.Members, JSON.stringify(next), now) ?? MemberChangeFault.NotLeader;
+    return addProposal(state, EntryKind.Members, JSON.stringify(next), now) ?? MemberChangeFault.NotLeader;
 }
 
 function isCaughtUp(state: RaftState, id: string): boolean {
--- a/packages/core/src/log/start-election.ts
+++ b/packages/core/src/log/start-election.ts
@@ -4,7 +4,7 @@
 import type { RaftState } from "./raft-state.js";
 import { readLastIndex } from "./read-last-index.js";
 import { readTerm } from "./read-term.js";
-import { scheduleElection } from "./schedule-election.js";
+import { setElectionTime } from "./set-election-time.js";
 import { setTerm } from "./set-term.js";
 import { startLeading } from "./start-leading.js";
 
@@ -15,7 +15,7 @@
  * @param now - monotonic milliseconds
  */
 export function startElection(state: RaftState, isPreVote: boolean, now: number): void {
-    scheduleElection(state, now);
+    setElectionTime(state, now);
     if (!isVoter(state, state.id)) {
         return;
     }
--- a/packages/core/src/log/start-following.ts
+++ b/packages/core/src/log/start-following.ts
@@ -1,6 +1,6 @@
 import { RaftRole } from "./raft-role.js";
 import type { RaftState } from "./raft-state.js";
-import { scheduleElection } from "./schedule-election.js";
+import { setElectionTime } from "./set-election-time.js";
 import { setTerm } from "./set-term.js";
 
 /**
@@ -17,5 +17,5 @@
     state.role = RaftRole.Follower;
     state.leader = leader;
     state.peers.clear();
-    scheduleElection(state, now);
+    setElectionTime(state, now);
 }
--- /dev/null
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -0,0 +1,299 @@
+import { assertInvariant } from "../invariants/assert-invariant.js";
+import { Invariant } from "../invariants/invariant.js";
+import { addProposal } from "../log/add-proposal.js";
+import { confirmPersisted } from "../log/confirm-persisted.js";
+import { createRaftState } from "../log/create-raft-state.js";
+import { cutLog } from "../log/cut-log.js";
+import { EntryKind } from "../log/entry-kind.js";
+import { isLeaseValid } from "../log/is-lease-valid.js";
+import type { LogEntry } from "../log/log-entry.js";
+import type { RaftMessage } from "../log/raft-message.js";
+import { RaftRole } from "../log/raft-role.js";
+import type { RaftState } from "../log/raft-state.js";
+import { receiveRaftMessage } from "../log/receive-raft-message.js";
+import { setMembers } from "../log/set-members.js";
+import { startBootstrap } from "../log/start-bootstrap.js";
+import { takeCommitted } from "../log/take-committed.js";
+import { tickRaft } from "../log/tick-raft.js";
+
+const timing = { heartbeat: 50, electionMin: 300, electionMax: 600, lease: 240 };
+const stepMs = 10;
+
+interface Disk {
+    hard: RaftState["hard"];
+    snapshot: RaftState["snapshot"];
+    base: RaftState["base"];
+    entries: LogEntry[];
+}
+
+interface Node {
+    readonly id: string;
+    disk: Disk;
+    /** `undefined` while the process is down. */
+    raft: RaftState | undefined;
+    /** Payloads applied, in order; the state machine of the simulation. */
+    applied: string[];
+    isFrozen: boolean;
+}
+
+/** Keepers over a transport that delays, loses, repeats and reorders, all from one seed. */
+export class SimulatedCluster {
+    readonly nodes: Node[] = [];
+    /** Payloads whose proposer was told that they are committed. */
+    readonly confirmed = new Set<string>();
+    now = 0;
+    private inFlight: { at: number; message: RaftMessage }[] = [];
+    private readonly cuts = new Set<string>();
+    private readonly leaders = new Map<number, string>();
+    private readonly history: string[] = [];
+    private readonly proposals = new Map<string, { node: Node; index: number; term: number }>();
+
+    /**
+     * @param size - number of keepers
+     * @param random - numbers from 0 to below 1
+     * @param lossPercent - messages lost, percent
+     */
+    constructor(size: number, private readonly random: () => number, private readonly lossPercent: number) {
+        for (let number = 0; number < size; number++) {
+            this.addNode(`k${number}`);
+        }
+        const [first] = this.nodes;
+        if (first?.raft !== undefined) {
+            startBootstrap(first.raft, "k0", this.now);
+            this.runNode(first);
+        }
+    }
+
+    /**
+     * Adds a keeper with an empty disk.
+     * @param id - its id
+     */
+    addNode(id: string): void {
+        const members = { voters: {}, learners: {} };
+        const snapshot = { index: 0, term: 0, members, data: "[]" };
+        const base = { index: 0, term: 0 };
+        const disk: Disk = { hard: { term: 0, votedFor: undefined }, snapshot, base, entries: [] };
+        const node: Node = { id, disk, raft: undefined, applied: [], isFrozen: false };
+        this.nodes.push(node);
+        this.startNode(node);
+    }
+
+    /**
+     * Starts a keeper from what its disk holds.
+     * @param node - the keeper
+     */
+    startNode(node: Node): void {
+        const { disk } = node;
+        node.raft = createRaftState({
+            id: node.id,
+            timing,
+            random: this.random,
+            now: this.now,
+            ...disk,
+            entries: [...disk.entries],
+        });
+        node.applied = JSON.parse(disk.snapshot.data) as string[];
+        node.isFrozen = false;
+    }
+
+    /**
+     * Kills a keeper; what was not written is lost.
+     * @param node - the keeper
+     */
+    stopNode(node: Node): void {
+        node.raft = undefined;
+    }
+
+    /**
+     * Cuts or mends the way between two keepers.
+     * @param a - one
+     * @param b - the other
+     * @param isCut - true to cut
+     */
+    setCut(a: Node, b: Node, isCut: boolean): void {
+        for (const way of [`${a.id}>${b.id}`, `${b.id}>${a.id}`]) {
+            if (isCut) {
+                this.cuts.add(way);
+            }
+            else {
+                this.cuts.delete(way);
+            }
+        }
+    }
+
+    /** Mends every cut and starts every keeper that is down. */
+    restoreAll(): void {
+        this.cuts.clear();
+        for (const node of this.nodes) {
+            node.isFrozen = false;
+            if (node.raft === undefined) {
+                this.startNode(node);
+            }
+        }
+    }
+
+    /**
+     * Finds the keeper that may decide.
+     * @returns the leader with a valid lease, if there is one
+     */
+    findLeader(): Node | undefined {
+        return this.nodes.find(node => node.raft !== undefined && !node.isFrozen && isLeaseValid(node.raft, this.now));
+    }
+
+    /**
+     * Proposes a payload at a keeper that believes to lead.
+     * @param payload - the payload, unique
+     */
+    sendProposal(payload: string): void {
+        for (const node of this.nodes) {
+            if (node.raft?.role === RaftRole.Leader && !node.isFrozen) {
+                const index = addProposal(node.raft, EntryKind.Command, JSON.stringify(payload), this.now);
+                if (index !== undefined) {
+                    this.proposals.set(payload, { node, index, term: node.raft.hard.term });
+                }
+            }
+        }
+    }
+
+    /**
+     * Changes the members at the leader.
+     * @param change - makes the new members from the current ones
+     * @returns whether the change was taken
+     */
+    sendMembers(change: (members: RaftState["members"]) => RaftState["members"]): boolean {
+        const raft = this.findLeader()?.raft;
+        return raft !== undefined && typeof setMembers(raft, change(raft.members), this.now) === "number";
+    }
+
+    /**
+     * Lets time pass.
+     * @param milliseconds - how long
+     */
+    run(milliseconds: number): void {
+        for (const end = this.now + milliseconds; this.now < end;) {
+            this.now += stepMs;
+            this.deliverDue();
+            for (const node of this.nodes) {
+                if (node.raft !== undefined && !node.isFrozen) {
+                    tickRaft(node.raft, this.now);
+                    this.runNode(node);
+                }
+            }
+            this.assertAll();
+        }
+    }
+
+    /**
+     * Runs until a condition holds.
+     * @param check - the condition
+     * @param maxMs - longest time
+     * @returns whether it came to hold
+     */
+    runUntil(check: () => boolean, maxMs: number): boolean {
+        for (const end = this.now + maxMs; this.now < end && !check();) {
+            this.run(stepMs);
+        }
+        return check();
+    }
+
+    private deliverDue(): void {
+        const due = this.inFlight.filter(flight => flight.at <= this.now);
+        this.inFlight = this.inFlight.filter(flight => flight.at > this.now);
+        for (const { message } of due) {
+            const node = this.nodes.find(candidate => candidate.id === message.to);
+            const isCut = this.cuts.has(`${message.from}>${message.to}`);
+            if (node?.raft !== undefined && !node.isFrozen && !isCut) {
+                receiveRaftMessage(node.raft, message, this.now);
+                this.runNode(node);
+            }
+        }
+    }
+
+    /** Writes, sends and applies, in the order of the real keeper. */
+    private runNode(node: Node): void {
+        const { raft } = node;
+        if (raft === undefined) {
+            return;
+        }
+        if (raft.isHardStateUnsaved || raft.isSnapshotUnsaved || raft.unsavedFrom !== undefined) {
+            node.disk = { hard: raft.hard, snapshot: raft.snapshot, base: raft.base, entries: [...raft.entries] };
+            confirmPersisted(raft);
+        }
+        const messages = raft.outbox;
+        raft.outbox = [];
+        messages.forEach(message => this.sendMessage(message));
+        if (raft.snapshot.index > raft.appliedIndex) {
+            node.applied = JSON.parse(raft.snapshot.data) as string[];
+            raft.appliedIndex = raft.snapshot.index;
+        }
+        for (const entry of takeCommitted(raft)) {
+            node.applied.push(entry.kind === EntryKind.Command ? JSON.parse(entry.payload) as string : "");
+        }
+        this.confirmProposals(node, raft);
+        const snapshotEvery = 40;
+        if (raft.appliedIndex - raft.snapshot.index >= snapshotEvery) {
+            cutLog(raft, JSON.stringify(node.applied), 8);
+            node.disk = { hard: raft.hard, snapshot: raft.snapshot, base: raft.base, entries: [...raft.entries] };
+            confirmPersisted(raft);
+        }
+    }
+
+    private sendMessage(message: RaftMessage): void {
+        if (this.random() * 100 < this.lossPercent) {
+            return;
+        }
+        const copies = this.random() < 0.05 ? 2 : 1;
+        for (let copy = 0; copy < copies; copy++) {
+            const copied = JSON.parse(JSON.stringify(message)) as RaftMessage;
+            this.inFlight.push({ at: this.now + 1 + this.random() * 40, message: copied });
+        }
+    }
+
+    private confirmProposals(node: Node, raft: RaftState): void {
+        for (const [payload, proposal] of this.proposals) {
+            if (proposal.node === node && proposal.index <= raft.appliedIndex) {
+                this.proposals.delete(payload);
+                if (node.applied[proposal.index - 1] === payload) {
+                    this.confirmed.add(payload);
+                }
+            }
+        }
+    }
+
+    private assertAll(): void {
+        let deciding = 0;
+        for (const node of this.nodes) {
+            if (node.raft === undefined) {
+                continue;
+            }
+            if (node.raft.role === RaftRole.Leader) {
+                this.assertOneLeader(node.id, node.raft.hard.term);
+            }
+            deciding += isLeaseValid(node.raft, this.now) ? 1 : 0;
+            this.assertPrefix(node);
+        }
+        assertInvariant(
+            deciding <= 1,
+            Invariant.DecisionsNeedLease,
+            () => `${deciding} keepers may decide at ${this.now}`,
+        );
+    }
+
+    private assertOneLeader(id: string, term: number): void {
+        const known = this.leaders.get(term) ?? id;
+        this.leaders.set(term, known);
+        assertInvariant(known === id, Invariant.OneLeaderPerTerm, () => `${known} and ${id} lead term ${term}`);
+    }
+
+    private assertPrefix(node: Node): void {
+        for (let index = 0; index < node.applied.length; index++) {
+            const payload = node.applied[index] ?? "";
+            this.history[index] ??= payload;
+            assertInvariant(
+                this.history[index] === payload,
+                Invariant.CommittedEntriesStay,
+                () => `${node.id} applied "${payload}" at ${index + 1}, another "${this.history[index] ?? ""}"`,
+            );
+        }
+    }
+}
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse } from "node:http";
 
 import { ListenFailure } from "../peer/listen-failure.js";
-import { splitAddress } from "../settings/split-address.js";
+import { parseAddress } from "../settings/parse-address.js";
 
 /** Bounds of a listener. */
 interface HttpBounds {
@@ -47,7 +47,7 @@
      * @throws ListenFailure when the address can't be used
      */
     async start(): Promise<void> {
-        const { host, port } = splitAddress(this.address);
+        const { host, port } = parseAddress(this.address);
         await new Promise<void>((resolve, reject) => {
             this.server.once("error", error => reject(new ListenFailure(this.address, error.message)));
             this.server.listen(port, host, resolve);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -32,9 +32,13 @@
     const settings = readSettings(file);
     const logger = createLogger(settings.node.name, settings.log.level);
     const daemon = new Daemon(settings, new SystemClock());
-    daemon.events.addListener(({ kind, time: _time, process: _process, ...fields }) => {
-        const write = frequentKinds.has(kind) ? logger.debug : logger.info;
-        write(kind, fields);
+    daemon.events.addListener(({ kind, time, process: name, ...fields }) => {
+        if (frequentKinds.has(kind)) {
+            logger.debug(kind, fields);
+        }
+        else {
+            logger.info(kind, fields);
+        }
     });
     process.on("SIGTERM", () => daemon.stop());
     process.on("SIGINT", () => daemon.stop());
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -1,6 +1,6 @@
 import { StatsD } from "hot-shots";
 
-import { splitAddress } from "../settings/split-address.js";
+import { parseAddress } from "../settings/parse-address.js";
 import type { MetricName } from "./metric-name.js";
 
 type Tags = Readonly<Record<string, string>>;
@@ -18,7 +18,7 @@
         if (address === undefined) {
             return;
         }
-        const { host, port } = splitAddress(address);
+        const { host, port } = parseAddress(address);
         this.client = new StatsD({
             host,
             port,
--- a/packages/daemon/src/peer/peer-clients.ts
+++ b/packages/daemon/src/peer/peer-clients.ts
@@ -28,7 +28,7 @@
     request: Request,
     metadata: Metadata,
     options: { deadline: number },
-    callback: (error: ServiceError | null, reply: Reply) => void,
+    callback: (error: ServiceError | undefined, reply: Reply) => void,
 ) => unknown;
 
 type CallName = keyof PeerCalls;
@@ -73,7 +73,7 @@
         const call = slot.client[name].bind(slot.client) as unknown as Call<RequestOf<Name>, ReplyOf<Name>>;
         return new Promise(resolve => {
             call(request, metadata, { deadline: Date.now() + timeoutMs }, (error, reply) => {
-                if (error === null) {
+                if (!(error instanceof Error)) {
                     slot.timeouts = 0;
                     resolve(Result.ok(reply));
                     return;
--- a/packages/daemon/src/peer/peer-listener.ts
+++ b/packages/daemon/src/peer/peer-listener.ts
@@ -60,7 +60,7 @@
     override *run(): Generator<unknown, void, unknown> {
         const server = new Server({ "grpc.max_receive_message_length": 64 * 1024 * 1024 });
         server.addService(PeerService, this.buildImplementation());
-        yield* waitFor(bindServer(server, this.address));
+        yield* waitFor(startServer(server, this.address));
         yield* this.mailbox.take();
         server.forceShutdown();
     }
@@ -114,7 +114,7 @@
     return createHash("sha256").update(secret).digest();
 }
 
-function bindServer(server: Server, address: string): Promise<void> {
+function startServer(server: Server, address: string): Promise<void> {
     return new Promise((resolve, reject) => {
         server.bindAsync(address, ServerCredentials.createInsecure(), error => {
             if (error === null) {
--- a/packages/daemon/src/root/build-peer-handlers.ts
+++ b/packages/daemon/src/root/build-peer-handlers.ts
@@ -104,12 +104,12 @@
         const { clients, control, settings } = this.parts;
         const next = { ...request, hops: request.hops + 1 };
         if (this.keeperPart === undefined) {
-            return control.forward(name, next as never, forwardTimeoutMs) as Promise<Result<never, PeerFailure>>;
+            return control.forward(name, next, forwardTimeoutMs) as Promise<Result<never, PeerFailure>>;
         }
         const address = this.keeperPart.keeper.readView()?.leaderAddress;
         if (address === undefined || address === settings.listen.peers) {
             return Result.err(buildFailure(PeerFailureKind.NoLeader, "no leader is known here"));
         }
-        return clients.send(address, name, next as never, forwardTimeoutMs) as Promise<Result<never, PeerFailure>>;
+        return clients.send(address, name, next, forwardTimeoutMs) as Promise<Result<never, PeerFailure>>;
     }
 }
--- a/packages/daemon/src/root/daemon.ts
+++ b/packages/daemon/src/root/daemon.ts
@@ -10,6 +10,7 @@
 import { Role } from "../settings/role.js";
 import type { Settings } from "../settings/settings.js";
 import type { ChildSpec } from "../supervision/child-spec.js";
+import { ChildStopped } from "../supervision/child-stopped.js";
 import { Supervisor } from "../supervision/supervisor.js";
 import { buildPeerHandlers } from "./build-peer-handlers.js";
 import { ControlClient } from "./control/control-client.js";
@@ -70,7 +71,7 @@
                     resolve();
                 }
                 else {
-                    reject(error as Error);
+                    reject(error instanceof Error ? error : new ChildStopped("root"));
                 }
             });
         });
--- a/packages/daemon/src/root/entry/admission/admission-desk.ts
+++ b/packages/daemon/src/root/entry/admission/admission-desk.ts
@@ -1,5 +1,5 @@
+import { addRequest } from "@daisylock/core/admission/add-request.js";
 import type { Dispatch } from "@daisylock/core/admission/dispatch.js";
-import { enqueueRequest } from "@daisylock/core/admission/enqueue-request.js";
 import { readAllowedSlots } from "@daisylock/core/admission/read-allowed-slots.js";
 import type { Refusal } from "@daisylock/core/admission/refusal.js";
 import { releaseAbandoned } from "@daisylock/core/admission/release-abandoned.js";
@@ -22,7 +22,7 @@
 const retryAfterMs = 1_000;
 
 type Decide = (result: Result<Dispatch, Refusal>) => void;
-type SlotRequest = Parameters<typeof enqueueRequest>[1];
+type SlotRequest = Parameters<typeof addRequest>[1];
 
 /** Decides which request starts where, and tells the requests that wait. */
 export class AdmissionDesk {
@@ -49,7 +49,7 @@
     openWait(request: SlotRequest): SlotWait {
         const now = this.clock.readMonotonic();
         const { admission } = this.state;
-        const result = enqueueRequest(admission, request, now);
+        const result = addRequest(admission, request, now);
         if ("refused" in result) {
             return { decision: Promise.resolve(Result.err(result.refused)), cancel: () => undefined };
         }
@@ -61,7 +61,7 @@
         }
         const cancel = () => {
             if (settleWaiting(admission, accepted)) {
-                this.decide(accepted.id, Result.err({ reason: RefusalReason.Cancelled }));
+                this.settleWait(accepted.id, Result.err({ reason: RefusalReason.Cancelled }));
             }
         };
         return { decision, cancel };
@@ -105,7 +105,7 @@
             const pool = admission.pools.get(request.pool);
             const hasSlots = pool !== undefined && readAllowedSlots(admission, pool) > 0;
             const reason = hasSlots ? RefusalReason.QueueTimeout : RefusalReason.NoTarget;
-            this.decide(request.id, Result.err({ reason, retryAfterMs }));
+            this.settleWait(request.id, Result.err({ reason, retryAfterMs }));
         }
         if (admission.waiting > 0) {
             // Ejected targets come back by time alone.
@@ -115,11 +115,11 @@
 
     private startPool(pool: string): void {
         for (const dispatch of takeDispatches(this.state.admission, pool, this.clock.readMonotonic())) {
-            this.decide(dispatch.request.id, Result.ok(dispatch));
+            this.settleWait(dispatch.request.id, Result.ok(dispatch));
         }
     }
 
-    private decide(id: number, result: Result<Dispatch, Refusal>): void {
+    private settleWait(id: number, result: Result<Dispatch, Refusal>): void {
         const resolve = this.waiting.get(id);
         this.waiting.delete(id);
         resolve?.(result);
--- a/packages/daemon/src/root/entry/callers/caller-listener.ts
+++ b/packages/daemon/src/root/entry/callers/caller-listener.ts
@@ -36,7 +36,7 @@
     override *run(): Generator<unknown, void, unknown> {
         yield* waitFor(this.listener.start());
         yield* this.mailbox.take();
-        yield* this.drain();
+        yield* this.waitForDrain();
     }
 
     override stop(): void {
@@ -45,7 +45,7 @@
     }
 
     /** The balancer sees the failing health check first; only then is nothing accepted any more. */
-    private *drain(): Generator<unknown, void, unknown> {
+    private *waitForDrain(): Generator<unknown, void, unknown> {
         const { state, clock, events } = this.surroundings;
         const { leave_notice_ms, shutdown_ms } = state.settings.limits;
         yield* waitFor(new Promise<void>(resolve => clock.schedule(leave_notice_ms, resolve)));
--- a/packages/daemon/src/root/entry/callers/request-flow.ts
+++ b/packages/daemon/src/root/entry/callers/request-flow.ts
@@ -104,11 +104,11 @@
             this.isIdChecked = true;
             return true;
         }
-        this.answerUnclaimed(call, result);
+        this.refuseUnclaimed(call, result);
         return false;
     }
 
-    private answerUnclaimed(call: CallerRequest, { outcome, record }: DispatchResult): void {
+    private refuseUnclaimed(call: CallerRequest, { outcome, record }: DispatchResult): void {
         if (outcome !== DispatchOutcome.AlreadyClaimed) {
             const isFull = outcome === DispatchOutcome.Full;
             this.isIdChecked = true;
--- a/packages/daemon/src/root/entry/entry-part.ts
+++ b/packages/daemon/src/root/entry/entry-part.ts
@@ -41,7 +41,7 @@
         const { settings, clock, events, metrics, control } = parts;
         this.state = new EntryState(settings, randomBytes(6).toString("hex"), clock);
         this.registry = new TargetRegistry(clock, settings.limits.target_lease_ms, events);
-        const desk = new AdmissionDesk(this.state, clock, events, () => this.follower?.startSync());
+        const desk = new AdmissionDesk(this.state, clock, events, () => this.follower?.startRound());
         const connections = new TargetConnections(settings.limits.target_connections);
         this.callers = {
             state: this.state,
--- a/packages/daemon/src/root/entry/follower/table-follower.ts
+++ b/packages/daemon/src/root/entry/follower/table-follower.ts
@@ -1,12 +1,11 @@
 import { EventKind } from "@daisylock/core/events/event-kind.js";
 
 import type { Clock } from "../../../clock/clock.js";
-import { Mailbox } from "../../../concurrency/mailbox.js";
 import { waitFor } from "../../../concurrency/wait-for.js";
 import type { EventLog } from "../../../events/event-log.js";
 import { MetricName } from "../../../metrics/metric-name.js";
 import type { Metrics } from "../../../metrics/metrics.js";
-import { Worker } from "../../../supervision/worker.js";
+import { PeriodicWorker } from "../../../supervision/periodic-worker.js";
 import type { ControlClient } from "../../control/control-client.js";
 import type { AdmissionDesk } from "../admission/admission-desk.js";
 import type { EntryState } from "../entry-state.js";
@@ -33,62 +32,32 @@
 }
 
 /** Exchanges reports for tables, freshness and allowances with the leader. */
-export class TableFollower extends Worker {
+export class TableFollower extends PeriodicWorker {
     override readonly name = "table-follower";
-    private readonly wakeups = new Mailbox<"sync">(1);
     private isFull = true;
     private pending: PendingReport = { number: 0, usedMs: new Map() };
     private isPendingAcked = true;
     private knownVersion = 0;
     private wasFresh = false;
-    private cancelTimer: () => void = () => undefined;
 
     /**
      * @param surroundings - the entry and the way to the leader
      */
     constructor(private readonly surroundings: FollowerSurroundings) {
-        super();
-    }
-
-    override *run(): Generator<unknown, void, unknown> {
-        this.wakeups.put("sync");
-        try {
-            while ((yield* this.wakeups.take()) !== undefined) {
-                const delayMs = yield* this.sync();
-                this.scheduleNext(delayMs);
-            }
-            yield* this.handBack();
-        }
-        finally {
-            this.cancelTimer();
-        }
-    }
-
-    override stop(): void {
-        this.wakeups.close();
-    }
-
-    /** Syncs at once, because something changed that others wait for. */
-    startSync(): void {
-        this.wakeups.put("sync");
+        super(surroundings.clock);
     }
 
     /** Gives the leader the chance to take all allowances back before the process ends. */
-    private *handBack(): Generator<unknown, void, unknown> {
+    protected override *releaseAll(): Generator<unknown, void, unknown> {
         this.surroundings.state.isLeaving = true;
         for (let exchange = 0; exchange < handBackExchanges; exchange++) {
-            yield* this.sync();
+            yield* this.tick();
             yield* waitFor(new Promise<void>(resolve => this.surroundings.clock.schedule(handBackDelayMs, resolve)));
         }
     }
 
-    private scheduleNext(delayMs: number): void {
-        this.cancelTimer();
-        this.cancelTimer = this.surroundings.clock.schedule(delayMs, () => this.wakeups.put("sync"));
-    }
-
     /** Runs one exchange and returns the delay before the next, milliseconds. */
-    private *sync(): Generator<unknown, number, unknown> {
+    protected override *tick(): Generator<unknown, number, unknown> {
         const { state, registry, control, clock } = this.surroundings;
         const askedAt = clock.readMonotonic();
         const version = registry.readVersion();
--- a/packages/daemon/src/root/entry/forwarding/abandoned-book.ts
+++ b/packages/daemon/src/root/entry/forwarding/abandoned-book.ts
@@ -61,7 +61,7 @@
             return;
         }
         const kept = list.filter(abandoned => !this.isOver(abandoned, word));
-        this.replace(word.vm, list, kept);
+        this.setList(word.vm, list, kept);
     }
 
     /**
@@ -69,7 +69,7 @@
      * @param vm - the VM
      */
     dropTarget(vm: string): void {
-        this.replace(vm, this.byVm.get(vm) ?? [], []);
+        this.setList(vm, this.byVm.get(vm) ?? [], []);
     }
 
     /**
@@ -100,7 +100,7 @@
             && !word.running.has(abandoned.dispatchId);
     }
 
-    private replace(vm: string, before: readonly Abandoned[], after: Abandoned[]): void {
+    private setList(vm: string, before: readonly Abandoned[], after: Abandoned[]): void {
         if (after.length > 0) {
             this.byVm.set(vm, after);
         }
--- a/packages/daemon/src/root/entry/forwarding/abandoned-poller.ts
+++ b/packages/daemon/src/root/entry/forwarding/abandoned-poller.ts
@@ -1,10 +1,9 @@
 import type { Clock } from "../../../clock/clock.js";
-import { Mailbox } from "../../../concurrency/mailbox.js";
 import { waitFor } from "../../../concurrency/wait-for.js";
 import { MetricName } from "../../../metrics/metric-name.js";
 import type { Metrics } from "../../../metrics/metrics.js";
 import type { PeerClients } from "../../../peer/peer-clients.js";
-import { Worker } from "../../../supervision/worker.js";
+import { PeriodicWorker } from "../../../supervision/periodic-worker.js";
 import type { EntryState } from "../entry-state.js";
 import type { TargetRegistry } from "../targets/target-registry.js";
 import type { AbandonedBook } from "./abandoned-book.js";
@@ -13,10 +12,8 @@
 const timeoutMs = 800;
 
 /** Asks the entries of other zones about given-up requests on targets that do not announce themselves here. */
-export class AbandonedPoller extends Worker {
+export class AbandonedPoller extends PeriodicWorker {
     override readonly name = "abandoned-poller";
-    private readonly mailbox = new Mailbox<"poll">(1);
-    private cancelTimer: () => void = () => undefined;
 
     /**
      * @param book - the given-up requests
@@ -31,34 +28,13 @@
         private readonly state: EntryState,
         private readonly registry: TargetRegistry,
         private readonly clients: PeerClients,
-        private readonly clock: Clock,
+        clock: Clock,
         private readonly metrics: Metrics,
     ) {
-        super();
+        super(clock);
     }
 
-    override *run(): Generator<unknown, void, unknown> {
-        this.scheduleNext();
-        try {
-            while ((yield* this.mailbox.take()) !== undefined) {
-                yield* this.poll();
-                this.scheduleNext();
-            }
-        }
-        finally {
-            this.cancelTimer();
-        }
-    }
-
-    override stop(): void {
-        this.mailbox.close();
-    }
-
-    private scheduleNext(): void {
-        this.cancelTimer = this.clock.schedule(intervalMs, () => this.mailbox.put("poll"));
-    }
-
-    private *poll(): Generator<unknown, void, unknown> {
+    protected override *tick(): Generator<unknown, number, unknown> {
         this.metrics.setLevel(MetricName.AbandonedRequests, this.book.count());
         const remote: string[] = [];
         for (const vm of this.book.listTargets()) {
@@ -70,7 +46,7 @@
             }
         }
         if (remote.length === 0) {
-            return;
+            return intervalMs;
         }
         const own = this.state.settings.listen.peers;
         const others = this.state.settings.cluster.entries.filter(address => address !== own);
@@ -83,5 +59,6 @@
                 this.book.noteTarget({ vm, incarnation, heardAt: askedAt - ageMs, running: new Set(running) });
             }
         }
+        return intervalMs;
     }
 }
--- a/packages/daemon/src/root/entry/forwarding/target-attempt.ts
+++ b/packages/daemon/src/root/entry/forwarding/target-attempt.ts
@@ -10,7 +10,7 @@
 } from "node:http";
 
 import type { Clock } from "../../../clock/clock.js";
-import { splitAddress } from "../../../settings/split-address.js";
+import { parseAddress } from "../../../settings/parse-address.js";
 import type { CallerRequest } from "../callers/caller-request.js";
 import { AttemptEnd } from "./attempt-end.js";
 import type { AttemptResult } from "./attempt-result.js";
@@ -44,21 +44,21 @@
 /** Sends a request to one target and passes its answer on. */
 export class TargetAttempt {
     private readonly result: Promise<AttemptResult>;
-    private resolve: (result: AttemptResult) => void = () => undefined;
+    private settleResult: (result: AttemptResult) => void = () => undefined;
     private isSettled = false;
     private isConnected = false;
     private hasHead = false;
     private outgoing: ClientRequest | undefined;
     private readonly cancellers: (() => void)[] = [];
     private recorded: Buffer[] | undefined;
-    private cancelDeadline: () => void = () => undefined;
+    private stopDeadline: () => void = () => undefined;
 
     /**
      * @param parts - what to send where
      */
     constructor(private readonly parts: AttemptParts) {
         this.result = new Promise(resolve => {
-            this.resolve = resolve;
+            this.settleResult = resolve;
         });
     }
 
@@ -77,7 +77,7 @@
         );
         const handleClose = () => this.handleCallerClose();
         response.once("close", handleClose);
-        this.cancelDeadline = deadlineTimer;
+        this.stopDeadline = deadlineTimer;
         this.cancellers.push(connectTimer, deadlineTimer, () => response.off("close", handleClose));
         outgoing.once("socket", socket => {
             if (socket.connecting) {
@@ -98,11 +98,11 @@
      */
     refuse(reason: UnknownReason, isTargetFault: boolean): void {
         if (this.hasHead) {
-            this.finish({ end: AttemptEnd.BrokenOff, reason, isStillRunning: true, isTargetFault });
+            this.settle({ end: AttemptEnd.BrokenOff, reason, isStillRunning: true, isTargetFault });
             return;
         }
         const end = this.isConnected ? AttemptEnd.Unknown : AttemptEnd.NotRun;
-        this.finish({ end, reason, isStillRunning: this.isConnected, isTargetFault });
+        this.settle({ end, reason, isStillRunning: this.isConnected, isTargetFault });
     }
 
     /**
@@ -115,7 +115,7 @@
 
     private openOutgoing(): ClientRequest {
         const { call, body, address, agent, dispatchId, team } = this.parts;
-        const { host, port } = splitAddress(address);
+        const { host, port } = parseAddress(address);
         const bodyBytes = body.kind === "buffered" ? body.content.length : call.bodyBytes;
         const outgoing = openRequest({
             host,
@@ -160,7 +160,7 @@
 
     private handleConnectTimeout(): void {
         if (!this.isConnected) {
-            this.finish({ end: AttemptEnd.NotRun, isStillRunning: false, isTargetFault: true });
+            this.settle({ end: AttemptEnd.NotRun, isStillRunning: false, isTargetFault: true });
         }
     }
 
@@ -170,14 +170,14 @@
 
     private handleCallerClose(): void {
         if (!this.parts.response.writableFinished) {
-            this.finish({ end: AttemptEnd.CallerGone, isStillRunning: this.isConnected, isTargetFault: false });
+            this.settle({ end: AttemptEnd.CallerGone, isStillRunning: this.isConnected, isTargetFault: false });
         }
     }
 
     private handleResponse(incoming: IncomingMessage): void {
         const status = incoming.statusCode ?? 502;
         if (incoming.headers[HeaderName.DispatchId] !== this.parts.dispatchId) {
-            this.finish({
+            this.settle({
                 end: AttemptEnd.Unknown,
                 reason: UnknownReason.ForeignAnswer,
                 isStillRunning: true,
@@ -187,7 +187,7 @@
         }
         if (incoming.headers[HeaderName.NotRun] === "true") {
             incoming.resume();
-            this.finish({ end: AttemptEnd.NotRun, isStillRunning: false, isTargetFault: false, status }, true);
+            this.settle({ end: AttemptEnd.NotRun, isStillRunning: false, isTargetFault: false, status }, true);
             return;
         }
         if (this.parts.call.method !== "HEAD" && !isBounded(incoming)) {
@@ -197,18 +197,18 @@
         if (errorStatuses.has(status) && this.parts.mayTryElsewhere) {
             incoming.resume();
             const isStillRunning = false;
-            this.finish({ end: AttemptEnd.ErrorAnswer, isStillRunning, isTargetFault: true, status }, true);
+            this.settle({ end: AttemptEnd.ErrorAnswer, isStillRunning, isTargetFault: true, status }, true);
             return;
         }
-        this.passOn(incoming, status);
+        this.forwardAnswer(incoming, status);
     }
 
-    private passOn(incoming: IncomingMessage, status: number): void {
+    private forwardAnswer(incoming: IncomingMessage, status: number): void {
         const { response, call } = this.parts;
         this.hasHead = true;
         // From here on, progress counts rather than the deadline.
-        this.cancelDeadline();
-        this.watchProgress(incoming, -1);
+        this.stopDeadline();
+        this.checkProgress(incoming, -1);
         response.writeHead(status, buildAnswerHeaders(incoming.headers, call.id));
         if (call.isUnrepeatable) {
             this.recordChunks(incoming);
@@ -217,14 +217,14 @@
         incoming.on("aborted", () => this.refuse(UnknownReason.ConnectionLost, true));
         incoming.on("end", () => {
             if (incoming.complete) {
-                this.finishAnswer(incoming, status);
+                this.settleAnswer(incoming, status);
             }
         });
         incoming.pipe(response);
     }
 
     /** Ends an answer of which nothing moved for a whole period, on either side. */
-    private watchProgress(incoming: IncomingMessage, seenBytes: number): void {
+    private checkProgress(incoming: IncomingMessage, seenBytes: number): void {
         const { clock, bodyStallMs, response } = this.parts;
         const cancel = clock.schedule(bodyStallMs, () => {
             const movedBytes = (incoming.socket?.bytesRead ?? 0) + (response.socket?.bytesWritten ?? 0);
@@ -232,13 +232,13 @@
                 this.refuse(UnknownReason.ConnectionSilent, true);
                 return;
             }
-            this.watchProgress(incoming, movedBytes);
+            this.checkProgress(incoming, movedBytes);
         });
         this.cancellers.push(cancel);
     }
 
-    private finishAnswer(incoming: IncomingMessage, status: number): void {
-        this.finish({
+    private settleAnswer(incoming: IncomingMessage, status: number): void {
+        this.settle({
             end: AttemptEnd.Answered,
             isStillRunning: false,
             isTargetFault: errorStatuses.has(status),
@@ -271,7 +271,7 @@
     }
 
     /** The connection is kept for further requests only after a whole answer that was the right one. */
-    private finish(result: AttemptResult, isConnectionGood = false): void {
+    private settle(result: AttemptResult, isConnectionGood = false): void {
         if (this.isSettled) {
             return;
         }
@@ -283,7 +283,7 @@
         if (!isConnectionGood) {
             this.outgoing?.destroy();
         }
-        this.resolve(result);
+        this.settleResult(result);
     }
 }
 
--- a/packages/daemon/src/root/entry/targets/target-listener.ts
+++ b/packages/daemon/src/root/entry/targets/target-listener.ts
@@ -1,5 +1,5 @@
 import { TargetState } from "@daisylock/core/admission/target-state.js";
-import { formatIssues } from "@daisylock/protocol/operator/format-issues.js";
+import { describeIssues } from "@daisylock/protocol/operator/describe-issues.js";
 import type { AnnouncementReply } from "@daisylock/protocol/target/announcement-reply.js";
 import { announcementSchema } from "@daisylock/protocol/target/announcement-schema.js";
 import type { Announcement } from "@daisylock/protocol/target/announcement.js";
@@ -67,14 +67,14 @@
         const body = await readJson(request, maxAnnouncementBytes);
         const checked = v.safeParse(announcementSchema, body.isOk ? body.value : undefined);
         if (!checked.success) {
-            sendJson(response, 400, { type: "malformed", faults: formatIssues(checked.issues) });
+            sendJson(response, 400, { type: "malformed", faults: describeIssues(checked.issues) });
             return;
         }
-        this.answer(vm, checked.output, response);
+        this.serveAnnouncement(vm, checked.output, response);
     }
 
     /** A VM belongs to the pool that the tables say; an announcement claims nothing beyond that. */
-    private answer(vm: string, announcement: Announcement, response: ServerResponse): void {
+    private serveAnnouncement(vm: string, announcement: Announcement, response: ServerResponse): void {
         const pool = this.state.tables.objects.vm.get(vm)?.value.pool;
         if (pool === undefined) {
             sendJson(response, 403, { type: "not-assigned" });
--- a/packages/daemon/src/root/entry/targets/target-registry.ts
+++ b/packages/daemon/src/root/entry/targets/target-registry.ts
@@ -58,7 +58,7 @@
             this.recordChange(registration);
         }
         this.registrations.set(vm, registration);
-        this.notify(registration);
+        this.reportChange(registration);
         return true;
     }
 
@@ -70,7 +70,7 @@
                 registration.state = TargetState.Gone;
                 registration.version = ++this.version;
                 this.recordChange(registration);
-                this.notify(registration);
+                this.reportChange(registration);
             }
         }
     }
@@ -101,7 +101,7 @@
         return this.version;
     }
 
-    private notify(registration: Registration): void {
+    private reportChange(registration: Registration): void {
         for (const listener of this.listeners) {
             listener(registration);
         }
--- a/packages/daemon/src/root/keeper/allocator.ts
+++ b/packages/daemon/src/root/keeper/allocator.ts
@@ -16,20 +16,17 @@
 import { SyncReply, type SyncRequest } from "@daisylock/protocol/generated/peer.js";
 
 import type { Clock } from "../../clock/clock.js";
-import { Mailbox } from "../../concurrency/mailbox.js";
 import { waitFor } from "../../concurrency/wait-for.js";
 import type { EventLog } from "../../events/event-log.js";
-import { Worker } from "../../supervision/worker.js";
+import { PeriodicWorker } from "../../supervision/periodic-worker.js";
 import type { Keeper } from "./keeper.js";
 
 const planIntervalMs = 50;
 
 /** Gives out slots and parts of the teams' limits while this process's keeper leads. */
-export class Allocator extends Worker {
+export class Allocator extends PeriodicWorker {
     override readonly name = "allocator";
-    private readonly mailbox = new Mailbox<"plan">(1);
     private leader: LeaderState | undefined;
-    private cancelTimer: () => void = () => undefined;
 
     /**
      * @param keeper - the keeper of this process
@@ -38,27 +35,15 @@
      */
     constructor(
         private readonly keeper: Keeper,
-        private readonly clock: Clock,
+        clock: Clock,
         private readonly events: EventLog,
     ) {
-        super();
+        super(clock);
     }
 
-    override *run(): Generator<unknown, void, unknown> {
-        this.scheduleNext();
-        try {
-            while ((yield* this.mailbox.take()) !== undefined) {
-                yield* this.plan();
-            }
-        }
-        finally {
-            this.cancelTimer();
-            this.leader = undefined;
-        }
-    }
-
-    override stop(): void {
-        this.mailbox.close();
+    protected override *tick(): Generator<unknown, number, unknown> {
+        yield* this.plan();
+        return planIntervalMs;
     }
 
     /**
@@ -92,13 +77,6 @@
         return this.openLeader();
     }
 
-    private scheduleNext(): void {
-        this.cancelTimer = this.clock.schedule(planIntervalMs, () => {
-            this.mailbox.put("plan");
-            this.scheduleNext();
-        });
-    }
-
     private openLeader(): LeaderState | undefined {
         if (!this.keeper.isDeciding()) {
             return undefined;
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -6,22 +6,22 @@
 import { decodeControlState } from "@daisylock/core/control/decode-control-state.js";
 import { encodeControlState } from "@daisylock/core/control/encode-control-state.js";
 import { EventKind } from "@daisylock/core/events/event-kind.js";
-import { changeMembers } from "@daisylock/core/log/change-members.js";
-import { compactLog } from "@daisylock/core/log/compact-log.js";
+import { addProposal } from "@daisylock/core/log/add-proposal.js";
 import { confirmPersisted } from "@daisylock/core/log/confirm-persisted.js";
 import { createRaftState } from "@daisylock/core/log/create-raft-state.js";
+import { cutLog } from "@daisylock/core/log/cut-log.js";
 import { EntryKind } from "@daisylock/core/log/entry-kind.js";
 import { isLeaseValid } from "@daisylock/core/log/is-lease-valid.js";
 import type { LogEntry } from "@daisylock/core/log/log-entry.js";
 import type { MemberChangeFault } from "@daisylock/core/log/member-change-fault.js";
 import type { Members } from "@daisylock/core/log/members.js";
-import { proposeEntry } from "@daisylock/core/log/propose-entry.js";
 import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
 import { RaftRole } from "@daisylock/core/log/raft-role.js";
 import type { RaftState } from "@daisylock/core/log/raft-state.js";
 import type { RaftTiming } from "@daisylock/core/log/raft-timing.js";
 import { readLastIndex } from "@daisylock/core/log/read-last-index.js";
 import { receiveRaftMessage } from "@daisylock/core/log/receive-raft-message.js";
+import { setMembers } from "@daisylock/core/log/set-members.js";
 import { startBootstrap } from "@daisylock/core/log/start-bootstrap.js";
 import { takeCommitted } from "@daisylock/core/log/take-committed.js";
 import { tickRaft } from "@daisylock/core/log/tick-raft.js";
@@ -47,6 +47,8 @@
 /** Events handled before one write to disk. */
 const maxBatch = 512;
 const tickMs = 25;
+/** Applied entries kept for keepers that are a little behind. */
+const keptEntries = 256;
 
 /** What a keeper needs of its surroundings. */
 interface KeeperSurroundings {
@@ -72,7 +74,7 @@
     /** Addresses of keepers that have spoken; a new member knows no others. */
     private readonly senders = new Map<string, string>();
     private seenRole = RaftRole.Follower;
-    private cancelTick: () => void = () => undefined;
+    private stopTick: () => void = () => undefined;
     private isTickWaiting = false;
 
     /**
@@ -85,7 +87,7 @@
     override *run(): Generator<unknown, void, unknown> {
         const { disk } = this.surroundings;
         this.raft = yield* this.loadRaft();
-        this.scheduleTick();
+        this.startTick();
         try {
             for (;;) {
                 const event = yield* this.mailbox.take();
@@ -93,16 +95,16 @@
                     break;
                 }
                 this.handleBatch(this.raft, event);
-                yield* this.persist(this.raft);
+                yield* this.saveUnsaved(this.raft);
                 this.sendMessages(this.raft);
                 this.applyCommitted(this.raft);
                 this.noteRole(this.raft);
             }
         }
         finally {
-            this.cancelTick();
+            this.stopTick();
             this.raft = undefined;
-            this.proposals.failAll();
+            this.proposals.settleAll();
             disk.close().catch(() => undefined);
         }
     }
@@ -206,12 +208,12 @@
         return createRaftState({ ...content, timing, random, now: clock.readMonotonic() });
     }
 
-    private scheduleTick(): void {
-        this.cancelTick = this.surroundings.clock.schedule(tickMs, () => {
+    private startTick(): void {
+        this.stopTick = this.surroundings.clock.schedule(tickMs, () => {
             if (!this.isTickWaiting) {
                 this.isTickWaiting = this.mailbox.put({ kind: KeeperEventKind.Tick });
             }
-            this.scheduleTick();
+            this.startTick();
         });
     }
 
@@ -239,7 +241,7 @@
                 this.handleCommand(raft, event, now);
                 break;
             case KeeperEventKind.Members: {
-                const index = changeMembers(raft, event.members, now);
+                const index = setMembers(raft, event.members, now);
                 event.resolve(typeof index === "number" ? Result.ok(index) : Result.err(index));
                 break;
             }
@@ -254,7 +256,7 @@
         event: Extract<KeeperEvent, { kind: KeeperEventKind.Command }>,
         now: number,
     ): void {
-        const index = proposeEntry(raft, EntryKind.Command, JSON.stringify(event.command), now);
+        const index = addProposal(raft, EntryKind.Command, JSON.stringify(event.command), now);
         if (index === undefined) {
             const leaderAddress = this.readView()?.leaderAddress;
             event.resolve(Result.err({ kind: ProposeFailureKind.NotLeader, leaderAddress }));
@@ -263,7 +265,7 @@
         this.proposals.add(index, raft.hard.term, event.resolve);
     }
 
-    private *persist(raft: RaftState): Generator<unknown, void, unknown> {
+    private *saveUnsaved(raft: RaftState): Generator<unknown, void, unknown> {
         const { disk, clock, metrics } = this.surroundings;
         const startedAt = clock.readMonotonic();
         if (raft.isSnapshotUnsaved) {
@@ -292,7 +294,7 @@
 
     private sendMessages(raft: RaftState): void {
         const addresses: Record<string, string> = { ...raft.members.learners, ...raft.members.voters };
-        const byReceiver = groupByReceiver(raft.outbox);
+        const byReceiver = collectByReceiver(raft.outbox);
         raft.outbox = [];
         for (const [receiver, messages] of byReceiver) {
             const address = addresses[receiver] ?? this.senders.get(receiver);
@@ -312,7 +314,7 @@
             this.applyEntry(entry, term);
         }
         if (raft.appliedIndex - raft.snapshot.index >= this.surroundings.snapshotEntries) {
-            compactLog(raft, encodeControlState(this.control));
+            cutLog(raft, encodeControlState(this.control), keptEntries);
         }
     }
 
@@ -321,13 +323,13 @@
             this.surroundings.events.record(EventKind.MembersChanged, { detail: entry.payload });
         }
         if (entry.kind !== EntryKind.Command) {
-            this.proposals.resolve(entry, term, undefined);
+            this.proposals.settle(entry, term, undefined);
             return;
         }
         const command = JSON.parse(entry.payload) as ControlCommand;
         const result = applyCommand(this.control, command);
         this.surroundings.metrics.addCount(MetricName.LogCommits);
-        this.proposals.resolve(entry, term, result);
+        this.proposals.settle(entry, term, result);
     }
 
     private noteRole(raft: RaftState): void {
@@ -340,14 +342,14 @@
         }
         else if (this.seenRole === RaftRole.Leader) {
             events.record(EventKind.LeaderLost, { detail: `term ${raft.hard.term}` });
-            this.proposals.failAll();
+            this.proposals.settleAll();
         }
         this.seenRole = raft.role;
         metrics.setLevel(MetricName.LogTerm, raft.hard.term);
     }
 }
 
-function groupByReceiver(messages: readonly RaftMessage[]): Map<string, RaftMessage[]> {
+function collectByReceiver(messages: readonly RaftMessage[]): Map<string, RaftMessage[]> {
     const groups = new Map<string, RaftMessage[]>();
     for (const message of messages) {
         const group = groups.get(message.to) ?? [];
--- a/packages/daemon/src/root/keeper/learner-promoter.ts
+++ b/packages/daemon/src/root/keeper/learner-promoter.ts
@@ -1,58 +1,31 @@
 import type { Clock } from "../../clock/clock.js";
-import { Mailbox } from "../../concurrency/mailbox.js";
 import { waitFor } from "../../concurrency/wait-for.js";
-import { Worker } from "../../supervision/worker.js";
+import { PeriodicWorker } from "../../supervision/periodic-worker.js";
 import type { Keeper } from "./keeper.js";
 
 const intervalMs = 200;
 
 /** Makes learners voters once they have caught up, while this process's keeper leads. */
-export class LearnerPromoter extends Worker {
+export class LearnerPromoter extends PeriodicWorker {
     override readonly name = "learner-promoter";
-    private readonly mailbox = new Mailbox<"look">(1);
-    private cancelTimer: () => void = () => undefined;
 
     /**
      * @param keeper - the keeper of this process
      * @param clock - time
      */
-    constructor(private readonly keeper: Keeper, private readonly clock: Clock) {
-        super();
+    constructor(private readonly keeper: Keeper, clock: Clock) {
+        super(clock);
     }
 
-    override *run(): Generator<unknown, void, unknown> {
-        this.scheduleNext();
-        try {
-            while ((yield* this.mailbox.take()) !== undefined) {
-                yield* this.look();
-                this.scheduleNext();
-            }
-        }
-        finally {
-            this.cancelTimer();
-        }
-    }
-
-    override stop(): void {
-        this.mailbox.close();
-    }
-
-    private scheduleNext(): void {
-        this.cancelTimer = this.clock.schedule(intervalMs, () => this.mailbox.put("look"));
-    }
-
-    private *look(): Generator<unknown, void, unknown> {
-        const view = this.keeper.isDeciding() ? this.keeper.readView() : undefined;
-        for (const [id, address] of Object.entries(view?.members.learners ?? {})) {
-            const members = view?.members;
-            if (members === undefined) {
-                return;
-            }
-            const { [id]: _promoted, ...learners } = members.learners;
-            const voters = { ...members.voters, [id]: address };
-            // Refused until the learner has caught up; asked again at the next look.
-            yield* waitFor(this.keeper.sendMembers({ voters, learners }));
-            return;
+    protected override *tick(): Generator<unknown, number, unknown> {
+        const members = this.keeper.isDeciding() ? this.keeper.readView()?.members : undefined;
+        const [learner] = Object.entries(members?.learners ?? {});
+        if (members !== undefined && learner !== undefined) {
+            const [id, address] = learner;
+            const { [id]: promoted, ...learners } = members.learners;
+            // Refused until the learner has caught up; asked again in the next round.
+            yield* waitFor(this.keeper.sendMembers({ voters: { ...members.voters, [id]: address }, learners }));
         }
+        return intervalMs;
     }
 }
--- a/packages/daemon/src/root/keeper/operate/handle-change-lookup.ts
+++ b/packages/daemon/src/root/keeper/operate/handle-change-lookup.ts
@@ -7,11 +7,11 @@
 /**
  * Looks up what became of a change and where it is in force.
  * @param context - the leader
- * @param _request - the request
+ * @param request - the request
  * @param changeId - id of the change
  * @returns the outcome
  */
-export function handleChangeLookup(context: OperateContext, _request: OperateRequest, changeId: string): OperateResult {
+export function handleChangeLookup(context: OperateContext, request: OperateRequest, changeId: string): OperateResult {
     const record = context.keeper.readControl().changes.get(changeId);
     const leader = context.allocator.readLeader();
     if (record === undefined || leader === undefined) {
--- a/packages/daemon/src/root/keeper/operate/handle-change.ts
+++ b/packages/daemon/src/root/keeper/operate/handle-change.ts
@@ -4,7 +4,7 @@
 import { EventKind } from "@daisylock/core/events/event-kind.js";
 import type { OperateRequest } from "@daisylock/protocol/generated/peer.js";
 import { changeSchema } from "@daisylock/protocol/operator/change-schema.js";
-import { formatIssues } from "@daisylock/protocol/operator/format-issues.js";
+import { describeIssues } from "@daisylock/protocol/operator/describe-issues.js";
 import * as v from "valibot";
 
 import type { OperateContext } from "./operate-context.js";
@@ -28,14 +28,14 @@
 export async function handleChange(context: OperateContext, request: OperateRequest): Promise<OperateResult> {
     const checked = v.safeParse(changeSchema, parseJson(request.body));
     if (!checked.success) {
-        return { status: 400, body: { type: "malformed", faults: formatIssues(checked.issues) } };
+        return { status: 400, body: { type: "malformed", faults: describeIssues(checked.issues) } };
     }
     const ifMatch = /^"?(\d+)"?$/.exec(request.ifMatch)?.[1];
     const command: ChangeCommand = {
         kind: CommandKind.ChangeTables,
         changeId: checked.output.changeId,
         baseRevision: ifMatch === undefined ? checked.output.baseRevision : Number(ifMatch),
-        edits: checked.output.edits as ChangeCommand["edits"],
+        edits: checked.output.edits,
     };
     const result = await context.keeper.sendCommand(command);
     if (result.isErr) {
--- a/packages/daemon/src/root/keeper/operate/handle-entry-forget.ts
+++ b/packages/daemon/src/root/keeper/operate/handle-entry-forget.ts
@@ -9,11 +9,11 @@
  * Takes an operator's word that an entry has stopped for good, so that its parts of the teams' limits can be given to
  * others once the targets have finished its requests.
  * @param context - the leader
- * @param _request - the request
+ * @param request - the request
  * @param entry - name of the entry
  * @returns the holders given up; refused while the entry is heard
  */
-export function handleEntryForget(context: OperateContext, _request: OperateRequest, entry: string): OperateResult {
+export function handleEntryForget(context: OperateContext, request: OperateRequest, entry: string): OperateResult {
     const leader = context.allocator.readLeader();
     if (leader === undefined) {
         return { status: 503, body: { type: "no-leader" } };
--- a/packages/daemon/src/root/keeper/operate/handle-keeper-change.ts
+++ b/packages/daemon/src/root/keeper/operate/handle-keeper-change.ts
@@ -1,6 +1,6 @@
 import type { Members } from "@daisylock/core/log/members.js";
 import type { OperateRequest } from "@daisylock/protocol/generated/peer.js";
-import { formatIssues } from "@daisylock/protocol/operator/format-issues.js";
+import { describeIssues } from "@daisylock/protocol/operator/describe-issues.js";
 import { KeeperAction } from "@daisylock/protocol/operator/keeper-action.js";
 import { keeperRequestSchema } from "@daisylock/protocol/operator/keeper-request-schema.js";
 import * as v from "valibot";
@@ -21,7 +21,7 @@
 export async function handleKeeperChange(context: OperateContext, request: OperateRequest): Promise<OperateResult> {
     const checked = v.safeParse(keeperRequestSchema, parseJson(request.body));
     if (!checked.success) {
-        return { status: 400, body: { type: "malformed", faults: formatIssues(checked.issues) } };
+        return { status: 400, body: { type: "malformed", faults: describeIssues(checked.issues) } };
     }
     const { action, address, id } = checked.output;
     const view = context.keeper.readView();
@@ -51,8 +51,8 @@
 }
 
 function dropMember(members: Members, id: string): Members {
-    const { [id]: _voter, ...voters } = members.voters;
-    const { [id]: _learner, ...learners } = members.learners;
+    const { [id]: voter, ...voters } = members.voters;
+    const { [id]: learner, ...learners } = members.learners;
     return { voters, learners };
 }
 
--- a/packages/daemon/src/root/keeper/operate/handle-status.ts
+++ b/packages/daemon/src/root/keeper/operate/handle-status.ts
@@ -54,7 +54,7 @@
             vms: vms.length,
             ready: ready.length,
             slots: ready.reduce((sum, target) => sum + target.slots, 0),
-            ...sumDemand(leader, view => view.poolDemand.get(pool)),
+            ...computeDemand(leader, view => view.poolDemand.get(pool)),
         };
     });
 }
@@ -67,14 +67,14 @@
             share: value.share,
             upperLimit: value.upperLimit,
             granted: resource === undefined ? 0 : countGranted(resource),
-            ...sumDemand(leader, view => view.teamDemand.get(name)),
+            ...computeDemand(leader, view => view.teamDemand.get(name)),
         };
     });
 }
 
 type EntryView = Parameters<Parameters<LeaderState["entries"]["forEach"]>[0]>[0];
 
-function sumDemand(
+function computeDemand(
     leader: LeaderState,
     read: (view: EntryView) => { wanted: number; waiting: number } | undefined,
 ): { running: number; waiting: number } {
--- a/packages/daemon/src/root/keeper/operate/handle-tables.ts
+++ b/packages/daemon/src/root/keeper/operate/handle-tables.ts
@@ -13,7 +13,7 @@
     const body: Record<string, unknown> = { revision: tables.revision, digest: tables.digest };
     for (const kind of Object.values(ObjectKind)) {
         body[kind] = [...tables.objects[kind].values()].map(({ name, revision, value }) => {
-            const { salt: _salt, digest: _digest, ...shown } = value as unknown as Record<string, unknown>;
+            const { salt, digest, ...shown } = value as unknown as Record<string, unknown>;
             return { name, revision, ...shown };
         });
     }
--- a/packages/daemon/src/root/keeper/proposal-book.ts
+++ b/packages/daemon/src/root/keeper/proposal-book.ts
@@ -28,7 +28,7 @@
      * @param term - current term
      * @param result - result of the command
      */
-    resolve(entry: LogEntry, term: number, result: CommandResults[keyof CommandResults] | undefined): void {
+    settle(entry: LogEntry, term: number, result: CommandResults[keyof CommandResults] | undefined): void {
         const proposal = this.waiting.get(entry.index);
         if (proposal === undefined) {
             return;
@@ -42,7 +42,7 @@
     }
 
     /** Tells every proposer that its command may or may not be committed. */
-    failAll(): void {
+    settleAll(): void {
         for (const proposal of this.waiting.values()) {
             proposal.resolve(Result.err({ kind: ProposeFailureKind.Unknown }));
         }
--- a/packages/daemon/src/root/keeper/storage/decode-records.ts
+++ b/packages/daemon/src/root/keeper/storage/decode-records.ts
@@ -42,7 +42,7 @@
     }
     const isHeaderWhole = crc32(content.subarray(offset, offset + 4)) === content.readUInt32LE(offset + 4);
     if (!isHeaderWhole) {
-        if (hasUnwrittenSector(content, offset, content.length)) {
+        if (isPartUnwritten(content, offset, content.length)) {
             return undefined;
         }
         throw new StorageFailure(StorageFailureKind.CorruptRecord, file, offset, "checksum of the length differs");
@@ -54,14 +54,14 @@
     if (crc32(content.subarray(offset + headerBytes, end)) === content.readUInt32LE(offset + 8)) {
         return end;
     }
-    if (end === content.length && hasUnwrittenSector(content, offset, end)) {
+    if (end === content.length && isPartUnwritten(content, offset, end)) {
         return undefined;
     }
     throw new StorageFailure(StorageFailureKind.CorruptRecord, file, offset, "checksum of the record differs");
 }
 
 /** Tells whether a part of the range was never written: all zeros up to a sector's end or the file's. */
-function hasUnwrittenSector(content: Buffer, from: number, to: number): boolean {
+function isPartUnwritten(content: Buffer, from: number, to: number): boolean {
     for (let start = from; start < to;) {
         const end = Math.min(to, (Math.floor(start / sectorBytes) + 1) * sectorBytes);
         if (end - start >= 4 && content.subarray(start, end).every(byte => byte === 0)) {
--- a/packages/daemon/src/root/keeper/storage/file-keeper-disk.ts
+++ b/packages/daemon/src/root/keeper/storage/file-keeper-disk.ts
@@ -49,13 +49,13 @@
 
     override async saveSnapshot(snapshot: Snapshot, base: Base, batch: Batch): Promise<void> {
         await this.writeSafely("snapshot", async () => {
-            await this.replaceFile("snapshot", encodeRecord(Buffer.from(JSON.stringify(snapshot))));
+            await this.writeFile("snapshot", encodeRecord(Buffer.from(JSON.stringify(snapshot))));
             const previous = this.log;
             const header = encodeRecord(
                 LogRecordData.encode(LogRecordData.fromPartial({ baseIndex: base.index, baseTerm: base.term }))
                     .finish(),
             );
-            await this.replaceFile("log", Buffer.concat([header, encodeBatch(batch)]));
+            await this.writeFile("log", Buffer.concat([header, encodeBatch(batch)]));
             this.log = await open(this.readPath("log"), "a");
             await previous?.close();
         });
@@ -76,7 +76,7 @@
         const content = await readIfPresent(path);
         if (content === undefined) {
             const id = `${this.name}.${randomBytes(4).toString("hex")}`;
-            await this.replaceFile("identity", encodeRecord(Buffer.from(id)));
+            await this.writeFile("identity", encodeRecord(Buffer.from(id)));
             return id;
         }
         const [payload] = decodeRecords(path, content).payloads;
@@ -116,7 +116,7 @@
     }
 
     /** Writes a file beside its place, syncs it, and puts it there, so that either the old or the new one is whole. */
-    private async replaceFile(file: string, content: Buffer): Promise<void> {
+    private async writeFile(file: string, content: Buffer): Promise<void> {
         const path = this.readPath(file);
         const handle = await open(`${path}.new`, "w");
         await handle.writeFile(content);
--- a/packages/daemon/src/settings/load-settings.ts
+++ b/packages/daemon/src/settings/load-settings.ts
@@ -1,4 +1,4 @@
-import { formatIssues } from "@daisylock/protocol/operator/format-issues.js";
+import { describeIssues } from "@daisylock/protocol/operator/describe-issues.js";
 import { readFileSync } from "node:fs";
 import { parse, TomlError } from "smol-toml";
 import Result from "true-myth/result";
@@ -21,7 +21,7 @@
     }
     const checked = v.safeParse(settingsSchema, content);
     if (!checked.success) {
-        return Result.err(new SettingsFailure(file, formatIssues(checked.issues)));
+        return Result.err(new SettingsFailure(file, describeIssues(checked.issues)));
     }
     const faults = checkRoles(checked.output);
     return faults.length > 0 ? Result.err(new SettingsFailure(file, faults)) : Result.ok(checked.output);
--- a/packages/daemon/src/supervision/supervisor.ts
+++ b/packages/daemon/src/supervision/supervisor.ts
@@ -77,11 +77,11 @@
 
     private handleNotice(notice: Exclude<Notice, { kind: "stop" }>): Escalation | undefined {
         if (notice.kind === "restart") {
-            this.restartChild(notice.child);
+            this.startChildAgain(notice.child);
             return undefined;
         }
         this.running.delete(notice.child);
-        const error = notice.error ?? new ChildStopped(notice.child);
+        const error = notice.error instanceof Error ? notice.error : new ChildStopped(notice.child);
         const kind = error instanceof InvariantViolation ? EventKind.InvariantBroken : EventKind.ChildFailed;
         this.events.record(kind, { detail: `${this.name}/${notice.child}: ${String(error)}` });
         if (!this.isRestartAllowed()) {
@@ -91,7 +91,7 @@
         return undefined;
     }
 
-    private restartChild(child: string): void {
+    private startChildAgain(child: string): void {
         const spec = this.specs.find(candidate => candidate.name === child);
         if (spec === undefined || this.isStopping) {
             return;
--- a/packages/protocol/src/operator/format-issues.ts
+++ b/packages/protocol/src/operator/describe-issues.ts
@@ -5,7 +5,7 @@
  * @param issues - issues of a failed check
  * @returns one line an issue: path, what was expected, what came
  */
-export function formatIssues(issues: readonly v.BaseIssue<unknown>[]): string[] {
+export function describeIssues(issues: readonly v.BaseIssue<unknown>[]): string[] {
     return issues.map(issue => {
         const path = v.getDotPath(issue) ?? "value";
         return `${path}: ${issue.message}`;
--- a/packages/protocol/src/peer/decode-raft-messages.ts
+++ b/packages/protocol/src/peer/decode-raft-messages.ts
@@ -3,7 +3,7 @@
 
 import type { RaftBatch } from "../generated/peer.js";
 
-const lastKind = RaftMessageKind.SnapshotReply;
+const lastKind: number = RaftMessageKind.SnapshotReply;
 
 /**
  * Decodes messages between keepers. Those of an unknown kind are left out.
@@ -12,5 +12,5 @@
  */
 export function decodeRaftMessages(batch: RaftBatch): RaftMessage[] {
     // The wire form has every field of every kind, so that it already is a message of its kind.
-    return batch.messages.filter(message => message.kind <= lastKind) as unknown as RaftMessage[];
+    return batch.messages.filter(message => message.kind <= lastKind);
 }
--- a/tools/quickstart.js
+++ b/tools/quickstart.js
@@ -18,7 +18,7 @@
 function startProcess(file, ...args) {
     const child = spawn(process.execPath, [file, ...args], {
         env: environment,
-        stdio: ["ignore", "inherit", "ignore"],
+        stdio: ["ignore", "inherit", "inherit"],
     });
     child.on("exit", code => {
         child.hasEnded = true;
