--- /dev/null
+++ b/packages/bench/src/scenario/build-page.ts
@@ -0,0 +1,34 @@
+import type { ScenarioResult } from "./scenario-result.js";
+
+const width = 900;
+const height = 180;
+
+/**
+ * Builds a page with the figures and plots of the runs of a scenario; it needs no other file.
+ * @param results - the runs
+ * @returns HTML text
+ */
+export function buildPage(results: readonly ScenarioResult[]): string {
+    const sections = results.map(result =>
+        `<h2>${result.policy.queue}, ${result.policy.target}</h2>`
+        + `<pre>${JSON.stringify({ ...result, series: undefined }, undefined, 2)}</pre>`
+        + buildPlot(result.series)
+    );
+    const title = results[0]?.scenario ?? "scenario";
+    return `<!doctype html><meta charset="utf-8"><title>${title}</title><h1>${title}</h1>${sections.join("")}`;
+}
+
+function buildPlot(series: ScenarioResult["series"]): string {
+    const highest = Math.max(1, ...series.flatMap(line => line.confirmed));
+    const lines = series.map(({ team, confirmed }, number) => {
+        const points = confirmed.map((count, second) => {
+            const x = second * width / Math.max(1, confirmed.length - 1);
+            return `${x.toFixed(1)},${(height - count * height / highest).toFixed(1)}`;
+        });
+        const colour = `hsl(${number * 360 / series.length} 70% 40%)`;
+        return `<polyline fill="none" stroke="${colour}" points="${points.join(" ")}"><title>${team}</title></polyline>`
+            + `<text x="5" y="${15 * (number + 1)}" fill="${colour}">${team}</text>`;
+    });
+    return `<p>Confirmed requests a second, up to ${highest}</p>`
+        + `<svg width="${width}" height="${height}" style="border:1px solid #ccc">${lines.join("")}</svg>`;
+}
--- /dev/null
+++ b/packages/bench/src/scenario/check-answers.ts
@@ -0,0 +1,58 @@
+import { Outcome } from "@daisylock/protocol/http/outcome.js";
+
+import type { TargetRun } from "../targets/target-run.js";
+import type { SentRequest } from "./sent-request.js";
+
+/** What callers were told against what targets ran. */
+interface AnswerCheck {
+    readonly asked: number;
+    readonly confirmed: number;
+    readonly refused: number;
+    readonly unknown: number;
+    /** Transfers that failed visibly. */
+    readonly broken: number;
+    /** Answers of another request, or of none that was run. */
+    readonly wrong: number;
+    /** Requests refused as not run that were run. */
+    readonly untrueRefusals: number;
+    /** Unrepeatable requests that were run more than once. */
+    readonly duplicates: number;
+}
+
+/**
+ * Compares what callers were told with what targets ran.
+ * @param sent - requests with their answers
+ * @param runs - what targets ran
+ * @returns the counts
+ */
+export function checkAnswers(sent: readonly SentRequest[], runs: readonly TargetRun[]): AnswerCheck {
+    const runsById = new Map<string, number>();
+    for (const run of runs) {
+        runsById.set(run.requestId, (runsById.get(run.requestId) ?? 0) + 1);
+    }
+    const count = (check: (request: SentRequest) => boolean) => sent.filter(check).length;
+    const isOutcome = (outcome: Outcome) => (request: SentRequest) => request.answer.outcome === outcome;
+    const readRuns = (request: SentRequest) => runsById.get(request.plan.id) ?? 0;
+    return {
+        asked: sent.length,
+        confirmed: count(request => isOutcome(Outcome.Answer)(request) && request.answer.status === 200),
+        refused: count(isOutcome(Outcome.NotRun)),
+        unknown: count(isOutcome(Outcome.OutcomeUnknown)),
+        broken: count(request => request.answer.outcome === undefined),
+        wrong: count(request =>
+            isOutcome(Outcome.Answer)(request) && request.answer.status === 200
+            && (readRuns(request) === 0 || !isOwn(request))
+        ),
+        untrueRefusals: count(request => isOutcome(Outcome.NotRun)(request) && readRuns(request) > 0),
+        duplicates: count(request => request.plan.isUnrepeatable && readRuns(request) > 1),
+    };
+}
+
+function isOwn({ plan, answer }: SentRequest): boolean {
+    try {
+        return (JSON.parse(answer.body) as { requestId: string }).requestId === plan.id;
+    }
+    catch {
+        return false;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/scenario/scenario.ts
@@ -0,0 +1,6 @@
+import type * as v from "valibot";
+
+import type { scenarioSchema } from "./scenario-schema.js";
+
+/** A checked scenario. */
+export type Scenario = v.InferOutput<typeof scenarioSchema>;
--- /dev/null
+++ b/packages/bench/src/site/build-test-site.ts
@@ -0,0 +1,44 @@
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import type { SiteOptions } from "./site-options.js";
+import { Site } from "./site.js";
+
+/** What a test may want otherwise. */
+type TestSiteOptions = Partial<Omit<SiteOptions, "fleet">> & {
+    /** Ports from which on the site uses; tests that run at once need ranges of their own. */
+    readonly firstPort: number;
+    readonly entriesPerZone?: number;
+    readonly settings?: SiteOptions["fleet"]["settings"];
+};
+
+/**
+ * Builds a small site for tests: three zones, three keepers, two targets a zone, one team with a keyed and an open route.
+ * @param options - what the test wants otherwise
+ * @returns the site, not started
+ */
+export function buildTestSite(options: TestSiteOptions): Site {
+    const { firstPort, entriesPerZone = 2, settings, ...rest } = options;
+    return new Site({
+        fleet: {
+            zones: ["a", "b", "c"],
+            entriesPerZone,
+            keepers: 3,
+            firstPort,
+            folder: join(tmpdir(), `daisylock-test-${firstPort}`),
+            daemonFile: "packages/daemon/dist/daisylockd.js",
+            hasLinks: true,
+            settings: { limits: { leave_notice_ms: 50 }, ...settings },
+        },
+        pools: [{ name: "front", targetsPerZone: 2, slots: 8, serviceMs: 20, spread: 0.1 }],
+        teams: [{ name: "spas", share: 1, upperLimit: 24 }],
+        routes: [
+            { name: "book", pool: "front", team: "spas", access: "keyed" },
+            { name: "hours", pool: "front", team: "spas", access: "open" },
+        ],
+        announceMs: 250,
+        firstTargetPort: firstPort + 500,
+        random: () => 0.5,
+        ...rest,
+    });
+}
--- /dev/null
+++ b/packages/bench/src/site/site.ts
@@ -0,0 +1,129 @@
+import type { TableEdit } from "@daisylock/core/tables/table-edit.js";
+
+import { Fleet } from "../fleet/fleet.js";
+import { StandInTarget } from "../targets/stand-in-target.js";
+import type { TargetRun } from "../targets/target-run.js";
+import { pickServiceMs } from "./pick-service-ms.js";
+import type { SiteOptions } from "./site-options.js";
+
+interface SiteTarget {
+    readonly vm: string;
+    readonly zone: string;
+    readonly pool: string;
+    readonly address: string;
+    readonly target: StandInTarget;
+}
+
+/** A fleet with its targets and tables, ready for requests. */
+export class Site {
+    readonly fleet: Fleet;
+    readonly targets: SiteTarget[] = [];
+    /** Every request that any target ran. */
+    readonly runs: TargetRun[] = [];
+    /** A key of each team. */
+    readonly keys = new Map<string, string>();
+
+    /**
+     * @param options - how it is set up
+     */
+    constructor(private readonly options: SiteOptions) {
+        this.fleet = new Fleet(options.fleet);
+        this.createTargets();
+    }
+
+    /** Starts everything and waits until every target is ready. */
+    async start(): Promise<void> {
+        const addresses: Record<string, string[]> = {};
+        for (const { zone, address } of this.targets) {
+            (addresses[zone] ??= []).push(address);
+        }
+        await this.fleet.start(addresses);
+        await this.fleet.sendChange(this.buildTables());
+        for (const team of this.options.teams) {
+            this.keys.set(team.name, await this.fleet.createKey(`key-${team.name}`, team.name));
+        }
+        await Promise.all(this.targets.map(({ target }) => target.start()));
+        await this.fleet.waitUntil("every target is ready and the tables are everywhere", async () => {
+            const status = (await this.fleet.sendOperate("GET", "/v1/status"))?.body;
+            const pools = (status?.["pools"] ?? []) as { ready: number }[];
+            const ready = pools.reduce((sum, pool) => sum + pool.ready, 0);
+            const entries = (status?.["entries"] ?? []) as unknown[];
+            const inForce = status?.["inForce"] as { everywhere: boolean } | undefined;
+            const isComplete = entries.length === this.fleet.plan.processes.length;
+            return ready === this.targets.length && isComplete && inForce?.everywhere === true;
+        });
+    }
+
+    /** Stops everything. */
+    async stop(): Promise<void> {
+        await Promise.all(this.targets.map(({ target }) => target.stop()));
+        await this.fleet.stop();
+    }
+
+    /**
+     * Finds a target.
+     * @param vm - its VM
+     * @returns the stand-in
+     */
+    findTarget(vm: string): StandInTarget | undefined {
+        return this.targets.find(target => target.vm === vm)?.target;
+    }
+
+    private createTargets(): void {
+        let port = this.options.firstTargetPort;
+        for (const pool of this.options.pools) {
+            for (const zone of this.options.fleet.zones) {
+                for (let number = 1; number <= pool.targetsPerZone; number++) {
+                    const vm = `${pool.name}-${zone}${number}`;
+                    const address = `127.0.0.1:${port++}`;
+                    this.targets.push({
+                        vm,
+                        zone,
+                        pool: pool.name,
+                        address,
+                        target: this.createTarget(vm, zone, address, pool),
+                    });
+                }
+            }
+        }
+    }
+
+    private createTarget(
+        vm: string,
+        zone: string,
+        address: string,
+        pool: SiteOptions["pools"][number],
+    ): StandInTarget {
+        return new StandInTarget({
+            vm,
+            address,
+            announceTo: this.fleet.plan.processes.filter(process => process.zone === zone).map(({ targets }) =>
+                targets
+            ),
+            token: this.fleet.targetToken,
+            slots: pool.slots,
+            pickServiceMs: () => pickServiceMs(pool.serviceMs, pool.spread, this.options.random),
+            announceMs: this.options.announceMs,
+            noteRun: run => this.runs.push(run),
+        });
+    }
+
+    private buildTables(): TableEdit[] {
+        const { pools, teams, routes } = this.options;
+        const edits = [
+            ...teams.map(({ name, share, upperLimit, isolatedService = "refuse" }) => ({
+                kind: "team",
+                name,
+                value: { share, upperLimit, isolatedService },
+            })),
+            ...pools.map(({ name }) => ({ kind: "pool", name, value: { maxUnavailablePercent: 25, spare: false } })),
+            ...this.targets.map(({ vm, zone, pool }, number) => ({
+                kind: "vm",
+                name: vm,
+                value: { pool, zone, rack: `${zone}${Math.floor(number / 4)}` },
+            })),
+            ...routes.map(({ name, ...value }) => ({ kind: "route", name, value })),
+        ];
+        return edits as TableEdit[];
+    }
+}
--- a/packages/cli/src/commands/bench-command.ts
+++ b/packages/cli/src/commands/bench-command.ts
@@ -1,7 +1,14 @@
 import { startForwarder } from "@daisylock/bench/forwarder/start-forwarder.js";
+import { buildPage } from "@daisylock/bench/scenario/build-page.js";
+import { loadScenario } from "@daisylock/bench/scenario/load-scenario.js";
+import { runScenario } from "@daisylock/bench/scenario/run-scenario.js";
+import type { ScenarioResult } from "@daisylock/bench/scenario/scenario-result.js";
 import { StandInTarget } from "@daisylock/bench/targets/stand-in-target.js";
 import { TargetFault } from "@daisylock/bench/targets/target-fault.js";
+import { QueuePolicy } from "@daisylock/core/admission/queue-policy.js";
+import { writeFileSync } from "node:fs";
 import type { ArgumentsCamelCase, Argv, CommandModule } from "yargs";
+import { ExitCode } from "../exit-code.js";
 
 const announceMs = 1_000;
 
@@ -22,6 +29,15 @@
     builder: (yargs: Argv) =>
         yargs
             .command("target", "Run a stand-in target", targetOptions, runTarget)
+            .command(
+                "run <scenario>",
+                "Run a scenario with real processes on this machine, once for each of its policies",
+                argv =>
+                    argv.positional("scenario", { type: "string" })
+                        .option("daemon", { type: "string", default: "packages/daemon/dist/daisylockd.js" })
+                        .option("page", { type: "string", describe: "Where to write a page with plots (HTML)" }),
+                runScenarioFile,
+            )
             .command(
                 "forwarder",
                 "Run the bare forwarder that the product is compared with",
@@ -37,6 +53,22 @@
     handler: () => undefined,
 };
 
+async function runScenarioFile(options: ArgumentsCamelCase): Promise<void> {
+    const scenario = loadScenario(String(options["scenario"]));
+    const results: ScenarioResult[] = [];
+    for (const policy of scenario.policies) {
+        results.push(await runScenario(scenario, policy, String(options["daemon"])));
+    }
+    const rows = results.map(({ series, ...figures }) => figures);
+    process.stdout.write(`${JSON.stringify(rows, undefined, 2)}\n`);
+    if (options["page"] !== undefined) {
+        writeFileSync(String(options["page"]), buildPage(results));
+    }
+    // Baselines may break promises; the product may not.
+    const faults = results.filter(({ policy }) => policy.queue === QueuePolicy.Shares).flatMap(result => result.faults);
+    process.exit(faults.length > 0 ? ExitCode.Refused : ExitCode.Done);
+}
+
 async function runTarget(options: ArgumentsCamelCase): Promise<void> {
     const target = new StandInTarget({
         vm: String(options["vm"]),
--- a/packages/core/src/admission/admission-state.ts
+++ b/packages/core/src/admission/admission-state.ts
@@ -1,3 +1,4 @@
+import type { AdmissionPolicy } from "./admission-policy.js";
 import type { PoolAdmission } from "./pool-admission.js";
 import type { TargetSlots } from "./target-slots.js";
 import type { TeamLimit } from "./team-limit.js";
@@ -13,4 +14,5 @@
     waiting: number;
     readonly maxWaiting: number;
     nextId: number;
+    readonly policy: AdmissionPolicy;
 }
--- a/packages/core/src/admission/create-admission-state.ts
+++ b/packages/core/src/admission/create-admission-state.ts
@@ -1,12 +1,22 @@
+import type { AdmissionPolicy } from "./admission-policy.js";
 import type { AdmissionState } from "./admission-state.js";
+import { QueuePolicy } from "./queue-policy.js";
+import { TargetPolicy } from "./target-policy.js";
+
+const defaultPolicy: AdmissionPolicy = { queue: QueuePolicy.Shares, target: TargetPolicy.LeastLoaded };
 
 /**
  * Creates the admission state of an entry that has no slots yet.
  * @param zone - availability zone of the entry
  * @param maxWaiting - most requests that may wait at once
+ * @param policy - how queues and targets are picked
  * @returns the state
  */
-export function createAdmissionState(zone: string, maxWaiting: number): AdmissionState {
+export function createAdmissionState(
+    zone: string,
+    maxWaiting: number,
+    policy: AdmissionPolicy = defaultPolicy,
+): AdmissionState {
     return {
         zone,
         pools: new Map(),
@@ -16,5 +26,6 @@
         waiting: 0,
         maxWaiting,
         nextId: 1,
+        policy,
     };
 }
--- a/packages/core/src/admission/pick-queue.ts
+++ b/packages/core/src/admission/pick-queue.ts
@@ -1,5 +1,6 @@
 import type { AdmissionState } from "./admission-state.js";
 import type { PoolAdmission } from "./pool-admission.js";
+import { QueuePolicy } from "./queue-policy.js";
 import { readVirtualTime } from "./read-virtual-time.js";
 import type { TeamQueue } from "./team-queue.js";
 
@@ -21,15 +22,20 @@
 ): TeamQueue | undefined {
     let least: TeamQueue | undefined;
     let urgent: TeamQueue | undefined;
+    let oldest: TeamQueue | undefined;
     for (const queue of pool.queues.values()) {
         if (queue.waiting === 0 || passedOver.has(queue.team) || !isBelowLimit(state, queue.team)) {
             continue;
         }
         least = pickLesser(least, queue);
+        oldest = pickOlder(oldest, queue);
         if (isUrgentWaiting(queue)) {
             urgent = pickLesser(urgent, queue);
         }
     }
+    if (state.policy.queue === QueuePolicy.FirstCome) {
+        return oldest;
+    }
     if (urgent === undefined || least === undefined) {
         return least;
     }
@@ -40,6 +46,15 @@
     return best === undefined || readVirtualTime(queue) < readVirtualTime(best) ? queue : best;
 }
 
+function pickOlder(best: TeamQueue | undefined, queue: TeamQueue): TeamQueue {
+    return best === undefined || readOldest(queue) < readOldest(best) ? queue : best;
+}
+
+function readOldest(queue: TeamQueue): number {
+    const first = queue.normal.find(request => !request.isSettled) ?? queue.urgent.find(request => !request.isSettled);
+    return first?.enqueuedAt ?? Infinity;
+}
+
 function isBelowLimit(state: AdmissionState, team: string): boolean {
     const limit = state.teams.get(team);
     return limit !== undefined && limit.inUse < limit.allowed;
--- a/packages/core/src/admission/pick-target.ts
+++ b/packages/core/src/admission/pick-target.ts
@@ -1,6 +1,7 @@
 import { isTargetUsable } from "../health/is-target-usable.js";
 import type { AdmissionState } from "./admission-state.js";
 import type { PoolAdmission } from "./pool-admission.js";
+import { TargetPolicy } from "./target-policy.js";
 import type { TargetSlots } from "./target-slots.js";
 import { TargetState } from "./target-state.js";
 
@@ -22,6 +23,10 @@
     now: number,
 ): TargetSlots | undefined {
     const ready = listReady(state, pool);
+    if (state.policy.target === TargetPolicy.RoundRobin) {
+        const free = ready.filter(target => target.inUse < target.allowed);
+        return free[pool.turn++ % Math.max(1, free.length)];
+    }
     const usable = ready.filter(target => isTargetUsable(target.health, target.inUse, now));
     const candidates = usable.length < ready.length * panicFraction ? ready : usable;
     const free = candidates.filter(target => target.inUse < target.allowed);
--- a/packages/core/src/allocation/drop-silent-entries.ts
+++ b/packages/core/src/allocation/drop-silent-entries.ts
@@ -1,6 +1,7 @@
 import { TargetState } from "../admission/target-state.js";
 import { allocationTiming } from "./allocation-timing.js";
 import type { LeaderState } from "./leader-state.js";
+import { updateUnconfirmed } from "./update-unconfirmed.js";
 
 /**
  * Gives the slots of entries that have been silent for long to others, and forgets what those entries said of targets.
@@ -28,8 +29,10 @@
 }
 
 function dropSlots(state: LeaderState, holder: string): void {
-    for (const resource of state.slots.values()) {
-        resource.grants.delete(holder);
+    for (const [vm, resource] of state.slots) {
+        if (resource.grants.delete(holder)) {
+            updateUnconfirmed(state, vm);
+        }
     }
 }
 
--- a/packages/core/src/allocation/entry-allowances.ts
+++ b/packages/core/src/allocation/entry-allowances.ts
@@ -3,6 +3,8 @@
 /** What the leader answers to an entry's report. */
 export interface EntryAllowances {
     readonly sequence: number;
+    /** Whether no allowance is about to move. */
+    readonly isSettled: boolean;
     readonly teams: { readonly team: string; readonly allowed: number }[];
     readonly slots: {
         readonly vm: string;
--- a/packages/core/src/allocation/note-lost-holder.ts
+++ b/packages/core/src/allocation/note-lost-holder.ts
@@ -1,4 +1,5 @@
 import type { LeaderState } from "./leader-state.js";
+import { updateUnconfirmed } from "./update-unconfirmed.js";
 
 /**
  * Notes that a holder has stopped for good. Its slots are free at once; its part of the teams' limits only once the
@@ -10,6 +11,7 @@
 export function noteLostHolder(state: LeaderState, holder: string, now: number): void {
     for (const [vm, resource] of state.slots) {
         if (resource.grants.delete(holder)) {
+            updateUnconfirmed(state, vm);
             state.stalePools.add(state.tables.objects.vm.get(vm)?.value.pool ?? "");
         }
     }
--- a/packages/core/src/allocation/plan-slots.ts
+++ b/packages/core/src/allocation/plan-slots.ts
@@ -80,7 +80,9 @@
             plan.set(holder, 0);
         }
     }
-    applyLowering(resource, plan, ++state.sequence);
+    if (applyLowering(resource, plan, ++state.sequence)) {
+        state.unconfirmed.add(vm);
+    }
     for (const [holder, units] of planRaises(resource, plan)) {
         applyRaise(resource, holder, units, state.sequence, Invariant.SlotsNotExceeded);
     }
--- a/packages/core/src/allocation/read-allowances.ts
+++ b/packages/core/src/allocation/read-allowances.ts
@@ -16,6 +16,7 @@
     const since = report.isFull ? 0 : report.seenSequence;
     return {
         sequence: state.sequence,
+        isSettled: state.unconfirmed.size === 0 && state.stalePools.size === 0 && state.staleTeams.size === 0,
         teams: readTeams(state, holder, since),
         slots: readSlots(state, holder, since),
         shares: readShares(state, report),
--- a/packages/core/src/allocation/receive-report.ts
+++ b/packages/core/src/allocation/receive-report.ts
@@ -8,6 +8,7 @@
 import { noteTargets } from "./note-targets.js";
 import { openResource } from "./open-resource.js";
 import { readHolder } from "./read-holder.js";
+import { updateUnconfirmed } from "./update-unconfirmed.js";
 
 /**
  * Takes an entry's report into the leader's state.
@@ -85,6 +86,7 @@
     for (const [vm, resource] of state.slots) {
         if (confirmGrant(resource, view.holder, report.seenSequence, inUse.get(vm) ?? 0)) {
             state.stalePools.add(readPool(state, vm));
+            updateUnconfirmed(state, vm);
         }
     }
 }
--- a/packages/core/src/testing/simulated-cluster.ts
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -172,7 +172,7 @@
     run(milliseconds: number): void {
         for (const end = this.now + milliseconds; this.now < end;) {
             this.now += stepMs;
-            this.deliverDue();
+            this.receiveDue();
             for (const node of this.nodes) {
                 if (node.raft !== undefined && !node.isFrozen) {
                     tickRaft(node.raft, this.now);
@@ -196,7 +196,7 @@
         return check();
     }
 
-    private deliverDue(): void {
+    private receiveDue(): void {
         const due = this.inFlight.filter(flight => flight.at <= this.now);
         this.inFlight = this.inFlight.filter(flight => flight.at > this.now);
         for (const { message } of due) {
--- a/packages/daemon/src/peer/peer-clients.ts
+++ b/packages/daemon/src/peer/peer-clients.ts
@@ -49,8 +49,13 @@
     /**
      * @param secret - shared secret of the cluster
      * @param events - source of hybrid times
+     * @param dial - addresses to dial instead of others
      */
-    constructor(private readonly secret: string, private readonly events: EventLog) {}
+    constructor(
+        private readonly secret: string,
+        private readonly events: EventLog,
+        private readonly dial: Readonly<Record<string, string>>,
+    ) {}
 
     /**
      * Calls a method of another process.
@@ -96,7 +101,10 @@
     private openClient(address: string): { readonly client: PeerClient; timeouts: number } {
         let slot = this.clients.get(address);
         if (slot === undefined) {
-            slot = { client: new PeerClient(address, credentials.createInsecure(), channelOptions), timeouts: 0 };
+            slot = {
+                client: new PeerClient(this.dial[address] ?? address, credentials.createInsecure(), channelOptions),
+                timeouts: 0,
+            };
             this.clients.set(address, slot);
         }
         return slot;
--- a/packages/daemon/src/root/daemon.ts
+++ b/packages/daemon/src/root/daemon.ts
@@ -35,7 +35,7 @@
     constructor(settings: Settings, clock: Clock) {
         const { node, cluster, limits } = settings;
         this.events = new EventLog(node.name, node.zone, clock, limits.events);
-        const clients = new PeerClients(cluster.secret, this.events);
+        const clients = new PeerClients(cluster.secret, this.events, cluster.dial);
         const relays = cluster.entries.filter(address => address !== settings.listen.peers);
         this.parts = {
             settings,
@@ -92,7 +92,7 @@
             node.roles.includes(Role.Entry) && listen.callers !== undefined && listen.targets !== undefined
                 ? new EntryPart(this.parts, listen.callers, listen.targets)
                 : undefined;
-        const local = new LocalRequests(settings, keeperPart?.keeper, clients);
+        const local = new LocalRequests(settings, keeperPart?.keeper, entryPart?.state, clients);
         const handlers = buildPeerHandlers({ parts: this.parts, keeperPart, registry: entryPart?.registry, local });
         const children: ChildSpec[] = [{
             name: "peer-listener",
--- a/packages/daemon/src/root/entry/callers/request-flow.ts
+++ b/packages/daemon/src/root/entry/callers/request-flow.ts
@@ -196,8 +196,9 @@
         isLast: boolean,
     ): Generator<unknown, AttemptResult, unknown> {
         const { state, connections, watch, desk, abandoned, clock, retries } = this.surroundings;
-        const { limits, node } = state.settings;
-        const { vm, address, incarnation } = dispatch.target;
+        const { limits, node, cluster } = state.settings;
+        const { vm, incarnation } = dispatch.target;
+        const address = cluster.dial[dispatch.target.address] ?? dispatch.target.address;
         assertInvariant(
             !call.isUnrepeatable || (this.claim !== undefined && this.unknown === undefined),
             Invariant.OneDispatchForUnrepeatable,
--- a/packages/daemon/src/root/entry/entry-state.ts
+++ b/packages/daemon/src/root/entry/entry-state.ts
@@ -28,7 +28,7 @@
      * @param clock - monotonic time
      */
     constructor(readonly settings: Settings, readonly incarnation: string, clock: Clock) {
-        this.admission = createAdmissionState(settings.node.zone, settings.limits.max_waiting);
+        this.admission = createAdmissionState(settings.node.zone, settings.limits.max_waiting, settings.policy);
         this.freshness = new Freshness(clock, settings.limits.key_freshness_ms);
     }
 }
--- a/packages/daemon/src/root/entry/follower/table-follower.ts
+++ b/packages/daemon/src/root/entry/follower/table-follower.ts
@@ -1,5 +1,7 @@
 import { EventKind } from "@daisylock/core/events/event-kind.js";
 
+import type { SyncReply } from "@daisylock/protocol/generated/peer.js";
+
 import type { Clock } from "../../../clock/clock.js";
 import { waitFor } from "../../../concurrency/wait-for.js";
 import type { EventLog } from "../../../events/event-log.js";
@@ -17,6 +19,8 @@
 
 const syncTimeoutMs = 800;
 const retryDelayMs = 100;
+/** Allowances are confirmed soon, because others wait for what they free. */
+const confirmDelayMs = 40;
 const handBackExchanges = 3;
 const handBackDelayMs = 100;
 
@@ -93,7 +97,7 @@
         this.isPendingAcked = true;
         this.knownVersion = version;
         this.surroundings.desk.startWaiting();
-        return this.readInterval();
+        return this.readInterval(reply);
     }
 
     /** What a target told this entry itself is newer than what came back by way of the leader. */
@@ -124,9 +128,12 @@
         this.isPendingAcked = false;
     }
 
-    private readInterval(): number {
+    private readInterval(reply: SyncReply): number {
+        if (reply.slots.length > 0 || reply.teams.length > 0) {
+            return confirmDelayMs;
+        }
         const { admission, settings, lostHolders } = this.surroundings.state;
-        const isBusy = admission.waiting > 0 || lostHolders.length > 0
+        const isBusy = !reply.isSettled || admission.waiting > 0 || lostHolders.length > 0
             || [...admission.teams.values()].some(limit => limit.inUse > 0);
         return isBusy ? settings.limits.sync_interval_ms : settings.limits.idle_sync_interval_ms;
     }
--- a/packages/daemon/src/root/operator/local-requests.ts
+++ b/packages/daemon/src/root/operator/local-requests.ts
@@ -1,3 +1,4 @@
+import type { AdmissionState } from "@daisylock/core/admission/admission-state.js";
 import type { EventRecord } from "@daisylock/core/events/event-record.js";
 import type { OperateReply, OperateRequest } from "@daisylock/protocol/generated/peer.js";
 import { KeeperAction } from "@daisylock/protocol/operator/keeper-action.js";
@@ -6,6 +7,7 @@
 
 import type { PeerClients } from "../../peer/peer-clients.js";
 import type { Settings } from "../../settings/settings.js";
+import type { EntryState } from "../entry/entry-state.js";
 import type { Keeper } from "../keeper/keeper.js";
 import { parseJson } from "../keeper/operate/parse-json.js";
 
@@ -17,11 +19,13 @@
     /**
      * @param settings - settings of the process
      * @param keeper - its keeper, if it has one
+     * @param entry - its entry, if it has one
      * @param clients - connections to other processes
      */
     constructor(
         private readonly settings: Settings,
         private readonly keeper: Keeper | undefined,
+        private readonly entry: EntryState | undefined,
         private readonly clients: PeerClients,
     ) {}
 
@@ -56,6 +60,7 @@
             keeper: keeper?.id,
             role: keeper?.role,
             term: keeper?.term,
+            admission: this.entry === undefined ? undefined : describeAdmission(this.entry.admission),
             memoryBytes: memory,
             processorMicroseconds: processor.user + processor.system,
         };
@@ -96,6 +101,21 @@
     }
 }
 
+function describeAdmission(admission: AdmissionState): unknown {
+    const targets = [...admission.targets.values()].filter(target => target.allowed > 0 || target.inUse > 0);
+    return {
+        waiting: admission.waiting,
+        teams: Object.fromEntries([...admission.teams].map(([team, limit]) => [team, { ...limit }])),
+        slots: targets.map(({ vm, pool, allowed, inUse, health }) => ({
+            vm,
+            pool,
+            allowed,
+            inUse,
+            health: health.state,
+        })),
+    };
+}
+
 function compareEvents(a: EventRecord, b: EventRecord): number {
     return a.time.wallMs - b.time.wallMs || a.time.counter - b.time.counter || (a.process < b.process ? -1 : 1);
 }
--- /dev/null
+++ b/packages/daemon/src/settings/load-settings.test.ts
@@ -0,0 +1,54 @@
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import { loadSettings } from "./load-settings.js";
+
+let folder = "";
+const good = readFileSync("examples/single.toml", "utf8");
+
+function readFaults(text: string): readonly string[] {
+    const file = join(folder, "settings.toml");
+    writeFileSync(file, text);
+    return loadSettings(file).match({ Ok: () => [], Err: failure => failure.faults });
+}
+
+beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), "daisylock-settings-"));
+});
+afterEach(() => rmSync(folder, { recursive: true, force: true }));
+
+describe("settings", () => {
+    it("accepts the shipped example", () => {
+        expect(readFaults(good)).toEqual([]);
+    });
+
+    describe("with one fault", () => {
+        const cases: readonly (readonly [string, string, string, RegExp])[] = [
+            ["an unknown key", "name = \"single\"", "name = \"single\"\ncolour = \"red\"", /^node\.colour: /],
+            ["a wrong type", "name = \"single\"", "name = 7", /^node\.name: .*string/],
+            [
+                "an address that is no IP number",
+                "127.0.0.1:7001",
+                "localhost:7001",
+                /^listen\.callers: expected an IP number/,
+            ],
+            ["a keeper without a data folder", "data = \"data/single\"", "", /^node\.data: expected a folder/],
+            ["an entry without callers", "callers = \"127.0.0.1:7001\"", "", /^listen\.callers: expected an address/],
+            ["a short secret", "example-cluster-secret", "short", /^cluster\.secret: expected at least 16/],
+            ["an unknown role", "\"keeper\"]", "\"king\"]", /^node\.roles\.1: /],
+            ["no TOML", "[node]", "[node", /^line 3: expected TOML/],
+        ];
+        it.each(cases)("names the key and what is expected: %s", (_name, before, after, line) => {
+            const faults = readFaults(good.replace(before, after));
+            expect(faults).toHaveLength(1);
+            expect(faults[0]).toMatch(line);
+        });
+    });
+
+    it("says when the file can't be read", () => {
+        const failure = loadSettings(join(folder, "absent.toml")).match({ Ok: () => undefined, Err: error => error });
+        expect(failure?.message).toMatch(/absent\.toml: expected a readable file/);
+    });
+});
--- a/packages/daemon/src/settings/settings-schema.ts
+++ b/packages/daemon/src/settings/settings-schema.ts
@@ -1,3 +1,5 @@
+import { QueuePolicy } from "@daisylock/core/admission/queue-policy.js";
+import { TargetPolicy } from "@daisylock/core/admission/target-policy.js";
 import * as v from "valibot";
 
 import { Role } from "./role.js";
@@ -37,7 +39,16 @@
         keepers: v.pipe(v.array(address), v.minLength(1)),
         /** Peer addresses of the entries, which relay for each other. */
         entries: v.optional(v.array(address), []),
+        /** Addresses to dial instead of others, where zones reach each other through translated addresses. */
+        dial: v.optional(v.record(address, address), {}),
     }),
+    policy: v.optional(
+        v.strictObject({
+            queue: v.optional(v.enum(QueuePolicy), QueuePolicy.Shares),
+            target: v.optional(v.enum(TargetPolicy), TargetPolicy.LeastLoaded),
+        }),
+        {},
+    ),
     limits: v.optional(
         v.strictObject({
             /** Age of the newest confirmation at which keyed requests are refused. */
