--- a/packages/core/src/allocation/allocation-timing.ts
+++ b/packages/core/src/allocation/allocation-timing.ts
@@ -6,6 +6,8 @@
     entryGone: 10_000,
     /** Time after its start in which a new leader collects reports before it plans. */
     settling: 1_000,
+    /** Time in which a demand that has passed falls to half. */
+    demandHalfLife: 2_000,
     /** Time for which a team counts as active after its last work. */
     teamActive: 1_000,
     /** Margin for messages under way when a holder was lost. */
--- a/packages/core/src/allocation/entry-view.ts
+++ b/packages/core/src/allocation/entry-view.ts
@@ -1,3 +1,5 @@
+import type { EntryDemand } from "./entry-demand.js";
+
 /** What the leader knows of an entry. */
 export interface EntryView {
     readonly entry: string;
@@ -8,9 +10,10 @@
     reportNumber: number;
     /** Monotonic milliseconds of the leader. */
     heardAt: number;
+    /** When the demand was last reported, monotonic milliseconds. */
+    demandAt: number;
     isLeaving: boolean;
-    /** Units wanted and waiting, by pool and by team. */
-    readonly poolDemand: Map<string, { wanted: number; waiting: number }>;
-    readonly teamDemand: Map<string, { wanted: number; waiting: number }>;
+    readonly poolDemand: Map<string, EntryDemand>;
+    readonly teamDemand: Map<string, EntryDemand>;
     readonly teamUse: Map<string, number>;
 }
--- a/packages/core/src/allocation/note-demands.ts
+++ b/packages/core/src/allocation/note-demands.ts
@@ -4,6 +4,9 @@
 import type { LeaderState } from "./leader-state.js";
 import type { ShareAccount } from "./share-account.js";
 
+/** Demand below which an entry counts as having none. */
+const minPeak = 0.5;
+
 /**
  * Takes over an entry's demand and use, and marks the plans that no longer fit it.
  * @param state - the leader
@@ -19,8 +22,10 @@
     isResent: boolean,
     now: number,
 ): void {
-    view.poolDemand.clear();
-    view.teamDemand.clear();
+    const elapsedMs = now - view.demandAt;
+    view.demandAt = now;
+    startDemands(view.poolDemand, elapsedMs);
+    startDemands(view.teamDemand, elapsedMs);
     for (const row of report.demands) {
         addDemand(view.poolDemand, row.pool, row.running, row.waiting);
         addDemand(view.teamDemand, row.team, row.running, row.waiting);
@@ -30,10 +35,24 @@
     noteStarvingDemands(view.teamDemand, state.staleTeams);
 }
 
+/** Lets the peaks fall off and forgets what has become nothing. */
+function startDemands(demands: EntryView["poolDemand"], elapsedMs: number): void {
+    const factor = 0.5 ** (elapsedMs / allocationTiming.demandHalfLife);
+    for (const [name, demand] of demands) {
+        demand.wanted = 0;
+        demand.waiting = 0;
+        demand.peak *= factor;
+        if (demand.peak < minPeak) {
+            demands.delete(name);
+        }
+    }
+}
+
 function addDemand(demands: EntryView["poolDemand"], name: string, running: number, waiting: number): void {
-    const demand = demands.get(name) ?? { wanted: 0, waiting: 0 };
+    const demand = demands.get(name) ?? { wanted: 0, waiting: 0, peak: 0 };
     demand.wanted += running + waiting;
     demand.waiting += waiting;
+    demand.peak = Math.max(demand.peak, demand.wanted);
     demands.set(name, demand);
 }
 
--- a/packages/core/src/allocation/plan-slots.ts
+++ b/packages/core/src/allocation/plan-slots.ts
@@ -64,7 +64,7 @@
                 current.set(vm, allowed);
             }
         }
-        const wanted = view.poolDemand.get(pool)?.wanted ?? 0;
+        const wanted = view.poolDemand.get(pool)?.peak ?? 0;
         claims.push({ holder: view.holder, zone: view.zone, wanted, current });
     }
     return claims;
--- a/packages/core/src/allocation/plan-team-grants.ts
+++ b/packages/core/src/allocation/plan-team-grants.ts
@@ -65,7 +65,7 @@
     const demands: Demand[] = [];
     for (const view of state.entries.values()) {
         if (isPlanned(state, view.entry, now)) {
-            const wanted = Math.max(view.teamDemand.get(team)?.wanted ?? 0, view.teamUse.get(team) ?? 0);
+            const wanted = Math.max(view.teamDemand.get(team)?.peak ?? 0, view.teamUse.get(team) ?? 0);
             demands.push({ holder: view.holder, wanted });
         }
     }
--- a/packages/core/src/allocation/receive-report.ts
+++ b/packages/core/src/allocation/receive-report.ts
@@ -49,6 +49,7 @@
         revision: 0,
         reportNumber: 0,
         heardAt: now,
+        demandAt: now,
         isLeaving: false,
         poolDemand: new Map(),
         teamDemand: new Map(),
--- a/packages/daemon/src/root/entry/admission/admission-desk.ts
+++ b/packages/daemon/src/root/entry/admission/admission-desk.ts
@@ -51,14 +51,19 @@
         const { admission } = this.state;
         const result = addRequest(admission, request, now);
         if ("refused" in result) {
-            return { decision: Promise.resolve(Result.err(result.refused)), cancel: () => undefined };
+            return buildSettledWait(Result.err(result.refused));
         }
         const { accepted } = result;
-        const decision = new Promise<Result<Dispatch, Refusal>>(resolve => this.waiting.set(accepted.id, resolve));
+        let immediate: Result<Dispatch, Refusal> | undefined;
+        this.waiting.set(accepted.id, decided => {
+            immediate = decided;
+        });
         this.startPool(request.pool);
-        if (!accepted.isSettled) {
-            this.noteStarving(request);
+        if (immediate !== undefined) {
+            return buildSettledWait(immediate);
         }
+        this.noteStarving(request);
+        const decision = new Promise<Result<Dispatch, Refusal>>(resolve => this.waiting.set(accepted.id, resolve));
         const cancel = () => {
             if (settleWaiting(admission, accepted)) {
                 this.settleWait(accepted.id, Result.err({ reason: RefusalReason.Cancelled }));
@@ -148,3 +153,7 @@
         }
     }
 }
+
+function buildSettledWait(immediate: Result<Dispatch, Refusal>): SlotWait {
+    return { immediate, decision: Promise.resolve(immediate), cancel: () => undefined };
+}
--- a/packages/daemon/src/root/entry/callers/request-flow.ts
+++ b/packages/daemon/src/root/entry/callers/request-flow.ts
@@ -12,11 +12,14 @@
 import { noteRequest } from "@daisylock/core/retries/note-request.js";
 import { takeRetry } from "@daisylock/core/retries/take-retry.js";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import Result from "true-myth/result";
 
 import { waitFor } from "../../../concurrency/wait-for.js";
 import { MetricName } from "../../../metrics/metric-name.js";
+import type { SlotWait } from "../admission/slot-wait.js";
 import { AttemptEnd } from "../forwarding/attempt-end.js";
 import type { AttemptResult } from "../forwarding/attempt-result.js";
+import type { ReadBodyFailure } from "../forwarding/read-body-failure.js";
 import { readBody } from "../forwarding/read-body.js";
 import type { RequestBody } from "../forwarding/request-body.js";
 import { TargetAttempt } from "../forwarding/target-attempt.js";
@@ -31,6 +34,8 @@
 /** When a caller is asked to come back where nothing better is known, milliseconds. */
 const retryAfterMs = 1_000;
 
+const emptyBody: RequestBody = { kind: "buffered", content: Buffer.alloc(0) };
+
 let nextDispatchNumber = 1;
 
 /** The way of one request from its arrival to its answer. */
@@ -74,7 +79,9 @@
             return;
         }
         const { replay_bytes, body_stall_ms } = state.settings.limits;
-        const body = yield* waitFor(readBody(this.incoming, call.bodyBytes, replay_bytes, body_stall_ms));
+        const body = call.bodyBytes === 0
+            ? Result.ok<RequestBody, ReadBodyFailure>(emptyBody)
+            : yield* waitFor(readBody(this.incoming, call.bodyBytes, replay_bytes, body_stall_ms));
         if (body.isErr) {
             this.refuse(call, { reason: RefusalReason.Cancelled });
             return;
@@ -160,16 +167,16 @@
         const now = clock.readMonotonic();
         const startBy = Math.min(call.deadlineAt, now + state.settings.limits.max_queue_ms);
         const wait = desk.openWait({ ...authorization, isUrgent: call.isUrgent, startBy, avoid: this.avoid });
-        this.response.once("close", wait.cancel);
-        const decision = yield* waitFor(wait.decision);
-        this.response.off("close", wait.cancel);
+        const { revision } = state.tables;
+        const decision = wait.immediate ?? (yield* this.waitForDecision(wait));
         metrics.recordTime(MetricName.RequestWait, clock.readMonotonic() - now);
         if (decision.isErr) {
             this.refuse(call, decision.error);
             return undefined;
         }
         const dispatch = decision.value;
-        const refusal = this.checkStillAuthorized(call, authorization);
+        const isUnchanged = wait.immediate !== undefined && revision === state.tables.revision;
+        const refusal = isUnchanged ? undefined : this.checkStillAuthorized(call, authorization);
         if (refusal !== undefined) {
             desk.settle(dispatch, { isStillRunning: false, isTargetFault: false });
             this.refuse(call, refusal);
@@ -178,6 +185,13 @@
         return dispatch;
     }
 
+    private *waitForDecision(wait: SlotWait): Generator<unknown, Result<Dispatch, Refusal>, unknown> {
+        this.response.once("close", wait.cancel);
+        const decision = yield* waitFor(wait.decision);
+        this.response.off("close", wait.cancel);
+        return decision;
+    }
+
     /** A key may have been revoked, or the route changed, while the request waited. */
     private checkStillAuthorized(call: CallerRequest, before: Authorization): Refusal | undefined {
         const now = checkAuthorization(this.surroundings.state, call);
