--- a/packages/bench/src/fleet/cut-link.ts
+++ b/packages/bench/src/fleet/cut-link.ts
@@ -4,6 +4,8 @@
 
 /** A TCP link that can be cut, or left open and silent. */
 export class CutLink {
+    /** Bytes carried in both directions. */
+    carriedBytes = 0;
     private state = LinkState.Open;
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
@@ -54,6 +56,9 @@
         for (const [from, to] of [[socket, onward], [onward, socket]] as const) {
             this.sockets.add(from);
             from.pipe(to);
+            from.on("data", (chunk: Buffer) => {
+                this.carriedBytes += chunk.length;
+            });
             from.on("error", () => to.destroy());
             from.on("close", () => {
                 this.sockets.delete(from);
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -142,6 +142,14 @@
         }
     }
 
+    /**
+     * Counts the bytes that the links between zones have carried.
+     * @returns bytes in both directions
+     */
+    countLinkBytes(): number {
+        return this.links.reduce((sum, { link }) => sum + link.carriedBytes, 0);
+    }
+
     /**
      * Sends an operator's request.
      * @param method - HTTP method
--- /dev/null
+++ b/packages/bench/src/slopes/measure-leader.ts
@@ -0,0 +1,91 @@
+import { dropSilentEntries } from "@daisylock/core/allocation/drop-silent-entries.js";
+import { planSlots } from "@daisylock/core/allocation/plan-slots.js";
+import { planTeamGrants } from "@daisylock/core/allocation/plan-team-grants.js";
+import { readAllowances } from "@daisylock/core/allocation/read-allowances.js";
+import { receiveReport } from "@daisylock/core/allocation/receive-report.js";
+import { updateCapacities } from "@daisylock/core/allocation/update-capacities.js";
+import { SyncReply, SyncRequest } from "@daisylock/protocol/generated/peer.js";
+
+import { buildLargeLeader } from "./build-large-leader.js";
+import { buildLargeTables } from "./build-large-tables.js";
+import { computeSlope } from "./compute-slope.js";
+import { measureHeap } from "./measure-heap.js";
+import { measureMedian } from "./measure-median.js";
+import type { Slope } from "./slope.js";
+
+const fleet = { pools: 30, teams: 170, keys: 340, zones: 7 };
+const entries = 14;
+const sizes = [1_000, 2_500, 5_100];
+
+/**
+ * Measures time, memory and bytes of the leader's allocation.
+ * @returns the slopes
+ */
+export function measureLeader(): Slope[] {
+    const build = (vms: number) => buildLargeLeader(buildLargeTables({ ...fleet, vms }), fleet.zones, entries);
+    const measure = (name: string, unit: string, run: (vms: number) => number) =>
+        computeSlope(name, unit, "VM", sizes, sizes.map(run));
+    return [
+        measure("leader memory", "bytes", vms => measureHeap(() => build(vms))),
+        measure("report of an entry, received and answered", "ms", vms => {
+            const { leader, reports } = buildPlanned(build(vms));
+            return measureMedian(30, () => {
+                reports.forEach(report => {
+                    receiveReport(leader, report, 100);
+                    readAllowances(leader, report);
+                });
+            }) / reports.length;
+        }),
+        measure("plan of all pools at once", "ms", vms =>
+            measureMedian(5, () => {
+                buildPlanned(build(vms));
+            }) - measureMedian(5, () => {
+                build(vms);
+            })),
+        measure("plan of one pool", "ms", vms => {
+            const { leader } = buildPlanned(build(vms));
+            return measureMedian(9, () => {
+                leader.stalePools.add("pool-1");
+                planSlots(leader, 100);
+            });
+        }),
+        computeSlope(
+            "report of an entry",
+            "bytes",
+            "team with work",
+            [5, 10, 20],
+            [5, 10, 20].map(teams => {
+                const [report] = build(1_000).reports;
+                const rows = {
+                    demands: report?.demands.slice(0, teams) ?? [],
+                    teams: report?.teams.slice(0, teams) ?? [],
+                };
+                return SyncRequest.encode(SyncRequest.fromPartial({ ...report as object, ...rows })).finish().length;
+            }),
+        ),
+        computeSlope(
+            "answer to an entry",
+            "bytes",
+            "slot allowance",
+            [0, 50, 200],
+            [0, 50, 200].map(slots => {
+                const row = { vm: "vm-1000", incarnation: Date.now(), address: "10.0.0.1:8000", state: 0, allowed: 4 };
+                const reply = {
+                    session: "keeper.0a1b2c3d/12",
+                    sequence: 100_000,
+                    slots: new Array(slots).fill(row) as object[],
+                };
+                return SyncReply.encode(SyncReply.fromPartial(reply)).finish().length;
+            }),
+        ),
+    ];
+}
+
+function buildPlanned(large: ReturnType<typeof buildLargeLeader>): ReturnType<typeof buildLargeLeader> {
+    const { leader } = large;
+    dropSilentEntries(leader, 20);
+    updateCapacities(leader);
+    planSlots(leader, 20);
+    planTeamGrants(leader, new Map(), 20);
+    return large;
+}
--- a/packages/core/src/admission/add-request.ts
+++ b/packages/core/src/admission/add-request.ts
@@ -3,6 +3,7 @@
 import { computeWait } from "./compute-wait.js";
 import { openPool } from "./open-pool.js";
 import { openQueue } from "./open-queue.js";
+import type { PoolAdmission } from "./pool-admission.js";
 import type { Refusal } from "./refusal.js";
 import { updateIdleQueue } from "./update-idle-queue.js";
 import type { WaitingRequest } from "./waiting-request.js";
@@ -12,13 +13,18 @@
 /** Soonest time at which a refused caller is asked to come back, milliseconds. */
 const minRetryAfterMs = 500;
 
+/** Mean service times kept free before the deadline: a request cut off at its deadline holds its slot in vain. */
+const reservedServiceTimes = 3;
+
 /** A request that asks to start. */
 interface AdmissionRequest {
     readonly pool: string;
     readonly team: string;
     readonly isUrgent: boolean;
-    /** Latest useful start, monotonic milliseconds. */
-    readonly startBy: number;
+    /** When the caller wants the answer, monotonic milliseconds. */
+    readonly deadlineAt: number;
+    /** Longest wait for a slot, milliseconds. */
+    readonly maxQueueMs: number;
     readonly avoid?: ReadonlySet<string> | undefined;
 }
 
@@ -36,12 +42,12 @@
 ): { readonly accepted: WaitingRequest } | { readonly refused: Refusal } {
     const pool = openPool(state, request.pool);
     const estimate = computeWait(state, pool, request.team);
-    const patienceMs = request.startBy - now;
-    if (state.waiting >= state.maxWaiting || estimate.waitMs > patienceMs) {
+    const latestStart = computeLatestStart(pool, request, now);
+    if (state.waiting >= state.maxWaiting || estimate.waitMs > latestStart - now) {
         const retryAfterMs = Math.max(minRetryAfterMs, Math.round(estimate.waitMs));
         return { refused: { reason: RefusalReason.Overloaded, retryAfterMs } };
     }
-    const startBy = estimate.slots > 0 ? request.startBy : Math.min(request.startBy, now + maxWaitForSlotsMs);
+    const startBy = estimate.slots > 0 ? latestStart : Math.min(latestStart, now + maxWaitForSlotsMs);
     const waiting: WaitingRequest = {
         id: state.nextId++,
         pool: request.pool,
@@ -59,3 +65,9 @@
     state.waiting += 1;
     return { accepted: waiting };
 }
+
+/** The latest start that leaves time for the target's answer. */
+function computeLatestStart(pool: PoolAdmission, request: AdmissionRequest, now: number): number {
+    const reserveMs = reservedServiceTimes * pool.meanServiceMs;
+    return Math.max(now, Math.min(now + request.maxQueueMs, request.deadlineAt - reserveMs));
+}
--- /dev/null
+++ b/packages/daemon/src/reference.test.ts
@@ -0,0 +1,58 @@
+import { RefusalReason } from "@daisylock/core/answers/refusal-reason.js";
+import { UnknownReason } from "@daisylock/core/answers/unknown-reason.js";
+import { refusalRules } from "@daisylock/protocol/http/refusal-rules.js";
+import { unknownRules } from "@daisylock/protocol/http/unknown-rules.js";
+import { describe, expect, it } from "@jest/globals";
+import { readFileSync } from "node:fs";
+
+import { MetricName } from "./metrics/metric-name.js";
+import { operateHandlers } from "./root/keeper/operate/operate-handlers.js";
+import { loadSettings } from "./settings/load-settings.js";
+
+const readPage = (name: string) => readFileSync(`docs/reference/${name}.md`, "utf8");
+const readRows = (page: string) =>
+    [...page.matchAll(/^\| `([^`]+)` \| ([^|]+) \| ([^|]+) \|$/gm)].map(match => match.slice(1, 4));
+
+function listKeys(value: object, prefix: string): string[] {
+    return Object.entries(value).flatMap(([key, inner]) => {
+        const isSection = prefix === "" && typeof inner === "object";
+        return isSection ? listKeys(inner as object, `${key}.`) : [`${prefix}${key}`];
+    });
+}
+
+describe("the reference pages", () => {
+    it("list every reason with its status and whether to send again", () => {
+        const expected = [
+            ...Object.values(RefusalReason).map(reason => [reason, refusalRules[reason]] as const),
+            ...Object.values(UnknownReason).map(reason => [reason, unknownRules[reason]] as const),
+        ].map(([reason, rule]) => `${reason} ${rule.status} ${rule.mayRetry ? "yes" : "no"}`);
+        const listed = readRows(readPage("answers")).map(([reason, status, again]) => `${reason} ${status} ${again}`);
+        expect(listed.sort()).toEqual(expected.sort());
+    });
+
+    it("list every metric", () => {
+        const listed = readRows(readPage("metrics")).map(([name]) => name);
+        expect(listed.sort()).toEqual([...Object.values(MetricName)].sort());
+    });
+
+    it("list every setting with its default", () => {
+        const settings = loadSettings("examples/single.toml").unwrapOrElse(failure => {
+            throw failure;
+        });
+        const rows = readRows(readPage("settings"));
+        const optional = ["metrics.statsd"];
+        expect(rows.map(([key]) => key).sort()).toEqual([...listKeys(settings, ""), ...optional].sort());
+        for (const [key, fallback] of rows.filter(([name]) => name?.startsWith("limits.") === true)) {
+            const value = settings.limits[key?.slice("limits.".length) as keyof typeof settings.limits];
+            expect(`${key} ${value}`).toBe(`${key} ${fallback}`);
+        }
+    });
+
+    it("list every request that the leader answers", () => {
+        const page = readPage("http-api");
+        for (const [method, pattern] of operateHandlers) {
+            const path = pattern.source.replaceAll("\\/", "/").replace(/^\^|\$$/g, "").replace(/\(.*\)/, "{");
+            expect(page).toContain(`\`${method} ${path}`);
+        }
+    });
+});
--- a/packages/daemon/src/root/entry/callers/request-flow.ts
+++ b/packages/daemon/src/root/entry/callers/request-flow.ts
@@ -165,8 +165,13 @@
     ): Generator<unknown, Dispatch | undefined, unknown> {
         const { desk, state, clock, metrics } = this.surroundings;
         const now = clock.readMonotonic();
-        const startBy = Math.min(call.deadlineAt, now + state.settings.limits.max_queue_ms);
-        const wait = desk.openWait({ ...authorization, isUrgent: call.isUrgent, startBy, avoid: this.avoid });
+        const wait = desk.openWait({
+            ...authorization,
+            isUrgent: call.isUrgent,
+            deadlineAt: call.deadlineAt,
+            maxQueueMs: state.settings.limits.max_queue_ms,
+            avoid: this.avoid,
+        });
         const { revision } = state.tables;
         const decision = wait.immediate ?? (yield* this.waitForDecision(wait));
         metrics.recordTime(MetricName.RequestWait, clock.readMonotonic() - now);
