--- /dev/null
+++ b/packages/bench/src/waves/run-comparison.ts
@@ -0,0 +1,21 @@
+import type { FleetShape } from "./fleet-shape.js";
+import { runWave } from "./run-wave.js";
+import type { WaveOutcome } from "./wave-outcome.js";
+import { WavePolicy } from "./wave-policy.js";
+
+const shapes: readonly FleetShape[] = [
+    { name: "addis", vms: 35, pools: 5, zones: 3, vmsPerRack: 4, maxUnavailablePercent: 25 },
+    { name: "kigali", vms: 40, pools: 5, zones: 4, vmsPerRack: 4, maxUnavailablePercent: 25 },
+    { name: "target", vms: 5_100, pools: 30, zones: 7, vmsPerRack: 20, maxUnavailablePercent: 10 },
+];
+
+/**
+ * Runs one wave over each fleet under each policy, from the same seeds.
+ * @param seeds - seeds
+ * @returns the outcomes
+ */
+export function runComparison(seeds: readonly number[]): WaveOutcome[] {
+    return shapes.flatMap(shape =>
+        Object.values(WavePolicy).flatMap(policy => seeds.map(seed => runWave(shape, policy, seed)))
+    );
+}
--- a/packages/cli/src/commands/bench-command.ts
+++ b/packages/cli/src/commands/bench-command.ts
@@ -1,3 +1,4 @@
+import { measureControl } from "@daisylock/bench/control/measure-control.js";
 import { startForwarder } from "@daisylock/bench/forwarder/start-forwarder.js";
 import { buildPage } from "@daisylock/bench/scenario/build-page.js";
 import { loadScenario } from "@daisylock/bench/scenario/load-scenario.js";
@@ -5,10 +6,13 @@
 import type { ScenarioResult } from "@daisylock/bench/scenario/scenario-result.js";
 import { StandInTarget } from "@daisylock/bench/targets/stand-in-target.js";
 import { TargetFault } from "@daisylock/bench/targets/target-fault.js";
+import { runComparison } from "@daisylock/bench/waves/run-comparison.js";
 import { QueuePolicy } from "@daisylock/core/admission/queue-policy.js";
 import { writeFileSync } from "node:fs";
 import type { ArgumentsCamelCase, Argv, CommandModule } from "yargs";
 import { ExitCode } from "../exit-code.js";
+import type { OutputFormat } from "../output/output-format.js";
+import { printResult } from "../output/print-result.js";
 
 const announceMs = 1_000;
 
@@ -38,6 +42,28 @@
                         .option("page", { type: "string", describe: "Where to write a page with plots (HTML)" }),
                 runScenarioFile,
             )
+            .command(
+                "control",
+                "Measure changes of the tables with real processes on this machine",
+                { daemon: { type: "string", default: "packages/daemon/dist/daisylockd.js" } },
+                async options => {
+                    for (const keepers of [3, 5] as const) {
+                        const figures = await measureControl(keepers, String(options["daemon"]));
+                        process.stdout.write(`${JSON.stringify(figures)}\n`);
+                    }
+                    process.exit(ExitCode.Done);
+                },
+            )
+            .command(
+                "waves",
+                "Compare the planner of waves with baselines on generated fleets under a virtual clock",
+                { seeds: { type: "number", default: 3 } },
+                options => {
+                    const seeds = Array.from({ length: Number(options["seeds"]) }, (_unused, number) => number + 1);
+                    const rows = runComparison(seeds).map(row => ({ ...row }));
+                    printResult(options["output"] as OutputFormat, { rows }, rows);
+                },
+            )
             .command(
                 "forwarder",
                 "Run the bare forwarder that the product is compared with",
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -12,6 +12,7 @@
 import { objectNouns } from "./commands/object-nouns.js";
 import { statusCommand } from "./commands/status-command.js";
 import { timelineCommand } from "./commands/timeline-command.js";
+import { waveCommand } from "./commands/wave-command.js";
 import { ExitCode } from "./exit-code.js";
 import { globalOptions } from "./global-options.js";
 
@@ -28,6 +29,7 @@
     .command(keeperCommand)
     .command(entryCommand)
     .command(timelineCommand)
+    .command(waveCommand)
     .command(benchCommand)
     .example("$0 status", "how the system is")
     .example("$0 apply -f examples/tables.toml", "change the tables to those of a file")
--- a/packages/core/src/allocation/create-leader-state.ts
+++ b/packages/core/src/allocation/create-leader-state.ts
@@ -29,6 +29,7 @@
         lost: new Map(),
         stalePools: new Set(),
         staleTeams: new Set(),
+        withheld: new Set(),
         unconfirmed: new Set(),
         plannedRevision: -1,
     };
--- a/packages/core/src/allocation/leader-state.ts
+++ b/packages/core/src/allocation/leader-state.ts
@@ -21,6 +21,8 @@
     /** Pools and teams whose plan has to be made again. */
     readonly stalePools: Set<string>;
     readonly staleTeams: Set<string>;
+    /** Targets that get no new work because maintenance takes them out. */
+    readonly withheld: Set<string>;
     /** Targets on which a holder has not confirmed a lower allowance yet. */
     readonly unconfirmed: Set<string>;
     /** Table revision for which the plans were made. */
--- a/packages/core/src/allocation/plan-slots.ts
+++ b/packages/core/src/allocation/plan-slots.ts
@@ -46,7 +46,8 @@
     return vms.flatMap(vm => {
         const view = state.targets.get(vm);
         const record = state.tables.objects.vm.get(vm)?.value;
-        const isUsable = view !== undefined && record !== undefined && view.state === TargetState.Ready;
+        const isUsable = view !== undefined && record !== undefined && view.state === TargetState.Ready
+            && !state.withheld.has(vm);
         return isUsable ? [{ vm, zone: record.zone, slots: view.slots }] : [];
     });
 }
@@ -73,7 +74,7 @@
 function applyPlan(state: LeaderState, vm: string, plan: Map<string, number>): void {
     const resource = openResource(state.slots, vm);
     const view = state.targets.get(vm);
-    const isReady = view?.state === TargetState.Ready && state.tables.objects.vm.has(vm);
+    const isReady = view?.state === TargetState.Ready && state.tables.objects.vm.has(vm) && !state.withheld.has(vm);
     resource.capacity = isReady ? view.slots : 0;
     for (const holder of resource.grants.keys()) {
         if (!plan.has(holder)) {
--- a/packages/core/src/control/apply-command.ts
+++ b/packages/core/src/control/apply-command.ts
@@ -2,6 +2,8 @@
 import { applyDispatch } from "./apply-dispatch.js";
 import { applyGrants } from "./apply-grants.js";
 import { applyOutcome } from "./apply-outcome.js";
+import { applyStartWave } from "./apply-start-wave.js";
+import { applyStepWave } from "./apply-step-wave.js";
 import { CommandKind } from "./command-kind.js";
 import type { CommandResults } from "./command-results.js";
 import type { ControlCommand } from "./control-command.js";
@@ -12,6 +14,8 @@
     [CommandKind.RecordDispatch]: applyDispatch,
     [CommandKind.RecordOutcome]: applyOutcome,
     [CommandKind.SetGrants]: applyGrants,
+    [CommandKind.StartWave]: applyStartWave,
+    [CommandKind.StepWave]: applyStepWave,
 };
 
 /**
--- /dev/null
+++ b/packages/core/src/control/apply-dispatch.test.ts
@@ -0,0 +1,59 @@
+import { describe, expect, it } from "@jest/globals";
+
+import { applyCommand } from "./apply-command.js";
+import { CommandKind } from "./command-kind.js";
+import type { ControlState } from "./control-state.js";
+import { createControlState } from "./create-control-state.js";
+import { DispatchOutcome } from "./dispatch-outcome.js";
+import { dispatchRetention } from "./dispatch-retention.js";
+import { DispatchState } from "./dispatch-state.js";
+
+const claim = (state: ControlState, attempt: string, at = 0, dispatchId = "spas/pay/1", fingerprint = "f") =>
+    applyCommand(state, { kind: CommandKind.RecordDispatch, dispatchId, attempt, fingerprint, at });
+const end = (state: ControlState, attempt: string, outcome: DispatchState.Completed | DispatchState.NotRun) =>
+    applyCommand(state, { kind: CommandKind.RecordOutcome, dispatchId: "spas/pay/1", attempt, state: outcome });
+
+describe("the record of an unrepeatable request", () => {
+    it("is held by one attempt, whose claim may arrive twice", () => {
+        const state = createControlState();
+        expect(claim(state, "one").outcome).toBe(DispatchOutcome.Claimed);
+        expect(claim(state, "one").outcome).toBe(DispatchOutcome.Claimed);
+        expect(claim(state, "two")).toMatchObject({
+            outcome: DispatchOutcome.AlreadyClaimed,
+            record: { state: DispatchState.Dispatched },
+        });
+    });
+
+    it("gives the outcome to later attempts", () => {
+        const state = createControlState();
+        claim(state, "one");
+        expect(end(state, "two", DispatchState.Completed)).toBe(false);
+        expect(end(state, "one", DispatchState.Completed)).toBe(true);
+        expect(claim(state, "two").record?.state).toBe(DispatchState.Completed);
+    });
+
+    it("is free again only after an end that was certainly no run", () => {
+        const state = createControlState();
+        claim(state, "one");
+        end(state, "one", DispatchState.NotRun);
+        expect(claim(state, "two").outcome).toBe(DispatchOutcome.Claimed);
+        expect(end(state, "one", DispatchState.NotRun)).toBe(false);
+    });
+
+    it("refuses the id for other content", () => {
+        const state = createControlState();
+        claim(state, "one");
+        expect(claim(state, "two", 0, "spas/pay/1", "g").outcome).toBe(DispatchOutcome.FingerprintDiffers);
+    });
+
+    it("is dropped after the retention time, and no record is dropped before", () => {
+        const state = createControlState();
+        for (let number = 0; number < dispatchRetention.maxRecords; number++) {
+            claim(state, "one", 0, `spas/pay/${number}`);
+        }
+        expect(claim(state, "one", 1, "spas/pay/next").outcome).toBe(DispatchOutcome.Full);
+        const later = dispatchRetention.keepMs + 1;
+        expect(claim(state, "one", later, "spas/pay/next").outcome).toBe(DispatchOutcome.Claimed);
+        expect(state.dispatches.size).toBe(1);
+    });
+});
--- a/packages/core/src/control/command-kind.ts
+++ b/packages/core/src/control/command-kind.ts
@@ -4,4 +4,6 @@
     RecordDispatch = "record-dispatch",
     RecordOutcome = "record-outcome",
     SetGrants = "set-grants",
+    StartWave = "start-wave",
+    StepWave = "step-wave",
 }
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -1,3 +1,4 @@
+import type { Wave } from "../maintenance/wave.js";
 import type { TableUpdate } from "../tables/table-update.js";
 import type { Tables } from "../tables/tables.js";
 import type { ChangeRecord } from "./change-record.js";
@@ -12,6 +13,8 @@
     readonly dispatches: Map<string, DispatchRecord>;
     /** Granted part of each team's upper limit, by team and holder. */
     readonly grants: Map<string, Map<string, number>>;
+    /** Maintenance waves, oldest first. */
+    readonly waves: Map<string, Wave>;
     /** The newest table updates, for copies that lag a little. */
     readonly recentUpdates: TableUpdate[];
 }
--- a/packages/core/src/control/create-control-state.ts
+++ b/packages/core/src/control/create-control-state.ts
@@ -6,5 +6,12 @@
  * @returns the empty state
  */
 export function createControlState(): ControlState {
-    return { tables: createTables(), changes: new Map(), dispatches: new Map(), grants: new Map(), recentUpdates: [] };
+    return {
+        tables: createTables(),
+        changes: new Map(),
+        dispatches: new Map(),
+        grants: new Map(),
+        waves: new Map(),
+        recentUpdates: [],
+    };
 }
--- a/packages/core/src/control/decode-control-state.ts
+++ b/packages/core/src/control/decode-control-state.ts
@@ -1,3 +1,5 @@
+import type { WaveVm } from "../maintenance/wave-vm.js";
+import type { Wave } from "../maintenance/wave.js";
 import { decodeTables } from "../tables/decode-tables.js";
 import type { ChangeRecord } from "./change-record.js";
 import type { ControlState } from "./control-state.js";
@@ -14,12 +16,14 @@
         changes: [string, ChangeRecord][];
         dispatches: [string, DispatchRecord][];
         grants: [string, [string, number][]][];
+        waves: (Omit<Wave, "vms"> & { vms: [string, WaveVm][] })[];
     };
     return {
         tables: decodeTables(saved.tables),
         changes: new Map(saved.changes),
         dispatches: new Map(saved.dispatches),
         grants: new Map(saved.grants.map(([team, holders]) => [team, new Map(holders)])),
+        waves: new Map(saved.waves.map(wave => [wave.id, { ...wave, vms: new Map(wave.vms) }])),
         recentUpdates: [],
     };
 }
--- a/packages/core/src/control/encode-control-state.ts
+++ b/packages/core/src/control/encode-control-state.ts
@@ -11,6 +11,7 @@
         tables: encodeTables(state.tables),
         changes: [...state.changes],
         dispatches: [...state.dispatches],
+        waves: [...state.waves.values()].map(wave => ({ ...wave, vms: [...wave.vms] })),
         grants: [...state.grants].map(([team, holders]) => [team, [...holders]]),
     });
 }
--- /dev/null
+++ b/packages/core/src/maintenance/compute-estimate.ts
@@ -0,0 +1,39 @@
+import type { FleetVm } from "./fleet-vm.js";
+import type { PoolBudget } from "./pool-budget.js";
+import type { WaveEstimate } from "./wave-estimate.js";
+
+const minuteMs = 60_000;
+
+/**
+ * Computes how long the maintenance of VMs takes when each pool always has as many out as its budget allows.
+ * @param vms - VMs to maintain
+ * @param fleet - all VMs
+ * @param budgets - budget by pool
+ * @param vmMs - time that one VM is out, milliseconds
+ * @returns the estimate
+ */
+export function computeEstimate(
+    vms: readonly string[],
+    fleet: ReadonlyMap<string, FleetVm>,
+    budgets: ReadonlyMap<string, PoolBudget>,
+    vmMs: number,
+): WaveEstimate {
+    const counts = new Map<string, number>();
+    for (const vm of vms) {
+        const pool = fleet.get(vm)?.pool;
+        if (pool !== undefined) {
+            counts.set(pool, (counts.get(pool) ?? 0) + 1);
+        }
+    }
+    const pools = [...counts].map(([pool, count]) => {
+        const parallel = budgets.get(pool)?.maxUnavailable ?? 0;
+        const minutes = parallel === 0 ? Infinity : Math.ceil(count / parallel) * vmMs / minuteMs;
+        return { pool, vms: count, parallel, minutes };
+    });
+    const reachable = pools.filter(({ parallel }) => parallel > 0);
+    return {
+        pools: reachable,
+        minutes: Math.max(0, ...reachable.map(({ minutes }) => minutes)),
+        blocked: pools.filter(({ parallel }) => parallel === 0).map(({ pool }) => pool),
+    };
+}
--- /dev/null
+++ b/packages/core/src/maintenance/list-unavailable.ts
@@ -0,0 +1,26 @@
+import type { FleetVm } from "./fleet-vm.js";
+import { isStepUnavailable } from "./is-step-unavailable.js";
+import type { Wave } from "./wave.js";
+
+/**
+ * Lists the VMs that are out of service, for whatever reason.
+ * @param fleet - the VMs
+ * @param waves - all waves
+ * @returns their names
+ */
+export function listUnavailable(fleet: Iterable<FleetVm>, waves: Iterable<Wave>): Set<string> {
+    const unavailable = new Set<string>();
+    for (const { vm, isReady } of fleet) {
+        if (!isReady) {
+            unavailable.add(vm);
+        }
+    }
+    for (const wave of waves) {
+        for (const [vm, { step }] of wave.vms) {
+            if (isStepUnavailable(step)) {
+                unavailable.add(vm);
+            }
+        }
+    }
+    return unavailable;
+}
--- /dev/null
+++ b/packages/core/src/maintenance/pool-budget.ts
@@ -0,0 +1,6 @@
+/** How many VMs of a pool may be unavailable at once. */
+export interface PoolBudget {
+    readonly pool: string;
+    readonly vms: number;
+    readonly maxUnavailable: number;
+}
--- a/packages/daemon/src/root/keeper/keeper-part.ts
+++ b/packages/daemon/src/root/keeper/keeper-part.ts
@@ -6,6 +6,8 @@
 import { Allocator } from "./allocator.js";
 import { Keeper } from "./keeper.js";
 import { LearnerPromoter } from "./learner-promoter.js";
+import { HttpPlatform } from "./maintenance/http-platform.js";
+import { Maintainer } from "./maintenance/maintainer.js";
 import { FileKeeperDisk } from "./storage/file-keeper-disk.js";
 
 const deliverTimeoutMs = 1_000;
@@ -37,6 +39,19 @@
         this.allocator = new Allocator(this.keeper, clock, events);
     }
 
+    private createMaintainer(): Maintainer {
+        const { settings, clock, events } = this.parts;
+        const { platform, maintenance } = settings;
+        return new Maintainer({
+            keeper: this.keeper,
+            allocator: this.allocator,
+            platform: platform === undefined ? undefined : new HttpPlatform(platform.address, platform.token),
+            clock,
+            events,
+            timing: { returnMs: maintenance.return_ms, probationMs: maintenance.probation_ms },
+        });
+    }
+
     /**
      * Builds the supervisor. It restarts nothing: after a failed disk or a broken invariant the process ends, and what it
      * claimed is loaded from disk again.
@@ -49,6 +64,7 @@
             [
                 { name: "keeper", create: () => this.keeper },
                 { name: "allocator", create: () => this.allocator },
+                { name: "maintainer", create: () => this.createMaintainer() },
                 { name: "learner-promoter", create: () => new LearnerPromoter(this.keeper, clock) },
             ],
             { maxRestarts: 0, periodMs: 1, delayMs: 0 },
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/handle-wave-list.ts
@@ -0,0 +1,24 @@
+import { VmStep } from "@daisylock/core/maintenance/vm-step.js";
+import type { Wave } from "@daisylock/core/maintenance/wave.js";
+
+import type { OperateContext } from "./operate-context.js";
+import type { OperateResult } from "./operate-result.js";
+
+/**
+ * Lists the waves, each with its VMs.
+ * @param context - the leader
+ * @returns the waves
+ */
+export function handleWaveList(context: OperateContext): OperateResult {
+    const waves = [...context.keeper.readControl().waves.values()];
+    return { status: 200, body: { waves: waves.map(describeWave) } };
+}
+
+function describeWave(wave: Wave): unknown {
+    const counts = Object.fromEntries(Object.values(VmStep).map(step => [step, 0]));
+    for (const { step } of wave.vms.values()) {
+        counts[step] = (counts[step] ?? 0) + 1;
+    }
+    const { id, status, pauseReason, startedAt } = wave;
+    return { id, status, pauseReason, startedAt, counts, vms: [...wave.vms].map(([vm, state]) => ({ vm, ...state })) };
+}
--- /dev/null
+++ b/packages/daemon/src/root/keeper/operate/handle-wave-start.ts
@@ -0,0 +1,54 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { StartWaveOutcome } from "@daisylock/core/control/start-wave-outcome.js";
+import { buildFleet } from "@daisylock/core/maintenance/build-fleet.js";
+import { computeEstimate } from "@daisylock/core/maintenance/compute-estimate.js";
+import type { Tables } from "@daisylock/core/tables/tables.js";
+import type { OperateRequest } from "@daisylock/protocol/generated/peer.js";
+import { describeIssues } from "@daisylock/protocol/operator/describe-issues.js";
+import { waveStartSchema } from "@daisylock/protocol/operator/wave-start-schema.js";
+import * as v from "valibot";
+
+import type { OperateContext } from "./operate-context.js";
+import type { OperateResult } from "./operate-result.js";
+import { parseJson } from "./parse-json.js";
+
+/** Time that one VM is out, for estimates. */
+const estimatedVmMs = 5 * 60_000;
+
+const statuses: Record<StartWaveOutcome, number> = {
+    [StartWaveOutcome.Started]: 200,
+    [StartWaveOutcome.Overlap]: 409,
+    [StartWaveOutcome.UnknownVm]: 422,
+};
+
+/**
+ * Starts a wave, or only estimates it.
+ * @param context - the leader
+ * @param request - id of the wave and what it covers
+ * @returns the outcome and the estimate
+ */
+export async function handleWaveStart(context: OperateContext, request: OperateRequest): Promise<OperateResult> {
+    const checked = v.safeParse(waveStartSchema, parseJson(request.body));
+    const leader = context.allocator.readLeader();
+    if (!checked.success || leader === undefined) {
+        return { status: 400, body: { type: "malformed", faults: describeIssues(checked.issues ?? []) } };
+    }
+    const { waveId, pools, isPlanOnly } = checked.output;
+    const vms = checked.output.vms ?? listVms(leader.tables, pools);
+    const { fleet, budgets } = buildFleet(leader);
+    const estimate = computeEstimate(vms, fleet, budgets, estimatedVmMs);
+    if (isPlanOnly) {
+        return { status: 200, body: { waveId, vms: vms.length, estimate } };
+    }
+    const at = context.clock.readWall();
+    const result = await context.keeper.sendCommand({ kind: CommandKind.StartWave, waveId, vms, at });
+    if (result.isErr) {
+        return { status: 503, body: { type: "not-confirmed", reason: result.error.kind, waveId } };
+    }
+    return { status: statuses[result.value.outcome], body: { waveId, vms: vms.length, ...result.value, estimate } };
+}
+
+function listVms(tables: Tables, pools: readonly string[] | undefined): string[] {
+    const records = [...tables.objects.vm.values()];
+    return records.filter(({ value }) => pools === undefined || pools.includes(value.pool)).map(({ name }) => name);
+}
--- a/packages/daemon/src/root/keeper/operate/operate-handlers.ts
+++ b/packages/daemon/src/root/keeper/operate/operate-handlers.ts
@@ -7,6 +7,9 @@
 import { handleKeeperList } from "./handle-keeper-list.js";
 import { handleStatus } from "./handle-status.js";
 import { handleTables } from "./handle-tables.js";
+import { handleWaveAction } from "./handle-wave-action.js";
+import { handleWaveList } from "./handle-wave-list.js";
+import { handleWaveStart } from "./handle-wave-start.js";
 import type { OperateContext } from "./operate-context.js";
 import type { OperateResult } from "./operate-result.js";
 
@@ -24,5 +27,8 @@
     ["GET", /^\/v1\/changes\/([A-Za-z0-9._-]{8,64})$/, handleChangeLookup],
     ["GET", /^\/v1\/keepers$/, handleKeeperList],
     ["POST", /^\/v1\/keepers$/, handleKeeperChange],
+    ["GET", /^\/v1\/waves$/, handleWaveList],
+    ["POST", /^\/v1\/waves$/, handleWaveStart],
+    ["POST", /^\/v1\/waves\/([a-z0-9][a-z0-9._-]{0,62})$/, handleWaveAction],
     ["DELETE", /^\/v1\/entries\/([a-z0-9-]{1,41})$/, handleEntryForget],
 ];
--- a/packages/daemon/src/settings/settings-schema.ts
+++ b/packages/daemon/src/settings/settings-schema.ts
@@ -87,5 +87,16 @@
         }),
         {},
     ),
+    /** The platform that reboots VMs; without it, waves wait after draining. */
+    platform: v.optional(v.strictObject({ address, token: secret })),
+    maintenance: v.optional(
+        v.strictObject({
+            /** Time in which a VM has to come back after its reboot. */
+            return_ms: milliseconds(900_000),
+            /** Time for which a VM that came back is watched. */
+            probation_ms: milliseconds(60_000),
+        }),
+        {},
+    ),
     metrics: v.optional(v.strictObject({ statsd: v.optional(address) }), {}),
 });
