--- /dev/null
+++ b/packages/bench/src/path/loop-figures.ts
@@ -0,0 +1,7 @@
+/** Rate and times of a closed loop of requests. */
+export interface LoopFigures {
+    readonly requestsPerSecond: number;
+    /** Milliseconds. */
+    readonly p50: number;
+    readonly p99: number;
+}
--- /dev/null
+++ b/packages/bench/src/path/measure-path.ts
@@ -0,0 +1,120 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import { Fleet } from "../fleet/fleet.js";
+import type { PathFigures } from "./path-figures.js";
+import { runClosedLoop } from "./run-closed-loop.js";
+import { sendEcho } from "./send-echo.js";
+
+const firstPort = 36_000;
+const forwarderPort = 36_100;
+const targetPorts = [36_101, 36_102];
+const connections = 24;
+const warmupMs = 4_000;
+const roundMs = 4_000;
+const pairs = 5;
+const megabytes = 100;
+
+/**
+ * Measures the path of a request through one entry against a bare forwarder, in turns, with targets that answer at once.
+ * @param daemonFile - file of the daemon
+ * @param cliFile - file of the command line, for the stand-ins' processes
+ * @returns the figures
+ */
+export async function measurePath(daemonFile: string, cliFile: string): Promise<PathFigures> {
+    const folder = join(tmpdir(), "daisylock-path");
+    const fleet = new Fleet({
+        zones: ["a"],
+        entriesPerZone: 1,
+        keepers: 1,
+        firstPort,
+        folder,
+        daemonFile,
+        hasLinks: false,
+    });
+    const children: ChildProcess[] = [];
+    try {
+        await fleet.start();
+        const key = await startTables(fleet);
+        children.push(...startStandIns(fleet, cliFile));
+        const entry = fleet.findProcess("a1").callers;
+        const url = `http://${entry}/v1/routes/book/`;
+        const headers = { authorization: `Bearer ${key}` };
+        await fleet.waitUntil("both targets", async () => {
+            const pools = (await fleet.sendOperate("GET", "/v1/status"))?.body["pools"] as
+                | { ready: number }[]
+                | undefined;
+            return pools?.[0]?.ready === targetPorts.length;
+        });
+        return { ...await measurePairs(url, headers), ...await measureEcho(fleet, entry) };
+    }
+    finally {
+        children.forEach(child => child.kill("SIGKILL"));
+        await fleet.stop();
+    }
+}
+
+async function startTables(fleet: Fleet): Promise<string> {
+    const team = { share: 1, upperLimit: 1_000, isolatedService: "refuse" };
+    await fleet.sendChange([
+        { kind: "team", name: "spas", value: team },
+        { kind: "pool", name: "front", value: { maxUnavailablePercent: 25, spare: false } },
+        ...targetPorts.map(port => ({
+            kind: "vm",
+            name: `vm-${port}`,
+            value: { pool: "front", zone: "a", rack: "r" },
+        })),
+        { kind: "route", name: "book", value: { pool: "front", team: "spas", access: "keyed" } },
+        { kind: "route", name: "open", value: { pool: "front", team: "spas", access: "open" } },
+    ] as never);
+    return fleet.createKey("path", "spas");
+}
+
+function startStandIns(fleet: Fleet, cliFile: string): ChildProcess[] {
+    const start = (...args: string[]) => spawn(process.execPath, [cliFile, "bench", ...args], { stdio: "ignore" });
+    const { targets } = fleet.findProcess("a1");
+    const standIns = targetPorts.map(port =>
+        start(
+            "target",
+            ...["--vm", `vm-${port}`, "--address", `127.0.0.1:${port}`, "--announce-to", targets],
+            ...["--target-token", fleet.targetToken, "--slots", "64", "--service-ms", "0"],
+        )
+    );
+    const addresses = targetPorts.map(port => `127.0.0.1:${port}`);
+    return [...standIns, start("forwarder", "--port", String(forwarderPort), "--targets", ...addresses)];
+}
+
+async function measurePairs(
+    url: string,
+    headers: Record<string, string>,
+): Promise<Pick<PathFigures, "pairs" | "medianRatio">> {
+    const bareUrl = `http://127.0.0.1:${forwarderPort}/`;
+    await runClosedLoop(bareUrl, {}, connections, warmupMs);
+    await runClosedLoop(url, headers, connections, warmupMs);
+    const measured: PathFigures["pairs"][number][] = [];
+    for (let pair = 0; pair < pairs; pair++) {
+        const bare = await runClosedLoop(bareUrl, {}, connections, roundMs);
+        const entry = await runClosedLoop(url, headers, connections, roundMs);
+        measured.push({ bare, entry, ratio: entry.requestsPerSecond / bare.requestsPerSecond });
+    }
+    const ratios = measured.map(({ ratio }) => ratio).sort((a, b) => a - b);
+    return { pairs: measured, medianRatio: ratios[Math.floor(ratios.length / 2)] ?? 0 };
+}
+
+async function measureEcho(
+    fleet: Fleet,
+    entry: string,
+): Promise<Pick<PathFigures, "echoedMegabytes" | "isWhole" | "memoryGrowthMb">> {
+    const readMemory = async () => Number((await fleet.sendOperate("GET", "/v1/process"))?.body["memoryBytes"]);
+    const before = await readMemory();
+    let highest = before;
+    const timer = setInterval(() => {
+        void readMemory().then(bytes => {
+            highest = Math.max(highest, bytes);
+        });
+    }, 50);
+    const isWhole = await sendEcho(entry, "open", megabytes);
+    clearInterval(timer);
+    return { echoedMegabytes: megabytes, isWhole, memoryGrowthMb: (highest - before) / 1_048_576 };
+}
--- a/packages/bench/src/site/system.test.ts
+++ b/packages/bench/src/site/system.test.ts
@@ -4,6 +4,7 @@
 
 import { sendRequest } from "../callers/send-request.js";
 import { LinkState } from "../fleet/link-state.js";
+import { sendEcho } from "../path/send-echo.js";
 import { TargetFault } from "../targets/target-fault.js";
 import { buildTestSite } from "./build-test-site.js";
 
@@ -43,6 +44,12 @@
         });
     });
 
+    describe("streaming", () => {
+        it("carries 100 MB there and back, whole", async () => {
+            expect(await sendEcho(readEntry("a1"), "hours", 100)).toBe(true);
+        });
+    });
+
     describe("with targets that misbehave", () => {
         const setFaults = (fault: TargetFault) => site.targets.forEach(({ target }) => target.setFault(fault));
 
--- a/packages/cli/src/commands/bench-command.ts
+++ b/packages/cli/src/commands/bench-command.ts
@@ -1,5 +1,6 @@
 import { measureControl } from "@daisylock/bench/control/measure-control.js";
 import { startForwarder } from "@daisylock/bench/forwarder/start-forwarder.js";
+import { measurePath } from "@daisylock/bench/path/measure-path.js";
 import { buildPage } from "@daisylock/bench/scenario/build-page.js";
 import { loadScenario } from "@daisylock/bench/scenario/load-scenario.js";
 import { runScenario } from "@daisylock/bench/scenario/run-scenario.js";
@@ -64,6 +65,19 @@
                     printResult(options["output"] as OutputFormat, { rows }, rows);
                 },
             )
+            .command(
+                "path",
+                "Measure the path of a request against a bare forwarder",
+                {
+                    daemon: { type: "string", default: "packages/daemon/dist/daisylockd.js" },
+                    cli: { type: "string", default: "packages/cli/dist/daisylock.js" },
+                },
+                async options => {
+                    const figures = await measurePath(String(options["daemon"]), String(options["cli"]));
+                    process.stdout.write(`${JSON.stringify(figures, undefined, 2)}\n`);
+                    process.exit(ExitCode.Done);
+                },
+            )
             .command(
                 "forwarder",
                 "Run the bare forwarder that the product is compared with",
--- a/packages/core/src/allocation/allocation-timing.ts
+++ b/packages/core/src/allocation/allocation-timing.ts
@@ -6,6 +6,8 @@
     entryGone: 10_000,
     /** Time after its start in which a new leader collects reports before it plans. */
     settling: 1_000,
+    /** Shortest time between two plans of a pool that only has requests waiting. */
+    replan: 500,
     /** Time in which a demand that has passed falls to half. */
     demandHalfLife: 2_000,
     /** Time for which a team counts as active after its last work. */
--- a/packages/core/src/allocation/apply-team-grants.ts
+++ b/packages/core/src/allocation/apply-team-grants.ts
@@ -1,6 +1,7 @@
 import type { TeamGrant } from "../control/team-grant.js";
 import { Invariant } from "../invariants/invariant.js";
 import { applyRaise } from "./apply-raise.js";
+import { countGranted } from "./count-granted.js";
 import type { LeaderState } from "./leader-state.js";
 import { openResource } from "./open-resource.js";
 
@@ -14,8 +15,14 @@
     for (const { team, holder, granted } of grants) {
         const resource = openResource(state.teams, team);
         const current = resource.grants.get(holder);
-        if (granted > (current?.allowed ?? 0)) {
-            applyRaise(resource, holder, granted, state.sequence, Invariant.LimitNotExceeded);
+        // Limits and confirmations may have moved while the grants were committed.
+        const free = Math.max(0, resource.capacity - countGranted(resource));
+        const units = Math.min(granted, (current?.ceiling ?? 0) + free);
+        if (units < granted) {
+            state.staleTeams.add(team);
+        }
+        if (units > (current?.allowed ?? 0)) {
+            applyRaise(resource, holder, units, state.sequence, Invariant.LimitNotExceeded);
         }
         else if (granted === 0 && current?.ceiling === 0) {
             resource.grants.delete(holder);
--- a/packages/core/src/allocation/drop-silent-entries.ts
+++ b/packages/core/src/allocation/drop-silent-entries.ts
@@ -1,6 +1,7 @@
 import { TargetState } from "../admission/target-state.js";
 import { allocationTiming } from "./allocation-timing.js";
 import type { LeaderState } from "./leader-state.js";
+import { noteSlotChange } from "./note-slot-change.js";
 import { updateUnconfirmed } from "./update-unconfirmed.js";
 
 /**
@@ -41,6 +42,7 @@
         if (view.registrars.delete(entry) && view.registrars.size === 0) {
             view.state = TargetState.Gone;
             view.sequence = ++state.sequence;
+            noteSlotChange(state, view.vm);
         }
     }
 }
--- a/packages/core/src/allocation/leader-state.ts
+++ b/packages/core/src/allocation/leader-state.ts
@@ -18,6 +18,12 @@
     readonly teams: Map<string, ResourceGrants>;
     readonly shares: Map<string, Map<string, ShareAccount>>;
     readonly lost: Map<string, LostHolder>;
+    /** Latest changes of slots and targets, oldest first, so that answers need not look at every target. */
+    readonly slotChanges: { readonly sequence: number; readonly vm: string }[];
+    /** Pools in which requests wait; they are planned again from time to time. */
+    readonly starvingPools: Set<string>;
+    /** When each pool was last planned, monotonic milliseconds. */
+    readonly plannedAt: Map<string, number>;
     /** Pools and teams whose plan has to be made again. */
     readonly stalePools: Set<string>;
     readonly staleTeams: Set<string>;
--- a/packages/core/src/allocation/note-demands.ts
+++ b/packages/core/src/allocation/note-demands.ts
@@ -31,7 +31,7 @@
         addDemand(view.teamDemand, row.team, row.running, row.waiting);
         noteUse(state, row, isResent, now);
     }
-    noteStarvingDemands(view.poolDemand, state.stalePools);
+    noteStarvingDemands(view.poolDemand, state.starvingPools);
     noteStarvingDemands(view.teamDemand, state.staleTeams);
 }
 
--- a/packages/core/src/allocation/note-targets.ts
+++ b/packages/core/src/allocation/note-targets.ts
@@ -1,6 +1,7 @@
 import { TargetState } from "../admission/target-state.js";
 import type { EntryReport } from "./entry-report.js";
 import type { LeaderState } from "./leader-state.js";
+import { noteSlotChange } from "./note-slot-change.js";
 import type { TargetView } from "./target-view.js";
 
 /**
@@ -44,6 +45,7 @@
         sequence: ++state.sequence,
     };
     state.targets.set(row.vm, view);
+    noteSlotChange(state, row.vm);
     noteStale(state, row.vm);
 }
 
@@ -56,6 +58,7 @@
     view.address = row.address;
     view.slots = row.slots;
     view.sequence = ++state.sequence;
+    noteSlotChange(state, view.vm);
     noteStale(state, view.vm);
 }
 
--- a/packages/core/src/allocation/plan-slots.ts
+++ b/packages/core/src/allocation/plan-slots.ts
@@ -4,6 +4,7 @@
 import { applyLowering } from "./apply-lowering.js";
 import { applyRaise } from "./apply-raise.js";
 import type { LeaderState } from "./leader-state.js";
+import { noteSlotChange } from "./note-slot-change.js";
 import { openResource } from "./open-resource.js";
 import { planPoolSlots } from "./plan-pool-slots.js";
 import { planRaises } from "./plan-raises.js";
@@ -16,12 +17,14 @@
  * @param now - monotonic milliseconds
  */
 export function planSlots(state: LeaderState, now: number): void {
+    addStarving(state, now);
     if (state.stalePools.size === 0) {
         return;
     }
     const vmsByPool = collectTargets(state);
     for (const pool of state.stalePools) {
         const vms = vmsByPool.get(pool) ?? [];
+        state.plannedAt.set(pool, now);
         const supplies = listSupplies(state, vms);
         const plan = planPoolSlots(supplies, listClaims(state, pool, vms, now));
         for (const vm of vms) {
@@ -31,6 +34,17 @@
     state.stalePools.clear();
 }
 
+/** A pool in which requests wait is planned again, but not for every request. */
+function addStarving(state: LeaderState, now: number): void {
+    for (const pool of state.starvingPools) {
+        const plannedAt = state.plannedAt.get(pool) ?? -Infinity;
+        if (now - plannedAt >= allocationTiming.replan) {
+            state.stalePools.add(pool);
+            state.starvingPools.delete(pool);
+        }
+    }
+}
+
 function collectTargets(state: LeaderState): Map<string, string[]> {
     const groups = new Map<string, string[]>();
     for (const vm of state.targets.keys()) {
@@ -81,10 +95,15 @@
             plan.set(holder, 0);
         }
     }
-    if (applyLowering(resource, plan, ++state.sequence)) {
+    const isLowered = applyLowering(resource, plan, ++state.sequence);
+    if (isLowered) {
         state.unconfirmed.add(vm);
     }
-    for (const [holder, units] of planRaises(resource, plan)) {
+    const raises = planRaises(resource, plan);
+    if (isLowered || raises.size > 0) {
+        noteSlotChange(state, vm);
+    }
+    for (const [holder, units] of raises) {
         applyRaise(resource, holder, units, state.sequence, Invariant.SlotsNotExceeded);
     }
 }
--- a/packages/core/src/allocation/plan-team-grants.ts
+++ b/packages/core/src/allocation/plan-team-grants.ts
@@ -1,6 +1,8 @@
 import type { TeamGrant } from "../control/team-grant.js";
+import { Invariant } from "../invariants/invariant.js";
 import { allocationTiming } from "./allocation-timing.js";
 import { applyLowering } from "./apply-lowering.js";
+import { applyRaise } from "./apply-raise.js";
 import { computeSplit } from "./compute-split.js";
 import type { Demand } from "./demand.js";
 import type { LeaderState } from "./leader-state.js";
@@ -39,8 +41,13 @@
                 lowered.push({ team, holder, granted: ceiling });
             }
         }
-        for (const [holder, granted] of raises) {
-            raised.push({ team, holder, granted });
+        for (const [holder, units] of raises) {
+            if (units <= (resource.grants.get(holder)?.ceiling ?? 0)) {
+                // Within what is recorded for the holder already; recording less would hide what it may still use.
+                applyRaise(resource, holder, units, state.sequence, Invariant.LimitNotExceeded);
+                continue;
+            }
+            raised.push({ team, holder, granted: units });
         }
     }
     state.staleTeams.clear();
--- a/packages/core/src/allocation/read-allowances.ts
+++ b/packages/core/src/allocation/read-allowances.ts
@@ -3,6 +3,7 @@
 import type { EntryAllowances } from "./entry-allowances.js";
 import type { EntryReport } from "./entry-report.js";
 import type { LeaderState } from "./leader-state.js";
+import { listChangedSlots } from "./list-changed-slots.js";
 import { readHolder } from "./read-holder.js";
 
 /**
@@ -52,8 +53,8 @@
 
 function readSlots(state: LeaderState, holder: string, since: number): EntryAllowances["slots"] {
     const rows: EntryAllowances["slots"] = [];
-    for (const [vm, resource] of state.slots) {
-        const grant = resource.grants.get(holder);
+    for (const vm of listChangedSlots(state, since)) {
+        const grant = state.slots.get(vm)?.grants.get(holder);
         const view = state.targets.get(vm);
         if (grant === undefined || view === undefined || Math.max(grant.sequence, view.sequence) <= since) {
             continue;
--- a/packages/core/src/allocation/receive-report.ts
+++ b/packages/core/src/allocation/receive-report.ts
@@ -84,8 +84,9 @@
     if (report.isFull) {
         addHeldSlots(state, view, inUse);
     }
-    for (const [vm, resource] of state.slots) {
-        if (confirmGrant(resource, view.holder, report.seenSequence, inUse.get(vm) ?? 0)) {
+    // Only a lowered allowance that is not confirmed yet can free anything.
+    for (const vm of [...state.unconfirmed]) {
+        if (confirmGrant(openResource(state.slots, vm), view.holder, report.seenSequence, inUse.get(vm) ?? 0)) {
             state.stalePools.add(readPool(state, vm));
             updateUnconfirmed(state, vm);
         }
--- /dev/null
+++ b/packages/daemon/src/http/http-worker.ts
@@ -0,0 +1,49 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import { Mailbox } from "../concurrency/mailbox.js";
+import { waitFor } from "../concurrency/wait-for.js";
+import type { Settings } from "../settings/settings.js";
+import { Worker } from "../supervision/worker.js";
+import { HttpListener } from "./http-listener.js";
+
+/** Time for requests to end when the worker stops, milliseconds. */
+const stopMs = 1_000;
+
+/** A worker that serves short requests. */
+export abstract class HttpWorker extends Worker {
+    private readonly mailbox = new Mailbox<never>(1);
+    private readonly listener: HttpListener;
+
+    /**
+     * @param address - where to listen
+     * @param limits - bounds of the process's listeners
+     */
+    constructor(address: string, limits: Settings["limits"]) {
+        super();
+        this.listener = new HttpListener(address, {
+            maxHeaderBytes: limits.max_header_bytes,
+            maxConnections: limits.max_connections,
+            headerTimeoutMs: limits.header_timeout_ms,
+            idleTimeoutMs: limits.idle_timeout_ms,
+        }, (request, response) => {
+            this.serve(request, response).catch(() => response.destroy());
+        });
+    }
+
+    override *run(): Generator<unknown, void, unknown> {
+        yield* waitFor(this.listener.start());
+        yield* this.mailbox.take();
+        yield* waitFor(this.listener.stop(stopMs));
+    }
+
+    override stop(): void {
+        this.mailbox.close();
+    }
+
+    /**
+     * Serves one request; an error closes its connection.
+     * @param request - the request
+     * @param response - its response
+     */
+    protected abstract serve(request: IncomingMessage, response: ServerResponse): Promise<void>;
+}
--- a/packages/daemon/src/root/entry/admission/admission-desk.ts
+++ b/packages/daemon/src/root/entry/admission/admission-desk.ts
@@ -103,6 +103,14 @@
         }
     }
 
+    /**
+     * Tells whether any request waits.
+     * @returns true when one does
+     */
+    isAnyWaiting(): boolean {
+        return this.state.admission.waiting > 0;
+    }
+
     /** Refuses at once what can no longer start in time. */
     refuseExpired(): void {
         const { admission } = this.state;
--- a/packages/daemon/src/root/entry/admission/queue-clock.ts
+++ b/packages/daemon/src/root/entry/admission/queue-clock.ts
@@ -4,6 +4,8 @@
 import type { AdmissionDesk } from "./admission-desk.js";
 
 const intervalMs = 50;
+/** The same while no request waits. */
+const idleIntervalMs = 250;
 
 /** Lets time act on queues and target leases. */
 export class QueueClock extends PeriodicWorker {
@@ -25,6 +27,6 @@
     protected override *tick(): Generator<unknown, number, unknown> {
         this.desk.refuseExpired();
         this.registry.dropExpired();
-        return intervalMs;
+        return this.desk.isAnyWaiting() ? intervalMs : idleIntervalMs;
     }
 }
--- a/packages/daemon/src/root/entry/callers/request-flow.ts
+++ b/packages/daemon/src/root/entry/callers/request-flow.ts
@@ -5,7 +5,6 @@
 import { DispatchOutcome } from "@daisylock/core/control/dispatch-outcome.js";
 import type { DispatchResult } from "@daisylock/core/control/dispatch-result.js";
 import { DispatchState } from "@daisylock/core/control/dispatch-state.js";
-import { EventKind } from "@daisylock/core/events/event-kind.js";
 import { assertInvariant } from "@daisylock/core/invariants/assert-invariant.js";
 import { Invariant } from "@daisylock/core/invariants/invariant.js";
 import { isRetryLeft } from "@daisylock/core/retries/is-retry-left.js";
@@ -22,7 +21,6 @@
 import type { ReadBodyFailure } from "../forwarding/read-body-failure.js";
 import { readBody } from "../forwarding/read-body.js";
 import type { RequestBody } from "../forwarding/request-body.js";
-import { TargetAttempt } from "../forwarding/target-attempt.js";
 import { AnswerWriter } from "./answer-writer.js";
 import type { Authorization } from "./authorization.js";
 import type { CallerRequest } from "./caller-request.js";
@@ -30,17 +28,18 @@
 import { checkAuthorization } from "./check-authorization.js";
 import type { Claim } from "./claim.js";
 import { parseCallerRequest } from "./parse-caller-request.js";
+import { RequestNotes } from "./request-notes.js";
+import { runAttempt } from "./run-attempt.js";
 
 /** When a caller is asked to come back where nothing better is known, milliseconds. */
 const retryAfterMs = 1_000;
 
 const emptyBody: RequestBody = { kind: "buffered", content: Buffer.alloc(0) };
 
-let nextDispatchNumber = 1;
-
 /** The way of one request from its arrival to its answer. */
 export class RequestFlow {
     private readonly startedAt: number;
+    private readonly notes: RequestNotes;
     private answer: AnswerWriter;
     private claim: Claim | undefined;
     private isIdChecked = false;
@@ -59,6 +58,7 @@
         private readonly response: ServerResponse,
     ) {
         this.startedAt = surroundings.clock.readMonotonic();
+        this.notes = new RequestNotes(surroundings, this.startedAt);
         this.answer = new AnswerWriter(response, "");
     }
 
@@ -68,7 +68,7 @@
         const parsed = parseCallerRequest(this.incoming, state.settings.limits, this.startedAt);
         if (parsed.isErr) {
             this.answer.writeRefusal(parsed.error);
-            this.noteRefused(parsed.error);
+            this.notes.recordRefused(parsed.error, undefined);
             return;
         }
         const call = parsed.value;
@@ -145,7 +145,17 @@
                 return;
             }
             const isLast = attempt === limits.max_attempts;
-            const result = yield* this.runAttempt(call, authorization, body, dispatch, isLast);
+            const mayTryElsewhere = !isLast && !call.isUnrepeatable && body.kind === "buffered"
+                && isRetryLeft(this.surroundings.retries);
+            this.assertOneDispatch(call);
+            const result = yield* runAttempt(this.surroundings, {
+                call,
+                body,
+                response: this.response,
+                dispatch,
+                mayTryElsewhere,
+                notes: this.notes,
+            });
             if (this.isOver(call, result)) {
                 return;
             }
@@ -153,8 +163,7 @@
                 break;
             }
             this.avoid.add(dispatch.target.vm);
-            this.surroundings.metrics.addCount(MetricName.RequestsRetried);
-            this.record(EventKind.RequestRetried, call, dispatch, result.reason ?? result.end);
+            this.notes.recordRetried(call, dispatch, result);
         }
         this.refuse(call, { reason: RefusalReason.AttemptsFailed, retryAfterMs });
     }
@@ -207,61 +216,30 @@
         return isSame ? undefined : { reason: RefusalReason.NoTarget, retryAfterMs };
     }
 
-    private *runAttempt(
-        call: CallerRequest,
-        { team }: Authorization,
-        body: RequestBody,
-        dispatch: Dispatch,
-        isLast: boolean,
-    ): Generator<unknown, AttemptResult, unknown> {
-        const { state, connections, watch, desk, abandoned, clock, retries } = this.surroundings;
-        const { limits, node, cluster } = state.settings;
-        const { vm, incarnation } = dispatch.target;
-        const address = cluster.dial[dispatch.target.address] ?? dispatch.target.address;
+    private assertOneDispatch(call: CallerRequest): void {
         assertInvariant(
             !call.isUnrepeatable || (this.claim !== undefined && this.unknown === undefined),
             Invariant.OneDispatchForUnrepeatable,
             () => `${call.id} would be sent without a claim or twice`,
         );
-        const dispatchId = `${node.name}@${state.incarnation}/${nextDispatchNumber++}`;
-        this.record(EventKind.RequestDispatched, call, dispatch, dispatchId);
-        const attempt = new TargetAttempt({
-            call,
-            body,
-            response: this.response,
-            team,
-            address,
-            dispatchId,
-            agent: call.isUnrepeatable ? undefined : connections.open(address),
-            mayTryElsewhere: !isLast && !call.isUnrepeatable && body.kind === "buffered" && isRetryLeft(retries),
-            connectTimeoutMs: limits.connect_timeout_ms,
-            bodyStallMs: limits.body_stall_ms,
-            maxBodyBytes: limits.max_body_bytes,
-            clock,
-        });
-        watch.add(vm, address, dispatchId, attempt);
-        const result = yield* waitFor(attempt.run());
-        watch.drop(vm, dispatchId);
-        desk.settle(dispatch, result);
-        if (result.isStillRunning) {
-            abandoned.add(dispatch, dispatchId, incarnation);
-        }
-        return result;
     }
 
     /** Finishes the flow if the attempt decided the answer. */
     private isOver(call: CallerRequest, result: AttemptResult): boolean {
         switch (result.end) {
             case AttemptEnd.Answered:
-                this.noteAnswered(call, result);
+                if (this.claim !== undefined) {
+                    this.surroundings.recorder.sendOutcome(this.claim, DispatchState.Completed, result.answer);
+                }
+                this.notes.recordAnswered(call, result);
                 return true;
             case AttemptEnd.BrokenOff:
                 // The transfer fails visibly: a part of an answer is never passed off as the whole.
                 this.response.destroy();
-                this.noteUnknown(call, result.reason ?? UnknownReason.ConnectionLost);
+                this.notes.recordUnknown(call, result.reason ?? UnknownReason.ConnectionLost);
                 return true;
             case AttemptEnd.CallerGone:
-                this.noteUnknown(call, result.reason ?? UnknownReason.ConnectionLost);
+                this.notes.recordUnknown(call, result.reason ?? UnknownReason.ConnectionLost);
                 return true;
             case AttemptEnd.Unknown:
                 this.unknown = result.reason;
@@ -295,46 +273,11 @@
             this.surroundings.recorder.sendOutcome(this.claim, DispatchState.NotRun, undefined);
         }
         this.answer.writeRefusal(refusal);
-        this.noteRefused(refusal, call);
+        this.notes.recordRefused(refusal, call);
     }
 
     private writeUnknown(call: CallerRequest, reason: UnknownReason, laterMs?: number): void {
         this.answer.writeUnknown(reason, laterMs);
-        this.noteUnknown(call, reason);
-    }
-
-    private noteAnswered(call: CallerRequest, result: AttemptResult): void {
-        const { recorder, metrics, clock } = this.surroundings;
-        if (this.claim !== undefined) {
-            recorder.sendOutcome(this.claim, DispatchState.Completed, result.answer);
-        }
-        metrics.addCount(MetricName.RequestsAnswered);
-        metrics.recordTime(MetricName.RequestDuration, clock.readMonotonic() - this.startedAt);
-        this.record(EventKind.RequestAnswered, call, undefined, String(result.status));
-    }
-
-    private noteRefused(refusal: Refusal, call?: CallerRequest): void {
-        this.surroundings.metrics.addCount(MetricName.RequestsRefused, { reason: refusal.reason });
-        this.record(EventKind.RequestRefused, call, undefined, refusal.reason);
-    }
-
-    private noteUnknown(call: CallerRequest, reason: UnknownReason): void {
-        this.surroundings.metrics.addCount(MetricName.RequestsUnknown, { reason });
-        this.record(EventKind.RequestUnknown, call, undefined, reason);
-    }
-
-    private record(
-        kind: EventKind,
-        call: CallerRequest | undefined,
-        dispatch: Dispatch | undefined,
-        detail: string,
-    ): void {
-        this.surroundings.events.record(kind, {
-            request: call?.id,
-            vm: dispatch?.target.vm,
-            team: dispatch?.request.team,
-            pool: dispatch?.request.pool,
-            detail,
-        });
+        this.notes.recordUnknown(call, reason);
     }
 }
--- a/packages/daemon/src/root/entry/entry-part.ts
+++ b/packages/daemon/src/root/entry/entry-part.ts
@@ -40,7 +40,12 @@
     ) {
         const { settings, clock, events, metrics, control } = parts;
         this.state = new EntryState(settings, randomBytes(6).toString("hex"), clock);
-        this.registry = new TargetRegistry(clock, settings.limits.target_lease_ms, events);
+        this.registry = new TargetRegistry(
+            clock,
+            settings.limits.target_lease_ms,
+            settings.limits.announcements_per_second,
+            events,
+        );
         const desk = new AdmissionDesk(this.state, clock, events, () => this.follower?.startRound());
         const connections = new TargetConnections(settings.limits.target_connections);
         this.callers = {
--- a/packages/daemon/src/root/entry/targets/target-listener.ts
+++ b/packages/daemon/src/root/entry/targets/target-listener.ts
@@ -6,25 +6,19 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as v from "valibot";
 
-import { Mailbox } from "../../../concurrency/mailbox.js";
-import { waitFor } from "../../../concurrency/wait-for.js";
-import { HttpListener } from "../../../http/http-listener.js";
+import { HttpWorker } from "../../../http/http-worker.js";
 import { isTokenValid } from "../../../http/is-token-valid.js";
 import { readJson } from "../../../http/read-json.js";
 import { sendJson } from "../../../http/send-json.js";
-import { Worker } from "../../../supervision/worker.js";
 import type { EntryState } from "../entry-state.js";
 import type { TargetRegistry } from "./target-registry.js";
 
 const pathPattern = /^\/v1\/targets\/([a-z0-9][a-z0-9._-]{0,62})$/;
 const maxAnnouncementBytes = 256 * 1024;
-const stopMs = 500;
 
 /** Takes the announcements of targets. */
-export class TargetListener extends Worker {
+export class TargetListener extends HttpWorker {
     override readonly name = "target-listener";
-    private readonly mailbox = new Mailbox<never>(1);
-    private readonly listener: HttpListener;
 
     /**
      * @param address - where to listen
@@ -32,29 +26,10 @@
      * @param registry - where announcements go
      */
     constructor(address: string, private readonly state: EntryState, private readonly registry: TargetRegistry) {
-        super();
-        const { limits } = state.settings;
-        this.listener = new HttpListener(address, {
-            maxHeaderBytes: limits.max_header_bytes,
-            maxConnections: limits.max_connections,
-            headerTimeoutMs: limits.header_timeout_ms,
-            idleTimeoutMs: limits.idle_timeout_ms,
-        }, (request, response) => {
-            this.serve(request, response).catch(() => response.destroy());
-        });
+        super(address, state.settings.limits);
     }
 
-    override *run(): Generator<unknown, void, unknown> {
-        yield* waitFor(this.listener.start());
-        yield* this.mailbox.take();
-        yield* waitFor(this.listener.stop(stopMs));
-    }
-
-    override stop(): void {
-        this.mailbox.close();
-    }
-
-    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    protected override async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         if (!isTokenValid(request, this.state.settings.cluster.target_token)) {
             sendJson(response, 401, { type: "not-authorized" });
             return;
@@ -86,7 +61,8 @@
         }
         const isLeaving = this.registry.find(vm)?.state === TargetState.Leaving;
         const reply: AnnouncementReply = {
-            leaseMs: this.state.settings.limits.target_lease_ms,
+            announceMs: this.registry.computeInterval(),
+            leaseMs: this.registry.computeLease(),
             pool,
             isReleased: isLeaving && this.state.releasedTargets.has(vm),
         };
--- a/packages/daemon/src/root/entry/targets/target-registry.ts
+++ b/packages/daemon/src/root/entry/targets/target-registry.ts
@@ -6,6 +6,10 @@
 import type { EventLog } from "../../../events/event-log.js";
 import type { Registration } from "./registration.js";
 
+const minIntervalMs = 1_000;
+/** Announcements of which all but one may be lost. */
+const announcementsPerLease = 4;
+
 /** The targets that announce themselves to this entry, each under a lease. */
 export class TargetRegistry {
     private readonly registrations = new Map<string, Registration>();
@@ -14,12 +18,14 @@
 
     /**
      * @param clock - monotonic time
-     * @param leaseMs - time within which a target has to announce itself again
+     * @param minLeaseMs - shortest time within which a target has to announce itself again
+     * @param maxRate - announcements a second that this entry wants
      * @param events - where changes are recorded
      */
     constructor(
         private readonly clock: Clock,
-        private readonly leaseMs: number,
+        private readonly minLeaseMs: number,
+        private readonly maxRate: number,
         private readonly events: EventLog,
     ) {}
 
@@ -62,11 +68,28 @@
         return true;
     }
 
+    /**
+     * Computes the time between two announcements of a target, which grows with their number.
+     * @returns milliseconds
+     */
+    computeInterval(): number {
+        return Math.max(minIntervalMs, Math.ceil(1_000 * this.registrations.size / this.maxRate));
+    }
+
+    /**
+     * Computes the time within which a target has to announce itself again.
+     * @returns milliseconds
+     */
+    computeLease(): number {
+        return Math.max(this.minLeaseMs, announcementsPerLease * this.computeInterval());
+    }
+
     /** Marks the targets as gone whose lease ran out. */
     dropExpired(): void {
         const now = this.clock.readMonotonic();
+        const leaseMs = this.computeLease();
         for (const registration of this.registrations.values()) {
-            if (registration.state !== TargetState.Gone && now - registration.heardAt > this.leaseMs) {
+            if (registration.state !== TargetState.Gone && now - registration.heardAt > leaseMs) {
                 registration.state = TargetState.Gone;
                 registration.version = ++this.version;
                 this.recordChange(registration);
--- a/packages/daemon/src/root/keeper/allocator.ts
+++ b/packages/daemon/src/root/keeper/allocator.ts
@@ -22,6 +22,8 @@
 import type { Keeper } from "./keeper.js";
 
 const planIntervalMs = 50;
+/** Time between two looks whether this keeper leads by now. */
+const followerIntervalMs = 250;
 
 /** Gives out slots and parts of the teams' limits while this process's keeper leads. */
 export class Allocator extends PeriodicWorker {
@@ -43,7 +45,7 @@
 
     protected override *tick(): Generator<unknown, number, unknown> {
         yield* this.plan();
-        return planIntervalMs;
+        return this.keeper.isDeciding() ? planIntervalMs : followerIntervalMs;
     }
 
     /**
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -46,7 +46,7 @@
 const mailboxCapacity = 900;
 /** Events handled before one write to disk. */
 const maxBatch = 512;
-const tickMs = 50;
+const tickMs = 100;
 /** Applied entries kept for keepers that are a little behind. */
 const keptEntries = 256;
 
--- a/packages/daemon/src/root/keeper/learner-promoter.ts
+++ b/packages/daemon/src/root/keeper/learner-promoter.ts
@@ -3,7 +3,7 @@
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
 import type { Keeper } from "./keeper.js";
 
-const intervalMs = 200;
+const intervalMs = 500;
 
 /** Makes learners voters once they have caught up, while this process's keeper leads. */
 export class LearnerPromoter extends PeriodicWorker {
--- a/packages/daemon/src/root/keeper/maintenance/maintainer.ts
+++ b/packages/daemon/src/root/keeper/maintenance/maintainer.ts
@@ -20,7 +20,7 @@
 import type { Keeper } from "../keeper.js";
 import type { Platform } from "./platform.js";
 
-const intervalMs = 250;
+const intervalMs = 500;
 /** Time in which a new leader hears every target before it judges which are down. */
 const hearingMs = allocationTiming.settling + 4_000;
 
--- a/packages/daemon/src/settings/settings-schema.ts
+++ b/packages/daemon/src/settings/settings-schema.ts
@@ -55,7 +55,10 @@
             key_freshness_ms: milliseconds(5_000),
             sync_interval_ms: milliseconds(250),
             idle_sync_interval_ms: milliseconds(1_000),
+            /** Shortest lease of a target; it grows with the time between announcements. */
             target_lease_ms: milliseconds(4_000),
+            /** Announcements that the entry wants to get; targets are asked to space theirs out accordingly. */
+            announcements_per_second: count(100),
             default_deadline_ms: milliseconds(30_000),
             max_deadline_ms: milliseconds(600_000),
             /** Longest wait for a slot. */
--- a/packages/protocol/src/target/announcement-reply.ts
+++ b/packages/protocol/src/target/announcement-reply.ts
@@ -1,5 +1,7 @@
 /** Answer to a target's announcement. */
 export interface AnnouncementReply {
+    /** Time until the target should announce itself next, milliseconds; sooner when its state changes. */
+    readonly announceMs: number;
     /** Time within which the target has to announce itself again, milliseconds. */
     readonly leaseMs: number;
     /** Pool to which the target belongs by the tables. */
