--- a/packages/core/src/allocation/plan-slots.ts
+++ b/packages/core/src/allocation/plan-slots.ts
@@ -3,6 +3,7 @@
 import { allocationTiming } from "./allocation-timing.js";
 import { applyLowering } from "./apply-lowering.js";
 import { applyRaise } from "./apply-raise.js";
+import { isEntryPlanned } from "./is-entry-planned.js";
 import type { LeaderState } from "./leader-state.js";
 import { noteSlotChange } from "./note-slot-change.js";
 import { openResource } from "./open-resource.js";
@@ -69,7 +70,7 @@
 function listClaims(state: LeaderState, pool: string, vms: readonly string[], now: number): SlotClaim[] {
     const claims: SlotClaim[] = [];
     for (const view of state.entries.values()) {
-        if (view.isLeaving || now - view.heardAt > allocationTiming.entrySilent) {
+        if (!isEntryPlanned(view, now)) {
             continue;
         }
         const current = new Map<string, number>();
--- a/packages/core/src/allocation/plan-team-grants.ts
+++ b/packages/core/src/allocation/plan-team-grants.ts
@@ -1,12 +1,13 @@
 import type { TeamGrant } from "../control/team-grant.js";
 import { Invariant } from "../invariants/invariant.js";
-import { allocationTiming } from "./allocation-timing.js";
 import { applyLowering } from "./apply-lowering.js";
 import { applyRaise } from "./apply-raise.js";
 import { computeSplit } from "./compute-split.js";
 import type { Demand } from "./demand.js";
+import { isEntryPlanned } from "./is-entry-planned.js";
 import type { LeaderState } from "./leader-state.js";
 import { planRaises } from "./plan-raises.js";
+import type { ResourceGrants } from "./resource-grants.js";
 
 /**
  * Plans the parts of the upper limit of every stale team. Allowances that fall do so at once; those that rise have to
@@ -28,10 +29,8 @@
         if (resource === undefined) {
             continue;
         }
-        const plan = computeSplit(
-            resource.capacity - countHeldByOthers(state, team, now),
-            listDemands(state, team, now),
-        );
+        const demands = listDemands(state, team, now);
+        const plan = computeSplit(resource.capacity - countHeldByOthers(resource, demands), demands);
         addLeaving(state, plan);
         applyLowering(resource, plan, ++state.sequence);
         const raises = planRaises(resource, plan);
@@ -63,15 +62,10 @@
     }
 }
 
-function isPlanned(state: LeaderState, entry: string, now: number): boolean {
-    const view = state.entries.get(entry);
-    return view !== undefined && !view.isLeaving && now - view.heardAt <= allocationTiming.entrySilent;
-}
-
 function listDemands(state: LeaderState, team: string, now: number): Demand[] {
     const demands: Demand[] = [];
     for (const view of state.entries.values()) {
-        if (isPlanned(state, view.entry, now)) {
+        if (isEntryPlanned(view, now)) {
             const wanted = Math.max(view.teamDemand.get(team)?.peak ?? 0, view.teamUse.get(team) ?? 0);
             demands.push({ holder: view.holder, wanted });
         }
@@ -80,10 +74,10 @@
 }
 
 /** Units that silent, leaving and lost holders may be using. */
-function countHeldByOthers(state: LeaderState, team: string, now: number): number {
-    const planned = new Set(listDemands(state, team, now).map(demand => demand.holder));
+function countHeldByOthers(resource: ResourceGrants, demands: readonly Demand[]): number {
+    const planned = new Set(demands.map(demand => demand.holder));
     let held = 0;
-    for (const [holder, grant] of state.teams.get(team)?.grants ?? []) {
+    for (const [holder, grant] of resource.grants) {
         held += planned.has(holder) ? 0 : grant.ceiling;
     }
     return held;
--- a/packages/core/src/answers/refusal-reason.ts
+++ b/packages/core/src/answers/refusal-reason.ts
@@ -17,7 +17,6 @@
     NotRecordable = "not-recordable",
     /** Another request was sent under the same id. */
     RequestIdReused = "request-id-reused",
-    ShuttingDown = "shutting-down",
     /** Every target that was tried certainly did not run it. */
     AttemptsFailed = "attempts-failed",
     Cancelled = "cancelled",
--- a/packages/core/src/answers/unknown-reason.ts
+++ b/packages/core/src/answers/unknown-reason.ts
@@ -18,6 +18,4 @@
     AnswerNotKept = "answer-not-kept",
     /** Whether the request was sent before under the same id can't be checked here at present. */
     RecordUnreachable = "record-unreachable",
-    /** The shutdown of the entry ended the wait. */
-    EntryStopped = "entry-stopped",
 }
--- a/packages/core/src/events/event-kind.ts
+++ b/packages/core/src/events/event-kind.ts
@@ -9,7 +9,6 @@
     LeaderLost = "leader-lost",
     MembersChanged = "members-changed",
     SnapshotSaved = "snapshot-saved",
-    StorageFailed = "storage-failed",
     ChangeCommitted = "change-committed",
     TablesApplied = "tables-applied",
     FreshnessLost = "freshness-lost",
--- a/packages/daemon/src/root/build-peer-handlers.ts
+++ b/packages/daemon/src/root/build-peer-handlers.ts
@@ -14,6 +14,8 @@
 import type { ProcessParts } from "./process-parts.js";
 
 const forwardTimeoutMs = 1_000;
+/** Times that a call may be passed on. */
+const maxHops = 3;
 
 /** The parts of the process that other processes may call. */
 interface HandlerParts {
@@ -95,16 +97,15 @@
 
     async forward<Name extends "sync" | "propose" | "operate">(
         name: Name,
-        request: Parameters<ProcessParts["control"]["forward"]>[1] & { hops: number },
+        request: Parameters<ProcessParts["control"]["sendOnce"]>[1] & { hops: number },
     ): Promise<Result<never, PeerFailure>> {
-        const maxHops = 3;
         if (request.hops >= maxHops) {
             return Result.err(buildFailure(PeerFailureKind.NoLeader, "passed on too often"));
         }
         const { clients, control, settings } = this.parts;
         const next = { ...request, hops: request.hops + 1 };
         if (this.keeperPart === undefined) {
-            return control.forward(name, next, forwardTimeoutMs) as Promise<Result<never, PeerFailure>>;
+            return control.sendOnce(name, next, forwardTimeoutMs) as Promise<Result<never, PeerFailure>>;
         }
         const address = this.keeperPart.keeper.readView()?.leaderAddress;
         if (address === undefined || address === settings.listen.peers) {
--- a/packages/daemon/src/root/control/control-client.ts
+++ b/packages/daemon/src/root/control/control-client.ts
@@ -1,11 +1,10 @@
 import type { CommandResults } from "@daisylock/core/control/command-results.js";
 import type { ControlCommand } from "@daisylock/core/control/control-command.js";
-import Result from "true-myth/result";
+import type Result from "true-myth/result";
 
 import type { Clock } from "../../clock/clock.js";
 import type { PeerCalls } from "../../peer/peer-calls.js";
 import type { PeerClients } from "../../peer/peer-clients.js";
-import { PeerFailureKind } from "../../peer/peer-failure-kind.js";
 import type { PeerFailure } from "../../peer/peer-failure.js";
 
 const retryDelayMs = 50;
@@ -91,23 +90,4 @@
         const reply = await this.send("propose", { command: JSON.stringify(command), hops: 0 }, timeoutMs);
         return reply.map(({ result }) => JSON.parse(result) as CommandResults[Command["kind"]]);
     }
-
-    /**
-     * Passes a call on for another process.
-     * @param name - the call
-     * @param request - its request, with the number of times it was passed on
-     * @param timeoutMs - milliseconds to wait
-     * @returns the reply, or how the call failed
-     */
-    async forward<Name extends LeaderCall>(
-        name: Name,
-        request: PeerCalls[Name]["request"],
-        timeoutMs: number,
-    ): Promise<Result<PeerCalls[Name]["reply"], PeerFailure>> {
-        const maxHops = 2;
-        if (request.hops >= maxHops) {
-            return Result.err({ kind: PeerFailureKind.NoLeader, address: "", detail: "passed on too often" });
-        }
-        return this.sendOnce(name, { ...request, hops: request.hops + 1 }, timeoutMs);
-    }
 }
--- a/packages/daemon/src/root/entry/forwarding/abandoned-poller.ts
+++ b/packages/daemon/src/root/entry/forwarding/abandoned-poller.ts
@@ -36,6 +36,7 @@
 
     protected override *tick(): Generator<unknown, number, unknown> {
         this.metrics.setLevel(MetricName.AbandonedRequests, this.book.count());
+        this.metrics.setLevel(MetricName.WaitingRequests, this.state.admission.waiting);
         const remote: string[] = [];
         for (const vm of this.book.listTargets()) {
             if (!this.state.tables.objects.vm.has(vm) && this.state.freshness.isFresh()) {
--- a/packages/protocol/src/http/refusal-rules.ts
+++ b/packages/protocol/src/http/refusal-rules.ts
@@ -22,7 +22,6 @@
         mayRetry: false,
         title: "The request id belongs to another request.",
     },
-    [RefusalReason.ShuttingDown]: { status: 503, mayRetry: true, title: "This entry is shutting down." },
     [RefusalReason.AttemptsFailed]: { status: 503, mayRetry: true, title: "No target accepted the request." },
     [RefusalReason.Cancelled]: {
         status: 499,
--- a/packages/protocol/src/http/unknown-rules.ts
+++ b/packages/protocol/src/http/unknown-rules.ts
@@ -33,9 +33,4 @@
         mayRetry: true,
         title: "Whether the request was sent before can't be checked here at present.",
     },
-    [UnknownReason.EntryStopped]: {
-        status: 502,
-        mayRetry: false,
-        title: "The entry stopped before the answer was whole.",
-    },
 };
