Move idle VMs to the pool that is short (pool balancer)

Also counts a task that is being stopped as away, and gates VM orders by the holder's lease in one place.

--- a/packages/core/src/control/apply-command.ts
+++ b/packages/core/src/control/apply-command.ts
@@ -4,6 +4,7 @@
 import { applyRecordEnds } from "../jobs/apply-record-ends.js";
 import { applyRecordStarts } from "../jobs/apply-record-starts.js";
 import { applySubmitJob } from "../jobs/apply-submit-job.js";
+import { applyRecordMove } from "../pools/apply-record-move.js";
 import { applyRecordTarget } from "../targets/apply-record-target.js";
 import { applyRemoveTarget } from "../targets/apply-remove-target.js";
 import { applyRecordUpkeep } from "../upkeep/apply-record-upkeep.js";
@@ -35,6 +36,7 @@
     [CommandKind.RemoveTarget]: applyRemoveTarget,
     [CommandKind.StartUpkeep]: applyStartUpkeep,
     [CommandKind.RecordUpkeep]: applyRecordUpkeep,
+    [CommandKind.RecordMove]: applyRecordMove,
     [CommandKind.DropJobs]: applyDropJobs,
     [CommandKind.ConfirmLeadership]: () => true,
 };
--- a/packages/core/src/control/command-kind.ts
+++ b/packages/core/src/control/command-kind.ts
@@ -15,6 +15,7 @@
     RemoveTarget = "remove-target",
     StartUpkeep = "start-upkeep",
     RecordUpkeep = "record-upkeep",
+    RecordMove = "record-move",
     DropJobs = "drop-jobs",
     ConfirmLeadership = "confirm-leadership",
 }
--- a/packages/core/src/control/command-results.ts
+++ b/packages/core/src/control/command-results.ts
@@ -36,6 +36,8 @@
     [CommandKind.StartUpkeep]: boolean;
     /** Whether the wave is known. */
     [CommandKind.RecordUpkeep]: boolean;
+    /** False when something may be running on the VM. */
+    [CommandKind.RecordMove]: boolean;
     /** Jobs that were forgotten. */
     [CommandKind.DropJobs]: number;
     [CommandKind.ConfirmLeadership]: true;
--- a/packages/core/src/control/control-command.ts
+++ b/packages/core/src/control/control-command.ts
@@ -2,6 +2,7 @@
 import type { SubmitJobCommand } from "./submit-job-command.js";
 import type { CancelJobCommand } from "./cancel-job-command.js";
 import type { RecordStartsCommand } from "./record-starts-command.js";
+import type { RecordMoveCommand } from "./record-move-command.js";
 import type { RecordEndsCommand } from "./record-ends-command.js";
 import type { RecordTargetCommand } from "./record-target-command.js";
 import type { RemoveTargetCommand } from "./remove-target-command.js";
@@ -33,5 +34,6 @@
     | RemoveTargetCommand
     | StartUpkeepCommand
     | RecordUpkeepCommand
+    | RecordMoveCommand
     | DropJobsCommand
     | ConfirmLeadershipCommand;
--- /dev/null
+++ b/packages/core/src/control/record-move-command.ts
@@ -0,0 +1,9 @@
+import type { CommandKind } from "./command-kind.js";
+
+/** Takes an empty VM out of its pool before the platform is told to move it. */
+export interface RecordMoveCommand {
+    readonly kind: CommandKind.RecordMove;
+    readonly vm: string;
+    readonly from: string;
+    readonly to: string;
+}
--- a/packages/core/src/fleet/create-fleet-state.ts
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -9,6 +9,7 @@
         configuration: undefined,
         jobs: new Map(),
         targets: new Map(),
+        vmHomes: new Map(),
         upkeep: new Map(),
         activeJobs: new Set(),
         targetLoads: new Map(),
--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -19,11 +19,13 @@
         configuration?: FleetConfiguration;
         jobs: Job[];
         targets: TargetRecord[];
+        vmHomes: [string, string][];
         upkeep: UpkeepWave[];
     };
     const state = createFleetState();
     state.configuration = content.configuration;
     content.targets.forEach(target => state.targets.set(target.id, target));
+    content.vmHomes.forEach(([vm, home]) => state.vmHomes.set(vm, home));
     content.upkeep.forEach(wave => state.upkeep.set(wave.number, wave));
     for (const job of content.jobs) {
         state.jobs.set(job.id, job);
--- a/packages/core/src/fleet/encode-fleet-state.ts
+++ b/packages/core/src/fleet/encode-fleet-state.ts
@@ -10,6 +10,7 @@
         configuration: state.configuration,
         jobs: [...state.jobs.values()],
         targets: [...state.targets.values()],
+        vmHomes: [...state.vmHomes],
         upkeep: [...state.upkeep.values()],
     };
 }
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -12,6 +12,8 @@
     readonly jobs: Map<string, Job>;
     /** Target lives by id. */
     readonly targets: Map<string, TargetRecord>;
+    /** Pool to which a VM that was moved belongs when nobody is short. */
+    readonly vmHomes: Map<string, string>;
     /** Maintenance waves by number. */
     readonly upkeep: Map<number, UpkeepWave>;
     /** Ids of jobs of which something may start or run; derived from the jobs. */
--- /dev/null
+++ b/packages/core/src/pools/apply-record-move.ts
@@ -0,0 +1,21 @@
+import type { ControlState } from "../control/control-state.js";
+import type { RecordMoveCommand } from "../control/record-move-command.js";
+
+/**
+ * Takes a VM out of its pool. From here on nothing can start on it, as its target is no longer known; a target that
+ * announces itself again has not been moved.
+ * @param state - the replicated state
+ * @param command - the command
+ * @returns false when something may be running on the VM, which then stays
+ */
+export function applyRecordMove({ fleet }: ControlState, { vm, from }: RecordMoveCommand): boolean {
+    const targets = [...fleet.targets.values()].filter(target => target.vm === vm);
+    if (targets.some(({ id }) => (fleet.targetLoads.get(id)?.runs.size ?? 0) > 0)) {
+        return false;
+    }
+    targets.forEach(({ id }) => fleet.targets.delete(id));
+    if (!fleet.vmHomes.has(vm)) {
+        fleet.vmHomes.set(vm, from);
+    }
+    return true;
+}
--- /dev/null
+++ b/packages/core/src/pools/pool-view.ts
@@ -0,0 +1,26 @@
+/** A pool as the planner of moves sees it. Amounts are thousandths of a core. */
+export interface PoolView {
+    readonly name: string;
+    /** Whether its VMs are switched off. */
+    readonly isSpare: boolean;
+    /** Capacity of its targets and of the VMs that are on their way to it. */
+    readonly capacity: number;
+    /** What may be in use. */
+    readonly used: number;
+    /** What waiting tasks ask for. */
+    readonly wanted: number;
+    /** Capacity that it has by its own VMs. */
+    readonly homeCapacity: number;
+    /** Milliseconds for which it has been calm without a break. */
+    readonly calmMs: number;
+    /** VMs on which nothing may be running and which may leave. */
+    readonly idleVms: readonly IdleVm[];
+}
+
+/** A VM that may leave its pool. */
+interface IdleVm {
+    readonly vm: string;
+    /** Pool that it belongs to when nobody is short. */
+    readonly home: string;
+    readonly cpu: number;
+}
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -16,11 +16,13 @@
 import { JobDesk } from "./job-desk.js";
 import type { Leadership } from "./leadership.js";
 import { PaceController } from "./pace-controller.js";
+import { PoolBalancer } from "./pool-balancer.js";
 import { Scheduler } from "./scheduler.js";
 import { TargetDesk } from "./target-desk.js";
 import { TargetSessions } from "./target-sessions.js";
 import { UpkeepDesk } from "./upkeep-desk.js";
 import { UpkeepRunner } from "./upkeep-runner.js";
+import { VmAuthorityGate } from "./vm-authority-gate.js";
 
 const msPerSecond = 1_000;
 
@@ -39,6 +41,7 @@
     private readonly durations = new DurationBook();
     private readonly sessions: TargetSessions;
     private readonly upkeep: UpkeepRunner;
+    private readonly balancer: PoolBalancer;
     private readonly scheduler: Scheduler;
     private readonly targets: TargetDesk;
 
@@ -59,21 +62,41 @@
             handleWork,
             handleEnd: (task, _target, how, durationMs) => this.noteEnd(leadership.readFleet(), task, how, durationMs),
         });
+        const gate = new VmAuthorityGate({
+            leadership,
+            vms,
+            clock,
+            holder: settings.node.name,
+            holderLeaseMs: settings.vms.holder_lease_ms,
+        });
+        this.balancer = new PoolBalancer({
+            leadership,
+            gate,
+            vms,
+            estimate: this.durations.estimate,
+            isMaintained: vm => this.upkeep.isMaintained(vm),
+            isUsable: target => this.sessions.find(target)?.isUsable() === true,
+            log,
+            clock,
+            moveMs: settings.vms.move_s * msPerSecond,
+        });
         this.upkeep = new UpkeepRunner({
             leadership,
             sessions: this.sessions,
+            gate,
             vms,
+            isMoving: vm => this.balancer.isMoving(vm),
             log,
             clock,
-            holder: settings.node.name,
-            holderLeaseMs: settings.vms.holder_lease_ms,
             upkeepMs: settings.vms.upkeep_s * msPerSecond,
         });
         this.scheduler = new Scheduler({
             leadership,
             sessions: this.sessions,
             estimate: this.durations.estimate,
-            isEvacuating: target => this.upkeep.isEvacuating(target),
+            isEvacuating: target =>
+                this.upkeep.isEvacuating(target)
+                || this.balancer.isMoving(leadership.readFleet().targets.get(target)?.vm ?? ""),
             log,
             clock,
             keepStateMs: settings.tasks.keep_state_ms,
@@ -115,6 +138,7 @@
         return [
             { name: "scheduler", create: () => this.scheduler },
             { name: "upkeep-runner", create: () => this.upkeep },
+            { name: "pool-balancer", create: () => this.balancer },
             { name: "pace-controller", create: () => new PaceController(leadership, this.sessions, log, clock) },
         ];
     }
--- a/packages/daemon/src/fleet/leader/scheduler.ts
+++ b/packages/daemon/src/fleet/leader/scheduler.ts
@@ -4,6 +4,7 @@
 import { isJobOver } from "@daisylock/core/jobs/is-job-over.js";
 import { buildTargetViews } from "@daisylock/core/placement/build-target-views.js";
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
+import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import type { EstimateStep } from "@daisylock/core/queueing/estimate-step.js";
 
@@ -21,6 +22,9 @@
 /** Time between two rounds that forget ended jobs. */
 const dropIntervalMs = 2_000;
 
+/** Time between two lines about the load of a pool. */
+const loadIntervalMs = 1_000;
+
 /** What the scheduler needs. */
 interface SchedulerSurroundings {
     readonly leadership: Leadership;
@@ -38,6 +42,7 @@
 export class Scheduler extends PeriodicWorker {
     override readonly name = "scheduler";
     private dropDue = 0;
+    private loadDue = 0;
     private isLeading = false;
 
     /**
@@ -57,6 +62,7 @@
         sessions.update(fleet.targets, leadership.readToken());
         this.stopEndedJobs(fleet);
         yield* this.startTasks(fleet);
+        this.logLoads(fleet);
         yield* this.dropEndedJobs();
         return intervalMs;
     }
@@ -96,6 +102,20 @@
         }
     }
 
+    /** One line a pool and second, so that a late job can be told from a slow one afterwards. */
+    private logLoads(fleet: FleetState): void {
+        const { clock, estimate, log } = this.surroundings;
+        const now = clock.readMonotonic();
+        if (now < this.loadDue) {
+            return;
+        }
+        this.loadDue = now + loadIntervalMs;
+        const candidates = collectCandidates(fleet, clock.readWall(), estimate);
+        for (const load of collectPoolLoads(fleet, candidates)) {
+            log.note(DecisionKind.PoolLoad, { ...load });
+        }
+    }
+
     private stopEndedJobs(fleet: FleetState): void {
         for (const [target, { runs }] of fleet.targetLoads) {
             for (const [task, run] of runs) {
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -112,6 +112,17 @@
         this.wake();
     }
 
+    /**
+     * Tells whether a run is being stopped.
+     * @param task - encoded task key
+     * @param run - number of the run
+     * @returns true from the wish on
+     */
+    isStopping(task: string, run: number): boolean {
+        const order = this.orders.get(task);
+        return order?.run === run && order.isStopWanted;
+    }
+
     /**
      * Sets the pace of a run.
      * @param task - encoded task key
--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -17,10 +17,12 @@
 import { DecisionKind } from "../log/decision-kind.js";
 import type { DecisionLog } from "../log/decision-log.js";
 import { VmOrderResult } from "../vms/vm-order-result.js";
+import type { VmAuthority } from "../vms/vm-authority.js";
 import type { VmService } from "../vms/vm-service.js";
 import { VmState } from "../vms/vm-state.js";
 import type { Leadership } from "./leadership.js";
 import type { TargetSessions } from "./target-sessions.js";
+import type { VmAuthorityGate } from "./vm-authority-gate.js";
 
 const intervalMs = 150;
 const idleIntervalMs = 500;
@@ -36,9 +38,9 @@
     readonly vms: VmService;
     readonly log: DecisionLog;
     readonly clock: Clock;
-    /** Name of this process, under which it holds the lease of VMs. */
-    readonly holder: string;
-    readonly holderLeaseMs: number;
+    readonly gate: VmAuthorityGate;
+    /** Whether a VM is on its way to another pool. */
+    readonly isMoving: (vm: string) => boolean;
     readonly upkeepMs: number;
 }
 
@@ -46,7 +48,6 @@
 export class UpkeepRunner extends PeriodicWorker {
     override readonly name = "upkeep-runner";
     private token = 0;
-    private isListed = false;
     /** When the maintenance of a VM began, wall clock. */
     private readonly down = new Map<string, number>();
     /** Since when a VM is being emptied, wall clock. */
@@ -69,6 +70,15 @@
         return this.emptyingTargets.has(target);
     }
 
+    /**
+     * Tells whether a VM is down for maintenance or being emptied for it.
+     * @param vm - the VM
+     * @returns true while it may not be moved
+     */
+    isMaintained(vm: string): boolean {
+        return this.down.has(vm) || this.emptying.has(vm);
+    }
+
     protected override *tick(): Generator<unknown, number, unknown> {
         const { leadership } = this.surroundings;
         const fleet = leadership.readFleet();
@@ -77,9 +87,11 @@
             this.setEmptying(fleet, new Map());
             return idleIntervalMs;
         }
-        if (!(yield* this.isAuthorityFree())) {
+        const authority = this.surroundings.gate.readAuthority();
+        if (authority === undefined) {
             return intervalMs;
         }
+        this.noteLeadership(authority);
         const emptying = new Map<string, number>();
         for (const wave of waves) {
             yield* this.runWave(fleet, wave, emptying);
@@ -88,24 +100,16 @@
         return intervalMs;
     }
 
-    /** An earlier leader's last order must be older than its lease; what it began is read from the platform. */
-    private *isAuthorityFree(): Generator<unknown, boolean, unknown> {
-        const { leadership, clock, holderLeaseMs, vms } = this.surroundings;
-        if (leadership.readToken() !== this.token) {
-            this.token = leadership.readToken();
-            this.isListed = false;
-            this.down.clear();
-        }
-        if (clock.readMonotonic() - leadership.readStart() < holderLeaseMs) {
-            return false;
-        }
-        if (!this.isListed) {
-            const listed = yield* waitFor(vms.listVms());
-            listed?.filter(({ state }) => state === VmState.Upkeep)
-                .forEach(({ vm }) => this.down.set(vm, clock.readWall()));
-            this.isListed = listed !== undefined;
+    /** What an earlier leader began is read from the platform. */
+    private noteLeadership(authority: VmAuthority): void {
+        if (authority.fencingToken === this.token) {
+            return;
         }
-        return this.isListed;
+        const { gate, clock } = this.surroundings;
+        this.token = authority.fencingToken;
+        this.down.clear();
+        gate.readVms().filter(({ state }) => state === VmState.Upkeep)
+            .forEach(({ vm }) => this.down.set(vm, clock.readWall()));
     }
 
     private *runWave(
@@ -121,7 +125,7 @@
             cap: wave.cap,
             deadlineAtMs: wave.deadlineAtMs,
             downCount: wave.vms.filter(vm => this.down.has(vm)).length,
-            waiting: wave.vms.filter(vm => !wave.done.includes(vm)).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
+            waiting: wave.vms.filter(vm => !wave.done.includes(vm) && !this.surroundings.isMoving(vm)).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
             upkeepMs,
             now,
         });
@@ -156,8 +160,11 @@
         vm: string,
         target: TargetRecord | undefined,
     ): Generator<unknown, void, unknown> {
-        const { vms, holder, leadership, log, clock } = this.surroundings;
-        const authority = { holder, fencingToken: this.token };
+        const { vms, gate, leadership, log, clock } = this.surroundings;
+        const authority = gate.readAuthority();
+        if (authority === undefined) {
+            return;
+        }
         const result = yield* waitFor(vms.startUpkeep(vm, wave.number, authority));
         const isOver = result === VmOrderResult.Done || result === VmOrderResult.Unknown
             || result === VmOrderResult.NotOfWave;
@@ -207,8 +214,10 @@
         const tasks = fleet.jobs.get(key.job)?.occurrences[key.occurrence]?.[key.step]?.tasks ?? [];
         const othersAway = tasks.filter((task, index) => {
             const name = encodeTaskKey({ ...key, index });
-            const seen = this.surroundings.sessions.find(task.target)?.running.get(name);
-            const isAtWork = task.phase === TaskPhase.Placed && seen?.run === task.run && seen.percent >= atWorkPercent;
+            const session = this.surroundings.sessions.find(task.target);
+            const seen = session?.running.get(name);
+            const isAtWork = task.phase === TaskPhase.Placed && seen?.run === task.run
+                && seen.percent >= atWorkPercent && session?.isStopping(name, task.run) === false;
             return index !== key.index && !isAtWork;
         });
         return othersAway.length < (mayMiss ?? tasks.length);
