--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -2,11 +2,13 @@
 import type { VmMove } from "./vm-move.js";
 
 /** Share of a pool's capacity above which it is short: a burst is to be met before it queues. */
-const shortShare = 0.7;
+const shortShare = 0.75;
+/** The same for demand that is only expected. */
+const expectedShare = 0.9;
+/** Share of a pool's capacity below which it gives VMs back; far enough below the others that none goes to and fro. */
+const surplusShare = 0.6;
 /** Share of its own capacity that a pool keeps while it lends VMs, so that the beginning of its own burst is served. */
 const keptShare = 0.5;
-/** Time for which a pool has to be calm before borrowed VMs go back, milliseconds; a burst has gaps of that length. */
-const returnAfterMs = 1_200;
 
 /** A pool with what the round has planned for it so far. */
 interface PlannedPool {
@@ -17,8 +19,8 @@
 
 /**
  * Plans which VMs change their pool. Answers demand that rises above what a pool holds, pool after pool: idle VMs of
- * the spare pool and of calm pools join the pool that is short, and go home when it has been calm for a while. Only VMs
- * on which nothing runs move, so that no work is cut off.
+ * the spare pool and of calm pools join the pool that is short. A pool keeps a part of
+ * its own capacity, and what its latest peak needs, and gives the rest back. Only VMs on which nothing runs move, so that no work is cut off.
  * @param pools - all pools
  * @returns the moves
  */
@@ -41,7 +43,7 @@
 }
 
 function computeShortage({ pool, capacity }: PlannedPool): number {
-    return (pool.used + pool.wanted) / shortShare - capacity;
+    return Math.max((pool.used + pool.wanted) / shortShare, pool.expected / expectedShare) - capacity;
 }
 
 function takeVm(planned: readonly PlannedPool[], borrower: PlannedPool): VmMove | undefined {
@@ -81,15 +83,20 @@
     return spare !== 0 ? spare : b.idle.length - a.idle.length;
 }
 
+/** What a pool does not need is switched off; without a spare pool, borrowed VMs go home. */
 function planReturns(planned: readonly PlannedPool[]): VmMove[] {
-    return planned.filter(({ pool }) => !pool.isSpare && pool.calmMs >= returnAfterMs).flatMap(item =>
-        item.idle.filter(({ home }) => home !== item.pool.name).flatMap(({ vm, home, cpu }) => {
+    const spare = planned.find(({ pool }) => pool.isSpare)?.pool.name;
+    return planned.filter(({ pool }) => !pool.isSpare).flatMap(item =>
+        item.idle.flatMap(({ vm, home, cpu }) => {
+            const to = spare ?? home;
             const left = item.capacity - cpu;
-            if (item.pool.used > left * keptShare) {
+            const floor = item.pool.homeCapacity * keptShare;
+            const needed = Math.max(floor, Math.max(item.pool.peak, item.pool.expected) / surplusShare);
+            if (left < needed || to === item.pool.name) {
                 return [];
             }
             item.capacity = left;
-            return [{ vm, from: item.pool.name, to: home }];
+            return [{ vm, from: item.pool.name, to }];
         })
     );
 }
--- a/packages/core/src/pools/pool-view.ts
+++ b/packages/core/src/pools/pool-view.ts
@@ -9,10 +9,12 @@
     readonly used: number;
     /** What waiting tasks ask for. */
     readonly wanted: number;
+    /** What will be in use and wanted when a VM that is called now arrives. */
+    readonly expected: number;
     /** Capacity that it has by its own VMs. */
     readonly homeCapacity: number;
-    /** Milliseconds for which it has been calm without a break. */
-    readonly calmMs: number;
+    /** Highest demand of the last moments: what it still needs when demand has only paused. */
+    readonly peak: number;
     /** VMs on which nothing may be running and which may leave. */
     readonly idleVms: readonly IdleVm[];
 }
--- a/packages/daemon/src/fleet/leader/pool-balancer.ts
+++ b/packages/daemon/src/fleet/leader/pool-balancer.ts
@@ -1,6 +1,6 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
-import { isPoolCalm } from "@daisylock/core/pools/is-pool-calm.js";
+import { DemandTrend } from "@daisylock/core/pools/demand-trend.js";
 import { planMoves } from "@daisylock/core/pools/plan-moves.js";
 import type { PoolView } from "@daisylock/core/pools/pool-view.js";
 import type { VmMove } from "@daisylock/core/pools/vm-move.js";
@@ -24,6 +24,9 @@
 /** Longest time after its move for which a VM that has not announced itself counts as on its way. */
 const arrivalMs = 2_000;
 
+/** Time that a move to a spare pool may take beyond what the platform says. */
+const parkingMarginMs = 100;
+
 /** What the balancer needs. */
 interface BalancerSurroundings {
     readonly leadership: Leadership;
@@ -50,7 +53,9 @@
 export class PoolBalancer extends PeriodicWorker {
     override readonly name = "pool-balancer";
     private readonly moving = new Map<string, MovingVm>();
-    private readonly calmSince = new Map<string, number>();
+    /** VMs that this leader has switched off; the platform's list may be older than that. */
+    private readonly parked = new Map<string, string>();
+    private readonly trends = new Map<string, DemandTrend>();
 
     /**
      * @param surroundings - what the balancer needs
@@ -83,6 +88,7 @@
     private async runMove({ vm, from, to }: VmMove): Promise<void> {
         const { leadership, gate, vms, log, clock } = this.surroundings;
         const cpu = readCpu(leadership.readFleet(), vm);
+        this.parked.delete(vm);
         this.moving.set(vm, { to, cpu, since: clock.readMonotonic() });
         const isFree = await leadership.commit({ kind: CommandKind.RecordMove, vm, from, to });
         const authority = gate.readAuthority();
@@ -108,27 +114,25 @@
             const capacity = (load?.capacity ?? 0) + incoming.reduce((sum, { cpu }) => sum + cpu, 0);
             const used = load?.used ?? 0;
             const wanted = load?.wanted ?? 0;
-            const isCalm = isPoolCalm({ capacity, used, wanted });
-            const calmSince = isCalm ? this.calmSince.get(name) ?? now : undefined;
-            if (calmSince === undefined) {
-                this.calmSince.delete(name);
-            }
-            else {
-                this.calmSince.set(name, calmSince);
-            }
             return {
                 name,
                 isSpare,
                 capacity,
                 used,
                 wanted,
+                ...this.openTrend(name).addSample(now, used + wanted, this.surroundings.moveMs),
                 homeCapacity: this.computeHomeCapacity(fleet, name),
-                calmMs: calmSince === undefined ? 0 : now - calmSince,
                 idleVms: isSpare ? this.listSpareVms(fleet, name) : this.listIdleVms(fleet, name),
             };
         });
     }
 
+    private openTrend(pool: string): DemandTrend {
+        const trend = this.trends.get(pool) ?? new DemandTrend();
+        this.trends.set(pool, trend);
+        return trend;
+    }
+
     private listIdleVms(fleet: FleetState, pool: string): PoolView["idleVms"] {
         const { isUsable, isMaintained } = this.surroundings;
         return [...fleet.targets.values()]
@@ -143,12 +147,12 @@
     private listSpareVms(fleet: FleetState, pool: string): PoolView["idleVms"] {
         const { gate, isMaintained } = this.surroundings;
         const recorded = new Set([...fleet.targets.values()].map(({ vm }) => vm));
-        return gate.readVms()
-            .filter(({ vm, pool: where, state }) =>
-                where === pool && state === VmState.Up && !recorded.has(vm)
-                && !isMaintained(vm) && !this.moving.has(vm)
-            )
-            .map(({ vm }) => ({ vm, home: pool, cpu: readCpu(fleet, vm) }));
+        const listed = gate.readVms().filter(({ pool: where, state }) => where === pool && state === VmState.Up);
+        const parked = [...this.parked].filter(([, where]) => where === pool);
+        const vms = new Set([...listed.map(({ vm }) => vm), ...parked.map(([vm]) => vm)]);
+        return [...vms]
+            .filter(vm => !recorded.has(vm) && !isMaintained(vm) && !this.moving.has(vm))
+            .map(vm => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: readCpu(fleet, vm) }));
     }
 
     private computeHomeCapacity(fleet: FleetState, pool: string): number {
@@ -165,7 +169,12 @@
         const now = clock.readMonotonic();
         const arrived = new Set([...fleet.targets.values()].map(({ vm, pool }) => `${vm} ${pool}`));
         for (const [vm, { to, since }] of this.moving) {
-            if (arrived.has(`${vm} ${to}`) || now - since > moveMs + arrivalMs) {
+            const isSpare = fleet.configuration?.pools.some(pool => pool.name === to && pool.isSpare) === true;
+            if (isSpare && now - since > moveMs + parkingMarginMs) {
+                this.parked.set(vm, to);
+                this.moving.delete(vm);
+            }
+            else if (arrived.has(`${vm} ${to}`) || now - since > moveMs + arrivalMs) {
                 this.moving.delete(vm);
             }
         }
