--- a/packages/core/src/control/record-move-command.ts
+++ b/packages/core/src/control/record-move-command.ts
@@ -1,9 +1,11 @@
 import type { CommandKind } from "./command-kind.js";
 
-/** Takes an empty VM out of its pool before the platform is told to move it. */
+/** Takes an empty VM out of its pool before the platform is told to move or to maintain it. */
 export interface RecordMoveCommand {
     readonly kind: CommandKind.RecordMove;
     readonly vm: string;
     readonly from: string;
     readonly to: string;
+    /** Fencing token under which the platform is told. */
+    readonly token: number;
 }
--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -20,12 +20,14 @@
         jobs: Job[];
         targets: TargetRecord[];
         vmHomes: [string, string][];
+        vmTokens: [string, number][];
         upkeep: UpkeepWave[];
     };
     const state = createFleetState();
     state.configuration = content.configuration;
     content.targets.forEach(target => state.targets.set(target.id, target));
     content.vmHomes.forEach(([vm, home]) => state.vmHomes.set(vm, home));
+    content.vmTokens.forEach(([vm, token]) => state.vmTokens.set(vm, token));
     content.upkeep.forEach(wave => state.upkeep.set(wave.number, wave));
     for (const job of content.jobs) {
         state.jobs.set(job.id, job);
--- a/packages/core/src/fleet/encode-fleet-state.ts
+++ b/packages/core/src/fleet/encode-fleet-state.ts
@@ -11,6 +11,7 @@
         jobs: [...state.jobs.values()],
         targets: [...state.targets.values()],
         vmHomes: [...state.vmHomes],
+        vmTokens: [...state.vmTokens],
         upkeep: [...state.upkeep.values()],
     };
 }
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -14,6 +14,8 @@
     readonly targets: Map<string, TargetRecord>;
     /** Pool to which a VM that was moved belongs when nobody is short. */
     readonly vmHomes: Map<string, string>;
+    /** Fencing token of the newest order about a VM. */
+    readonly vmTokens: Map<string, number>;
     /** Maintenance waves by number. */
     readonly upkeep: Map<number, UpkeepWave>;
     /** Ids of jobs of which something may start or run; derived from the jobs. */
--- a/packages/core/src/placement/scores/compute-crowding.ts
+++ b/packages/core/src/placement/scores/compute-crowding.ts
@@ -1,15 +1,23 @@
 import type { JobStep } from "../../jobs/job-step.js";
 import type { TargetView } from "../target-view.js";
 
+/** Weight of tying one more VM to long-running tasks, in tasks of the same step on one target. */
+const newVmPenalty = 2;
+
 /**
- * Score: how the room on a target should be used. Long-running tasks spread over targets, so that one failure takes few
- * of them; short tasks pack, so that room for the largest stays on some target. Lower is better.
+ * Score: how the room on a target should be used. Long-running tasks join others of their kind, spread over
+ * these, so that few VMs are tied to a pool; short tasks pack, so that room for the largest stays on some target. Lower is
+ * better.
  * @param step - the step
  * @param stepName - its name
  * @param target - the target
- * @returns a share of the target from 0 to 1, plus the tasks of the step that are there already
+ * @returns a figure without a unit, comparable between targets
  */
 export function computeCrowding(step: JobStep, stepName: string, target: TargetView): number {
     const freeShare = target.free.cpu / Math.max(1, target.record.capacity.cpu);
-    return step.isLongRunning ? (target.stepCounts.get(stepName) ?? 0) + 1 - freeShare : freeShare;
+    if (!step.isLongRunning) {
+        return freeShare;
+    }
+    const tasksThere = target.stepCounts.get(stepName) ?? 0;
+    return (target.hasServing ? 0 : newVmPenalty) + tasksThere + 1 - freeShare;
 }
--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -4,23 +4,24 @@
 import type { Job } from "../jobs/job.js";
 import { TaskPhase } from "../jobs/task-phase.js";
 import { computeChain } from "./compute-chain.js";
-import type { EstimateStep } from "./estimate-step.js";
+import { computeRemainingWork } from "./compute-remaining-work.js";
 import type { StepCandidate } from "./step-candidate.js";
+import type { WorkEstimator } from "./work-estimator.js";
 
 /**
  * Collects the steps that have tasks to start.
  * @param fleet - the fleet state
  * @param now - wall clock, milliseconds
- * @param estimate - guesses how long one task of a step takes
+ * @param estimator - guesses about work
  * @returns the steps, in no order
  */
-export function collectCandidates(fleet: FleetState, now: number, estimate: EstimateStep): StepCandidate[] {
+export function collectCandidates(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
     const candidates: StepCandidate[] = [];
     for (const id of fleet.activeJobs) {
         const job = fleet.jobs.get(id);
         if (job !== undefined && !isJobOver(job)) {
             job.occurrences.forEach((_, occurrence) =>
-                addCandidates(candidates, { fleet, job, occurrence, now, estimate })
+                addCandidates(candidates, { fleet, job, occurrence, now, estimator })
             );
         }
     }
@@ -32,11 +33,12 @@
     readonly job: Job;
     readonly occurrence: number;
     readonly now: number;
-    readonly estimate: EstimateStep;
+    readonly estimator: WorkEstimator;
 }
 
 function addCandidates(candidates: StepCandidate[], view: OccurrenceView): void {
-    const { fleet, job, occurrence, now, estimate } = view;
+    const { fleet, job, occurrence, now, estimator } = view;
+    const { estimateStep: estimate } = estimator;
     const dueAt = job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
     if (job.times > 0 && now < dueAt) {
         return;
@@ -51,6 +53,21 @@
         const remainingMs = computeChain(job, occurrence, estimate);
         const budgetMs = (rule?.stretch ?? 1) * computeChain(job, undefined, estimate) + (rule?.objectiveMs ?? 0);
         const slackMs = dueAt + budgetMs - now - remainingMs;
-        candidates.push({ job, rule, occurrence, step, definition, waiting, slackMs, remainingMs });
+        const relativeWork = computeRemainingWork(job, occurrence, estimate) / estimator.readUsualWork(job);
+        const stepsDone = (job.occurrences[occurrence] ?? []).filter((progress, position) =>
+            progress.doneCount === job.steps[position]?.count
+        ).length;
+        candidates.push({
+            job,
+            rule,
+            occurrence,
+            step,
+            definition,
+            waiting,
+            slackMs,
+            remainingMs,
+            relativeWork,
+            stepsDone,
+        });
     });
 }
--- a/packages/core/src/queueing/compare-candidates.ts
+++ b/packages/core/src/queueing/compare-candidates.ts
@@ -2,7 +2,7 @@
 
 /** How urgently a step is to be started; lower comes first. */
 enum Urgency {
-    /** Earns by every second at work. */
+    /** Serves users by every second at work. */
     LongRunning = 0,
     /** Can still be on time. */
     InTime = 1,
@@ -10,13 +10,18 @@
     Late = 2,
 }
 
-/** Multiple of the remaining work by which an estimate may be short before a step counts as late. */
+/** Share of the remaining work by which an estimate may be short before a step counts as late. */
 const slackTolerance = 0.3;
+/** Head start of a small job against one of the usual size, milliseconds: room that many callers can use. */
+const sizeWeightMs = 300;
+/** Head start for each step that is done, milliseconds: what a begun job has used is lost if it ends late. */
+const stepWeightMs = 200;
 
 /**
  * Orders steps for starting. Answers the load in which demand rises above what a pool holds for some seconds: work that
- * can still be on time goes first, by least slack; what is late already waits behind it, shortest first, so that a
- * backlog that only grows older does not make everything late.
+ * can still be on time goes first, by least slack, with a head start for small and for begun jobs, as under a deep
+ * backlog slack alone makes everything a little late. What is late already waits behind it, smallest first, so that
+ * nothing that only grows older holds up what can be on time.
  * @param a - a step
  * @param b - another step
  * @returns negative when `a` comes first
@@ -30,7 +35,11 @@
     if (priority !== 0) {
         return priority;
     }
-    return readUrgency(a) === Urgency.Late ? a.remainingMs - b.remainingMs : a.slackMs - b.slackMs;
+    return readUrgency(a) === Urgency.Late ? a.relativeWork - b.relativeWork : computeRank(a) - computeRank(b);
+}
+
+function computeRank({ slackMs, relativeWork, stepsDone }: StepCandidate): number {
+    return Math.max(0, slackMs) + sizeWeightMs * Math.sqrt(relativeWork) - stepWeightMs * stepsDone;
 }
 
 function readUrgency(candidate: StepCandidate): Urgency {
--- a/packages/core/src/queueing/step-candidate.ts
+++ b/packages/core/src/queueing/step-candidate.ts
@@ -15,4 +15,8 @@
     readonly slackMs: number;
     /** Milliseconds of work on the longest chain that is left. */
     readonly remainingMs: number;
+    /** Work that is left against the work of a usual job of the queue. */
+    readonly relativeWork: number;
+    /** Steps of the occurrence that are done. */
+    readonly stepsDone: number;
 }
--- a/packages/daemon/src/fleet/leader/duration-book.ts
+++ b/packages/daemon/src/fleet/leader/duration-book.ts
@@ -1,21 +1,29 @@
 import type { JobStep } from "@daisylock/core/jobs/job-step.js";
 import type { Job } from "@daisylock/core/jobs/job.js";
+import { RunningMoments } from "@daisylock/core/queueing/running-moments.js";
+import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 
-/** Weight of one more run against those before it. */
-const newestShare = 0.1;
-/** Runs after which what was seen counts as much as the caller's guess. */
-const minRuns = 3;
+/** Runs after which what was seen is used. */
+const minRuns = 5;
 /** Least time that a task counts for; guesses of nothing would make every job late at once. */
 const minTaskMs = 50;
+/** By how much the longest of several parallel tasks exceeds the usual one. */
+const longestOfSeveral = 1.25;
 
-interface SeenDuration {
-    logMs: number;
-    runs: number;
+/** What was seen of the tasks of one queue and image; times by their logarithm. */
+interface SeenTasks {
+    readonly durations: RunningMoments;
+    /** Duration against the caller's guess. */
+    readonly errors: RunningMoments;
 }
 
-/** Corrects callers' guesses by how long tasks of the same queue and image took. */
-export class DurationBook {
-    private readonly seen = new Map<string, SeenDuration>();
+/**
+ * Corrects callers' guesses by how long tasks of the same queue and image took. Guess and history are weighed by how far
+ * each has been off: the posterior mean of two log-normal sources.
+ */
+export class DurationBook implements WorkEstimator {
+    private readonly seen = new Map<string, SeenTasks>();
+    private readonly work = new Map<string, RunningMoments>();
 
     /**
      * Notes how long a run took that ended as done.
@@ -25,25 +33,50 @@
      */
     noteRun(job: Job, step: JobStep, durationMs: number): void {
         const key = buildKey(job, step);
-        const known = this.seen.get(key) ?? { logMs: Math.log(durationMs), runs: 0 };
-        const share = Math.max(newestShare, 1 / (known.runs + 1));
-        known.logMs += (Math.log(Math.max(1, durationMs)) - known.logMs) * share;
-        known.runs += 1;
-        this.seen.set(key, known);
+        const seen = this.seen.get(key) ?? { durations: new RunningMoments(), errors: new RunningMoments() };
+        const duration = Math.log(Math.max(1, durationMs));
+        seen.durations.add(duration);
+        seen.errors.add(duration - Math.log(Math.max(minTaskMs, step.estimateMs)));
+        this.seen.set(key, seen);
     }
 
     /**
-     * Guesses how long one task of a step takes: the geometric mean of the caller's guess and of what was seen, as either
-     * is off by a factor.
+     * Notes a job that was accepted.
      * @param job - the job
-     * @param step - the step
-     * @returns milliseconds
      */
-    readonly estimate = (job: Job, step: JobStep): number => {
-        const known = this.seen.get(buildKey(job, step));
-        const guess = Math.max(minTaskMs, step.estimateMs);
-        return known === undefined || known.runs < minRuns ? guess : Math.sqrt(guess * Math.exp(known.logMs));
+    noteJob(job: Job): void {
+        const moments = this.work.get(job.queue) ?? new RunningMoments();
+        moments.add(job.steps.reduce((sum, step) => sum + this.computeWork(job, step), 0));
+        this.work.set(job.queue, moments);
+    }
+
+    readonly estimateStep = (job: Job, step: JobStep): number => {
+        const usual = this.estimateTask(job, step);
+        return step.count > 1 ? usual * longestOfSeveral : usual;
+    };
+
+    readonly readUsualWork = (job: Job): number => {
+        const mean = this.work.get(job.queue)?.readMean() ?? 0;
+        return mean > 0 ? mean : Math.max(1, job.steps.reduce((sum, step) => sum + this.computeWork(job, step), 0));
     };
+
+    private estimateTask(job: Job, step: JobStep): number {
+        const seen = this.seen.get(buildKey(job, step));
+        const guess = Math.log(Math.max(minTaskMs, step.estimateMs));
+        if (seen === undefined || seen.durations.count() < minRuns) {
+            return Math.exp(guess);
+        }
+        const { durations, errors } = seen;
+        const spread = durations.readVariance();
+        const error = errors.readVariance();
+        const historyShare = spread + error === 0 ? 1 : error / (spread + error);
+        const corrected = guess + errors.readMean();
+        return Math.exp(historyShare * durations.readMean() + (1 - historyShare) * corrected);
+    }
+
+    private computeWork(job: Job, step: JobStep): number {
+        return step.isLongRunning ? 0 : step.count * step.needs.cpu * this.estimateStep(job, step);
+    }
 }
 
 function buildKey(job: Job, step: JobStep): string {
--- a/packages/daemon/src/fleet/leader/job-desk.ts
+++ b/packages/daemon/src/fleet/leader/job-desk.ts
@@ -4,6 +4,7 @@
 import { SubmitJobResult } from "@daisylock/core/control/submit-job-result.js";
 import { JobPhase } from "@daisylock/core/jobs/job-phase.js";
 import type { JobRequest } from "@daisylock/core/jobs/job-request.js";
+import type { Job } from "@daisylock/core/jobs/job.js";
 import { validateJob } from "@daisylock/core/jobs/validate-job.js";
 import type { JobAnswer } from "@daisylock/protocol/fleet/job-answer.js";
 import type { JobCall } from "@daisylock/protocol/fleet/job-call.js";
@@ -34,12 +35,12 @@
     /**
      * @param leadership - whether this process may decide
      * @param log - decisions
-     * @param handleWork - called when there may be something to start or stop
+     * @param handleWork - called when there may be something to start or stop, with a job that is new
      */
     constructor(
         private readonly leadership: Leadership,
         private readonly log: DecisionLog,
-        private readonly handleWork: () => void,
+        private readonly handleWork: (accepted?: Job) => void,
     ) {}
 
     /**
@@ -137,8 +138,9 @@
                     queue: queue.name,
                     account,
                     tasks: request.steps.reduce((sum, step) => sum + step.count, 0),
+                    estimates: request.steps.map(step => `${step.count}x${step.estimateMs}`).join(" "),
                 });
-                this.handleWork();
+                this.handleWork(this.leadership.readFleet().jobs.get(id));
                 return { outcome: JobOutcome.Accepted };
             case SubmitJobResult.Repeated:
                 return { outcome: JobOutcome.Accepted };
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -73,7 +73,7 @@
             leadership,
             gate,
             vms,
-            estimate: this.durations.estimate,
+            estimator: this.durations,
             isMaintained: vm => this.upkeep.isMaintained(vm),
             isUsable: target => this.sessions.find(target)?.isUsable() === true,
             log,
@@ -93,7 +93,7 @@
         this.scheduler = new Scheduler({
             leadership,
             sessions: this.sessions,
-            estimate: this.durations.estimate,
+            estimator: this.durations,
             isEvacuating: target =>
                 this.upkeep.isEvacuating(target)
                 || this.balancer.isMoving(leadership.readFleet().targets.get(target)?.vm ?? ""),
@@ -110,7 +110,12 @@
      */
     buildHandlers(handleJoin: FleetHandlers["join"]): FleetHandlers {
         const { leadership, log } = this.surroundings;
-        const jobs = new JobDesk(leadership, log, () => this.scheduler.startRound());
+        const jobs = new JobDesk(leadership, log, job => {
+            if (job !== undefined) {
+                this.durations.noteJob(job);
+            }
+            this.scheduler.startRound();
+        });
         const configuration = new ConfigurationDesk(leadership, log);
         const upkeep = new UpkeepDesk(leadership, log);
         return {
--- a/packages/daemon/src/fleet/leader/pool-balancer.ts
+++ b/packages/daemon/src/fleet/leader/pool-balancer.ts
@@ -6,7 +6,7 @@
 import type { VmMove } from "@daisylock/core/pools/vm-move.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
-import type { EstimateStep } from "@daisylock/core/queueing/estimate-step.js";
+import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 import { TargetState } from "@daisylock/core/targets/target-state.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -32,7 +32,7 @@
     readonly leadership: Leadership;
     readonly gate: VmAuthorityGate;
     readonly vms: VmService;
-    readonly estimate: EstimateStep;
+    readonly estimator: WorkEstimator;
     /** Whether a VM is down or being emptied for maintenance. */
     readonly isMaintained: (vm: string) => boolean;
     readonly isUsable: (target: string) => boolean;
@@ -75,6 +75,7 @@
 
     protected override *tick(): Generator<unknown, number, unknown> {
         const { leadership, gate } = this.surroundings;
+        gate.noteOrders();
         if (gate.readAuthority() === undefined) {
             return intervalMs;
         }
@@ -90,9 +91,10 @@
         const cpu = readCpu(leadership.readFleet(), vm);
         this.parked.delete(vm);
         this.moving.set(vm, { to, cpu, since: clock.readMonotonic() });
-        const isFree = await leadership.commit({ kind: CommandKind.RecordMove, vm, from, to });
+        const token = leadership.readToken();
+        const isFree = await leadership.commit({ kind: CommandKind.RecordMove, vm, from, to, token });
         const authority = gate.readAuthority();
-        if (isFree !== true || authority === undefined) {
+        if (isFree !== true || authority?.fencingToken !== token) {
             this.moving.delete(vm);
             return;
         }
@@ -104,8 +106,8 @@
     }
 
     private collectPools(fleet: FleetState): PoolView[] {
-        const { estimate, clock } = this.surroundings;
-        const candidates = collectCandidates(fleet, clock.readWall(), estimate);
+        const { estimator, clock } = this.surroundings;
+        const candidates = collectCandidates(fleet, clock.readWall(), estimator);
         const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
         const now = clock.readMonotonic();
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
@@ -134,12 +136,13 @@
     }
 
     private listIdleVms(fleet: FleetState, pool: string): PoolView["idleVms"] {
-        const { isUsable, isMaintained } = this.surroundings;
+        const { isUsable, isMaintained, gate } = this.surroundings;
         return [...fleet.targets.values()]
             .filter(target =>
                 target.pool === pool && target.vm !== "" && target.state === TargetState.Ready
                 && (fleet.targetLoads.get(target.id)?.runs.size ?? 0) === 0
                 && isUsable(target.id) && !isMaintained(target.vm) && !this.moving.has(target.vm)
+                && gate.isFree(target.vm)
             )
             .map(({ vm, capacity }) => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: capacity.cpu }));
     }
@@ -151,7 +154,7 @@
         const parked = [...this.parked].filter(([, where]) => where === pool);
         const vms = new Set([...listed.map(({ vm }) => vm), ...parked.map(([vm]) => vm)]);
         return [...vms]
-            .filter(vm => !recorded.has(vm) && !isMaintained(vm) && !this.moving.has(vm))
+            .filter(vm => !recorded.has(vm) && !isMaintained(vm) && !this.moving.has(vm) && gate.isFree(vm))
             .map(vm => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: readCpu(fleet, vm) }));
     }
 
--- a/packages/daemon/src/fleet/leader/scheduler.ts
+++ b/packages/daemon/src/fleet/leader/scheduler.ts
@@ -6,7 +6,7 @@
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
-import type { EstimateStep } from "@daisylock/core/queueing/estimate-step.js";
+import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
@@ -29,7 +29,7 @@
 interface SchedulerSurroundings {
     readonly leadership: Leadership;
     readonly sessions: TargetSessions;
-    readonly estimate: EstimateStep;
+    readonly estimator: WorkEstimator;
     /** Whether a target is being emptied. */
     readonly isEvacuating: (target: string) => boolean;
     readonly log: DecisionLog;
@@ -85,8 +85,8 @@
     }
 
     private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
-        const { leadership, sessions, estimate, isEvacuating, log } = this.surroundings;
-        const candidates = collectCandidates(fleet, this.surroundings.clock.readWall(), estimate);
+        const { leadership, sessions, estimator, isEvacuating, log } = this.surroundings;
+        const candidates = collectCandidates(fleet, this.surroundings.clock.readWall(), estimator);
         if (candidates.length === 0) {
             return;
         }
@@ -104,13 +104,13 @@
 
     /** One line a pool and second, so that a late job can be told from a slow one afterwards. */
     private logLoads(fleet: FleetState): void {
-        const { clock, estimate, log } = this.surroundings;
+        const { clock, estimator, log } = this.surroundings;
         const now = clock.readMonotonic();
         if (now < this.loadDue) {
             return;
         }
         this.loadDue = now + loadIntervalMs;
-        const candidates = collectCandidates(fleet, clock.readWall(), estimate);
+        const candidates = collectCandidates(fleet, clock.readWall(), estimator);
         for (const load of collectPoolLoads(fleet, candidates)) {
             log.note(DecisionKind.PoolLoad, { ...load });
         }
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -421,8 +421,8 @@
 
     private async handleUnreachable(): Promise<void> {
         const now = this.readNow();
-        const { leadership, maxLeaseMs, log } = this.surroundings;
-        const lapse = this.clock.computeLapse() ?? leadership.readStart() + maxLeaseMs / minClockRate;
+        const { leadership, log } = this.surroundings;
+        const lapse = this.clock.computeLapse() ?? leadership.readStart() + this.readLeaseMs() / minClockRate;
         const { runs } = this.readLoad();
         if (now > lapse + lapseMarginMs && runs.size > 0) {
             log.note(DecisionKind.LeaseLost, { target: this.record.id, runs: runs.size, lapsedMs: Math.round(now - lapse) });
--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -117,7 +117,7 @@
         wave: UpkeepWave,
         emptying: Map<string, number>,
     ): Generator<unknown, void, unknown> {
-        const { clock, sessions, upkeepMs, leadership } = this.surroundings;
+        const { clock, sessions, upkeepMs, leadership, gate, isMoving } = this.surroundings;
         const now = clock.readWall();
         this.dropReturned(fleet, now);
         const targets = collectByVm(fleet);
@@ -125,7 +125,7 @@
             cap: wave.cap,
             deadlineAtMs: wave.deadlineAtMs,
             downCount: wave.vms.filter(vm => this.down.has(vm)).length,
-            waiting: wave.vms.filter(vm => !wave.done.includes(vm) && !this.surroundings.isMoving(vm)).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
+            waiting: wave.vms.filter(vm => !wave.done.includes(vm) && !isMoving(vm) && gate.isFree(vm)).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
             upkeepMs,
             now,
         });
@@ -165,6 +165,12 @@
         if (authority === undefined) {
             return;
         }
+        const token = authority.fencingToken;
+        const pool = target?.pool ?? "";
+        yield* waitFor(leadership.commit({ kind: CommandKind.RecordMove, vm, from: pool, to: pool, token }));
+        if (gate.readAuthority()?.fencingToken !== token) {
+            return;
+        }
         const result = yield* waitFor(vms.startUpkeep(vm, wave.number, authority));
         const isOver = result === VmOrderResult.Done || result === VmOrderResult.Unknown
             || result === VmOrderResult.NotOfWave;
--- a/packages/daemon/src/fleet/leader/vm-authority-gate.ts
+++ b/packages/daemon/src/fleet/leader/vm-authority-gate.ts
@@ -17,12 +17,20 @@
     readonly holderLeaseMs: number;
 }
 
+/** When an order about a VM was first seen in the replicated state, and under which token it was given. */
+interface SeenOrder {
+    readonly token: number;
+    /** Monotonic milliseconds. */
+    readonly at: number;
+}
+
 /**
- * Lets orders about VMs out once an earlier leader's last order is older than its lease, and keeps the platform's list
- * of VMs.
+ * Lets orders about a VM out once an earlier leader's last order about it is older than its lease, and keeps the
+ * platform's list of VMs. Orders are recorded before they are given, so that every keeper sees them.
  */
 export class VmAuthorityGate {
     private token = 0;
+    private readonly seen = new Map<string, SeenOrder>();
     private listed: readonly VmView[] | undefined;
     private listedAt = 0;
     private isListing = false;
@@ -32,19 +40,40 @@
      */
     constructor(private readonly surroundings: GateSurroundings) {}
 
+    /** Notes the orders of whichever process leads; to be called on every keeper, often against the holder's lease. */
+    noteOrders(): void {
+        const { leadership, clock } = this.surroundings;
+        for (const [vm, token] of leadership.readFleet().vmTokens) {
+            if (this.seen.get(vm)?.token !== token) {
+                this.seen.set(vm, { token, at: clock.readMonotonic() });
+            }
+        }
+    }
+
+    /**
+     * Tells whether an earlier leader's last order about a VM is older than its lease.
+     * @param vm - the VM
+     * @returns true when orders about it may go out
+     */
+    isFree(vm: string): boolean {
+        const { leadership, clock, holderLeaseMs } = this.surroundings;
+        const seen = this.seen.get(vm);
+        return seen === undefined || seen.token === leadership.readToken()
+            || clock.readMonotonic() - seen.at > holderLeaseMs;
+    }
+
     /**
      * Reads under whose lease orders go out.
-     * @returns the lease, or `undefined` while it is not free or the VMs are not known
+     * @returns the lease, or `undefined` while this process does not lead or the VMs are not known
      */
     readAuthority(): VmAuthority | undefined {
-        const { leadership, clock, holder, holderLeaseMs } = this.surroundings;
+        const { leadership, clock, holder } = this.surroundings;
         const token = leadership.readToken();
         if (token !== this.token) {
             this.token = token;
             this.listed = undefined;
         }
-        const ledMs = clock.readMonotonic() - leadership.readStart();
-        if (!leadership.isDeciding() || ledMs < holderLeaseMs) {
+        if (!leadership.isDeciding()) {
             return undefined;
         }
         if (this.listed === undefined || clock.readMonotonic() - this.listedAt > maxListAgeMs) {
