--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -71,10 +71,8 @@
     const { pool, capacity, idle } = item;
     const cpu = idle[0]?.cpu ?? 0;
     const left = capacity - cpu;
-    const isForeign = idle.some(vm => vm.home !== pool.name);
     return idle.length > 0 && (pool.isSpare
-        || (pool.wanted === 0 && pool.used <= left * keptShare
-            && (isForeign || left >= pool.homeCapacity * keptShare)));
+        || (pool.wanted === 0 && pool.used <= left * keptShare && left >= pool.homeCapacity * keptShare));
 }
 
 /** Spare VMs first, then the pool with the most to give. */
--- a/packages/daemon/src/fleet/leader/target-clock.ts
+++ b/packages/daemon/src/fleet/leader/target-clock.ts
@@ -23,7 +23,7 @@
     }
 
     /**
-     * Computes the end of a new lease, and remembers it as granted whether or not the order arrives.
+     * Computes the end of a new lease.
      * @param now - our monotonic clock
      * @param leaseMs - length of the lease
      * @returns time on the target's clock, or `undefined` while that is not known
@@ -32,9 +32,15 @@
         if (this.reading === undefined) {
             return undefined;
         }
-        const end = Math.floor(this.reading + (now - this.readAt) + leaseMs);
+        return Math.floor(this.reading + (now - this.readAt) + leaseMs);
+    }
+
+    /**
+     * Notes a lease that the target may have granted.
+     * @param end - its end on the target's clock
+     */
+    noteLease(end: number): void {
         this.newestLease = Math.max(this.newestLease, end);
-        return end;
     }
 
     /**
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -155,8 +155,12 @@
     private async renew(load: Pick<TargetLoad, "runs">): Promise<void> {
         this.noteHeartbeat();
         const sentAt = this.readNow();
+        // A target that does not answer is only looked at: its lease has to end before its tasks can start elsewhere.
+        const leaseUntilMs = this.failingSince === undefined
+            ? this.clock.computeLeaseEnd(sentAt, this.readLeaseMs())
+            : undefined;
         const answer = await this.surroundings.client.holdTasks(this.readRecord(), {
-            leaseUntilMs: this.clock.computeLeaseEnd(sentAt, this.readLeaseMs()),
+            leaseUntilMs,
             fencingToken: this.token,
             lastSeen: this.lastSeen,
             waitMs: this.isSynced && load.runs.size > 0 ? holdWaitMs : 0,
@@ -164,6 +168,7 @@
         if (this.isClosed) {
             return;
         }
+        this.noteLease(leaseUntilMs, answer);
         this.noteClock(answer);
         switch (answer.result) {
             case OrderResult.Done:
@@ -255,6 +260,10 @@
                 await this.sendStop(task, order);
                 return;
             }
+            if (this.failingSince !== undefined) {
+                await this.pause(retryMs);
+                continue;
+            }
             const answer = await this.trySendStart(task, order);
             if (answer === undefined || await this.settleStart(task, order, answer)) {
                 return;
@@ -275,7 +284,7 @@
         if (leaseUntilMs === undefined) {
             return { result: OrderResult.NotSent, clockMs: undefined };
         }
-        return client.startTask(this.readRecord(), {
+        const answer = await client.startTask(this.readRecord(), {
             task,
             run: order.run,
             spec: job.spec,
@@ -284,6 +293,8 @@
             saved: record.saved,
             ticket: "",
         });
+        this.noteLease(leaseUntilMs, answer);
+        return answer;
     }
 
     /** Returns whether the start needs no further attempt. */
@@ -461,6 +472,13 @@
         }
     }
 
+    /** An order that got no answer may have been carried out. */
+    private noteLease(leaseUntilMs: number | undefined, { result }: OrderAnswer): void {
+        if (leaseUntilMs !== undefined && result !== OrderResult.NotSent) {
+            this.clock.noteLease(leaseUntilMs);
+        }
+    }
+
     private noteClock({ clockMs }: OrderAnswer): void {
         if (clockMs !== undefined) {
             this.clock.note(clockMs, this.readNow());
