--- a/packages/daemon/src/calls/http-caller.ts
+++ b/packages/daemon/src/calls/http-caller.ts
@@ -69,6 +69,9 @@
     }
 }
 
+/** Longest wait for a connection; processes are a few milliseconds apart, and a lost packet is sent again after a second. */
+const connectTimeoutMs = 300;
+
 /** Watches one request until it is answered, fails or takes too long. */
 class CallWatch {
     private isSettled = false;
@@ -84,9 +87,12 @@
         outgoing.on("socket", (socket: Socket) => {
             socket.setNoDelay(true);
             if (socket.connecting) {
+                const connectTimer = setTimeout(() => this.settleFailure("no connection in time"), connectTimeoutMs);
                 socket.once("connect", () => {
+                    clearTimeout(connectTimer);
                     this.isConnected = true;
                 });
+                socket.once("close", () => clearTimeout(connectTimer));
             }
             else {
                 this.isConnected = true;
--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -32,7 +32,7 @@
 /** Events kept for people; decisions are in the log. */
 const keptEvents = 256;
 /** Times of the replicated log for keepers a millisecond apart, milliseconds. */
-const timing: RaftTiming = { heartbeat: 150, electionMin: 800, electionMax: 1_400, lease: 650 };
+const timing: RaftTiming = { heartbeat: 100, electionMin: 500, electionMax: 900, lease: 400 };
 
 /** One process that serves jobs: the root of its supervisor tree. */
 export class FleetDaemon {
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -10,6 +10,7 @@
 import type { FleetHandlers } from "../peers/fleet-handlers.js";
 import type { FleetSettings } from "../settings/fleet-settings.js";
 import type { TargetClient } from "../targets/target-client.js";
+import { VmState } from "../vms/vm-state.js";
 import type { VmService } from "../vms/vm-service.js";
 import { ConfigurationDesk } from "./configuration-desk.js";
 import { DurationBook } from "./duration-book.js";
@@ -52,6 +53,13 @@
         const { settings, leadership, client, vms, clock, log } = surroundings;
         const handleWork = () => this.scheduler.startRound();
         this.targets = new TargetDesk(leadership, clock, log, handleWork);
+        const gate = new VmAuthorityGate({
+            leadership,
+            vms,
+            clock,
+            holder: settings.node.name,
+            holderLeaseMs: settings.vms.holder_lease_ms,
+        });
         this.sessions = new TargetSessions({
             leadership,
             client,
@@ -59,16 +67,13 @@
             clock,
             log,
             maxLeaseMs: settings.tasks.max_lease_ms,
+            isEnded: ({ id, vm }, since) => {
+                const view = vm === "" ? "unknown" : gate.findVm(vm, since);
+                return view !== "unknown" && (view === undefined || view.state === VmState.Down || view.target !== id);
+            },
             handleWork,
             handleEnd: (task, _target, how, durationMs) => this.noteEnd(leadership.readFleet(), task, how, durationMs),
         });
-        const gate = new VmAuthorityGate({
-            leadership,
-            vms,
-            clock,
-            holder: settings.node.name,
-            holderLeaseMs: settings.vms.holder_lease_ms,
-        });
         this.balancer = new PoolBalancer({
             leadership,
             gate,
--- a/packages/daemon/src/fleet/leader/session-surroundings.ts
+++ b/packages/daemon/src/fleet/leader/session-surroundings.ts
@@ -1,5 +1,7 @@
 import type { RunEnd } from "@daisylock/core/jobs/run-end.js";
 
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
 import type { Clock } from "../../clock/clock.js";
 import type { DecisionLog } from "../log/decision-log.js";
 import type { TargetClient } from "../targets/target-client.js";
@@ -15,6 +17,12 @@
     readonly log: DecisionLog;
     /** Longest lease that a target grants, milliseconds. */
     readonly maxLeaseMs: number;
+    /**
+     * Tells whether the platform says that the life of a target is over.
+     * @param target - the target life
+     * @param since - monotonic milliseconds; only what the platform has said since then counts
+     */
+    readonly isEnded: (target: TargetRecord, since: number) => boolean;
     /** Called when there may be something to start. */
     readonly handleWork: () => void;
     /** Called with each end: the encoded task key, the target, how the run ended and after how many milliseconds. */
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -432,7 +432,11 @@
 
     private async handleUnreachable(): Promise<void> {
         const now = this.readNow();
-        const { leadership, log } = this.surroundings;
+        const { leadership, log, isEnded } = this.surroundings;
+        if (this.failingSince !== undefined && isEnded(this.record, this.failingSince)) {
+            await this.recordGone("the platform says that it has ended");
+            return;
+        }
         const lapse = this.clock.computeLapse() ?? leadership.readStart() + this.readLeaseMs() / minClockRate;
         const { runs } = this.readLoad();
         if (now > lapse + lapseMarginMs && runs.size > 0) {
--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -30,6 +30,8 @@
 const atWorkPercent = 100;
 /** Longest time after its maintenance for which a VM that does not come back counts as down. */
 const returnMs = 1_500;
+/** Time before a VM is tried again that the platform could not maintain; its place in the wave goes to another. */
+const busyMs = 1_500;
 
 /** What the runner needs. */
 interface UpkeepSurroundings {
@@ -48,6 +50,8 @@
 export class UpkeepRunner extends PeriodicWorker {
     override readonly name = "upkeep-runner";
     private token = 0;
+    /** Until when a VM is not tried again, wall clock. */
+    private readonly busyUntil = new Map<string, number>();
     /** When the maintenance of a VM began, wall clock. */
     private readonly down = new Map<string, number>();
     /** Since when a VM is being emptied, wall clock. */
@@ -125,7 +129,7 @@
             cap: wave.cap,
             deadlineAtMs: wave.deadlineAtMs,
             downCount: wave.vms.filter(vm => this.down.has(vm)).length,
-            waiting: wave.vms.filter(vm => !wave.done.includes(vm) && !isMoving(vm) && gate.isFree(vm)).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
+            waiting: wave.vms.filter(vm => !wave.done.includes(vm) && !isMoving(vm) && gate.isFree(vm) && now >= (this.busyUntil.get(vm) ?? 0)).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
             upkeepMs,
             now,
         });
@@ -172,14 +176,20 @@
             return;
         }
         const result = yield* waitFor(vms.startUpkeep(vm, wave.number, authority));
+        const listed = gate.readVms().find(view => view.vm === vm);
+        const isGone = result === VmOrderResult.Busy && listed === undefined;
         const isOver = result === VmOrderResult.Done || result === VmOrderResult.Unknown
-            || result === VmOrderResult.NotOfWave;
+            || result === VmOrderResult.NotOfWave || isGone;
+        if (result === VmOrderResult.Busy) {
+            this.busyUntil.set(vm, clock.readWall() + busyMs);
+        }
         log.note(isOver ? DecisionKind.UpkeepOrdered : DecisionKind.UpkeepDelayed, {
             wave: wave.number,
             vm,
             result,
             target: target?.id,
             token: this.token,
+            listed: listed?.state ?? "not listed",
         });
         if (result === VmOrderResult.Done || result === VmOrderResult.Unanswered) {
             this.down.set(vm, clock.readWall());
--- a/packages/daemon/src/fleet/leader/vm-authority-gate.ts
+++ b/packages/daemon/src/fleet/leader/vm-authority-gate.ts
@@ -6,6 +6,8 @@
 
 /** Age from which the list of VMs is read again, milliseconds. */
 const maxListAgeMs = 4_000;
+/** The same when somebody needs to know about a VM that does not answer. */
+const urgentListAgeMs = 400;
 
 /** What the gate needs. */
 interface GateSurroundings {
@@ -33,6 +35,8 @@
     private readonly seen = new Map<string, SeenOrder>();
     private listed: readonly VmView[] | undefined;
     private listedAt = 0;
+    /** When the newest list that has come was asked for. */
+    private listAskedAt = 0;
     private isListing = false;
 
     /**
@@ -82,6 +86,23 @@
         return this.listed === undefined ? undefined : { holder, fencingToken: token };
     }
 
+    /**
+     * Finds what the platform says of a VM, in a list that was asked for after a given moment.
+     * @param vm - the VM
+     * @param since - monotonic milliseconds
+     * @returns the VM; `undefined` when it is not listed; or "unknown" until such a list has come
+     */
+    findVm(vm: string, since: number): VmView | undefined | "unknown" {
+        const now = this.surroundings.clock.readMonotonic();
+        if (this.readAuthority() === undefined || this.listAskedAt < since) {
+            if (now - this.listAskedAt > urgentListAgeMs) {
+                void this.updateList(this.token);
+            }
+            return "unknown";
+        }
+        return this.readVms().find(view => view.vm === vm);
+    }
+
     /**
      * Reads the platform's list of VMs.
      * @returns the VMs as last listed; empty before
@@ -95,10 +116,12 @@
             return;
         }
         this.isListing = true;
+        const askedAt = this.surroundings.clock.readMonotonic();
         const listed = await this.surroundings.vms.listVms();
         this.isListing = false;
-        if (token === this.token) {
-            this.listed = listed ?? this.listed;
+        if (token === this.token && listed !== undefined) {
+            this.listed = listed;
+            this.listAskedAt = askedAt;
             this.listedAt = this.surroundings.clock.readMonotonic();
         }
     }
