--- a/packages/daemon/src/fleet/leader/pool-balancer.ts
+++ b/packages/daemon/src/fleet/leader/pool-balancer.ts
@@ -1,5 +1,6 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { BurstMemory } from "@daisylock/core/pools/burst-memory.js";
 import { DemandTrend } from "@daisylock/core/pools/demand-trend.js";
 import { planMoves } from "@daisylock/core/pools/plan-moves.js";
 import type { PoolView } from "@daisylock/core/pools/pool-view.js";
@@ -55,6 +56,7 @@
     private readonly moving = new Map<string, MovingVm>();
     /** VMs that this leader has switched off; the platform's list may be older than that. */
     private readonly parked = new Map<string, string>();
+    private readonly bursts = new BurstMemory();
     private readonly trends = new Map<string, DemandTrend>();
 
     /**
@@ -116,14 +118,20 @@
             const capacity = (load?.capacity ?? 0) + incoming.reduce((sum, { cpu }) => sum + cpu, 0);
             const used = load?.used ?? 0;
             const wanted = load?.wanted ?? 0;
+            const homeCapacity = this.computeHomeCapacity(fleet, name);
+            const usedLongRunning = load?.usedLongRunning ?? 0;
+            const share = (used + wanted - usedLongRunning) / Math.max(1, homeCapacity);
+            const burst = isSpare ? 0 : this.bursts.noteDemand(name, share, now) * homeCapacity + usedLongRunning;
+            const outlook = this.openTrend(name).addSample(now, used + wanted, this.surroundings.moveMs);
             return {
                 name,
                 isSpare,
                 capacity,
                 used,
                 wanted,
-                ...this.openTrend(name).addSample(now, used + wanted, this.surroundings.moveMs),
-                homeCapacity: this.computeHomeCapacity(fleet, name),
+                peak: outlook.peak,
+                expected: Math.max(outlook.expected, burst),
+                homeCapacity,
                 idleVms: isSpare ? this.listSpareVms(fleet, name) : this.listIdleVms(fleet, name),
             };
         });
--- a/packages/daemon/src/fleet/leader/target-clock.ts
+++ b/packages/daemon/src/fleet/leader/target-clock.ts
@@ -44,17 +44,7 @@
     }
 
     /**
-     * Notes that an earlier leader may have granted a lease.
-     * @param leaseMs - longest lease that it may have granted from now on
-     */
-    noteEarlierLease(leaseMs: number): void {
-        if (this.reading !== undefined) {
-            this.newestLease = Math.max(this.newestLease, this.reading + leaseMs);
-        }
-    }
-
-    /**
-     * Computes when every lease granted so far is over for certain.
+     * Computes when every lease that this leader has granted is over for certain.
      * @returns our monotonic clock, or `undefined` while the target's clock is not known
      */
     computeLapse(): number | undefined {
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -437,7 +437,9 @@
             await this.recordGone("the platform says that it has ended");
             return;
         }
-        const lapse = this.clock.computeLapse() ?? leadership.readStart() + this.readLeaseMs() / minClockRate;
+        // An earlier leader may have renewed the lease until this leadership began.
+        const earlierLapse = leadership.readStart() + this.readLeaseMs() / minClockRate;
+        const lapse = Math.max(earlierLapse, this.clock.computeLapse() ?? 0);
         const { runs } = this.readLoad();
         if (now > lapse + lapseMarginMs && runs.size > 0) {
             log.note(DecisionKind.LeaseLost, { target: this.record.id, runs: runs.size, lapsedMs: Math.round(now - lapse) });
@@ -486,7 +488,6 @@
     private noteClock({ clockMs }: OrderAnswer): void {
         if (clockMs !== undefined) {
             this.clock.note(clockMs, this.readNow());
-            this.noteEarlierLease();
         }
     }
 
@@ -494,14 +495,6 @@
         const report = this.surroundings.desk.findReport(this.record.id, this.record.incarnation);
         if (report?.clockMs !== undefined) {
             this.clock.note(report.clockMs, report.at);
-            this.noteEarlierLease();
-        }
-    }
-
-    /** Until the target has answered, an earlier leader's renewal may reach it. */
-    private noteEarlierLease(): void {
-        if (!this.isSynced) {
-            this.clock.noteEarlierLease(this.readLeaseMs());
         }
     }
 
