--- a/packages/core/src/placement/build-target-views.ts
+++ b/packages/core/src/placement/build-target-views.ts
@@ -9,22 +9,24 @@
 /**
  * Builds what the placement needs to know of the targets on which tasks may start.
  * @param fleet - the fleet state
- * @param isUsable - whether the leader would start anything on a target now
+ * @param countStartsLeft - how many tasks the leader would start on a target now
  * @returns the views by pool
  */
 export function buildTargetViews(
     fleet: FleetState,
-    isUsable: (target: string) => boolean,
+    countStartsLeft: (target: string) => number,
 ): Map<string, TargetView[]> {
     const pools = new Map<string, TargetView[]>();
     for (const record of fleet.targets.values()) {
-        if (record.state !== TargetState.Ready || !isUsable(record.id)) {
+        const startsLeft = record.state === TargetState.Ready ? countStartsLeft(record.id) : 0;
+        if (startsLeft === 0) {
             continue;
         }
         const load = fleet.targetLoads.get(record.id);
         const view: TargetView = {
             record,
             free: addResources(record.capacity, load?.used ?? noResources, -1),
+            startsLeft,
             stepCounts: new Map(),
             hasServing: false,
             hasFillers: false,
--- a/packages/core/src/placement/plan-starts.ts
+++ b/packages/core/src/placement/plan-starts.ts
@@ -2,6 +2,7 @@
 import { computeRoomNeeded } from "../fleet/compute-room-needed.js";
 import { isUnderCap } from "../fleet/is-under-cap.js";
 import { encodeTaskKey } from "../jobs/encode-task-key.js";
+import type { TaskRecord } from "../jobs/task-record.js";
 import type { TaskStart } from "../jobs/task-start.js";
 import { compareCandidates } from "../queueing/compare-candidates.js";
 import type { StepCandidate } from "../queueing/step-candidate.js";
@@ -56,7 +57,7 @@
     }
     const planned: { readonly start: TaskStart; readonly target: TargetView }[] = [];
     for (const index of candidate.waiting) {
-        const target = planTask(round, candidate, stepName, targets);
+        const target = planTask(round, candidate, stepName, tasks[index], targets);
         if (target === undefined) {
             break;
         }
@@ -75,14 +76,16 @@
     round: Round,
     { job, definition }: StepCandidate,
     stepName: string,
+    task: TaskRecord | undefined,
     targets: readonly TargetView[],
 ): TargetView | undefined {
     const running = addResources(round.accountLoads.get(job.account) ?? noResources, definition.needs);
     if (!isUnderCap(round.fleet, job.account, running)) {
         return undefined;
     }
-    const target = pickTarget(definition, stepName, targets);
+    const target = pickTarget(definition, stepName, task, targets);
     if (target !== undefined) {
+        target.startsLeft -= 1;
         target.free = addResources(target.free, computeRoomNeeded(definition), -1);
         target.stepCounts.set(stepName, (target.stepCounts.get(stepName) ?? 0) + 1);
         target.hasServing ||= definition.isLongRunning && !definition.isFiller;
@@ -98,6 +101,7 @@
     stepName: string,
     target: TargetView,
 ): void {
+    target.startsLeft += 1;
     target.free = addResources(target.free, computeRoomNeeded(definition));
     target.stepCounts.set(stepName, (target.stepCounts.get(stepName) ?? 1) - 1);
     const running = round.accountLoads.get(job.account) ?? noResources;
--- a/packages/core/src/placement/target-view.ts
+++ b/packages/core/src/placement/target-view.ts
@@ -6,6 +6,8 @@
     readonly record: TargetRecord;
     /** What is left of its capacity; falls as the round places tasks. */
     free: Resources;
+    /** Tasks that may still be started in this round; no bound for a target in good standing. */
+    startsLeft: number;
     /** Tasks that may be running there, by step. */
     readonly stepCounts: Map<string, number>;
     /** Whether long-running tasks with users of their own are there. */
--- a/packages/daemon/src/fleet/leader/scheduler.ts
+++ b/packages/daemon/src/fleet/leader/scheduler.ts
@@ -90,7 +90,7 @@
         if (candidates.length === 0) {
             return;
         }
-        const pools = buildTargetViews(fleet, id => sessions.find(id)?.isUsable() === true && !isEvacuating(id));
+        const pools = buildTargetViews(fleet, id => isEvacuating(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0);
         const starts = planStarts(fleet, candidates, pools);
         if (starts.length === 0) {
             return;
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -5,6 +5,8 @@
 import { RunEnd } from "@daisylock/core/jobs/run-end.js";
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+import { ProgressWatch } from "@daisylock/core/targets/progress-watch.js";
+import { TargetHealth } from "@daisylock/core/targets/target-health.js";
 import { TargetState } from "@daisylock/core/targets/target-state.js";
 
 import { DecisionKind } from "../log/decision-kind.js";
@@ -53,6 +55,8 @@
     private readonly clock = new TargetClock();
     private readonly orders = new Map<string, TargetOrder>();
     private readonly wakeups = new Set<() => void>();
+    private readonly health = new TargetHealth();
+    private readonly progress = new ProgressWatch();
     private lastSeen = 0;
     private isSynced = false;
     private isClosed = false;
@@ -87,6 +91,14 @@
         return this.isSynced && this.failingSince === undefined && now >= this.leftOutUntil && !this.isSilent(now);
     }
 
+    /**
+     * Tells how many tasks may be started here now.
+     * @returns 0 for none; no bound for a target in good standing
+     */
+    countStartsLeft(): number {
+        return this.isUsable() ? this.health.countStartsLeft(this.readLoad().runs.size, this.readNow()) : 0;
+    }
+
     /**
      * Carries out a recorded start.
      * @param task - encoded task key
@@ -201,6 +213,7 @@
         }
         this.isSynced = true;
         await this.checkRuns(answer, sentAt);
+        this.checkProgress(answer);
         this.dropOldOrders();
     }
 
@@ -248,6 +261,44 @@
         }
     }
 
+    /** A task that stands still is stopped, so that it can go on elsewhere. */
+    private checkProgress({ running }: HoldAnswer): void {
+        const now = this.readNow();
+        const still = running.filter(({ task, run, percent }) =>
+            this.isAdvancing(task) && this.progress.isStill(task, run, percent, now) && !this.isStopping(task, run)
+        );
+        for (const { task, run, percent } of still) {
+            this.health.noteStill(now);
+            this.surroundings.log.note(DecisionKind.TargetLeftOut, {
+                target: this.record.id,
+                reason: "a task stands still",
+                task,
+                run,
+                percent,
+            });
+            this.stopTask(task, run);
+        }
+        this.progress.dropOthers(task => this.running.has(task));
+    }
+
+    /** Long-running tasks stay at their percentage, and gangs wait for their members. */
+    private isAdvancing(task: string): boolean {
+        const key = decodeTaskKey(task);
+        const jobs = this.surroundings.leadership.readFleet().jobs;
+        const step = key === undefined ? undefined : jobs.get(key.job)?.steps[key.step];
+        return step !== undefined && !step.isLongRunning && !step.isGang;
+    }
+
+    private noteHealth(task: string, how: RunEnd): void {
+        if (how === RunEnd.Done) {
+            this.health.noteDone();
+        }
+        const job = decodeTaskKey(task)?.job ?? task;
+        if (how === RunEnd.Failed && this.health.noteFailed(job, this.readNow())) {
+            this.surroundings.log.note(DecisionKind.TargetLeftOut, { target: this.record.id, reason: "runs fail", task });
+        }
+    }
+
     private confirmRun(task: string, run: number): void {
         const order = this.openOrder(task, run);
         order.confirmedAt ??= this.readNow();
@@ -418,6 +469,7 @@
         for (const { task, run, how } of recorded ?? []) {
             const durationMs = this.readNow() - (this.orders.get(task)?.sentAt ?? this.readNow());
             handleEnd(task, this.record.id, how, durationMs);
+            this.noteHealth(task, how);
             log.note(DecisionKind.TaskEnded, {
                 task,
                 run,
