--- a/packages/core/src/configuration/configuration.test.ts
+++ b/packages/core/src/configuration/configuration.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { CommandKind } from "../control/command-kind.js";
-import { buildTestFleet } from "../testing/build-fleet.js";
+import { buildTestFleet } from "../testing/build-test-fleet.js";
 import { applyConfiguration } from "./apply-configuration.js";
 import { ConfigurationFaultKind } from "./configuration-fault-kind.js";
 import { ConfigurationOutcome } from "./configuration-outcome.js";
--- a/packages/core/src/jobs/job-life.test.ts
+++ b/packages/core/src/jobs/job-life.test.ts
@@ -5,9 +5,9 @@
 import { decodeControlState } from "../control/decode-control-state.js";
 import { encodeControlState } from "../control/encode-control-state.js";
 import { SubmitJobResult } from "../control/submit-job-result.js";
-import { buildTestFleet } from "../testing/build-fleet.js";
-import { buildTestStep } from "../testing/build-step.js";
-import { submitTestJob } from "../testing/submit-test-job.js";
+import { addTestJob } from "../testing/add-test-job.js";
+import { buildTestFleet } from "../testing/build-test-fleet.js";
+import { buildTestStep } from "../testing/build-test-step.js";
 import { applyCancelJob } from "./apply-cancel-job.js";
 import { applyDropJobs } from "./apply-drop-jobs.js";
 import { applyRecordEnds } from "./apply-record-ends.js";
@@ -32,14 +32,14 @@
     describe("handing in", () => {
         it("takes the same id of the same account for the same job", () => {
             const state = buildTestFleet(1, room);
-            expect(submitTestJob(state, "a", [buildTestStep()])).toBe(SubmitJobResult.Accepted);
-            expect(submitTestJob(state, "a", [buildTestStep()])).toBe(SubmitJobResult.Repeated);
+            expect(addTestJob(state, "a", [buildTestStep()])).toBe(SubmitJobResult.Accepted);
+            expect(addTestJob(state, "a", [buildTestStep()])).toBe(SubmitJobResult.Repeated);
             expect(state.fleet.jobs.size).toBe(1);
         });
 
         it("keeps an id from another account", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep()]);
+            addTestJob(state, "a", [buildTestStep()]);
             const request = { spec: "", steps: [buildTestStep()], times: 0, startAtMs: 0, intervalMs: 0 };
             const command = { kind: CommandKind.SubmitJob as const, id: "a", queue: "q-web", request, atMs: 0 };
             expect(applySubmitJob(state, { ...command, account: "other" })).toBe(SubmitJobResult.Taken);
@@ -49,7 +49,7 @@
     describe("starting", () => {
         it("starts a step only after the steps before it are done", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep(), buildTestStep({ after: [0] })]);
+            addTestJob(state, "a", [buildTestStep(), buildTestStep({ after: [0] })]);
             expect(startTask(state, "a.0.1.0")).toBe(false);
             startTask(state, "a.0.0.0");
             expect(startTask(state, "a.0.1.0")).toBe(false);
@@ -59,7 +59,7 @@
 
         it("never records two runs of one task at a time, nor a run number twice", () => {
             const state = buildTestFleet(2, room);
-            submitTestJob(state, "a", [buildTestStep()]);
+            addTestJob(state, "a", [buildTestStep()]);
             expect(startTask(state, "a.0.0.0", 1, "t0")).toBe(true);
             expect(startTask(state, "a.0.0.0", 2, "t1")).toBe(false);
             endTask(state, "a.0.0.0", RunEnd.Lapsed);
@@ -69,7 +69,7 @@
 
         it("holds the upper limit of an account over all that may run", () => {
             const state = buildTestFleet(2, room, { cpu: 2_500, memory: 0, gpu: 0 });
-            submitTestJob(state, "a", [buildTestStep({ count: 4 })]);
+            addTestJob(state, "a", [buildTestStep({ count: 4 })]);
             expect(startTask(state, "a.0.0.0", 1, "t0")).toBe(true);
             expect(startTask(state, "a.0.0.1", 1, "t1")).toBe(true);
             expect(startTask(state, "a.0.0.2", 1, "t1")).toBe(false);
@@ -79,7 +79,7 @@
 
         it("starts nothing of a cancelled job", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep()]);
+            addTestJob(state, "a", [buildTestStep()]);
             applyCancelJob(state, { kind: CommandKind.CancelJob, id: "a", atMs: 1 });
             expect(startTask(state, "a.0.0.0")).toBe(false);
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Cancelled);
@@ -89,7 +89,7 @@
     describe("ending", () => {
         it("completes when every task is done, and not before", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep({ count: 2 })]);
+            addTestJob(state, "a", [buildTestStep({ count: 2 })]);
             startTask(state, "a.0.0.0");
             startTask(state, "a.0.0.1");
             endTask(state, "a.0.0.0", RunEnd.Done);
@@ -101,7 +101,7 @@
 
         it("fails after as many failed runs as the queue allows; other ends don't count", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep()]);
+            addTestJob(state, "a", [buildTestStep()]);
             [RunEnd.Lapsed, RunEnd.Failed, RunEnd.Stopped].forEach((how, index) => {
                 startTask(state, "a.0.0.0", index + 1);
                 endTask(state, "a.0.0.0", how, index + 1);
@@ -114,7 +114,7 @@
 
         it("ignores the end of a run that has been replaced", () => {
             const state = buildTestFleet(2, room);
-            submitTestJob(state, "a", [buildTestStep()]);
+            addTestJob(state, "a", [buildTestStep()]);
             startTask(state, "a.0.0.0", 1, "t0");
             endTask(state, "a.0.0.0", RunEnd.Lapsed, 1, "t0");
             startTask(state, "a.0.0.0", 2, "t1");
@@ -124,7 +124,7 @@
 
         it("restarts long-running tasks however they end", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep({ isLongRunning: true })]);
+            addTestJob(state, "a", [buildTestStep({ isLongRunning: true })]);
             [RunEnd.Done, RunEnd.Failed, RunEnd.Failed, RunEnd.Failed].forEach((how, index) => {
                 expect(startTask(state, "a.0.0.0", index + 1)).toBe(true);
                 endTask(state, "a.0.0.0", how, index + 1);
@@ -134,7 +134,7 @@
 
         it("takes one member's end as done for the whole gang", () => {
             const state = buildTestFleet(2, room);
-            submitTestJob(state, "a", [buildTestStep({ count: 2, isGang: true })]);
+            addTestJob(state, "a", [buildTestStep({ count: 2, isGang: true })]);
             startTask(state, "a.0.0.0", 1, "t0");
             startTask(state, "a.0.0.1", 1, "t1");
             endTask(state, "a.0.0.0", RunEnd.Done, 1, "t0");
@@ -146,7 +146,7 @@
     describe("keeping", () => {
         it("survives a snapshot with what may be running", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep({ count: 2 })]);
+            addTestJob(state, "a", [buildTestStep({ count: 2 })]);
             startTask(state, "a.0.0.0");
             const restored = decodeControlState(encodeControlState(state));
             expect(restored.fleet.targetLoads).toEqual(state.fleet.targetLoads);
@@ -157,7 +157,7 @@
 
         it("forgets an ended job only after its time, and only when nothing of it may run", () => {
             const state = buildTestFleet(1, room);
-            submitTestJob(state, "a", [buildTestStep()]);
+            addTestJob(state, "a", [buildTestStep()]);
             startTask(state, "a.0.0.0");
             applyCancelJob(state, { kind: CommandKind.CancelJob, id: "a", atMs: 10 });
             const drop = (endedBeforeMs: number) => applyDropJobs(state, { kind: CommandKind.DropJobs, endedBeforeMs });
--- a/packages/core/src/placement/plan-starts.test.ts
+++ b/packages/core/src/placement/plan-starts.test.ts
@@ -3,16 +3,19 @@
 import type { ControlState } from "../control/control-state.js";
 import type { JobStep } from "../jobs/job-step.js";
 import { collectCandidates } from "../queueing/collect-candidates.js";
-import { buildTestFleet } from "../testing/build-fleet.js";
-import { buildTestStep } from "../testing/build-step.js";
-import { submitTestJob } from "../testing/submit-test-job.js";
+import { addTestJob } from "../testing/add-test-job.js";
+import { buildTestFleet } from "../testing/build-test-fleet.js";
+import { buildTestStep } from "../testing/build-test-step.js";
 import { buildTargetViews } from "./build-target-views.js";
 import { planStarts } from "./plan-starts.js";
 
 const room = { cpu: 4_000, memory: 4_000, gpu: 0 };
 const estimator = { computeStepMs: (_: unknown, step: JobStep) => step.estimateMs, readUsualWork: () => 1_000 };
 
-function planTargets(state: ControlState, startsLeft = (_: string) => Number.POSITIVE_INFINITY): string[] {
+function planTargets(
+    state: ControlState,
+    startsLeft: (target: string) => number = () => Number.POSITIVE_INFINITY,
+): string[] {
     const pools = buildTargetViews(state.fleet, startsLeft);
     return planStarts(state.fleet, collectCandidates(state.fleet, 0, estimator), pools).map(({ target }) => target);
 }
@@ -20,7 +23,7 @@
 describe("placement", () => {
     it("never places more on a target than it holds", () => {
         const state = buildTestFleet(2, room);
-        submitTestJob(state, "a", [buildTestStep({ count: 20 })]);
+        addTestJob(state, "a", [buildTestStep({ count: 20 })]);
         const targets = planTargets(state);
         expect(targets).toHaveLength(8);
         expect(targets.filter(target => target === "t0")).toHaveLength(4);
@@ -28,26 +31,26 @@
 
     it("keeps to the bound per target, the label and the data rack", () => {
         const state = buildTestFleet(4, room);
-        submitTestJob(state, "a", [buildTestStep({ count: 4, maxPerTarget: 1 })]);
+        addTestJob(state, "a", [buildTestStep({ count: 4, maxPerTarget: 1 })]);
         expect(new Set(planTargets(state)).size).toBe(4);
         const labelled = buildTestFleet(4, room);
-        submitTestJob(labelled, "a", [buildTestStep({ count: 2, requiredLabel: "r1" })]);
+        addTestJob(labelled, "a", [buildTestStep({ count: 2, requiredLabel: "r1" })]);
         expect(planTargets(labelled).every(target => target === "t2" || target === "t3")).toBe(true);
         const near = buildTestFleet(4, room);
-        submitTestJob(near, "a", [buildTestStep({ count: 5, dataRack: "r1" })]);
+        addTestJob(near, "a", [buildTestStep({ count: 5, dataRack: "r1" })]);
         expect(planTargets(near).every(target => target === "t2" || target === "t3")).toBe(true);
     });
 
     it("starts a gang whole or not at all, and gives its room to others", () => {
         const state = buildTestFleet(2, room);
-        submitTestJob(state, "a", [buildTestStep({ count: 9, isGang: true })]);
-        submitTestJob(state, "b", [buildTestStep({ count: 8, estimateMs: 400 })]);
+        addTestJob(state, "a", [buildTestStep({ count: 9, isGang: true })]);
+        addTestJob(state, "b", [buildTestStep({ count: 8, estimateMs: 400 })]);
         expect(planTargets(state)).toHaveLength(8);
     });
 
     it("tries a suspected target with one task and starts nothing on one that is left out", () => {
         const state = buildTestFleet(3, room);
-        submitTestJob(state, "a", [buildTestStep({ count: 12 })]);
+        addTestJob(state, "a", [buildTestStep({ count: 12 })]);
         const targets = planTargets(state, id => ({ t0: 0, t1: 1 })[id] ?? Number.POSITIVE_INFINITY);
         expect(targets.filter(target => target === "t0")).toHaveLength(0);
         expect(targets.filter(target => target === "t1")).toHaveLength(1);
@@ -56,7 +59,7 @@
 
     it("takes a failed task to another target", () => {
         const state = buildTestFleet(2, room);
-        submitTestJob(state, "a", [buildTestStep()]);
+        addTestJob(state, "a", [buildTestStep()]);
         const [first] = planTargets(state);
         const task = state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.tasks[0];
         if (task === undefined || first === undefined) {
@@ -69,8 +72,8 @@
 
     it("counts no processor time of fillers, and keeps them from tasks with users", () => {
         const state = buildTestFleet(2, room);
-        submitTestJob(state, "serving", [buildTestStep({ isLongRunning: true, tailBoundMs: 50 })]);
-        submitTestJob(state, "filler", [
+        addTestJob(state, "serving", [buildTestStep({ isLongRunning: true, tailBoundMs: 50 })]);
+        addTestJob(state, "filler", [
             buildTestStep({ count: 3, isLongRunning: true, isFiller: true, needs: { cpu: 4_000, memory: 10, gpu: 0 } }),
         ]);
         const targets = planTargets(state);
--- a/packages/core/src/queueing/burst.test.ts
+++ b/packages/core/src/queueing/burst.test.ts
@@ -8,10 +8,10 @@
 import { RunEnd } from "../jobs/run-end.js";
 import { buildTargetViews } from "../placement/build-target-views.js";
 import { planStarts } from "../placement/plan-starts.js";
-import { buildTestFleet } from "../testing/build-fleet.js";
-import { buildTestStep } from "../testing/build-step.js";
+import { addTestJob } from "../testing/add-test-job.js";
+import { buildTestFleet } from "../testing/build-test-fleet.js";
+import { buildTestStep } from "../testing/build-test-step.js";
 import { createRandom } from "../testing/create-random.js";
-import { submitTestJob } from "../testing/submit-test-job.js";
 import { collectCandidates } from "./collect-candidates.js";
 import { compareCandidates } from "./compare-candidates.js";
 import type { StepCandidate } from "./step-candidate.js";
@@ -27,7 +27,7 @@
 }
 
 /** Plays one burst that asks for more than a pool holds, with exact guesses, and counts what callers get. */
-function playBurst(
+function runBurst(
     seed: number,
     overload: number,
     compare: (a: StepCandidate, b: StepCandidate) => number,
@@ -45,7 +45,7 @@
             const count = 1 + Math.floor(random() * 11);
             const estimateMs = 200 + Math.floor(random() * 880);
             const id = `${objectives.size}`;
-            submitTestJob(state, id, [buildTestStep({ count, estimateMs })], now);
+            addTestJob(state, id, [buildTestStep({ count, estimateMs })], now);
             objectives.set(id, now + 1.6 * estimateMs + 600);
         }
         const ended = running.filter(({ endsAt }) => endsAt <= now);
@@ -78,7 +78,7 @@
 }
 
 function countOnTime(overload: number, compare: typeof compareArrival): number {
-    const results = [1, 2, 3, 4, 5].map(seed => playBurst(seed, overload, compare));
+    const results = [1, 2, 3, 4, 5].map(seed => runBurst(seed, overload, compare));
     const sum = (pick: (result: BurstResult) => number) => results.reduce((total, result) => total + pick(result), 0);
     return sum(({ onTime }) => onTime) / sum(({ all }) => all);
 }
@@ -90,7 +90,7 @@
     });
 
     it("serves every job in the end, the largest too", () => {
-        const { completed, all } = playBurst(7, 2, compareCandidates);
+        const { completed, all } = runBurst(7, 2, compareCandidates);
         expect(all).toBeGreaterThan(50);
         expect(completed).toBe(all);
     });
--- a/packages/core/src/targets/targets.test.ts
+++ b/packages/core/src/targets/targets.test.ts
@@ -5,9 +5,9 @@
 import { applyRecordStarts } from "../jobs/apply-record-starts.js";
 import { TaskPhase } from "../jobs/task-phase.js";
 import { applyRecordMove } from "../pools/apply-record-move.js";
-import { buildTestFleet } from "../testing/build-fleet.js";
-import { buildTestStep } from "../testing/build-step.js";
-import { submitTestJob } from "../testing/submit-test-job.js";
+import { addTestJob } from "../testing/add-test-job.js";
+import { buildTestFleet } from "../testing/build-test-fleet.js";
+import { buildTestStep } from "../testing/build-test-step.js";
 import { applyRecordTarget } from "./apply-record-target.js";
 import { ProgressWatch } from "./progress-watch.js";
 import { TargetHealth } from "./target-health.js";
@@ -18,7 +18,7 @@
 
 function buildRunning(): ControlState {
     const state = buildTestFleet(1, room);
-    submitTestJob(state, "a", [buildTestStep()]);
+    addTestJob(state, "a", [buildTestStep()]);
     const starts = [{ task: "a.0.0.0", run: 1, target: "t0" }];
     applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts });
     return state;
--- a/packages/core/src/testing/submit-test-job.ts
+++ b/packages/core/src/testing/add-test-job.ts
@@ -12,7 +12,7 @@
  * @param atMs - wall clock, milliseconds
  * @returns what became of it
  */
-export function submitTestJob(
+export function addTestJob(
     state: ControlState,
     id: string,
     steps: readonly JobStep[],
--- a/packages/daemon/src/fleet/leader/target-session.test.ts
+++ b/packages/daemon/src/fleet/leader/target-session.test.ts
@@ -4,9 +4,9 @@
 import { JobPhase } from "@daisylock/core/jobs/job-phase.js";
 import { RunEnd } from "@daisylock/core/jobs/run-end.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
-import { buildTestFleet } from "@daisylock/core/testing/build-fleet.js";
-import { buildTestStep } from "@daisylock/core/testing/build-step.js";
-import { submitTestJob } from "@daisylock/core/testing/submit-test-job.js";
+import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 import { describe, expect, it } from "@jest/globals";
 
 import { OrderResult } from "../targets/order-result.js";
@@ -25,7 +25,7 @@
     const clock = new ManualClock();
     const client = new FakeTargetClient(clock, aheadMs);
     const state = buildTestFleet(1, { cpu: 4_000, memory: 1_000, gpu: 0 });
-    submitTestJob(state, "a", [buildTestStep()]);
+    addTestJob(state, "a", [buildTestStep()]);
     const commands: ControlCommand[] = [];
     let isCommitting = true;
     const record = state.fleet.targets.get("t0");
