--- a/packages/core/src/jobs/job-life.test.ts
+++ b/packages/core/src/jobs/job-life.test.ts
@@ -18,12 +18,12 @@
 
 const room = { cpu: 4_000, memory: 1_000, gpu: 0 };
 
-function startTask(state: ControlState, task: string, run = 1, target = "t0"): boolean {
+function addStart(state: ControlState, task: string, run = 1, target = "t0"): boolean {
     const starts = [{ task, run, target }];
     return applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts }).length === 1;
 }
 
-function endTask(state: ControlState, task: string, how: RunEnd, run = 1, target = "t0"): boolean {
+function addEnd(state: ControlState, task: string, how: RunEnd, run = 1, target = "t0"): boolean {
     const ends = [{ task, run, target, how, saved: "" }];
     return applyRecordEnds(state, { kind: CommandKind.RecordEnds, ends, atMs: 5 }).length === 1;
 }
@@ -50,38 +50,38 @@
         it("starts a step only after the steps before it are done", () => {
             const state = buildTestFleet(1, room);
             addTestJob(state, "a", [buildTestStep(), buildTestStep({ after: [0] })]);
-            expect(startTask(state, "a.0.1.0")).toBe(false);
-            startTask(state, "a.0.0.0");
-            expect(startTask(state, "a.0.1.0")).toBe(false);
-            endTask(state, "a.0.0.0", RunEnd.Done);
-            expect(startTask(state, "a.0.1.0")).toBe(true);
+            expect(addStart(state, "a.0.1.0")).toBe(false);
+            addStart(state, "a.0.0.0");
+            expect(addStart(state, "a.0.1.0")).toBe(false);
+            addEnd(state, "a.0.0.0", RunEnd.Done);
+            expect(addStart(state, "a.0.1.0")).toBe(true);
         });
 
         it("never records two runs of one task at a time, nor a run number twice", () => {
             const state = buildTestFleet(2, room);
             addTestJob(state, "a", [buildTestStep()]);
-            expect(startTask(state, "a.0.0.0", 1, "t0")).toBe(true);
-            expect(startTask(state, "a.0.0.0", 2, "t1")).toBe(false);
-            endTask(state, "a.0.0.0", RunEnd.Lapsed);
-            expect(startTask(state, "a.0.0.0", 1, "t1")).toBe(false);
-            expect(startTask(state, "a.0.0.0", 2, "t1")).toBe(true);
+            expect(addStart(state, "a.0.0.0", 1, "t0")).toBe(true);
+            expect(addStart(state, "a.0.0.0", 2, "t1")).toBe(false);
+            addEnd(state, "a.0.0.0", RunEnd.Lapsed);
+            expect(addStart(state, "a.0.0.0", 1, "t1")).toBe(false);
+            expect(addStart(state, "a.0.0.0", 2, "t1")).toBe(true);
         });
 
         it("holds the upper limit of an account over all that may run", () => {
             const state = buildTestFleet(2, room, { cpu: 2_500, memory: 0, gpu: 0 });
             addTestJob(state, "a", [buildTestStep({ count: 4 })]);
-            expect(startTask(state, "a.0.0.0", 1, "t0")).toBe(true);
-            expect(startTask(state, "a.0.0.1", 1, "t1")).toBe(true);
-            expect(startTask(state, "a.0.0.2", 1, "t1")).toBe(false);
-            endTask(state, "a.0.0.0", RunEnd.Done);
-            expect(startTask(state, "a.0.0.2", 1, "t1")).toBe(true);
+            expect(addStart(state, "a.0.0.0", 1, "t0")).toBe(true);
+            expect(addStart(state, "a.0.0.1", 1, "t1")).toBe(true);
+            expect(addStart(state, "a.0.0.2", 1, "t1")).toBe(false);
+            addEnd(state, "a.0.0.0", RunEnd.Done);
+            expect(addStart(state, "a.0.0.2", 1, "t1")).toBe(true);
         });
 
         it("starts nothing of a cancelled job", () => {
             const state = buildTestFleet(1, room);
             addTestJob(state, "a", [buildTestStep()]);
             applyCancelJob(state, { kind: CommandKind.CancelJob, id: "a", atMs: 1 });
-            expect(startTask(state, "a.0.0.0")).toBe(false);
+            expect(addStart(state, "a.0.0.0")).toBe(false);
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Cancelled);
         });
     });
@@ -90,11 +90,11 @@
         it("completes when every task is done, and not before", () => {
             const state = buildTestFleet(1, room);
             addTestJob(state, "a", [buildTestStep({ count: 2 })]);
-            startTask(state, "a.0.0.0");
-            startTask(state, "a.0.0.1");
-            endTask(state, "a.0.0.0", RunEnd.Done);
+            addStart(state, "a.0.0.0");
+            addStart(state, "a.0.0.1");
+            addEnd(state, "a.0.0.0", RunEnd.Done);
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Running);
-            endTask(state, "a.0.0.1", RunEnd.Done);
+            addEnd(state, "a.0.0.1", RunEnd.Done);
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Completed);
             expect(state.fleet.targetLoads.size).toBe(0);
         });
@@ -103,22 +103,22 @@
             const state = buildTestFleet(1, room);
             addTestJob(state, "a", [buildTestStep()]);
             [RunEnd.Lapsed, RunEnd.Failed, RunEnd.Stopped].forEach((how, index) => {
-                startTask(state, "a.0.0.0", index + 1);
-                endTask(state, "a.0.0.0", how, index + 1);
+                addStart(state, "a.0.0.0", index + 1);
+                addEnd(state, "a.0.0.0", how, index + 1);
             });
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Running);
-            startTask(state, "a.0.0.0", 4);
-            endTask(state, "a.0.0.0", RunEnd.Failed, 4);
+            addStart(state, "a.0.0.0", 4);
+            addEnd(state, "a.0.0.0", RunEnd.Failed, 4);
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Failed);
         });
 
         it("ignores the end of a run that has been replaced", () => {
             const state = buildTestFleet(2, room);
             addTestJob(state, "a", [buildTestStep()]);
-            startTask(state, "a.0.0.0", 1, "t0");
-            endTask(state, "a.0.0.0", RunEnd.Lapsed, 1, "t0");
-            startTask(state, "a.0.0.0", 2, "t1");
-            expect(endTask(state, "a.0.0.0", RunEnd.Done, 1, "t0")).toBe(false);
+            addStart(state, "a.0.0.0", 1, "t0");
+            addEnd(state, "a.0.0.0", RunEnd.Lapsed, 1, "t0");
+            addStart(state, "a.0.0.0", 2, "t1");
+            expect(addEnd(state, "a.0.0.0", RunEnd.Done, 1, "t0")).toBe(false);
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Running);
         });
 
@@ -126,8 +126,8 @@
             const state = buildTestFleet(1, room);
             addTestJob(state, "a", [buildTestStep({ isLongRunning: true })]);
             [RunEnd.Done, RunEnd.Failed, RunEnd.Failed, RunEnd.Failed].forEach((how, index) => {
-                expect(startTask(state, "a.0.0.0", index + 1)).toBe(true);
-                endTask(state, "a.0.0.0", how, index + 1);
+                expect(addStart(state, "a.0.0.0", index + 1)).toBe(true);
+                addEnd(state, "a.0.0.0", how, index + 1);
             });
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Running);
         });
@@ -135,9 +135,9 @@
         it("takes one member's end as done for the whole gang", () => {
             const state = buildTestFleet(2, room);
             addTestJob(state, "a", [buildTestStep({ count: 2, isGang: true })]);
-            startTask(state, "a.0.0.0", 1, "t0");
-            startTask(state, "a.0.0.1", 1, "t1");
-            endTask(state, "a.0.0.0", RunEnd.Done, 1, "t0");
+            addStart(state, "a.0.0.0", 1, "t0");
+            addStart(state, "a.0.0.1", 1, "t1");
+            addEnd(state, "a.0.0.0", RunEnd.Done, 1, "t0");
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Completed);
             expect(state.fleet.targetLoads.size).toBe(0);
         });
@@ -147,22 +147,22 @@
         it("survives a snapshot with what may be running", () => {
             const state = buildTestFleet(1, room);
             addTestJob(state, "a", [buildTestStep({ count: 2 })]);
-            startTask(state, "a.0.0.0");
+            addStart(state, "a.0.0.0");
             const restored = decodeControlState(encodeControlState(state));
             expect(restored.fleet.targetLoads).toEqual(state.fleet.targetLoads);
             expect(restored.fleet.accountLoads).toEqual(state.fleet.accountLoads);
             expect(restored.fleet.activeJobs).toEqual(state.fleet.activeJobs);
-            expect(endTask(restored, "a.0.0.0", RunEnd.Done)).toBe(true);
+            expect(addEnd(restored, "a.0.0.0", RunEnd.Done)).toBe(true);
         });
 
         it("forgets an ended job only after its time, and only when nothing of it may run", () => {
             const state = buildTestFleet(1, room);
             addTestJob(state, "a", [buildTestStep()]);
-            startTask(state, "a.0.0.0");
+            addStart(state, "a.0.0.0");
             applyCancelJob(state, { kind: CommandKind.CancelJob, id: "a", atMs: 10 });
             const drop = (endedBeforeMs: number) => applyDropJobs(state, { kind: CommandKind.DropJobs, endedBeforeMs });
             expect(drop(100)).toBe(0);
-            endTask(state, "a.0.0.0", RunEnd.Stopped);
+            addEnd(state, "a.0.0.0", RunEnd.Stopped);
             expect(drop(10)).toBe(0);
             expect(drop(100)).toBe(1);
         });
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -4,8 +4,6 @@
 import { findTask } from "@daisylock/core/jobs/find-task.js";
 import { RunEnd } from "@daisylock/core/jobs/run-end.js";
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
-import { ProgressWatch } from "@daisylock/core/targets/progress-watch.js";
-import { TargetHealth } from "@daisylock/core/targets/target-health.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { TargetState } from "@daisylock/core/targets/target-state.js";
 
@@ -14,6 +12,8 @@
 import type { OrderAnswer } from "../targets/order-answer.js";
 import { OrderResult } from "../targets/order-result.js";
 import type { RunningTask } from "../targets/running-task.js";
+import { HealthWatch } from "./health-watch.js";
+import { OrderBook } from "./order-book.js";
 import type { SessionSurroundings } from "./session-surroundings.js";
 import { TargetClock } from "./target-clock.js";
 import type { TargetOrder } from "./target-order.js";
@@ -53,10 +53,9 @@
     /** What the target said that it runs, by encoded task key. */
     readonly running = new Map<string, RunningTask>();
     private readonly clock = new TargetClock();
-    private readonly orders = new Map<string, TargetOrder>();
+    private readonly orders: OrderBook;
     private readonly wakeups = new Set<() => void>();
-    private readonly health = new TargetHealth();
-    private readonly progress = new ProgressWatch();
+    private readonly health: HealthWatch;
     private lastSeen = 0;
     private isSynced = false;
     private isClosed = false;
@@ -73,6 +72,8 @@
         private readonly token: number,
         private readonly surroundings: SessionSurroundings,
     ) {
+        this.orders = new OrderBook(surroundings.clock);
+        this.health = new HealthWatch(record.id, surroundings);
         void this.runRenewals();
     }
 
@@ -96,7 +97,7 @@
      * @returns 0 for none; no bound for a target in good standing
      */
     countStartsLeft(): number {
-        return this.isUsable() ? this.health.countStartsLeft(this.readLoad().runs.size, this.readNow()) : 0;
+        return this.isUsable() ? this.health.countStartsLeft(this.readLoad().runs.size) : 0;
     }
 
     /**
@@ -105,7 +106,7 @@
      * @param run - number of the run
      */
     startTask(task: string, run: number): void {
-        const order = this.openOrder(task, run);
+        const order = this.orders.open(task, run);
         void this.runOrder(order, () => this.sendStart(task, order));
         this.startWork();
     }
@@ -116,7 +117,7 @@
      * @param run - number of the run
      */
     stopTask(task: string, run: number): void {
-        const order = this.openOrder(task, run);
+        const order = this.orders.open(task, run);
         order.isStopWanted = true;
         if (!order.isStopConfirmed) {
             void this.runOrder(order, () => this.sendStop(task, order));
@@ -131,8 +132,7 @@
      * @returns true from the wish on
      */
     isStopping(task: string, run: number): boolean {
-        const order = this.orders.get(task);
-        return order?.run === run && order.isStopWanted;
+        return this.orders.find(task, run)?.isStopWanted === true;
     }
 
     /**
@@ -213,8 +213,10 @@
         }
         this.isSynced = true;
         await this.checkRuns(answer, sentAt);
-        this.checkProgress(answer);
-        this.dropOldOrders();
+        this.health.listStill(answer.running, (task, run) => this.isStopping(task, run)).forEach(({ task, run }) =>
+            this.stopTask(task, run)
+        );
+        this.orders.dropSettled(this.readLoad().runs);
     }
 
     /** Records ends; the target is told to forget them only once they are committed. */
@@ -234,11 +236,11 @@
         const listed = new Map([...running, ...ended].map(({ task, run }) => [task, run]));
         const stopped: Omit<TaskEnd, "target">[] = [];
         for (const [task, run] of runs) {
-            const order = this.orders.get(task);
+            const order = this.orders.find(task, run);
             if (listed.get(task) === run) {
                 this.confirmRun(task, run);
             }
-            else if (order === undefined || order.run !== run) {
+            else if (order === undefined) {
                 // An earlier leader recorded the start; its order is fenced off by now, so that it is given again.
                 this.startTask(task, run);
             }
@@ -261,50 +263,8 @@
         }
     }
 
-    /** A task that stands still is stopped, so that it can go on elsewhere. */
-    private checkProgress({ running }: HoldAnswer): void {
-        const now = this.readNow();
-        const still = running.filter(({ task, run, percent }) =>
-            this.isAdvancing(task) && this.progress.isStill(task, run, percent, now) && !this.isStopping(task, run)
-        );
-        for (const { task, run, percent } of still) {
-            this.health.noteStill(now);
-            this.surroundings.log.note(DecisionKind.TargetLeftOut, {
-                target: this.record.id,
-                reason: "a task stands still",
-                task,
-                run,
-                percent,
-            });
-            this.stopTask(task, run);
-        }
-        this.progress.dropOthers(task => this.running.has(task));
-    }
-
-    /** Long-running tasks stay at their percentage, and gangs wait for their members. */
-    private isAdvancing(task: string): boolean {
-        const key = decodeTaskKey(task);
-        const jobs = this.surroundings.leadership.readFleet().jobs;
-        const step = key === undefined ? undefined : jobs.get(key.job)?.steps[key.step];
-        return step !== undefined && !step.isLongRunning && !step.isGang;
-    }
-
-    private noteHealth(task: string, how: RunEnd): void {
-        if (how === RunEnd.Done) {
-            this.health.noteDone();
-        }
-        const job = decodeTaskKey(task)?.job ?? task;
-        if (how === RunEnd.Failed && this.health.noteFailed(job, this.readNow())) {
-            this.surroundings.log.note(DecisionKind.TargetLeftOut, {
-                target: this.record.id,
-                reason: "runs fail",
-                task,
-            });
-        }
-    }
-
     private confirmRun(task: string, run: number): void {
-        const order = this.openOrder(task, run);
+        const order = this.orders.open(task, run);
         order.confirmedAt ??= this.readNow();
         order.isUncertain = false;
     }
@@ -436,33 +396,6 @@
         }
     }
 
-    private openOrder(task: string, run: number): TargetOrder {
-        const known = this.orders.get(task);
-        if (known !== undefined && known.run >= run) {
-            return known;
-        }
-        const order: TargetOrder = {
-            run,
-            sentAt: this.readNow(),
-            isUncertain: false,
-            isStopConfirmed: false,
-            isStopWanted: false,
-            confirmedAt: undefined,
-            isBusy: false,
-        };
-        this.orders.set(task, order);
-        return order;
-    }
-
-    private dropOldOrders(): void {
-        const { runs } = this.readLoad();
-        for (const [task, order] of this.orders) {
-            if (!order.isBusy && runs.get(task) !== order.run) {
-                this.orders.delete(task);
-            }
-        }
-    }
-
     private async settleEnds(ends: readonly Omit<TaskEnd, "target">[]): Promise<boolean> {
         const { leadership, handleEnd, handleWork, log } = this.surroundings;
         const recorded = await leadership.recordCommand({
@@ -471,9 +404,9 @@
             atMs: Date.now(),
         });
         for (const { task, run, how } of recorded ?? []) {
-            const durationMs = this.readNow() - (this.orders.get(task)?.sentAt ?? this.readNow());
+            const durationMs = this.readNow() - (this.orders.find(task, run)?.sentAt ?? this.readNow());
             handleEnd(task, this.record.id, how, durationMs);
-            this.noteHealth(task, how);
+            this.health.noteEnd(task, how);
             log.note(DecisionKind.TaskEnded, {
                 task,
                 run,
