--- a/packages/daemon/src/fleet/log/decision-log.ts
+++ b/packages/daemon/src/fleet/log/decision-log.ts
@@ -4,7 +4,7 @@
 import { DecisionKind } from "./decision-kind.js";
 
 /** Lines of one kind in one second; the rest is counted. */
-const maxLinesPerSecond = 100;
+const maxLinesPerSecond = 500;
 /** Bytes that may wait for a slow reader of standard output; further lines are counted. */
 const maxWaitingBytes = 262_144;
 const windowMs = 1_000;
