--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -104,7 +104,7 @@
                 || this.balancer.isMoving(leadership.readFleet().targets.get(target)?.vm ?? ""),
             log,
             clock,
-            keepStateMs: settings.tasks.keep_state_ms,
+            keepStateMs: settings.tasks.keep_state_s * msPerSecond,
         });
     }
 
--- a/packages/daemon/src/fleet/settings/fleet-settings-schema.ts
+++ b/packages/daemon/src/fleet/settings/fleet-settings-schema.ts
@@ -28,7 +28,6 @@
         control: optionalAddress,
         /** Other processes of the cluster; required for the role keeper. */
         peers: optionalAddress,
-        metrics: optionalAddress,
     }),
     cluster: v.strictObject({
         /** Some keepers of the cluster; the others are learned from them. */
@@ -44,8 +43,6 @@
     vms: v.optional(
         v.strictObject({
             address: optionalAddress,
-            orders_per_second: v.optional(v.number(), 1),
-            reads_per_second: v.optional(v.number(), 1),
             /** Time after the last order of one holder before another may give one, milliseconds. */
             holder_lease_ms: milliseconds(3_000),
             upkeep_s: v.optional(v.number(), 2),
@@ -53,21 +50,12 @@
         }),
         {},
     ),
-    /** The placement adviser. */
-    advice: v.optional(v.strictObject({ address: optionalAddress }), {}),
     tasks: v.optional(
         v.strictObject({
             /** Longest lease that a target grants. */
             max_lease_ms: milliseconds(6_000),
-            /** Longest time that a stop takes. */
-            stop_ms: milliseconds(400),
-            /** Time after which a change of pace acts. */
-            pace_ms: milliseconds(100),
-            /** Time for which a tail latency may be over its bound. */
-            harm_ms: milliseconds(4_000),
             /** Time for which the state of an ended job is kept. */
-            keep_state_ms: milliseconds(120_000),
-            heartbeat_ms: milliseconds(1_500),
+            keep_state_s: v.optional(v.number(), 120),
         }),
         {},
     ),
--- /dev/null
+++ b/packages/daemon/src/fleet/settings/load-fleet-settings.test.ts
@@ -0,0 +1,54 @@
+import { afterAll, beforeAll, describe, expect, it } from "@jest/globals";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import { loadFleetSettings } from "./load-fleet-settings.js";
+
+const entry = `
+[node]
+name = "e1"
+zone = "a"
+roles = ["entry"]
+[listen]
+callers = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[cluster]
+seeds = ["10.0.0.2:90"]
+peer_port = 7000
+found = true
+`;
+
+describe("the settings of a process that serves jobs", () => {
+    let folder: string;
+    beforeAll(() => {
+        folder = mkdtempSync(join(tmpdir(), "daisylock-settings-"));
+    });
+    afterAll(() => rmSync(folder, { recursive: true }));
+
+    const load = (content: string) => {
+        const file = join(folder, "settings.toml");
+        writeFileSync(file, content);
+        return loadFleetSettings(file);
+    };
+
+    it("fills in defaults", () => {
+        const settings = load(entry).unwrapOrElse(failure => {
+            throw failure;
+        });
+        expect(settings.tasks).toEqual({ max_lease_ms: 6_000, keep_state_s: 120 });
+        expect(settings.cluster.tolerated_losses).toBe(1);
+    });
+
+    it.each([
+        ["an unknown key", `${entry}\n[tasks]\nmax_leese_ms = 1\n`, "max_leese_ms"],
+        ["a seed that is no address", entry.replace("10.0.0.2:90", "nowhere"), "cluster.seeds"],
+        ["a role without what it needs", entry.replace("\"entry\"", "\"keeper\""), "node.data"],
+        ["a file that is no TOML", "[node", "line 1"],
+    ])("refuses %s and names file and key", (_, content, named) => {
+        const result = load(content);
+        const message = result.isErr ? result.error.message : "";
+        expect(message).toContain("settings.toml");
+        expect(message).toContain(named);
+    });
+});
