Let the test of an earlier leader's lease fail without the fix

With an unanswered first look the old code passed by chance, as that look counted as a lease of its own; in the run the look was never sent. Seen failing with the lapse taken from the clock alone, passing with the fix. The test of silent targets was also seen failing with a lease asked for in every look.

--- a/packages/daemon/src/fleet/leader/target-session.test.ts
+++ b/packages/daemon/src/fleet/leader/target-session.test.ts
@@ -100,6 +100,7 @@
             const test = buildSession({ startedAt: 10_000, oldReportClockMs: aheadMs });
             test.place();
             test.client.isAnswering = false;
+            test.client.silentResult = OrderResult.NotSent;
             await test.clock.runFor(10_000);
             const session = test.open();
             await test.clock.runFor(lapseMs - 500);
--- a/packages/daemon/src/fleet/testing/fake-target-client.ts
+++ b/packages/daemon/src/fleet/testing/fake-target-client.ts
@@ -17,6 +17,8 @@
     startResult = OrderResult.Done;
     /** Whether renewals are answered. */
     isAnswering = true;
+    /** What becomes of renewals that are not answered. */
+    silentResult = OrderResult.Unanswered;
     readonly running: RunningTask[] = [];
     readonly ended: EndedRun[] = [];
     readonly starts: StartOrder[] = [];
@@ -62,7 +64,7 @@
                 running: [...this.running],
                 ended: this.ended.filter(({ number }) => number > order.lastSeen),
             }
-            : { result: OrderResult.Unanswered, clockMs: undefined, incarnation: undefined, running: [], ended: [] };
+            : { result: this.silentResult, clockMs: undefined, incarnation: undefined, running: [], ended: [] };
     }
 
     override close(): void {
