--- a/packages/core/src/control/apply-command.ts
+++ b/packages/core/src/control/apply-command.ts
@@ -1,3 +1,13 @@
+import { applyConfiguration } from "../configuration/apply-configuration.js";
+import { applyCancelJob } from "../jobs/apply-cancel-job.js";
+import { applyDropJobs } from "../jobs/apply-drop-jobs.js";
+import { applyRecordEnds } from "../jobs/apply-record-ends.js";
+import { applyRecordStarts } from "../jobs/apply-record-starts.js";
+import { applySubmitJob } from "../jobs/apply-submit-job.js";
+import { applyRecordTarget } from "../targets/apply-record-target.js";
+import { applyRemoveTarget } from "../targets/apply-remove-target.js";
+import { applyRecordUpkeep } from "../upkeep/apply-record-upkeep.js";
+import { applyStartUpkeep } from "../upkeep/apply-start-upkeep.js";
 import { applyChange } from "./apply-change.js";
 import { applyDispatch } from "./apply-dispatch.js";
 import { applyGrants } from "./apply-grants.js";
@@ -16,6 +26,17 @@
     [CommandKind.SetGrants]: applyGrants,
     [CommandKind.StartWave]: applyStartWave,
     [CommandKind.StepWave]: applyStepWave,
+    [CommandKind.SetConfiguration]: applyConfiguration,
+    [CommandKind.SubmitJob]: applySubmitJob,
+    [CommandKind.CancelJob]: applyCancelJob,
+    [CommandKind.RecordStarts]: applyRecordStarts,
+    [CommandKind.RecordEnds]: applyRecordEnds,
+    [CommandKind.RecordTarget]: applyRecordTarget,
+    [CommandKind.RemoveTarget]: applyRemoveTarget,
+    [CommandKind.StartUpkeep]: applyStartUpkeep,
+    [CommandKind.RecordUpkeep]: applyRecordUpkeep,
+    [CommandKind.DropJobs]: applyDropJobs,
+    [CommandKind.ConfirmLeadership]: () => true,
 };
 
 /**
--- a/packages/core/src/control/command-results.ts
+++ b/packages/core/src/control/command-results.ts
@@ -1,8 +1,12 @@
+import type { ConfigurationOutcome } from "../configuration/configuration-outcome.js";
+import type { TaskEnd } from "../jobs/task-end.js";
+import type { TaskStart } from "../jobs/task-start.js";
 import type { WaveTransition } from "../maintenance/wave-transition.js";
 import type { ChangeResult } from "./change-result.js";
 import type { CommandKind } from "./command-kind.js";
 import type { DispatchResult } from "./dispatch-result.js";
 import type { StartWaveResult } from "./start-wave-result.js";
+import type { SubmitJobResult } from "./submit-job-result.js";
 import type { TeamGrant } from "./team-grant.js";
 
 /** The result type of each kind of command. */
@@ -16,4 +20,23 @@
     [CommandKind.StartWave]: StartWaveResult;
     /** The steps that were committed. */
     [CommandKind.StepWave]: readonly WaveTransition[];
+    [CommandKind.SetConfiguration]: ConfigurationOutcome;
+    [CommandKind.SubmitJob]: SubmitJobResult;
+    /** Whether the job is known. */
+    [CommandKind.CancelJob]: boolean;
+    /** The starts that were recorded. */
+    [CommandKind.RecordStarts]: readonly TaskStart[];
+    /** The ends that changed something. */
+    [CommandKind.RecordEnds]: readonly TaskEnd[];
+    /** Whether the report was of the newest life. */
+    [CommandKind.RecordTarget]: boolean;
+    /** Whether that life was known. */
+    [CommandKind.RemoveTarget]: boolean;
+    /** False when the number was known already. */
+    [CommandKind.StartUpkeep]: boolean;
+    /** Whether the wave is known. */
+    [CommandKind.RecordUpkeep]: boolean;
+    /** Jobs that were forgotten. */
+    [CommandKind.DropJobs]: number;
+    [CommandKind.ConfirmLeadership]: true;
 }
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -1,3 +1,4 @@
+import type { FleetState } from "../fleet/fleet-state.js";
 import type { Wave } from "../maintenance/wave.js";
 import type { TableUpdate } from "../tables/table-update.js";
 import type { Tables } from "../tables/tables.js";
@@ -15,6 +16,8 @@
     readonly grants: Map<string, Map<string, number>>;
     /** Maintenance waves, oldest first. */
     readonly waves: Map<string, Wave>;
+    /** Jobs, targets and their configuration. */
+    readonly fleet: FleetState;
     /** The newest table updates, for copies that lag a little. */
     readonly recentUpdates: TableUpdate[];
 }
--- a/packages/core/src/control/create-control-state.ts
+++ b/packages/core/src/control/create-control-state.ts
@@ -1,3 +1,4 @@
+import { createFleetState } from "../fleet/create-fleet-state.js";
 import { createTables } from "../tables/create-tables.js";
 import type { ControlState } from "./control-state.js";
 
@@ -12,6 +13,7 @@
         dispatches: new Map(),
         grants: new Map(),
         waves: new Map(),
+        fleet: createFleetState(),
         recentUpdates: [],
     };
 }
--- a/packages/core/src/control/decode-control-state.ts
+++ b/packages/core/src/control/decode-control-state.ts
@@ -1,3 +1,5 @@
+import { createFleetState } from "../fleet/create-fleet-state.js";
+import { decodeFleetState } from "../fleet/decode-fleet-state.js";
 import type { WaveVm } from "../maintenance/wave-vm.js";
 import type { Wave } from "../maintenance/wave.js";
 import { decodeTables } from "../tables/decode-tables.js";
@@ -16,6 +18,7 @@
         changes: [string, ChangeRecord][];
         dispatches: [string, DispatchRecord][];
         grants: [string, [string, number][]][];
+        fleet?: unknown;
         waves: (Omit<Wave, "vms"> & { vms: [string, WaveVm][] })[];
     };
     return {
@@ -24,6 +27,7 @@
         dispatches: new Map(saved.dispatches),
         grants: new Map(saved.grants.map(([team, holders]) => [team, new Map(holders)])),
         waves: new Map(saved.waves.map(wave => [wave.id, { ...wave, vms: new Map(wave.vms) }])),
+        fleet: saved.fleet === undefined ? createFleetState() : decodeFleetState(saved.fleet),
         recentUpdates: [],
     };
 }
--- a/packages/core/src/control/encode-control-state.ts
+++ b/packages/core/src/control/encode-control-state.ts
@@ -1,3 +1,4 @@
+import { encodeFleetState } from "../fleet/encode-fleet-state.js";
 import { encodeTables } from "../tables/encode-tables.js";
 import type { ControlState } from "./control-state.js";
 
@@ -12,6 +13,7 @@
         changes: [...state.changes],
         dispatches: [...state.dispatches],
         waves: [...state.waves.values()].map(wave => ({ ...wave, vms: [...wave.vms] })),
+        fleet: encodeFleetState(state.fleet),
         grants: [...state.grants].map(([team, holders]) => [team, [...holders]]),
     });
 }
--- /dev/null
+++ b/packages/core/src/control/record-ends-command.ts
@@ -0,0 +1,10 @@
+import type { TaskEnd } from "../jobs/task-end.js";
+import type { CommandKind } from "./command-kind.js";
+
+/** Records ends before their targets may forget them. */
+export interface RecordEndsCommand {
+    readonly kind: CommandKind.RecordEnds;
+    readonly ends: readonly TaskEnd[];
+    /** Wall clock of the leader, milliseconds. */
+    readonly atMs: number;
+}
--- /dev/null
+++ b/packages/core/src/control/submit-job-result.ts
@@ -0,0 +1,9 @@
+/** What became of a job that was handed in. */
+export enum SubmitJobResult {
+    Accepted = "accepted",
+    /** The same id of the same account and queue was accepted before. */
+    Repeated = "repeated",
+    /** The id belongs to a job of another account or queue. */
+    Taken = "taken",
+    NoQueue = "no-queue",
+}
--- /dev/null
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -0,0 +1,17 @@
+import type { FleetState } from "./fleet-state.js";
+
+/**
+ * Creates the fleet state of a new cluster.
+ * @returns the empty state
+ */
+export function createFleetState(): FleetState {
+    return {
+        configuration: undefined,
+        jobs: new Map(),
+        targets: new Map(),
+        upkeep: new Map(),
+        activeJobs: new Set(),
+        targetLoads: new Map(),
+        accountLoads: new Map(),
+    };
+}
--- /dev/null
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -0,0 +1,48 @@
+import type { FleetConfiguration } from "../configuration/fleet-configuration.js";
+import { encodeTaskKey } from "../jobs/encode-task-key.js";
+import { isJobOver } from "../jobs/is-job-over.js";
+import type { Job } from "../jobs/job.js";
+import { TaskPhase } from "../jobs/task-phase.js";
+import type { TargetRecord } from "../targets/target-record.js";
+import type { UpkeepWave } from "../upkeep/upkeep-wave.js";
+import { addLoad } from "./add-load.js";
+import { createFleetState } from "./create-fleet-state.js";
+import type { FleetState } from "./fleet-state.js";
+
+/**
+ * Decodes the fleet state of a snapshot and derives the loads again.
+ * @param saved - the output of encodeFleetState
+ * @returns the state
+ */
+export function decodeFleetState(saved: unknown): FleetState {
+    const content = saved as {
+        configuration?: FleetConfiguration;
+        jobs: Job[];
+        targets: TargetRecord[];
+        upkeep: UpkeepWave[];
+    };
+    const state = createFleetState();
+    state.configuration = content.configuration;
+    content.targets.forEach(target => state.targets.set(target.id, target));
+    content.upkeep.forEach(wave => state.upkeep.set(wave.number, wave));
+    for (const job of content.jobs) {
+        state.jobs.set(job.id, job);
+        if (!isJobOver(job) || job.placedCount > 0) {
+            state.activeJobs.add(job.id);
+        }
+        addPlacedTasks(state, job);
+    }
+    return state;
+}
+
+function addPlacedTasks(state: FleetState, job: Job): void {
+    job.occurrences.forEach((steps, occurrence) =>
+        steps.forEach((progress, step) =>
+            progress.tasks.forEach((task, index) => {
+                if (task.phase === TaskPhase.Placed) {
+                    addLoad(state, job, step, encodeTaskKey({ job: job.id, occurrence, step, index }), task);
+                }
+            })
+        )
+    );
+}
--- /dev/null
+++ b/packages/core/src/fleet/encode-fleet-state.ts
@@ -0,0 +1,15 @@
+import type { FleetState } from "./fleet-state.js";
+
+/**
+ * Encodes the fleet state for a snapshot.
+ * @param state - the state
+ * @returns plain data for decodeFleetState
+ */
+export function encodeFleetState(state: FleetState): unknown {
+    return {
+        configuration: state.configuration,
+        jobs: [...state.jobs.values()],
+        targets: [...state.targets.values()],
+        upkeep: [...state.upkeep.values()],
+    };
+}
--- /dev/null
+++ b/packages/core/src/jobs/apply-cancel-job.ts
@@ -0,0 +1,24 @@
+import type { CancelJobCommand } from "../control/cancel-job-command.js";
+import type { ControlState } from "../control/control-state.js";
+import { isJobOver } from "./is-job-over.js";
+import { JobPhase } from "./job-phase.js";
+import { settleJob } from "./settle-job.js";
+
+/**
+ * Cancels a job; a job that has ended stays as it ended.
+ * @param state - the replicated state
+ * @param command - the command
+ * @returns whether the job is known
+ */
+export function applyCancelJob({ fleet }: ControlState, { id, atMs }: CancelJobCommand): boolean {
+    const job = fleet.jobs.get(id);
+    if (job === undefined) {
+        return false;
+    }
+    if (!isJobOver(job)) {
+        job.phase = JobPhase.Cancelled;
+        job.endedAtMs = atMs;
+    }
+    settleJob(fleet, job);
+    return true;
+}
--- /dev/null
+++ b/packages/core/src/jobs/apply-record-starts.ts
@@ -0,0 +1,50 @@
+import type { ControlState } from "../control/control-state.js";
+import type { RecordStartsCommand } from "../control/record-starts-command.js";
+import { addLoad } from "../fleet/add-load.js";
+import type { FleetState } from "../fleet/fleet-state.js";
+import { isUnderCap } from "../fleet/is-under-cap.js";
+import { addResources } from "../resources/add-resources.js";
+import { noResources } from "../resources/no-resources.js";
+import { decodeTaskKey } from "./decode-task-key.js";
+import { findTask } from "./find-task.js";
+import { isJobOver } from "./is-job-over.js";
+import { isStepReady } from "./is-step-ready.js";
+import { JobPhase } from "./job-phase.js";
+import { TaskPhase } from "./task-phase.js";
+import type { TaskStart } from "./task-start.js";
+
+/**
+ * Records starts. Each is checked again, as the state may have changed since the leader planned it.
+ * @param state - the replicated state
+ * @param command - the command
+ * @returns the starts that were recorded; their orders may be sent
+ */
+export function applyRecordStarts({ fleet }: ControlState, { starts }: RecordStartsCommand): readonly TaskStart[] {
+    return starts.filter(start => isRecorded(fleet, start));
+}
+
+function isRecorded(fleet: FleetState, start: TaskStart): boolean {
+    const key = decodeTaskKey(start.task);
+    const job = key === undefined ? undefined : fleet.jobs.get(key.job);
+    if (key === undefined || job === undefined || isJobOver(job) || !fleet.targets.has(start.target)) {
+        return false;
+    }
+    const task = findTask(job, key);
+    const step = job.steps[key.step];
+    const isStartable = task !== undefined && step !== undefined && task.phase === TaskPhase.Waiting
+        && start.run > task.run && isStepReady(job, key.occurrence, key.step);
+    if (!isStartable) {
+        return false;
+    }
+    const running = fleet.accountLoads.get(job.account) ?? noResources;
+    if (!isUnderCap(fleet, job.account, addResources(running, step.needs))) {
+        return false;
+    }
+    task.phase = TaskPhase.Placed;
+    task.run = start.run;
+    task.target = start.target;
+    job.phase = JobPhase.Running;
+    job.placedCount += 1;
+    addLoad(fleet, job, key.step, start.task, task);
+    return true;
+}
--- /dev/null
+++ b/packages/core/src/jobs/apply-submit-job.ts
@@ -0,0 +1,53 @@
+import type { ControlState } from "../control/control-state.js";
+import type { SubmitJobCommand } from "../control/submit-job-command.js";
+import { SubmitJobResult } from "../control/submit-job-result.js";
+import { JobPhase } from "./job-phase.js";
+import type { JobRequest } from "./job-request.js";
+import type { StepProgress } from "./step-progress.js";
+import { TaskPhase } from "./task-phase.js";
+import type { TaskRecord } from "./task-record.js";
+
+/**
+ * Accepts a job. The same id again, by the same account on the same queue, is the same job.
+ * @param state - the replicated state
+ * @param command - the command
+ * @returns whether it was accepted, now or before
+ */
+export function applySubmitJob({ fleet }: ControlState, command: SubmitJobCommand): SubmitJobResult {
+    const { id, queue, account, request, atMs } = command;
+    const known = fleet.jobs.get(id);
+    if (known !== undefined) {
+        return known.queue === queue && known.account === account ? SubmitJobResult.Repeated : SubmitJobResult.Taken;
+    }
+    const rule = fleet.configuration?.queues.find(({ name }) => name === queue);
+    if (rule === undefined) {
+        return SubmitJobResult.NoQueue;
+    }
+    fleet.jobs.set(id, {
+        id,
+        queue,
+        pool: rule.pool,
+        account,
+        maxAttempts: rule.maxAttempts,
+        spec: request.spec,
+        steps: request.steps,
+        times: request.times,
+        startAtMs: request.startAtMs,
+        intervalMs: request.intervalMs,
+        acceptedAtMs: atMs,
+        phase: JobPhase.Queued,
+        endedAtMs: 0,
+        placedCount: 0,
+        occurrences: Array.from({ length: Math.max(1, request.times) }, () => createProgress(request)),
+    });
+    fleet.activeJobs.add(id);
+    return SubmitJobResult.Accepted;
+}
+
+function createProgress(request: JobRequest): StepProgress[] {
+    return request.steps.map(step => ({ doneCount: 0, tasks: Array.from({ length: step.count }, createTask) }));
+}
+
+function createTask(): TaskRecord {
+    return { phase: TaskPhase.Waiting, run: 0, failures: 0, saved: "", target: "" };
+}
--- /dev/null
+++ b/packages/core/src/jobs/find-task.ts
@@ -0,0 +1,13 @@
+import type { Job } from "./job.js";
+import type { TaskKey } from "./task-key.js";
+import type { TaskRecord } from "./task-record.js";
+
+/**
+ * Finds a task of a job.
+ * @param job - the job
+ * @param key - the task
+ * @returns its record, or `undefined` when the job has no such task
+ */
+export function findTask(job: Job, key: TaskKey): TaskRecord | undefined {
+    return job.occurrences[key.occurrence]?.[key.step]?.tasks[key.index];
+}
--- /dev/null
+++ b/packages/core/src/placement/build-target-views.ts
@@ -0,0 +1,50 @@
+import type { FleetState } from "../fleet/fleet-state.js";
+import { decodeTaskKey } from "../jobs/decode-task-key.js";
+import { addResources } from "../resources/add-resources.js";
+import { noResources } from "../resources/no-resources.js";
+import { TargetState } from "../targets/target-state.js";
+import { buildStepName } from "./build-step-name.js";
+import type { TargetView } from "./target-view.js";
+
+/**
+ * Builds what the placement needs to know of the targets on which tasks may start.
+ * @param fleet - the fleet state
+ * @param isUsable - whether the leader would start anything on a target now
+ * @returns the views by pool
+ */
+export function buildTargetViews(
+    fleet: FleetState,
+    isUsable: (target: string) => boolean,
+): Map<string, TargetView[]> {
+    const pools = new Map<string, TargetView[]>();
+    for (const record of fleet.targets.values()) {
+        if (record.state !== TargetState.Ready || !isUsable(record.id)) {
+            continue;
+        }
+        const load = fleet.targetLoads.get(record.id);
+        const view: TargetView = {
+            record,
+            free: addResources(record.capacity, load?.used ?? noResources, -1),
+            stepCounts: new Map(),
+            hasServing: false,
+            hasFillers: false,
+        };
+        for (const name of load?.runs.keys() ?? []) {
+            addRun(fleet, view, name);
+        }
+        pools.set(record.pool, [...pools.get(record.pool) ?? [], view]);
+    }
+    return pools;
+}
+
+function addRun(fleet: FleetState, view: TargetView, name: string): void {
+    const key = decodeTaskKey(name);
+    const step = key === undefined ? undefined : fleet.jobs.get(key.job)?.steps[key.step];
+    if (key === undefined || step === undefined) {
+        return;
+    }
+    const stepName = buildStepName(key.job, key.occurrence, key.step);
+    view.stepCounts.set(stepName, (view.stepCounts.get(stepName) ?? 0) + 1);
+    view.hasServing ||= step.isLongRunning && !step.isFiller;
+    view.hasFillers ||= step.isFiller;
+}
--- /dev/null
+++ b/packages/core/src/placement/filters/is-label-right.ts
@@ -0,0 +1,12 @@
+import type { JobStep } from "../../jobs/job-step.js";
+import type { TargetView } from "../target-view.js";
+
+/**
+ * Filter: a target has the label that a step requires.
+ * @param step - the step
+ * @param target - the target
+ * @returns true when it has, or when none is required
+ */
+export function isLabelRight(step: JobStep, target: TargetView): boolean {
+    return step.requiredLabel === undefined || target.record.labels.includes(step.requiredLabel);
+}
--- /dev/null
+++ b/packages/core/src/placement/pick-target.ts
@@ -0,0 +1,46 @@
+import type { JobStep } from "../jobs/job-step.js";
+import { isAffinityKept } from "./filters/is-affinity-kept.js";
+import { isLabelRight } from "./filters/is-label-right.js";
+import { isRoomLeft } from "./filters/is-room-left.js";
+import { computeCrowding } from "./scores/compute-crowding.js";
+import { computeDistance } from "./scores/compute-distance.js";
+import { computeDisturbance } from "./scores/compute-disturbance.js";
+import type { TargetView } from "./target-view.js";
+
+/**
+ * Picks the target for one task: filters first, then scores, the earlier score before the later.
+ * @param step - the step of the task
+ * @param stepName - name of the step
+ * @param targets - the targets of its pool
+ * @returns the target, or `undefined` when none passes the filters
+ */
+export function pickTarget(
+    step: JobStep,
+    stepName: string,
+    targets: readonly TargetView[],
+): TargetView | undefined {
+    let best: TargetView | undefined;
+    let bestScores: readonly number[] = [];
+    for (const target of targets) {
+        const isFit = isRoomLeft(step, target) && isLabelRight(step, target)
+            && isAffinityKept(step, stepName, target);
+        if (!isFit) {
+            continue;
+        }
+        const scores = [
+            computeDistance(step, target),
+            computeDisturbance(step, target),
+            computeCrowding(step, stepName, target),
+        ];
+        if (best === undefined || compareScores(scores, bestScores) < 0) {
+            best = target;
+            bestScores = scores;
+        }
+    }
+    return best;
+}
+
+function compareScores(a: readonly number[], b: readonly number[]): number {
+    const position = a.findIndex((score, index) => score !== b[index]);
+    return position < 0 ? 0 : (a[position] ?? 0) - (b[position] ?? 0);
+}
--- /dev/null
+++ b/packages/core/src/placement/plan-starts.ts
@@ -0,0 +1,105 @@
+import type { FleetState } from "../fleet/fleet-state.js";
+import { computeRoomNeeded } from "../fleet/compute-room-needed.js";
+import { isUnderCap } from "../fleet/is-under-cap.js";
+import { encodeTaskKey } from "../jobs/encode-task-key.js";
+import type { TaskStart } from "../jobs/task-start.js";
+import { compareCandidates } from "../queueing/compare-candidates.js";
+import type { StepCandidate } from "../queueing/step-candidate.js";
+import { addResources } from "../resources/add-resources.js";
+import { noResources } from "../resources/no-resources.js";
+import type { Resources } from "../resources/resources.js";
+import { buildStepName } from "./build-step-name.js";
+import { pickTarget } from "./pick-target.js";
+import type { TargetView } from "./target-view.js";
+
+/** Most starts of one round, so that one entry of the log stays small. */
+const maxStarts = 200;
+
+/** What one round works with. */
+interface Round {
+    readonly fleet: FleetState;
+    readonly pools: ReadonlyMap<string, TargetView[]>;
+    readonly accountLoads: Map<string, Resources>;
+    readonly starts: TaskStart[];
+}
+
+/**
+ * Plans which tasks start where. A gang starts whole or not at all.
+ * @param fleet - the fleet state
+ * @param candidates - the steps that may start
+ * @param pools - the targets by pool; what is placed is taken from their room
+ * @returns the starts, most urgent first
+ */
+export function planStarts(
+    fleet: FleetState,
+    candidates: readonly StepCandidate[],
+    pools: ReadonlyMap<string, TargetView[]>,
+): TaskStart[] {
+    const round: Round = { fleet, pools, accountLoads: new Map(fleet.accountLoads), starts: [] };
+    for (const candidate of [...candidates].sort(compareCandidates)) {
+        if (round.starts.length >= maxStarts) {
+            break;
+        }
+        planStep(round, candidate);
+    }
+    return round.starts;
+}
+
+function planStep(round: Round, candidate: StepCandidate): void {
+    const { job, rule, occurrence, step, definition } = candidate;
+    const targets = round.pools.get(rule?.pool ?? job.pool) ?? [];
+    const tasks = job.occurrences[occurrence]?.[step]?.tasks ?? [];
+    const stepName = buildStepName(job.id, occurrence, step);
+    const gangRun = Math.max(0, ...tasks.map(task => task.run)) + 1;
+    if (definition.isGang && candidate.waiting.length < tasks.length) {
+        return;
+    }
+    const planned: { readonly start: TaskStart; readonly target: TargetView }[] = [];
+    for (const index of candidate.waiting) {
+        const target = planTask(round, candidate, stepName, targets);
+        if (target === undefined) {
+            break;
+        }
+        const run = definition.isGang ? gangRun : (tasks[index]?.run ?? 0) + 1;
+        const task = encodeTaskKey({ job: job.id, occurrence, step, index });
+        planned.push({ start: { task, run, target: target.record.id }, target });
+    }
+    if (definition.isGang && planned.length < candidate.waiting.length) {
+        planned.forEach(({ target }) => releaseRoom(round, candidate, stepName, target));
+        return;
+    }
+    round.starts.push(...planned.map(({ start }) => start));
+}
+
+function planTask(
+    round: Round,
+    { job, definition }: StepCandidate,
+    stepName: string,
+    targets: readonly TargetView[],
+): TargetView | undefined {
+    const running = addResources(round.accountLoads.get(job.account) ?? noResources, definition.needs);
+    if (!isUnderCap(round.fleet, job.account, running)) {
+        return undefined;
+    }
+    const target = pickTarget(definition, stepName, targets);
+    if (target !== undefined) {
+        target.free = addResources(target.free, computeRoomNeeded(definition), -1);
+        target.stepCounts.set(stepName, (target.stepCounts.get(stepName) ?? 0) + 1);
+        target.hasServing ||= definition.isLongRunning && !definition.isFiller;
+        target.hasFillers ||= definition.isFiller;
+        round.accountLoads.set(job.account, running);
+    }
+    return target;
+}
+
+function releaseRoom(
+    round: Round,
+    { job, definition }: StepCandidate,
+    stepName: string,
+    target: TargetView,
+): void {
+    target.free = addResources(target.free, computeRoomNeeded(definition));
+    target.stepCounts.set(stepName, (target.stepCounts.get(stepName) ?? 1) - 1);
+    const running = round.accountLoads.get(job.account) ?? noResources;
+    round.accountLoads.set(job.account, addResources(running, definition.needs, -1));
+}
--- /dev/null
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -0,0 +1,56 @@
+import type { FleetState } from "../fleet/fleet-state.js";
+import { isJobOver } from "../jobs/is-job-over.js";
+import { isStepReady } from "../jobs/is-step-ready.js";
+import type { Job } from "../jobs/job.js";
+import { TaskPhase } from "../jobs/task-phase.js";
+import { computeChain } from "./compute-chain.js";
+import type { EstimateStep } from "./estimate-step.js";
+import type { StepCandidate } from "./step-candidate.js";
+
+/**
+ * Collects the steps that have tasks to start.
+ * @param fleet - the fleet state
+ * @param now - wall clock, milliseconds
+ * @param estimate - guesses how long one task of a step takes
+ * @returns the steps, in no order
+ */
+export function collectCandidates(fleet: FleetState, now: number, estimate: EstimateStep): StepCandidate[] {
+    const candidates: StepCandidate[] = [];
+    for (const id of fleet.activeJobs) {
+        const job = fleet.jobs.get(id);
+        if (job !== undefined && !isJobOver(job)) {
+            job.occurrences.forEach((_, occurrence) =>
+                addCandidates(candidates, { fleet, job, occurrence, now, estimate })
+            );
+        }
+    }
+    return candidates;
+}
+
+interface OccurrenceView {
+    readonly fleet: FleetState;
+    readonly job: Job;
+    readonly occurrence: number;
+    readonly now: number;
+    readonly estimate: EstimateStep;
+}
+
+function addCandidates(candidates: StepCandidate[], view: OccurrenceView): void {
+    const { fleet, job, occurrence, now, estimate } = view;
+    const dueAt = job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
+    if (job.times > 0 && now < dueAt) {
+        return;
+    }
+    const rule = fleet.configuration?.queues.find(({ name }) => name === job.queue);
+    job.steps.forEach((definition, step) => {
+        const tasks = job.occurrences[occurrence]?.[step]?.tasks ?? [];
+        const waiting = tasks.flatMap((task, index) => task.phase === TaskPhase.Waiting ? [index] : []);
+        if (waiting.length === 0 || !isStepReady(job, occurrence, step)) {
+            return;
+        }
+        const remainingMs = computeChain(job, occurrence, estimate);
+        const budgetMs = (rule?.stretch ?? 1) * computeChain(job, undefined, estimate) + (rule?.objectiveMs ?? 0);
+        const slackMs = dueAt + budgetMs - now - remainingMs;
+        candidates.push({ job, rule, occurrence, step, definition, waiting, slackMs, remainingMs });
+    });
+}
--- /dev/null
+++ b/packages/core/src/queueing/step-candidate.ts
@@ -0,0 +1,18 @@
+import type { QueueRule } from "../configuration/queue-rule.js";
+import type { JobStep } from "../jobs/job-step.js";
+import type { Job } from "../jobs/job.js";
+
+/** A step with tasks that may start now. */
+export interface StepCandidate {
+    readonly job: Job;
+    readonly rule: QueueRule | undefined;
+    readonly occurrence: number;
+    readonly step: number;
+    readonly definition: JobStep;
+    /** Indexes of the tasks that wait. */
+    readonly waiting: readonly number[];
+    /** Milliseconds by which the occurrence can be early; negative when it can't be on time any more. */
+    readonly slackMs: number;
+    /** Milliseconds of work on the longest chain that is left. */
+    readonly remainingMs: number;
+}
--- /dev/null
+++ b/packages/core/src/targets/target-state.ts
@@ -0,0 +1,5 @@
+/** What a target says of itself. */
+export enum TargetState {
+    Ready = "ready",
+    Draining = "draining",
+}
--- /dev/null
+++ b/packages/daemon/src/calls/http-call.ts
@@ -0,0 +1,11 @@
+/** One request to another process. */
+export interface HttpCall {
+    /** IP number and port. */
+    readonly address: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Buffer | undefined;
+    /** Milliseconds to wait for the whole answer. */
+    readonly timeoutMs: number;
+}
--- /dev/null
+++ b/packages/daemon/src/calls/http-reply.ts
@@ -0,0 +1,5 @@
+/** The whole answer to a request. */
+export interface HttpReply {
+    readonly status: number;
+    readonly body: Buffer;
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/entry/job-gateway.ts
@@ -0,0 +1,42 @@
+import type { JobAnswer } from "@daisylock/protocol/fleet/job-answer.js";
+import type { JobCall } from "@daisylock/protocol/fleet/job-call.js";
+import { JobOutcome } from "@daisylock/protocol/fleet/job-outcome.js";
+
+import { CallFailureKind } from "../../calls/call-failure-kind.js";
+import { DecisionKind } from "../log/decision-kind.js";
+import type { DecisionLog } from "../log/decision-log.js";
+import type { LeaderCaller } from "../peers/leader-caller.js";
+
+/** Time for the answer to travel back, milliseconds. */
+const reserveMs = 150;
+/** Longest time that a request is held for an answer of the leader, milliseconds. */
+const maxHoldMs = 2_500;
+const retryAfterS = 1;
+
+/** Passes callers' requests about jobs on to the leader. */
+export class JobGateway {
+    /**
+     * @param caller - the way to the leader
+     * @param log - decisions
+     */
+    constructor(private readonly caller: LeaderCaller, private readonly log: DecisionLog) {}
+
+    /**
+     * Answers a request. Without a leader the answer is given at once: that nothing has run, or, when the request may have
+     * reached a leader, that this is not known.
+     * @param call - the request
+     * @param deadlineMs - milliseconds that the caller waits
+     * @returns the answer
+     */
+    async handleCall(call: JobCall, deadlineMs: number): Promise<JobAnswer> {
+        const timeoutMs = Math.max(1, Math.min(maxHoldMs, deadlineMs - reserveMs));
+        const reply = await this.caller.send("job", call, timeoutMs);
+        if (reply.isOk) {
+            return reply.value;
+        }
+        const { kind, detail } = reply.error;
+        const outcome = kind === CallFailureKind.NotSent ? JobOutcome.Unavailable : JobOutcome.Unknown;
+        this.log.note(DecisionKind.CallUnanswered, { verb: call.verb, path: call.path, outcome, detail });
+        return outcome === JobOutcome.Unavailable ? { outcome, retryAfterS, reason: detail } : { outcome };
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/job-desk.ts
@@ -0,0 +1,187 @@
+import { findQueue } from "@daisylock/core/configuration/find-queue.js";
+import type { QueueRule } from "@daisylock/core/configuration/queue-rule.js";
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { SubmitJobResult } from "@daisylock/core/control/submit-job-result.js";
+import { JobPhase } from "@daisylock/core/jobs/job-phase.js";
+import type { JobRequest } from "@daisylock/core/jobs/job-request.js";
+import { validateJob } from "@daisylock/core/jobs/validate-job.js";
+import type { JobAnswer } from "@daisylock/protocol/fleet/job-answer.js";
+import type { JobCall } from "@daisylock/protocol/fleet/job-call.js";
+import { JobOutcome } from "@daisylock/protocol/fleet/job-outcome.js";
+import { JobVerb } from "@daisylock/protocol/fleet/job-verb.js";
+import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
+
+import { DecisionKind } from "../log/decision-kind.js";
+import type { DecisionLog } from "../log/decision-log.js";
+import type { Leadership } from "./leadership.js";
+
+const jobIdPattern = /^[0-9a-f]{16}$/;
+/** When to come back after a refusal because nobody can decide, seconds. */
+const unavailableRetryS = 1;
+
+/** A call whose queue and client account are known. */
+interface AdmittedCall {
+    readonly call: JobCall;
+    readonly queue: QueueRule;
+    /** Empty for none. */
+    readonly account: string;
+    /** Empty when the call is about the queue. */
+    readonly id: string;
+}
+
+/** Answers callers' requests about jobs, on the leader. */
+export class JobDesk {
+    /**
+     * @param leadership - whether this process may decide
+     * @param log - decisions
+     * @param handleWork - called when there may be something to start or stop
+     */
+    constructor(
+        private readonly leadership: Leadership,
+        private readonly log: DecisionLog,
+        private readonly handleWork: () => void,
+    ) {}
+
+    /**
+     * Answers one request.
+     * @param call - the request
+     * @returns the answer, or where the leader may be
+     */
+    handleCall(call: JobCall): Promise<LeaderReply<JobAnswer>> {
+        return this.leadership.answer(async () => {
+            const admitted = this.checkCall(call);
+            if ("outcome" in admitted) {
+                return this.answerNegative(admitted, call);
+            }
+            return this.run(admitted);
+        });
+    }
+
+    private checkCall(call: JobCall): AdmittedCall | JobAnswer {
+        const { configuration } = this.leadership.readFleet();
+        if (configuration === undefined) {
+            return { outcome: JobOutcome.Unavailable, retryAfterS: unavailableRetryS, reason: "no configuration yet" };
+        }
+        const queue = findQueue(configuration, call.host, call.path);
+        if (queue === undefined) {
+            return { outcome: JobOutcome.NoQueue };
+        }
+        const account = queue.isPublic
+            ? ""
+            : configuration.accounts.find(({ keys }) => call.key !== "" && keys.includes(call.key))?.name;
+        if (account === undefined) {
+            return { outcome: JobOutcome.Unauthorized };
+        }
+        const id = call.path.slice(queue.pathPrefix.length);
+        const isQueueRead = call.verb === JobVerb.Read && id === "";
+        if (!isQueueRead && !jobIdPattern.test(id)) {
+            return { outcome: JobOutcome.Invalid, reason: "job id is not 16 hexadecimal digits" };
+        }
+        return { call, queue, account, id };
+    }
+
+    private async answerNegative(answer: JobAnswer, call: JobCall): Promise<JobAnswer | undefined> {
+        if (answer.outcome === JobOutcome.Unavailable || answer.outcome === JobOutcome.Invalid) {
+            return answer;
+        }
+        if (!await this.leadership.confirm()) {
+            return undefined;
+        }
+        const checked = this.checkCall(call);
+        if (!("outcome" in checked)) {
+            return this.run(checked);
+        }
+        const version = this.leadership.readFleet().configuration?.version;
+        this.log.note(DecisionKind.KeyRefused, { outcome: checked.outcome, path: call.path, host: call.host, version });
+        return checked;
+    }
+
+    private run(admitted: AdmittedCall): Promise<JobAnswer | undefined> {
+        switch (admitted.call.verb) {
+            case JobVerb.Submit:
+                return this.submitJob(admitted, admitted.call.job);
+            case JobVerb.Read:
+                return admitted.id === "" ? this.readQueue(admitted) : this.readJob(admitted);
+            case JobVerb.Cancel:
+                return this.cancelJob(admitted);
+        }
+    }
+
+    private async submitJob(
+        { queue, account, id }: AdmittedCall,
+        request: JobRequest | undefined,
+    ): Promise<JobAnswer | undefined> {
+        const faults = request === undefined ? ["no job"] : validateJob(request);
+        if (request === undefined || faults.length > 0) {
+            this.log.note(DecisionKind.JobRefused, { job: id, queue: queue.name, reason: faults.join(", ") });
+            return { outcome: JobOutcome.Invalid, reason: faults.join(", ") };
+        }
+        const result = await this.leadership.commit({
+            kind: CommandKind.SubmitJob,
+            id,
+            queue: queue.name,
+            account,
+            request,
+            atMs: Date.now(),
+        });
+        switch (result) {
+            case undefined:
+                return undefined;
+            case SubmitJobResult.NoQueue:
+                return { outcome: JobOutcome.NoQueue };
+            case SubmitJobResult.Taken:
+                return { outcome: JobOutcome.Invalid, reason: "the id is taken" };
+            case SubmitJobResult.Accepted:
+                this.log.note(DecisionKind.JobAccepted, {
+                    job: id,
+                    queue: queue.name,
+                    account,
+                    tasks: request.steps.reduce((sum, step) => sum + step.count, 0),
+                });
+                this.handleWork();
+                return { outcome: JobOutcome.Accepted };
+            case SubmitJobResult.Repeated:
+                return { outcome: JobOutcome.Accepted };
+        }
+    }
+
+    private async readJob({ queue, account, id }: AdmittedCall): Promise<JobAnswer | undefined> {
+        const find = () => {
+            const job = this.leadership.readFleet().jobs.get(id);
+            return job?.queue === queue.name && job.account === account ? job : undefined;
+        };
+        if (find() === undefined && !await this.leadership.confirm()) {
+            return undefined;
+        }
+        const job = find();
+        return job === undefined ? { outcome: JobOutcome.Gone } : { outcome: JobOutcome.State, phase: job.phase };
+    }
+
+    private async cancelJob({ queue, account, id }: AdmittedCall): Promise<JobAnswer | undefined> {
+        const job = this.leadership.readFleet().jobs.get(id);
+        if (job !== undefined && (job.queue !== queue.name || job.account !== account)) {
+            return { outcome: JobOutcome.Gone };
+        }
+        const isKnown = await this.leadership.commit({ kind: CommandKind.CancelJob, id, atMs: Date.now() });
+        if (isKnown === undefined) {
+            return undefined;
+        }
+        this.log.note(DecisionKind.JobCancelled, { job: id, queue: queue.name, known: isKnown });
+        this.handleWork();
+        return { outcome: isKnown ? JobOutcome.Cancelled : JobOutcome.Gone };
+    }
+
+    private async readQueue({ queue }: AdmittedCall): Promise<JobAnswer> {
+        return { outcome: JobOutcome.Pending, pending: this.countPending(queue) };
+    }
+
+    private countPending(queue: QueueRule): number {
+        const { jobs, activeJobs } = this.leadership.readFleet();
+        let pending = 0;
+        for (const id of activeJobs) {
+            const job = jobs.get(id);
+            pending += job?.queue === queue.name && job.phase === JobPhase.Queued ? 1 : 0;
+        }
+        return pending;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -0,0 +1,142 @@
+import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
+import { isJobOver } from "@daisylock/core/jobs/is-job-over.js";
+import { RunEnd } from "@daisylock/core/jobs/run-end.js";
+
+import type { Clock } from "../../clock/clock.js";
+import type { ChildSpec } from "../../supervision/child-spec.js";
+import { DecisionKind } from "../log/decision-kind.js";
+import type { DecisionLog } from "../log/decision-log.js";
+import type { FleetHandlers } from "../peers/fleet-handlers.js";
+import type { FleetSettings } from "../settings/fleet-settings.js";
+import type { TargetClient } from "../targets/target-client.js";
+import type { VmService } from "../vms/vm-service.js";
+import { ConfigurationDesk } from "./configuration-desk.js";
+import { DurationBook } from "./duration-book.js";
+import { JobDesk } from "./job-desk.js";
+import type { Leadership } from "./leadership.js";
+import { PaceController } from "./pace-controller.js";
+import { Scheduler } from "./scheduler.js";
+import { TargetDesk } from "./target-desk.js";
+import { TargetSessions } from "./target-sessions.js";
+import { UpkeepDesk } from "./upkeep-desk.js";
+import { UpkeepRunner } from "./upkeep-runner.js";
+
+const msPerSecond = 1_000;
+
+/** What the leader's part of a keeper needs. */
+interface LeaderSurroundings {
+    readonly settings: FleetSettings;
+    readonly leadership: Leadership;
+    readonly client: TargetClient;
+    readonly vms: VmService;
+    readonly clock: Clock;
+    readonly log: DecisionLog;
+}
+
+/** All that a keeper does while it leads. */
+export class LeaderPart {
+    private readonly durations = new DurationBook();
+    private readonly sessions: TargetSessions;
+    private readonly upkeep: UpkeepRunner;
+    private readonly scheduler: Scheduler;
+    private readonly targets: TargetDesk;
+
+    /**
+     * @param surroundings - what the part needs
+     */
+    constructor(private readonly surroundings: LeaderSurroundings) {
+        const { settings, leadership, client, vms, clock, log } = surroundings;
+        const handleWork = () => this.scheduler.startRound();
+        this.targets = new TargetDesk(leadership, clock, log, handleWork);
+        this.sessions = new TargetSessions({
+            leadership,
+            client,
+            desk: this.targets,
+            clock,
+            log,
+            maxLeaseMs: settings.tasks.max_lease_ms,
+            handleWork,
+            handleEnd: (task, _target, how, durationMs) => this.noteEnd(leadership.readFleet(), task, how, durationMs),
+        });
+        this.upkeep = new UpkeepRunner({
+            leadership,
+            sessions: this.sessions,
+            vms,
+            log,
+            clock,
+            holder: settings.node.name,
+            holderLeaseMs: settings.vms.holder_lease_ms,
+            upkeepMs: settings.vms.upkeep_s * msPerSecond,
+        });
+        this.scheduler = new Scheduler({
+            leadership,
+            sessions: this.sessions,
+            estimate: this.durations.estimate,
+            isEvacuating: target => this.upkeep.isEvacuating(target),
+            log,
+            clock,
+            keepStateMs: settings.tasks.keep_state_ms,
+        });
+    }
+
+    /**
+     * Builds the answers to the calls that only the leader answers.
+     * @param handleJoin - answers keepers that want to become members
+     * @returns the answers by call
+     */
+    buildHandlers(handleJoin: FleetHandlers["join"]): FleetHandlers {
+        const { leadership, log } = this.surroundings;
+        const jobs = new JobDesk(leadership, log, () => this.scheduler.startRound());
+        const configuration = new ConfigurationDesk(leadership, log);
+        const upkeep = new UpkeepDesk(leadership, log);
+        return {
+            job: call => jobs.handleCall(call),
+            putConfiguration: request => configuration.handlePut(request),
+            readConfiguration: () => configuration.handleRead(),
+            report: report => this.targets.handleReport(report),
+            leave: request => this.targets.handleLeave(request),
+            startUpkeep: order => upkeep.handleStart(order),
+            readUpkeep: request => upkeep.handleRead(request),
+            ping: () =>
+                leadership.answer(async () => ({
+                    hasConfiguration: leadership.readFleet().configuration !== undefined,
+                })),
+            join: handleJoin,
+        };
+    }
+
+    /**
+     * Lists the children of the supervisor tree.
+     * @returns the children, in starting order
+     */
+    listChildren(): ChildSpec[] {
+        const { leadership, clock, log } = this.surroundings;
+        return [
+            { name: "scheduler", create: () => this.scheduler },
+            { name: "upkeep-runner", create: () => this.upkeep },
+            { name: "pace-controller", create: () => new PaceController(leadership, this.sessions, log, clock) },
+        ];
+    }
+
+    /** Lets the scheduler look at the state again. */
+    startRound(): void {
+        this.scheduler.startRound();
+    }
+
+    private noteEnd(fleet: FleetState, task: string, how: RunEnd, durationMs: number): void {
+        const key = decodeTaskKey(task);
+        const job = key === undefined ? undefined : fleet.jobs.get(key.job);
+        if (key === undefined || job === undefined) {
+            return;
+        }
+        const step = job.steps[key.step];
+        if (how === RunEnd.Done && step !== undefined) {
+            this.durations.noteRun(job, step, durationMs);
+        }
+        if (isJobOver(job)) {
+            const afterMs = job.endedAtMs - job.acceptedAtMs;
+            this.surroundings.log.note(DecisionKind.JobEnded, { job: job.id, queue: job.queue, phase: job.phase, afterMs });
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/scheduler.ts
@@ -0,0 +1,122 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
+import { isJobOver } from "@daisylock/core/jobs/is-job-over.js";
+import { buildTargetViews } from "@daisylock/core/placement/build-target-views.js";
+import { planStarts } from "@daisylock/core/placement/plan-starts.js";
+import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
+import type { EstimateStep } from "@daisylock/core/queueing/estimate-step.js";
+
+import type { Clock } from "../../clock/clock.js";
+import { waitFor } from "../../concurrency/wait-for.js";
+import { PeriodicWorker } from "../../supervision/periodic-worker.js";
+import { DecisionKind } from "../log/decision-kind.js";
+import type { DecisionLog } from "../log/decision-log.js";
+import type { Leadership } from "./leadership.js";
+import type { TargetSessions } from "./target-sessions.js";
+
+/** Longest time between two rounds; scheduled occurrences become due in between. */
+const intervalMs = 50;
+const followerIntervalMs = 100;
+/** Time between two rounds that forget ended jobs. */
+const dropIntervalMs = 2_000;
+
+/** What the scheduler needs. */
+interface SchedulerSurroundings {
+    readonly leadership: Leadership;
+    readonly sessions: TargetSessions;
+    readonly estimate: EstimateStep;
+    /** Whether a target is being emptied. */
+    readonly isEvacuating: (target: string) => boolean;
+    readonly log: DecisionLog;
+    readonly clock: Clock;
+    /** Time for which the state of an ended job is kept, milliseconds. */
+    readonly keepStateMs: number;
+}
+
+/** Starts and stops tasks while this process leads. A start is recorded before its order is sent. */
+export class Scheduler extends PeriodicWorker {
+    override readonly name = "scheduler";
+    private dropDue = 0;
+    private isLeading = false;
+
+    /**
+     * @param surroundings - what the scheduler needs
+     */
+    constructor(private readonly surroundings: SchedulerSurroundings) {
+        super(surroundings.clock);
+    }
+
+    protected override *tick(): Generator<unknown, number, unknown> {
+        const { leadership, sessions } = this.surroundings;
+        this.noteLeadership(leadership.isDeciding());
+        if (!this.isLeading) {
+            return followerIntervalMs;
+        }
+        const fleet = leadership.readFleet();
+        sessions.update(fleet.targets, leadership.readToken());
+        this.stopEndedJobs(fleet);
+        yield* this.startTasks(fleet);
+        yield* this.dropEndedJobs();
+        return intervalMs;
+    }
+
+    protected override *releaseAll(): Generator<unknown, void, unknown> {
+        this.surroundings.sessions.closeAll();
+    }
+
+    private noteLeadership(isDeciding: boolean): void {
+        const { leadership, sessions, log } = this.surroundings;
+        if (isDeciding !== this.isLeading) {
+            log.note(isDeciding ? DecisionKind.LeadershipGained : DecisionKind.LeadershipLost, {
+                term: leadership.readToken(),
+            });
+            this.isLeading = isDeciding;
+        }
+        if (!isDeciding && leadership.readToken() === 0) {
+            sessions.closeAll();
+        }
+    }
+
+    private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
+        const { leadership, sessions, estimate, isEvacuating, log } = this.surroundings;
+        const candidates = collectCandidates(fleet, this.surroundings.clock.readWall(), estimate);
+        if (candidates.length === 0) {
+            return;
+        }
+        const pools = buildTargetViews(fleet, id => sessions.find(id)?.isUsable() === true && !isEvacuating(id));
+        const starts = planStarts(fleet, candidates, pools);
+        if (starts.length === 0) {
+            return;
+        }
+        const recorded = yield* waitFor(leadership.commit({ kind: CommandKind.RecordStarts, starts }));
+        for (const { task, run, target } of recorded ?? []) {
+            log.note(DecisionKind.TaskPlaced, { task, run, target });
+            sessions.find(target)?.startTask(task, run);
+        }
+    }
+
+    private stopEndedJobs(fleet: FleetState): void {
+        for (const [target, { runs }] of fleet.targetLoads) {
+            for (const [task, run] of runs) {
+                const job = fleet.jobs.get(decodeTaskKey(task)?.job ?? "");
+                if (job !== undefined && isJobOver(job)) {
+                    this.surroundings.sessions.find(target)?.stopTask(task, run);
+                }
+            }
+        }
+    }
+
+    private *dropEndedJobs(): Generator<unknown, void, unknown> {
+        const { leadership, clock, keepStateMs } = this.surroundings;
+        const endedBeforeMs = clock.readWall() - keepStateMs;
+        if (clock.readMonotonic() < this.dropDue) {
+            return;
+        }
+        this.dropDue = clock.readMonotonic() + dropIntervalMs;
+        const jobs = [...leadership.readFleet().jobs.values()];
+        if (jobs.some(job => isJobOver(job) && job.placedCount === 0 && job.endedAtMs < endedBeforeMs)) {
+            yield* waitFor(leadership.commit({ kind: CommandKind.DropJobs, endedBeforeMs }));
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/session-surroundings.ts
@@ -0,0 +1,22 @@
+import type { RunEnd } from "@daisylock/core/jobs/run-end.js";
+
+import type { Clock } from "../../clock/clock.js";
+import type { DecisionLog } from "../log/decision-log.js";
+import type { TargetClient } from "../targets/target-client.js";
+import type { Leadership } from "./leadership.js";
+import type { TargetDesk } from "./target-desk.js";
+
+/** What the session of a target needs. */
+export interface SessionSurroundings {
+    readonly leadership: Leadership;
+    readonly client: TargetClient;
+    readonly desk: TargetDesk;
+    readonly clock: Clock;
+    readonly log: DecisionLog;
+    /** Longest lease that a target grants, milliseconds. */
+    readonly maxLeaseMs: number;
+    /** Called when there may be something to start. */
+    readonly handleWork: () => void;
+    /** Called with each end: the encoded task key, the target, how the run ended and after how many milliseconds. */
+    readonly handleEnd: (task: string, target: string, how: RunEnd, durationMs: number) => void;
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/target-clock.ts
@@ -0,0 +1,59 @@
+/** Slowest that a target's clock may run against ours; a bound of the platform. */
+const minClockRate = 0.98;
+
+/**
+ * Relates a target's steady clock to ours. A reading that came with an answer was taken before the answer arrived, so the
+ * estimate is never ahead of the target by more than the clocks' drift.
+ */
+export class TargetClock {
+    private readAt = 0;
+    private reading: number | undefined;
+    private newestLease = 0;
+
+    /**
+     * Notes a reading.
+     * @param clockMs - the target's clock
+     * @param receivedAt - our monotonic clock when it arrived
+     */
+    note(clockMs: number, receivedAt: number): void {
+        if (this.reading === undefined || receivedAt >= this.readAt) {
+            this.reading = clockMs;
+            this.readAt = receivedAt;
+        }
+    }
+
+    /**
+     * Computes the end of a new lease, and remembers it as granted whether or not the order arrives.
+     * @param now - our monotonic clock
+     * @param leaseMs - length of the lease
+     * @returns time on the target's clock, or `undefined` while that is not known
+     */
+    computeLeaseEnd(now: number, leaseMs: number): number | undefined {
+        if (this.reading === undefined) {
+            return undefined;
+        }
+        const end = Math.floor(this.reading + (now - this.readAt) + leaseMs);
+        this.newestLease = Math.max(this.newestLease, end);
+        return end;
+    }
+
+    /**
+     * Notes that an earlier leader may have granted a lease.
+     * @param leaseMs - longest lease that it may have granted from now on
+     */
+    noteEarlierLease(leaseMs: number): void {
+        if (this.reading !== undefined) {
+            this.newestLease = Math.max(this.newestLease, this.reading + leaseMs);
+        }
+    }
+
+    /**
+     * Computes when every lease granted so far is over for certain.
+     * @returns our monotonic clock, or `undefined` while the target's clock is not known
+     */
+    computeLapse(): number | undefined {
+        return this.reading === undefined
+            ? undefined
+            : this.readAt + Math.max(0, this.newestLease - this.reading) / minClockRate;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/target-order.ts
@@ -0,0 +1,16 @@
+/** What the leader knows of its order for one run. */
+export interface TargetOrder {
+    readonly run: number;
+    /** When the first order was sent, monotonic milliseconds. */
+    readonly sentAt: number;
+    /** Whether a start may have arrived that was never answered. */
+    isUncertain: boolean;
+    /** Whether the target has confirmed a stop; no start of this run can follow it. */
+    isStopConfirmed: boolean;
+    /** Whether the run is to be stopped. */
+    isStopWanted: boolean;
+    /** When the target last confirmed an order; a list that was asked for later is complete. */
+    confirmedAt: number | undefined;
+    /** Whether an order for this run is under way. */
+    isBusy: boolean;
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -0,0 +1,526 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { TargetLoad } from "@daisylock/core/fleet/target-load.js";
+import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
+import { findTask } from "@daisylock/core/jobs/find-task.js";
+import { RunEnd } from "@daisylock/core/jobs/run-end.js";
+import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+import { TargetState } from "@daisylock/core/targets/target-state.js";
+
+import { DecisionKind } from "../log/decision-kind.js";
+import type { HoldAnswer } from "../targets/hold-answer.js";
+import type { OrderAnswer } from "../targets/order-answer.js";
+import { OrderResult } from "../targets/order-result.js";
+import type { RunningTask } from "../targets/running-task.js";
+import type { SessionSurroundings } from "./session-surroundings.js";
+import { TargetClock } from "./target-clock.js";
+import type { TargetOrder } from "./target-order.js";
+
+/** Share of the longest lease that is asked for; the rest is room for a late renewal to be granted in full. */
+const leaseShare = 0.75;
+/** Longest wait of a renewal for an end. Three renewals may fail before a lease ends. */
+const holdWaitMs = 1_000;
+/** Longest pause without work; a target that sends no heartbeats is then looked at. */
+const idleMs = 500;
+/** Silence of heartbeats after which an idle target is looked at. */
+const silenceMs = 3_500;
+/** Pause after a failed order. */
+const retryMs = 120;
+/** Time for which nothing is started on a target that refused a start. */
+const refusedMs = 300;
+/** Margin for the time between two readings of a clock. */
+const lapseMarginMs = 50;
+/** Slowest that a target's clock may run against ours. */
+const minClockRate = 0.98;
+/** Time after which a target that answers nothing and sends nothing is forgotten. */
+const forgetMs = 20_000;
+
+const refusals: ReadonlySet<OrderResult> = new Set([
+    OrderResult.NoRoom,
+    OrderResult.Unhealthy,
+    OrderResult.NoTicket,
+    OrderResult.Invalid,
+]);
+
+/**
+ * The leader's dealings with one life of a target: renews its lease, carries out recorded starts and stops, and records
+ * ends before the target may forget them. Every order carries the fencing token of this leadership, so that once the
+ * target has answered one, no order of an earlier leader can follow.
+ */
+export class TargetSession {
+    /** What the target said that it runs, by encoded task key. */
+    readonly running = new Map<string, RunningTask>();
+    private readonly clock = new TargetClock();
+    private readonly orders = new Map<string, TargetOrder>();
+    private readonly wakeups = new Set<() => void>();
+    private lastSeen = 0;
+    private isSynced = false;
+    private isClosed = false;
+    private failingSince: number | undefined;
+    private leftOutUntil = 0;
+
+    /**
+     * @param record - the target life
+     * @param token - fencing token of this leadership
+     * @param surroundings - what the session needs
+     */
+    constructor(
+        readonly record: TargetRecord,
+        private readonly token: number,
+        private readonly surroundings: SessionSurroundings,
+    ) {
+        void this.runRenewals();
+    }
+
+    /** Ends the session; orders under way are not waited for. */
+    close(): void {
+        this.isClosed = true;
+        this.wake();
+    }
+
+    /**
+     * Tells whether tasks may be started here.
+     * @returns false while the target is not known to answer, or has just refused a start
+     */
+    isUsable(): boolean {
+        const now = this.readNow();
+        return this.isSynced && this.failingSince === undefined && now >= this.leftOutUntil && !this.isSilent(now);
+    }
+
+    /**
+     * Carries out a recorded start.
+     * @param task - encoded task key
+     * @param run - number of the run
+     */
+    startTask(task: string, run: number): void {
+        const order = this.openOrder(task, run);
+        void this.runOrder(order, () => this.sendStart(task, order));
+        this.wake();
+    }
+
+    /**
+     * Stops a run that may be here.
+     * @param task - encoded task key
+     * @param run - number of the run
+     */
+    stopTask(task: string, run: number): void {
+        const order = this.openOrder(task, run);
+        order.isStopWanted = true;
+        if (!order.isStopConfirmed) {
+            void this.runOrder(order, () => this.sendStop(task, order));
+        }
+        this.wake();
+    }
+
+    /**
+     * Sets the pace of a run.
+     * @param task - encoded task key
+     * @param run - number of the run
+     * @param percent - 0 to 100
+     * @returns whether the target confirmed it
+     */
+    async setPace(task: string, run: number, percent: number): Promise<boolean> {
+        const answer = await this.surroundings.client.setPace(
+            this.record,
+            { task, run, fencingToken: this.token },
+            percent,
+        );
+        this.noteClock(answer);
+        return answer.result === OrderResult.Done;
+    }
+
+    private async runRenewals(): Promise<void> {
+        while (!this.isClosed) {
+            const load = this.readLoad();
+            const isIdle = this.isSynced && load.runs.size === 0 && !this.isSilent(this.readNow());
+            if (isIdle || !this.surroundings.leadership.isDeciding()) {
+                await this.waitForWork(isIdle ? idleMs : retryMs);
+                continue;
+            }
+            await this.renew(load);
+        }
+    }
+
+    private async renew(load: Pick<TargetLoad, "runs">): Promise<void> {
+        this.noteHeartbeat();
+        const sentAt = this.readNow();
+        const answer = await this.surroundings.client.holdTasks(this.readRecord(), {
+            leaseUntilMs: this.clock.computeLeaseEnd(sentAt, this.readLeaseMs()),
+            fencingToken: this.token,
+            lastSeen: this.lastSeen,
+            waitMs: this.isSynced && load.runs.size > 0 ? holdWaitMs : 0,
+        });
+        if (this.isClosed) {
+            return;
+        }
+        this.noteClock(answer);
+        switch (answer.result) {
+            case OrderResult.Done:
+                await this.handleLists(answer, sentAt);
+                break;
+            case OrderResult.WrongTarget:
+                await this.recordGone("another target answers at its address");
+                break;
+            case OrderResult.Fenced:
+                this.noteFailure(answer.result);
+                await this.waitForWork(idleMs);
+                break;
+            default:
+                this.noteFailure(answer.result);
+                await this.handleUnreachable();
+                await this.waitForWork(retryMs);
+        }
+    }
+
+    private async handleLists(answer: HoldAnswer, sentAt: number): Promise<void> {
+        if (answer.incarnation !== undefined && answer.incarnation !== this.record.incarnation) {
+            await this.recordGone("a new life answers under its id");
+            return;
+        }
+        this.noteSuccess();
+        this.running.clear();
+        answer.running.forEach(task => this.running.set(task.task, task));
+        if (answer.ended.length > 0 && !await this.recordEnds(answer)) {
+            return;
+        }
+        this.isSynced = true;
+        await this.checkRuns(answer, sentAt);
+        this.dropOldOrders();
+    }
+
+    /** Records ends; the target is told to forget them only once they are committed. */
+    private async recordEnds({ ended }: HoldAnswer): Promise<boolean> {
+        const { runs } = this.readLoad();
+        const ends = ended.filter(({ task, run }) => runs.get(task) === run);
+        if (ends.length > 0 && !await this.commitEnds(ends)) {
+            return false;
+        }
+        this.lastSeen = Math.max(this.lastSeen, ...ended.map(({ number }) => number));
+        return true;
+    }
+
+    /** Compares what the target runs with what is recorded. */
+    private async checkRuns({ running, ended }: HoldAnswer, sentAt: number): Promise<void> {
+        const { runs } = this.readLoad();
+        const listed = new Map([...running, ...ended].map(({ task, run }) => [task, run]));
+        const stopped: Omit<TaskEnd, "target">[] = [];
+        for (const [task, run] of runs) {
+            const order = this.orders.get(task);
+            if (listed.get(task) === run) {
+                this.confirmRun(task, run);
+            }
+            else if (order === undefined || order.run !== run) {
+                // An earlier leader recorded the start; its order is fenced off by now, so that it is given again.
+                this.startTask(task, run);
+            }
+            else if (order.confirmedAt !== undefined && order.confirmedAt < sentAt) {
+                if (order.isStopConfirmed) {
+                    stopped.push({ task, run, how: RunEnd.Stopped, saved: "" });
+                }
+                else {
+                    this.stopTask(task, run);
+                }
+            }
+        }
+        for (const { task, run } of running) {
+            if (runs.get(task) !== run) {
+                this.stopTask(task, run);
+            }
+        }
+        if (stopped.length > 0) {
+            await this.commitEnds(stopped);
+        }
+    }
+
+    private confirmRun(task: string, run: number): void {
+        const order = this.openOrder(task, run);
+        order.confirmedAt ??= this.readNow();
+        order.isUncertain = false;
+    }
+
+    private async sendStart(task: string, order: TargetOrder): Promise<void> {
+        while (this.isOwed(task, order.run)) {
+            if (order.isStopWanted || this.readRecord().state !== TargetState.Ready) {
+                await this.sendStop(task, order);
+                return;
+            }
+            const answer = await this.trySendStart(task, order);
+            if (answer === undefined || await this.settleStart(task, order, answer)) {
+                return;
+            }
+            await this.pause(retryMs);
+        }
+    }
+
+    private async trySendStart(task: string, order: TargetOrder): Promise<OrderAnswer | undefined> {
+        const { leadership, client } = this.surroundings;
+        const key = decodeTaskKey(task);
+        const job = key === undefined ? undefined : leadership.readFleet().jobs.get(key.job);
+        const record = key === undefined || job === undefined ? undefined : findTask(job, key);
+        const leaseUntilMs = this.clock.computeLeaseEnd(this.readNow(), this.readLeaseMs());
+        if (job === undefined || record === undefined) {
+            return undefined;
+        }
+        if (leaseUntilMs === undefined) {
+            return { result: OrderResult.NotSent, clockMs: undefined };
+        }
+        return client.startTask(this.readRecord(), {
+            task,
+            run: order.run,
+            spec: job.spec,
+            leaseUntilMs,
+            fencingToken: this.token,
+            saved: record.saved,
+            ticket: "",
+        });
+    }
+
+    /** Returns whether the start needs no further attempt. */
+    private async settleStart(task: string, order: TargetOrder, answer: OrderAnswer): Promise<boolean> {
+        this.noteClock(answer);
+        const { log } = this.surroundings;
+        if (answer.result === OrderResult.Done || answer.result === OrderResult.Old) {
+            order.confirmedAt = this.readNow();
+            order.isUncertain = false;
+            log.note(DecisionKind.TaskStarted, {
+                task,
+                run: order.run,
+                target: this.record.id,
+                tookMs: Math.round(this.readNow() - order.sentAt),
+            });
+            return true;
+        }
+        log.note(DecisionKind.OrderFailed, {
+            order: "start",
+            task,
+            run: order.run,
+            target: this.record.id,
+            result: answer.result,
+            uncertain: order.isUncertain,
+        });
+        if (answer.result === OrderResult.WrongTarget) {
+            await this.recordGone("another target answers at its address");
+            return true;
+        }
+        if (answer.result === OrderResult.Unanswered) {
+            order.isUncertain = true;
+            this.leftOutUntil = this.readNow() + refusedMs;
+            return false;
+        }
+        if (refusals.has(answer.result) || answer.result === OrderResult.NotSent) {
+            this.leftOutUntil = this.readNow() + refusedMs;
+            return this.rejectStart(task, order);
+        }
+        return false;
+    }
+
+    /** A start that may be under way still is stopped first, so that it can't begin after it counts as rejected. */
+    private async rejectStart(task: string, order: TargetOrder): Promise<boolean> {
+        if (order.isUncertain) {
+            order.isStopWanted = true;
+            return false;
+        }
+        await this.commitEnds([{ task, run: order.run, how: RunEnd.Rejected, saved: "" }]);
+        return true;
+    }
+
+    private async sendStop(task: string, order: TargetOrder): Promise<void> {
+        while (!order.isStopConfirmed && !this.isClosed && this.surroundings.leadership.isDeciding()) {
+            const answer = await this.surroundings.client.stopTask(this.readRecord(), {
+                task,
+                run: order.run,
+                fencingToken: this.token,
+            });
+            this.noteClock(answer);
+            if (answer.result === OrderResult.Done || answer.result === OrderResult.Old) {
+                order.isStopConfirmed = true;
+                order.confirmedAt = this.readNow();
+                this.wake();
+                return;
+            }
+            if (!this.isOwed(task, order.run) && answer.result !== OrderResult.Unanswered) {
+                return;
+            }
+            await this.pause(retryMs);
+        }
+    }
+
+    /** One order for a run at a time. */
+    private async runOrder(order: TargetOrder, send: () => Promise<void>): Promise<void> {
+        if (order.isBusy) {
+            return;
+        }
+        order.isBusy = true;
+        try {
+            await send();
+        }
+        finally {
+            order.isBusy = false;
+        }
+    }
+
+    private openOrder(task: string, run: number): TargetOrder {
+        const known = this.orders.get(task);
+        if (known !== undefined && known.run >= run) {
+            return known;
+        }
+        const order: TargetOrder = {
+            run,
+            sentAt: this.readNow(),
+            isUncertain: false,
+            isStopConfirmed: false,
+            isStopWanted: false,
+            confirmedAt: undefined,
+            isBusy: false,
+        };
+        this.orders.set(task, order);
+        return order;
+    }
+
+    private dropOldOrders(): void {
+        const { runs } = this.readLoad();
+        for (const [task, order] of this.orders) {
+            if (!order.isBusy && runs.get(task) !== order.run) {
+                this.orders.delete(task);
+            }
+        }
+    }
+
+    private async commitEnds(ends: readonly Omit<TaskEnd, "target">[]): Promise<boolean> {
+        const { leadership, handleEnd, handleWork, log } = this.surroundings;
+        const recorded = await leadership.commit({
+            kind: CommandKind.RecordEnds,
+            ends: ends.map(({ task, run, how, saved }) => ({ task, run, how, saved, target: this.record.id })),
+            atMs: Date.now(),
+        });
+        for (const { task, run, how } of recorded ?? []) {
+            const durationMs = this.readNow() - (this.orders.get(task)?.sentAt ?? this.readNow());
+            handleEnd(task, this.record.id, how, durationMs);
+            log.note(DecisionKind.TaskEnded, {
+                task,
+                run,
+                how,
+                target: this.record.id,
+                afterMs: Math.round(durationMs),
+            });
+        }
+        handleWork();
+        return recorded !== undefined;
+    }
+
+    private async handleUnreachable(): Promise<void> {
+        const now = this.readNow();
+        const { leadership, maxLeaseMs, log } = this.surroundings;
+        const lapse = this.clock.computeLapse() ?? leadership.readStart() + maxLeaseMs / minClockRate;
+        const { runs } = this.readLoad();
+        if (now > lapse + lapseMarginMs && runs.size > 0) {
+            log.note(DecisionKind.LeaseLost, { target: this.record.id, runs: runs.size, lapsedMs: Math.round(now - lapse) });
+            const ends = [...runs].map(([task, run]) => ({ task, run, how: RunEnd.Lapsed, saved: this.readSaved(task) }));
+            await this.commitEnds(ends);
+        }
+        if (this.failingSince !== undefined && now - this.failingSince > forgetMs && this.isSilent(now)) {
+            await this.recordGone("it has answered nothing and sent nothing");
+        }
+    }
+
+    private async recordGone(reason: string): Promise<void> {
+        const { leadership, log, handleWork } = this.surroundings;
+        const { id, incarnation, vm } = this.record;
+        const isKnown = await leadership.commit({ kind: CommandKind.RemoveTarget, id, incarnation, atMs: Date.now() });
+        if (isKnown === true) {
+            log.note(DecisionKind.TargetGone, { target: id, vm, reason });
+            this.close();
+        }
+        handleWork();
+    }
+
+    private noteFailure(result: OrderResult): void {
+        if (this.failingSince === undefined) {
+            this.failingSince = this.readNow();
+            this.surroundings.log.note(DecisionKind.TargetUnreachable, { target: this.record.id, result });
+        }
+    }
+
+    private noteSuccess(): void {
+        if (this.failingSince !== undefined) {
+            const forMs = Math.round(this.readNow() - this.failingSince);
+            this.surroundings.log.note(DecisionKind.TargetReachable, { target: this.record.id, forMs });
+            this.failingSince = undefined;
+            this.surroundings.handleWork();
+        }
+    }
+
+    private noteClock({ clockMs }: OrderAnswer): void {
+        if (clockMs !== undefined) {
+            this.clock.note(clockMs, this.readNow());
+            this.noteEarlierLease();
+        }
+    }
+
+    private noteHeartbeat(): void {
+        const report = this.surroundings.desk.findReport(this.record.id, this.record.incarnation);
+        if (report?.clockMs !== undefined) {
+            this.clock.note(report.clockMs, report.at);
+            this.noteEarlierLease();
+        }
+    }
+
+    /** Until the target has answered, an earlier leader's renewal may reach it. */
+    private noteEarlierLease(): void {
+        if (!this.isSynced) {
+            this.clock.noteEarlierLease(this.readLeaseMs());
+        }
+    }
+
+    private isSilent(now: number): boolean {
+        const heardAt = this.surroundings.desk.findReport(this.record.id, this.record.incarnation)?.at
+            ?? this.surroundings.leadership.readStart();
+        return now - heardAt > silenceMs;
+    }
+
+    private isOwed(task: string, run: number): boolean {
+        return !this.isClosed && this.surroundings.leadership.isDeciding() && this.readLoad().runs.get(task) === run;
+    }
+
+    private readLoad(): Pick<TargetLoad, "runs"> {
+        return this.surroundings.leadership.readFleet().targetLoads.get(this.record.id) ?? { runs: new Map() };
+    }
+
+    private readRecord(): TargetRecord {
+        return this.surroundings.leadership.readFleet().targets.get(this.record.id) ?? this.record;
+    }
+
+    private readSaved(task: string): string {
+        return this.running.get(task)?.saved ?? "";
+    }
+
+    private readLeaseMs(): number {
+        return this.surroundings.maxLeaseMs * leaseShare;
+    }
+
+    private readNow(): number {
+        return this.surroundings.clock.readMonotonic();
+    }
+
+    private pause(delayMs: number): Promise<void> {
+        return new Promise(resolve => {
+            this.surroundings.clock.schedule(delayMs, resolve);
+        });
+    }
+
+    private waitForWork(delayMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const settle = () => {
+                cancel();
+                this.wakeups.delete(settle);
+                resolve();
+            };
+            const cancel = this.surroundings.clock.schedule(delayMs, settle);
+            this.wakeups.add(settle);
+        });
+    }
+
+    private wake(): void {
+        [...this.wakeups].forEach(settle => settle());
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/target-sessions.ts
@@ -0,0 +1,61 @@
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import type { SessionSurroundings } from "./session-surroundings.js";
+import { TargetSession } from "./target-session.js";
+
+/** The sessions of all targets, one a life and leadership. */
+export class TargetSessions {
+    private readonly sessions = new Map<string, TargetSession>();
+    private token = 0;
+
+    /**
+     * @param surroundings - what each session needs
+     */
+    constructor(private readonly surroundings: SessionSurroundings) {}
+
+    /**
+     * Opens sessions for new lives and closes those of lives that are over.
+     * @param targets - the recorded targets
+     * @param token - fencing token of this leadership
+     */
+    update(targets: ReadonlyMap<string, TargetRecord>, token: number): void {
+        if (token !== this.token) {
+            this.closeAll();
+            this.token = token;
+        }
+        for (const [id, session] of this.sessions) {
+            if (targets.get(id)?.incarnation !== session.record.incarnation) {
+                session.close();
+                this.sessions.delete(id);
+            }
+        }
+        for (const [id, record] of targets) {
+            if (!this.sessions.has(id)) {
+                this.sessions.set(id, new TargetSession(record, token, this.surroundings));
+            }
+        }
+    }
+
+    /**
+     * Finds the session of a target.
+     * @param id - the target
+     * @returns the session, or `undefined` when the target is not known
+     */
+    find(id: string): TargetSession | undefined {
+        return this.sessions.get(id);
+    }
+
+    /**
+     * Lists the sessions.
+     * @returns the sessions by target id
+     */
+    list(): ReadonlyMap<string, TargetSession> {
+        return this.sessions;
+    }
+
+    /** Closes all sessions. */
+    closeAll(): void {
+        this.sessions.forEach(session => session.close());
+        this.sessions.clear();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -0,0 +1,237 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
+import { encodeTaskKey } from "@daisylock/core/jobs/encode-task-key.js";
+import type { TaskKey } from "@daisylock/core/jobs/task-key.js";
+import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+import { isWaveCompleted } from "@daisylock/core/upkeep/is-wave-completed.js";
+import { planUpkeep } from "@daisylock/core/upkeep/plan-upkeep.js";
+import type { UpkeepRun } from "@daisylock/core/upkeep/upkeep-run.js";
+import type { UpkeepVm } from "@daisylock/core/upkeep/upkeep-vm.js";
+import type { UpkeepWave } from "@daisylock/core/upkeep/upkeep-wave.js";
+
+import type { Clock } from "../../clock/clock.js";
+import { waitFor } from "../../concurrency/wait-for.js";
+import { PeriodicWorker } from "../../supervision/periodic-worker.js";
+import { DecisionKind } from "../log/decision-kind.js";
+import type { DecisionLog } from "../log/decision-log.js";
+import { VmOrderResult } from "../vms/vm-order-result.js";
+import type { VmService } from "../vms/vm-service.js";
+import { VmState } from "../vms/vm-state.js";
+import type { Leadership } from "./leadership.js";
+import type { TargetSessions } from "./target-sessions.js";
+
+const intervalMs = 150;
+const idleIntervalMs = 500;
+/** Progress at which a long-running task is at work. */
+const atWorkPercent = 100;
+/** Longest time after its maintenance for which a VM that does not come back counts as down. */
+const returnMs = 1_500;
+
+/** What the runner needs. */
+interface UpkeepSurroundings {
+    readonly leadership: Leadership;
+    readonly sessions: TargetSessions;
+    readonly vms: VmService;
+    readonly log: DecisionLog;
+    readonly clock: Clock;
+    /** Name of this process, under which it holds the lease of VMs. */
+    readonly holder: string;
+    readonly holderLeaseMs: number;
+    readonly upkeepMs: number;
+}
+
+/** Carries out waves of maintenance while this process leads. */
+export class UpkeepRunner extends PeriodicWorker {
+    override readonly name = "upkeep-runner";
+    private token = 0;
+    private isListed = false;
+    /** When the maintenance of a VM began, wall clock. */
+    private readonly down = new Map<string, number>();
+    /** Since when a VM is being emptied, wall clock. */
+    private emptying = new Map<string, number>();
+    private emptyingTargets: ReadonlySet<string> = new Set();
+
+    /**
+     * @param surroundings - what the runner needs
+     */
+    constructor(private readonly surroundings: UpkeepSurroundings) {
+        super(surroundings.clock);
+    }
+
+    /**
+     * Tells whether a target is being emptied for maintenance.
+     * @param target - its id
+     * @returns true while nothing may be started there
+     */
+    isEvacuating(target: string): boolean {
+        return this.emptyingTargets.has(target);
+    }
+
+    protected override *tick(): Generator<unknown, number, unknown> {
+        const { leadership } = this.surroundings;
+        const fleet = leadership.readFleet();
+        const waves = [...fleet.upkeep.values()].filter(wave => !isWaveCompleted(wave));
+        if (!leadership.isDeciding() || waves.length === 0) {
+            this.setEmptying(fleet, new Map());
+            return idleIntervalMs;
+        }
+        if (!(yield* this.isAuthorityFree())) {
+            return intervalMs;
+        }
+        const emptying = new Map<string, number>();
+        for (const wave of waves) {
+            yield* this.runWave(fleet, wave, emptying);
+        }
+        this.setEmptying(fleet, emptying);
+        return intervalMs;
+    }
+
+    /** An earlier leader's last order must be older than its lease; what it began is read from the platform. */
+    private *isAuthorityFree(): Generator<unknown, boolean, unknown> {
+        const { leadership, clock, holderLeaseMs, vms } = this.surroundings;
+        if (leadership.readToken() !== this.token) {
+            this.token = leadership.readToken();
+            this.isListed = false;
+            this.down.clear();
+        }
+        if (clock.readMonotonic() - leadership.readStart() < holderLeaseMs) {
+            return false;
+        }
+        if (!this.isListed) {
+            const listed = yield* waitFor(vms.listVms());
+            listed?.filter(({ state }) => state === VmState.Upkeep)
+                .forEach(({ vm }) => this.down.set(vm, clock.readWall()));
+            this.isListed = listed !== undefined;
+        }
+        return this.isListed;
+    }
+
+    private *runWave(
+        fleet: FleetState,
+        wave: UpkeepWave,
+        emptying: Map<string, number>,
+    ): Generator<unknown, void, unknown> {
+        const { clock, sessions, upkeepMs, leadership } = this.surroundings;
+        const now = clock.readWall();
+        this.dropReturned(fleet, now);
+        const targets = collectByVm(fleet);
+        const plan = planUpkeep({
+            cap: wave.cap,
+            deadlineAtMs: wave.deadlineAtMs,
+            downCount: wave.vms.filter(vm => this.down.has(vm)).length,
+            waiting: wave.vms.filter(vm => !wave.done.includes(vm)).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
+            upkeepMs,
+            now,
+        });
+        plan.emptying.forEach(vm => emptying.set(vm, this.emptying.get(vm) ?? now));
+        for (const { target, run } of this.pickStops(fleet, plan.stops)) {
+            sessions.find(target)?.stopTask(run.task, run.run);
+        }
+        for (const vm of plan.orders) {
+            if (leadership.isDeciding()) {
+                yield* this.startUpkeep(wave, vm, targets.get(vm));
+            }
+        }
+    }
+
+    /** Of one step, one long-running task at a time; whether the step can do without the next is seen afterwards. */
+    private pickStops(
+        fleet: FleetState,
+        stops: readonly { target: string; run: UpkeepRun }[],
+    ): { target: string; run: UpkeepRun }[] {
+        const steps = new Set<string>();
+        return stops.filter(({ run }) => {
+            const key = decodeTaskKey(run.task);
+            const name = `${key?.job}.${key?.occurrence}.${key?.step}`;
+            const isFirst = !run.isLongRunning || !steps.has(name);
+            steps.add(name);
+            return isFirst;
+        });
+    }
+
+    private *startUpkeep(
+        wave: UpkeepWave,
+        vm: string,
+        target: TargetRecord | undefined,
+    ): Generator<unknown, void, unknown> {
+        const { vms, holder, leadership, log, clock } = this.surroundings;
+        const authority = { holder, fencingToken: this.token };
+        const result = yield* waitFor(vms.startUpkeep(vm, wave.number, authority));
+        const isOver = result === VmOrderResult.Done || result === VmOrderResult.Unknown
+            || result === VmOrderResult.NotOfWave;
+        log.note(isOver ? DecisionKind.UpkeepOrdered : DecisionKind.UpkeepDelayed, {
+            wave: wave.number,
+            vm,
+            result,
+            target: target?.id,
+            token: this.token,
+        });
+        if (result === VmOrderResult.Done || result === VmOrderResult.Unanswered) {
+            this.down.set(vm, clock.readWall());
+        }
+        if (!isOver) {
+            return;
+        }
+        yield* waitFor(leadership.commit({ kind: CommandKind.RecordUpkeep, wave: wave.number, vm }));
+        if (target !== undefined && result === VmOrderResult.Done) {
+            const { id, incarnation } = target;
+            const atMs = clock.readWall();
+            yield* waitFor(leadership.commit({ kind: CommandKind.RemoveTarget, id, incarnation, atMs }));
+        }
+    }
+
+    private buildVm(fleet: FleetState, vm: string, target: TargetRecord | undefined): UpkeepVm {
+        const runs = target === undefined ? [] : [...fleet.targetLoads.get(target.id)?.runs ?? []];
+        return {
+            vm,
+            target: target?.id,
+            runs: runs.flatMap(([task, run]) => this.buildRun(fleet, task, run)),
+            emptyingSince: this.emptying.get(vm),
+        };
+    }
+
+    private buildRun(fleet: FleetState, task: string, run: number): UpkeepRun[] {
+        const key = decodeTaskKey(task);
+        const step = key === undefined ? undefined : fleet.jobs.get(key.job)?.steps[key.step];
+        if (key === undefined || step === undefined) {
+            return [];
+        }
+        const { isLongRunning, hasCheckpoints } = step;
+        const isDispensable = isLongRunning && this.isDispensable(fleet, key, step.mayMiss);
+        return [{ task, run, isLongRunning, hasCheckpoints, isDispensable }];
+    }
+
+    private isDispensable(fleet: FleetState, key: TaskKey, mayMiss: number | undefined): boolean {
+        const tasks = fleet.jobs.get(key.job)?.occurrences[key.occurrence]?.[key.step]?.tasks ?? [];
+        const othersAway = tasks.filter((task, index) => {
+            const name = encodeTaskKey({ ...key, index });
+            const seen = this.surroundings.sessions.find(task.target)?.running.get(name);
+            const isAtWork = task.phase === TaskPhase.Placed && seen?.run === task.run && seen.percent >= atWorkPercent;
+            return index !== key.index && !isAtWork;
+        });
+        return othersAway.length < (mayMiss ?? tasks.length);
+    }
+
+    /** A VM is back once a target that was born after its maintenance has announced itself. */
+    private dropReturned(fleet: FleetState, now: number): void {
+        const targets = collectByVm(fleet);
+        for (const [vm, since] of this.down) {
+            const isBack = now - since >= this.surroundings.upkeepMs && (targets.get(vm)?.incarnation ?? 0) > since;
+            if (isBack || now - since > this.surroundings.upkeepMs + returnMs) {
+                this.down.delete(vm);
+            }
+        }
+    }
+
+    private setEmptying(fleet: FleetState, emptying: Map<string, number>): void {
+        this.emptying = emptying;
+        const targets = collectByVm(fleet);
+        this.emptyingTargets = new Set([...emptying.keys()].flatMap(vm => targets.get(vm)?.id ?? []));
+    }
+}
+
+function collectByVm(fleet: FleetState): Map<string, TargetRecord> {
+    return new Map([...fleet.targets.values()].map(target => [target.vm, target]));
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/log/decision-log.ts
@@ -0,0 +1,81 @@
+import loglevel from "loglevel";
+import { createWriteStream, type WriteStream } from "node:fs";
+
+import { DecisionKind } from "./decision-kind.js";
+
+/** Lines of one kind in one second; the rest is counted. */
+const maxLinesPerSecond = 40;
+/** Bytes that may wait for a slow reader of standard output; further lines are counted. */
+const maxWaitingBytes = 262_144;
+const windowMs = 1_000;
+const standardOutput = 1;
+
+type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/**
+ * Writes one JSON line for each decision, bounded in volume. A reader that is slow loses lines, which are counted, and
+ * never holds up the process.
+ */
+export class DecisionLog {
+    private readonly logger: loglevel.Logger;
+    private readonly output: WriteStream;
+    private readonly counts = new Map<DecisionKind, number>();
+    private windowEndsAt = 0;
+    private dropped = 0;
+
+    /**
+     * @param process - name of this process
+     * @param level - lowest level that is written
+     * @param output - where lines go
+     */
+    constructor(
+        process: string,
+        level: loglevel.LogLevelDesc,
+        output: WriteStream = createWriteStream("", { fd: standardOutput, autoClose: false }),
+    ) {
+        this.output = output;
+        this.logger = loglevel.getLogger(`daisylock/decisions/${process}`);
+        this.logger.methodFactory = methodName => (kind: unknown, fields?: unknown) =>
+            this.writeLine(
+                JSON.stringify({ time: new Date().toISOString(), level: methodName, process, kind, ...fields as object }),
+            );
+        this.logger.setLevel(level, false);
+    }
+
+    /**
+     * Notes a decision.
+     * @param kind - what was decided
+     * @param fields - what decided it, and the outcome
+     */
+    note(kind: DecisionKind, fields: Fields): void {
+        const now = performance.now();
+        if (now >= this.windowEndsAt) {
+            this.startWindow(now);
+        }
+        const count = (this.counts.get(kind) ?? 0) + 1;
+        this.counts.set(kind, count);
+        if (count > maxLinesPerSecond) {
+            this.dropped += 1;
+            return;
+        }
+        this.logger.info(kind, fields);
+    }
+
+    private startWindow(now: number): void {
+        this.windowEndsAt = now + windowMs;
+        this.counts.clear();
+        if (this.dropped > 0) {
+            const count = this.dropped;
+            this.dropped = 0;
+            this.logger.warn(DecisionKind.LinesDropped, { count });
+        }
+    }
+
+    private writeLine(line: string): void {
+        if (this.output.writableLength > maxWaitingBytes) {
+            this.dropped += 1;
+            return;
+        }
+        this.output.write(`${line}\n`);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/peers/peer-server.ts
@@ -0,0 +1,60 @@
+import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
+import type { FleetCalls } from "@daisylock/protocol/fleet/fleet-calls.js";
+import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
+import { RaftBatch } from "@daisylock/protocol/generated/raft.js";
+import { decodeRaftMessages } from "@daisylock/protocol/peer/decode-raft-messages.js";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import { HttpWorker } from "../../http/http-worker.js";
+import { readBytes } from "../../http/read-bytes.js";
+import { sendJson } from "../../http/send-json.js";
+import type { FleetHandlers } from "./fleet-handlers.js";
+import { peerPaths } from "./peer-paths.js";
+
+/** Largest message between processes: a part of a snapshot or a whole configuration with room to spare. */
+const maxBodyBytes = 16 * 1024 * 1024;
+const limits = { max_header_bytes: 8_192, max_connections: 1_024, header_timeout_ms: 5_000, idle_timeout_ms: 60_000 };
+
+/** Serves the other processes of the cluster. */
+export class PeerServer extends HttpWorker {
+    override readonly name = "peer-server";
+
+    /**
+     * @param address - where to listen
+     * @param receive - receives messages of the replicated log and the sender's address
+     * @param handlers - answers to calls
+     */
+    constructor(
+        address: string,
+        private readonly receive: (messages: readonly RaftMessage[], from: string) => void,
+        private readonly handlers: FleetHandlers,
+    ) {
+        super(address, limits);
+    }
+
+    protected override async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const path = request.url ?? "";
+        const body = await readBytes(request, maxBodyBytes);
+        if (body.isErr) {
+            response.writeHead(400).end();
+            return;
+        }
+        if (path === peerPaths.raft) {
+            this.receiveBatch(body.value, response);
+            return;
+        }
+        const name = path.slice(peerPaths.call.length) as keyof FleetCalls;
+        if (!path.startsWith(peerPaths.call) || !Object.hasOwn(this.handlers, name)) {
+            response.writeHead(404).end();
+            return;
+        }
+        const handler = this.handlers[name] as (request: unknown) => Promise<LeaderReply<unknown>>;
+        sendJson(response, 200, await handler(JSON.parse(body.value.toString()) as unknown));
+    }
+
+    private receiveBatch(body: Buffer, response: ServerResponse): void {
+        const batch = RaftBatch.decode(body);
+        this.receive(decodeRaftMessages(batch), batch.fromAddress);
+        response.writeHead(204).end();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/targets/target-client.ts
@@ -0,0 +1,46 @@
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import type { HoldAnswer } from "./hold-answer.js";
+import type { HoldOrder } from "./hold-order.js";
+import type { OrderAnswer } from "./order-answer.js";
+import type { RunOrder } from "./run-order.js";
+import type { StartOrder } from "./start-order.js";
+
+/** Sends orders to targets. Every order may be sent again with the same meaning. */
+export abstract class TargetClient {
+    /**
+     * Orders the start of a task.
+     * @param target - the target life that is meant
+     * @param order - the start
+     * @returns what became of it
+     */
+    abstract startTask(target: TargetRecord, order: StartOrder): Promise<OrderAnswer>;
+
+    /**
+     * Orders the stop of a run. A run that is not there yet is refused from then on.
+     * @param target - the target life that is meant
+     * @param order - the run
+     * @returns what became of it
+     */
+    abstract stopTask(target: TargetRecord, order: RunOrder): Promise<OrderAnswer>;
+
+    /**
+     * Sets the share of its speed at which a task works.
+     * @param target - the target life that is meant
+     * @param order - the run
+     * @param percent - 0 to 100
+     * @returns what became of it
+     */
+    abstract setPace(target: TargetRecord, order: RunOrder, percent: number): Promise<OrderAnswer>;
+
+    /**
+     * Renews the lease and lists what runs and what has ended.
+     * @param target - the target life that is meant
+     * @param order - the renewal
+     * @returns the lists, which are empty unless the result is Done
+     */
+    abstract holdTasks(target: TargetRecord, order: HoldOrder): Promise<HoldAnswer>;
+
+    /** Closes all connections. */
+    abstract close(): void;
+}
--- a/packages/daemon/src/http/http-worker.ts
+++ b/packages/daemon/src/http/http-worker.ts
@@ -6,8 +6,14 @@
 import { Worker } from "../supervision/worker.js";
 import { HttpListener } from "./http-listener.js";
 
-/** Time for requests to end when the worker stops, milliseconds. */
-const stopMs = 1_000;
+/** Time for short requests to end when the worker stops, milliseconds. */
+const defaultStopMs = 1_000;
+
+/** Bounds of a listener, as they stand in the settings. */
+type ListenerLimits = Pick<
+    Settings["limits"],
+    "max_header_bytes" | "max_connections" | "header_timeout_ms" | "idle_timeout_ms"
+>;
 
 /** A worker that serves short requests. */
 export abstract class HttpWorker extends Worker {
@@ -17,8 +23,9 @@
     /**
      * @param address - where to listen
      * @param limits - bounds of the process's listeners
+     * @param stopMs - time for requests to end when the worker stops
      */
-    constructor(address: string, limits: Settings["limits"]) {
+    constructor(address: string, limits: ListenerLimits, private readonly stopMs = defaultStopMs) {
         super();
         this.listener = new HttpListener(address, {
             maxHeaderBytes: limits.max_header_bytes,
@@ -33,7 +40,7 @@
     override *run(): Generator<unknown, void, unknown> {
         yield* waitFor(this.listener.start());
         yield* this.mailbox.take();
-        yield* waitFor(this.listener.stop(stopMs));
+        yield* waitFor(this.listener.stop(this.stopMs));
     }
 
     override stop(): void {
--- a/packages/daemon/src/http/read-json.ts
+++ b/packages/daemon/src/http/read-json.ts
@@ -2,6 +2,10 @@
 import Result from "true-myth/result";
 
 import { BodyFault } from "./body-fault.js";
+import { readBytes } from "./read-bytes.js";
+
+/** Refuses bytes that are not UTF-8 instead of replacing them. */
+const decoder = new TextDecoder("utf-8", { fatal: true });
 
 /**
  * Reads a JSON body.
@@ -10,19 +14,15 @@
  * @returns the content, or what is wrong with it
  */
 export async function readJson(request: IncomingMessage, maxBytes: number): Promise<Result<unknown, BodyFault>> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const bytes = await readBytes(request, maxBytes);
+    return bytes.andThen(parseJson);
+}
+
+function parseJson(bytes: Buffer): Result<unknown, BodyFault> {
     try {
-        for await (const chunk of request) {
-            bytes += (chunk as Buffer).length;
-            if (bytes > maxBytes) {
-                return Result.err(BodyFault.TooLarge);
-            }
-            chunks.push(chunk as Buffer);
-        }
-        return Result.ok(JSON.parse(Buffer.concat(chunks).toString()) as unknown);
+        return Result.ok(JSON.parse(decoder.decode(bytes)) as unknown);
     }
-    catch (error) {
-        return Result.err(error instanceof SyntaxError ? BodyFault.NotJson : BodyFault.Incomplete);
+    catch {
+        return Result.err(BodyFault.NotJson);
     }
 }
--- a/packages/daemon/src/peer/peer-calls.ts
+++ b/packages/daemon/src/peer/peer-calls.ts
@@ -6,12 +6,12 @@
     OperateRequest,
     ProposeReply,
     ProposeRequest,
-    RaftBatch,
     SyncReply,
     SyncRequest,
     TargetsReply,
     TargetsRequest,
 } from "@daisylock/protocol/generated/peer.js";
+import type { RaftBatch } from "@daisylock/protocol/generated/raft.js";
 
 /** Request and reply of each call between processes. */
 export interface PeerCalls {
--- a/packages/daemon/src/root/keeper/keeper-view.ts
+++ b/packages/daemon/src/root/keeper/keeper-view.ts
@@ -13,4 +13,8 @@
     readonly lastIndex: number;
     /** Newest index that each peer has; for the leader only. */
     readonly matchIndexes: Readonly<Record<string, number>>;
+    /** Milliseconds since each peer last answered; for the leader only. */
+    readonly silentMs: Readonly<Record<string, number>>;
+    /** When this keeper became leader, monotonic milliseconds. */
+    readonly ledSince: number;
 }
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -7,6 +7,7 @@
 import { encodeControlState } from "@daisylock/core/control/encode-control-state.js";
 import { EventKind } from "@daisylock/core/events/event-kind.js";
 import { addProposal } from "@daisylock/core/log/add-proposal.js";
+import { computeLeaseStart } from "@daisylock/core/log/compute-lease-start.js";
 import { confirmPersisted } from "@daisylock/core/log/confirm-persisted.js";
 import { createRaftState } from "@daisylock/core/log/create-raft-state.js";
 import { cutLog } from "@daisylock/core/log/cut-log.js";
@@ -15,6 +16,7 @@
 import type { LogEntry } from "@daisylock/core/log/log-entry.js";
 import type { MemberChangeFault } from "@daisylock/core/log/member-change-fault.js";
 import type { Members } from "@daisylock/core/log/members.js";
+import { RaftMessageKind } from "@daisylock/core/log/raft-message-kind.js";
 import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
 import { RaftRole } from "@daisylock/core/log/raft-role.js";
 import type { RaftState } from "@daisylock/core/log/raft-state.js";
@@ -28,6 +30,7 @@
 import Result from "true-myth/result";
 
 import type { Clock } from "../../clock/clock.js";
+import { SuspensionWatch } from "../../clock/suspension-watch.js";
 import { Mailbox } from "../../concurrency/mailbox.js";
 import { waitFor } from "../../concurrency/wait-for.js";
 import type { EventLog } from "../../events/event-log.js";
@@ -57,11 +60,13 @@
     readonly random: () => number;
     readonly timing: RaftTiming;
     readonly events: EventLog;
-    readonly metrics: Metrics;
+    readonly metrics: Pick<Metrics, "recordTime" | "addCount" | "setLevel">;
     /** Entries after which a snapshot is taken. */
     readonly snapshotEntries: number;
     /** Sends messages to other keepers, by address; loss is allowed. */
     readonly send: (address: string, messages: readonly RaftMessage[]) => void;
+    /** Called after each batch that changed the replicated state. */
+    readonly handleApplied?: () => void;
 }
 
 /** Runs the replicated log of one keeper: takes events in batches, writes, sends, then applies. */
@@ -76,12 +81,14 @@
     private seenRole = RaftRole.Follower;
     private stopTick: () => void = () => undefined;
     private isTickWaiting = false;
+    private readonly suspension: SuspensionWatch;
 
     /**
      * @param surroundings - disk, clock and the way to other keepers
      */
     constructor(private readonly surroundings: KeeperSurroundings) {
         super();
+        this.suspension = new SuspensionWatch(surroundings.clock);
     }
 
     override *run(): Generator<unknown, void, unknown> {
@@ -95,6 +102,7 @@
                     break;
                 }
                 this.handleBatch(this.raft, event);
+                this.sendEarly(this.raft);
                 yield* this.saveUnsaved(this.raft);
                 this.sendMessages(this.raft);
                 this.applyCommitted(this.raft);
@@ -165,7 +173,10 @@
      * @returns true while it leads and its lease is valid
      */
     isDeciding(): boolean {
-        return this.raft !== undefined && isLeaseValid(this.raft, this.surroundings.clock.readMonotonic());
+        const suspendedUntil = this.suspension.readLastResume();
+        const now = this.surroundings.clock.readMonotonic();
+        return this.raft !== undefined && isLeaseValid(this.raft, now)
+            && computeLeaseStart(this.raft, now) > suspendedUntil;
     }
 
     /**
@@ -195,6 +206,11 @@
             members: raft.members,
             commitIndex: raft.commitIndex,
             lastIndex: readLastIndex(raft),
+            silentMs: Object.fromEntries([...raft.peers].map(([id, peer]) => [
+                id,
+                this.surroundings.clock.readMonotonic() - Math.max(peer.ackedSentAt, raft.ledSince),
+            ])),
+            ledSince: raft.ledSince,
             matchIndexes: Object.fromEntries([...raft.peers].map(([id, peer]) => [id, peer.matchIndex])),
         };
     }
@@ -292,6 +308,21 @@
         confirmPersisted(raft);
     }
 
+    /**
+     * Sends what a leader appends before its own disk has it, so that the disks of all keepers write at the same time.
+     * The leader counts itself for a quorum only once its own write is done (Ongaro's thesis, 10.2.1).
+     */
+    private sendEarly(raft: RaftState): void {
+        if (raft.role !== RaftRole.Leader || raft.isHardStateUnsaved) {
+            return;
+        }
+        const isAppend = (message: RaftMessage): boolean => message.kind === RaftMessageKind.Append;
+        const waiting = raft.outbox.filter(message => !isAppend(message));
+        raft.outbox = raft.outbox.filter(isAppend);
+        this.sendMessages(raft);
+        raft.outbox = waiting;
+    }
+
     private sendMessages(raft: RaftState): void {
         const addresses: Record<string, string> = { ...raft.members.learners, ...raft.members.voters };
         const byReceiver = collectByReceiver(raft.outbox);
@@ -310,9 +341,13 @@
             raft.appliedIndex = raft.snapshot.index;
         }
         const term = raft.hard.term;
-        for (const entry of takeCommitted(raft)) {
+        const committed = takeCommitted(raft);
+        for (const entry of committed) {
             this.applyEntry(entry, term);
         }
+        if (committed.length > 0) {
+            this.surroundings.handleApplied?.();
+        }
         if (raft.appliedIndex - raft.snapshot.index >= this.surroundings.snapshotEntries) {
             cutLog(raft, encodeControlState(this.control), keptEntries);
         }
--- a/packages/daemon/src/root/keeper/storage/file-keeper-disk.ts
+++ b/packages/daemon/src/root/keeper/storage/file-keeper-disk.ts
@@ -1,6 +1,6 @@
 import type { LogEntry } from "@daisylock/core/log/log-entry.js";
 import type { Snapshot } from "@daisylock/core/log/snapshot.js";
-import { LogRecordData } from "@daisylock/protocol/generated/peer.js";
+import { LogRecordData } from "@daisylock/protocol/generated/log.js";
 import { randomBytes } from "node:crypto";
 import { type FileHandle, mkdir, open, readFile, rename } from "node:fs/promises";
 import { join } from "node:path";
--- a/packages/daemon/src/settings/load-settings.ts
+++ b/packages/daemon/src/settings/load-settings.ts
@@ -1,9 +1,8 @@
 import { describeIssues } from "@daisylock/protocol/operator/describe-issues.js";
-import { readFileSync } from "node:fs";
-import { parse, TomlError } from "smol-toml";
 import Result from "true-myth/result";
 import * as v from "valibot";
 
+import { readToml } from "./read-toml.js";
 import { Role } from "./role.js";
 import { SettingsFailure } from "./settings-failure.js";
 import { settingsSchema } from "./settings-schema.js";
@@ -15,7 +14,7 @@
  * @returns the settings, or every fault found
  */
 export function loadSettings(file: string): Result<Settings, SettingsFailure> {
-    const content = readContent(file);
+    const content = readToml(file);
     if (content instanceof SettingsFailure) {
         return Result.err(content);
     }
@@ -27,19 +26,6 @@
     return faults.length > 0 ? Result.err(new SettingsFailure(file, faults)) : Result.ok(checked.output);
 }
 
-function readContent(file: string): unknown {
-    try {
-        return parse(readFileSync(file, "utf8"));
-    }
-    catch (error) {
-        if (error instanceof TomlError) {
-            const summary = error.message.split("\n")[0] ?? "";
-            return new SettingsFailure(file, [`line ${error.line}: expected TOML: ${summary}`]);
-        }
-        return new SettingsFailure(file, [`expected a readable file: ${(error as Error).message}`]);
-    }
-}
-
 function checkRoles(settings: Settings): string[] {
     const { node, listen } = settings;
     const faults: string[] = [];
--- /dev/null
+++ b/packages/protocol/src/fleet/job-verb.ts
@@ -0,0 +1,7 @@
+/** What a caller asks of a job or a queue. */
+export enum JobVerb {
+    Submit = "submit",
+    /** Reads the state of a job, or, on the path of a queue, how many of its jobs wait. */
+    Read = "read",
+    Cancel = "cancel",
+}
--- /dev/null
+++ b/packages/protocol/src/fleet/upkeep-order.ts
@@ -0,0 +1,9 @@
+/** An operator's order to maintain VMs. */
+export interface UpkeepOrder {
+    readonly number: number;
+    readonly vms: readonly string[];
+    /** Seconds from now in which all should be done. */
+    readonly deadlineS: number;
+    /** Most VMs down at once. */
+    readonly cap: number;
+}
--- a/packages/protocol/src/peer/decode-raft-messages.ts
+++ b/packages/protocol/src/peer/decode-raft-messages.ts
@@ -1,7 +1,7 @@
 import { RaftMessageKind } from "@daisylock/core/log/raft-message-kind.js";
 import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
 
-import type { RaftBatch } from "../generated/peer.js";
+import type { RaftBatch } from "../generated/raft.js";
 
 const lastKind: number = RaftMessageKind.SnapshotReply;
 
--- a/packages/protocol/src/peer/encode-raft-messages.ts
+++ b/packages/protocol/src/peer/encode-raft-messages.ts
@@ -1,6 +1,6 @@
 import type { RaftMessage } from "@daisylock/core/log/raft-message.js";
 
-import { RaftBatch } from "../generated/peer.js";
+import { RaftBatch } from "../generated/raft.js";
 
 /**
  * Encodes messages between keepers for sending.
--- a/tools/generate-protocol.js
+++ b/tools/generate-protocol.js
@@ -6,5 +6,7 @@
     "--ts_proto_out=packages/protocol/src/generated",
     "--ts_proto_opt=outputServices=grpc-js,esModuleInterop=true,importSuffix=.js,env=node,useOptionals=messages,oneof=unions",
     "--proto_path=packages/protocol/proto",
+    "log.proto",
+    "raft.proto",
     "peer.proto",
 ], { stdio: "inherit" });
