--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -6,6 +6,7 @@
 import { EventLog } from "../events/event-log.js";
 import { Keeper } from "../root/keeper/keeper.js";
 import { FileKeeperDisk } from "../root/keeper/storage/file-keeper-disk.js";
+import { parseAddress } from "../settings/parse-address.js";
 import { Role } from "../settings/role.js";
 import type { ChildSpec } from "../supervision/child-spec.js";
 import { ChildStopped } from "../supervision/child-stopped.js";
@@ -141,7 +142,7 @@
         const plan = { address: listen.peers, seeds: this.seeds, isFounding: cluster.found, voters };
         const members = new MemberManager(keeper, caller, plan, log, clock);
         const handlers = leader.buildHandlers(request => members.handleJoin(request));
-        const controlPort = Number(listen.control.slice(listen.control.lastIndexOf(":") + 1));
+        const controlPort = parseAddress(listen.control).port;
         const relay = new ControlRelay(handlers, caller, () => {
             const address = keeper.readView()?.leaderAddress;
             return address === undefined || address === listen.peers
--- a/packages/daemon/src/fleet/keeper/member-manager.ts
+++ b/packages/daemon/src/fleet/keeper/member-manager.ts
@@ -1,3 +1,4 @@
+import { buildPromotion } from "@daisylock/core/log/build-promotion.js";
 import type { Members } from "@daisylock/core/log/members.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 
@@ -104,13 +105,10 @@
         if (ready === undefined) {
             return;
         }
-        const address = learners[ready] ?? "";
         if (Object.keys(voters).length < this.plan.voters) {
-            const rest = Object.fromEntries(Object.entries(learners).filter(([id]) => id !== ready));
-            const result = yield* waitFor(
-                this.keeper.sendMembers({ voters: { ...voters, [ready]: address }, learners: rest }),
-            );
+            const result = yield* waitFor(this.keeper.sendMembers(buildPromotion(view.members, ready)));
             if (result.isOk) {
+                const address = learners[ready];
                 this.log.note(DecisionKind.MemberPromoted, { id: ready, address, term: view.term });
             }
             return;
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -72,7 +72,7 @@
                 return view !== "unknown" && (view === undefined || view.state === VmState.Down || view.target !== id);
             },
             handleWork,
-            handleEnd: (task, _target, how, durationMs) => this.noteEnd(leadership.readFleet(), task, how, durationMs),
+            handleEnd: (task, how, durationMs) => this.noteEnd(leadership.readFleet(), task, how, durationMs),
         });
         this.balancer = new PoolBalancer({
             leadership,
--- a/packages/daemon/src/fleet/leader/session-surroundings.ts
+++ b/packages/daemon/src/fleet/leader/session-surroundings.ts
@@ -25,6 +25,6 @@
     readonly isEnded: (target: TargetRecord, since: number) => boolean;
     /** Called when there may be something to start. */
     readonly handleWork: () => void;
-    /** Called with each end: the encoded task key, the target, how the run ended and after how many milliseconds. */
-    readonly handleEnd: (task: string, target: string, how: RunEnd, durationMs: number) => void;
+    /** Called with each end: the encoded task key, how the run ended and after how many milliseconds. */
+    readonly handleEnd: (task: string, how: RunEnd, durationMs: number) => void;
 }
--- a/packages/daemon/src/fleet/leader/target-clock.ts
+++ b/packages/daemon/src/fleet/leader/target-clock.ts
@@ -1,5 +1,4 @@
-/** Slowest that a target's clock may run against ours; a bound of the platform. */
-const minClockRate = 0.98;
+import { minClockRate } from "./min-clock-rate.js";
 
 /**
  * Relates a target's steady clock to ours. A reading that came with an answer was taken before the answer arrived, so the
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -13,6 +13,7 @@
 import { OrderResult } from "../targets/order-result.js";
 import type { RunningTask } from "../targets/running-task.js";
 import { HealthWatch } from "./health-watch.js";
+import { minClockRate } from "./min-clock-rate.js";
 import { OrderBook } from "./order-book.js";
 import type { SessionSurroundings } from "./session-surroundings.js";
 import { TargetClock } from "./target-clock.js";
@@ -32,8 +33,6 @@
 const refusedMs = 300;
 /** Margin for the time between two readings of a clock. */
 const lapseMarginMs = 50;
-/** Slowest that a target's clock may run against ours. */
-const minClockRate = 0.98;
 /** Time after which a target that answers nothing and sends nothing is forgotten. */
 const forgetMs = 20_000;
 
@@ -405,7 +404,7 @@
         });
         for (const { task, run, how } of recorded ?? []) {
             const durationMs = this.readNow() - (this.orders.find(task, run)?.sentAt ?? this.readNow());
-            handleEnd(task, this.record.id, how, durationMs);
+            handleEnd(task, how, durationMs);
             this.health.noteEnd(task, how);
             log.note(DecisionKind.TaskEnded, {
                 task,
--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -4,6 +4,7 @@
 import { encodeTaskKey } from "@daisylock/core/jobs/encode-task-key.js";
 import type { TaskKey } from "@daisylock/core/jobs/task-key.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
+import { buildStepName } from "@daisylock/core/placement/build-step-name.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { isWaveCompleted } from "@daisylock/core/upkeep/is-wave-completed.js";
 import { planUpkeep } from "@daisylock/core/upkeep/plan-upkeep.js";
@@ -154,7 +155,7 @@
         const steps = new Set<string>();
         return stops.filter(({ run }) => {
             const key = decodeTaskKey(run.task);
-            const name = `${key?.job}.${key?.occurrence}.${key?.step}`;
+            const name = key === undefined ? run.task : buildStepName(key.job, key.occurrence, key.step);
             const isFirst = !run.isLongRunning || !steps.has(name);
             steps.add(name);
             return isFirst;
--- a/packages/daemon/src/fleet/log/decision-kind.ts
+++ b/packages/daemon/src/fleet/log/decision-kind.ts
@@ -4,8 +4,6 @@
     ProcessStopping = "process-stopping",
     /** An event of the supervisor tree or the replicated log. */
     ProcessEvent = "process-event",
-    SettingsReloaded = "settings-reloaded",
-    SettingsRefused = "settings-refused",
     LeadershipGained = "leadership-gained",
     LeadershipLost = "leadership-lost",
     MemberJoining = "member-joining",
@@ -21,7 +19,6 @@
     TargetUnreachable = "target-unreachable",
     TargetReachable = "target-reachable",
     TargetLeftOut = "target-left-out",
-    TargetLetBack = "target-let-back",
     ReportRefused = "report-refused",
     JobAccepted = "job-accepted",
     JobRefused = "job-refused",
--- a/packages/daemon/src/fleet/peers/raft-sender.ts
+++ b/packages/daemon/src/fleet/peers/raft-sender.ts
@@ -5,7 +5,7 @@
 import type { HttpCaller } from "../../calls/http-caller.js";
 import { peerPaths } from "./peer-paths.js";
 
-/** Time after which a message counts as lost; below the election time, so that a silent connection is replaced first. */
+/** Time after which a message counts as lost and its connection, which may have gone silent, is replaced, milliseconds. */
 const timeoutMs = 600;
 /** Batches under way to one address; above it messages are dropped, which the log allows. */
 const maxUnderWay = 16;
--- a/packages/daemon/src/root/keeper/learner-promoter.ts
+++ b/packages/daemon/src/root/keeper/learner-promoter.ts
@@ -1,3 +1,5 @@
+import { buildPromotion } from "@daisylock/core/log/build-promotion.js";
+
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
@@ -19,12 +21,10 @@
 
     protected override *tick(): Generator<unknown, number, unknown> {
         const members = this.keeper.isDeciding() ? this.keeper.readView()?.members : undefined;
-        const [learner] = Object.entries(members?.learners ?? {});
+        const [learner] = Object.keys(members?.learners ?? {});
         if (members !== undefined && learner !== undefined) {
-            const [id, address] = learner;
-            const { [id]: promoted, ...learners } = members.learners;
             // Refused until the learner has caught up; asked again in the next round.
-            yield* waitFor(this.keeper.sendMembers({ voters: { ...members.voters, [id]: address }, learners }));
+            yield* waitFor(this.keeper.sendMembers(buildPromotion(members, learner)));
         }
         return intervalMs;
     }
