--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -5,10 +5,10 @@
 const shortShare = 0.75;
 /** The same for demand that is only expected. */
 const expectedShare = 0.9;
+/** Share of its capacity up to which a lender may be in use once it has lent. */
+const lentShare = 0.85;
 /** Share of a pool's capacity below which it gives VMs back; far enough below the others that none goes to and fro. */
-const surplusShare = 0.6;
-/** Share of its own capacity that a pool keeps while it lends VMs, so that the beginning of its own burst is served. */
-const keptShare = 0.5;
+const surplusShare = 0.7;
 
 /** A pool with what the round has planned for it so far. */
 interface PlannedPool {
@@ -19,8 +19,8 @@
 
 /**
  * Plans which VMs change their pool. Answers demand that rises above what a pool holds, pool after pool: idle VMs of
- * the spare pool and of calm pools join the pool that is short. A pool keeps a part of
- * its own capacity, and what its latest peak needs, and gives the rest back. Only VMs on which nothing runs move, so that no work is cut off.
+ * the spare pool and of calm pools join the pool that is short. A pool lends down to what it uses itself and to its reserve, keeps
+ * what its latest peak needs, and gives the rest back. Only VMs on which nothing runs move, so that no work is cut off.
  * @param pools - all pools
  * @returns the moves
  */
@@ -66,13 +66,17 @@
     return own >= 0 ? own : idle.length - 1;
 }
 
-/** A pool lends while it keeps a part of its own capacity and stays far from being short itself. */
-function isLending(item: PlannedPool): boolean {
-    const { pool, capacity, idle } = item;
-    const cpu = idle[0]?.cpu ?? 0;
-    const left = capacity - cpu;
-    return idle.length > 0 && (pool.isSpare
-        || (pool.wanted === 0 && pool.used <= left * keptShare && left >= pool.homeCapacity * keptShare));
+/** A pool lends while nothing waits for it and it keeps its reserve and what it uses or will use itself. */
+function isLending({ pool, capacity, idle }: PlannedPool): boolean {
+    const left = capacity - (idle[0]?.cpu ?? 0);
+    const needed = Math.max(computeFloor(pool), pool.used / lentShare, pool.expected / lentShare);
+    return idle.length > 0 && (pool.isSpare || (pool.wanted === 0 && left >= needed));
+}
+
+/** Its reserve, and one VM at least where it has any of its own. */
+function computeFloor({ reserve, homeCapacity, idleVms }: PoolView): number {
+    const oneVm = homeCapacity > 0 ? idleVms[0]?.cpu ?? 0 : 0;
+    return Math.max(reserve, oneVm);
 }
 
 /** Spare VMs first, then the pool with the most to give. */
@@ -88,8 +92,10 @@
         item.idle.flatMap(({ vm, home, cpu }) => {
             const to = spare ?? home;
             const left = item.capacity - cpu;
-            const floor = item.pool.homeCapacity * keptShare;
-            const needed = Math.max(floor, Math.max(item.pool.peak, item.pool.expected) / surplusShare);
+            const needed = Math.max(
+                computeFloor(item.pool),
+                Math.max(item.pool.peak, item.pool.expected) / surplusShare,
+            );
             if (left < needed || to === item.pool.name) {
                 return [];
             }
--- /dev/null
+++ b/packages/core/src/testing/play-pools.ts
@@ -0,0 +1,292 @@
+import { CommandKind } from "../control/command-kind.js";
+import type { ControlState } from "../control/control-state.js";
+import { createControlState } from "../control/create-control-state.js";
+import { applyRecordEnds } from "../jobs/apply-record-ends.js";
+import { applyRecordStarts } from "../jobs/apply-record-starts.js";
+import { applySubmitJob } from "../jobs/apply-submit-job.js";
+import { decodeTaskKey } from "../jobs/decode-task-key.js";
+import { RunEnd } from "../jobs/run-end.js";
+import { buildTargetViews } from "../placement/build-target-views.js";
+import { planStarts } from "../placement/plan-starts.js";
+import { applyRecordMove } from "../pools/apply-record-move.js";
+import type { PoolReading } from "../pools/pool-reading.js";
+import type { VmMove } from "../pools/vm-move.js";
+import { collectCandidates } from "../queueing/collect-candidates.js";
+import { collectPoolLoads } from "../queueing/collect-pool-loads.js";
+import { noResources } from "../resources/no-resources.js";
+import { TargetState } from "../targets/target-state.js";
+import { buildTestStep } from "./build-test-step.js";
+import type { PlayedJob } from "./turning-load.js";
+
+/** A pool of the played fleet. */
+export interface PlayedPool {
+    readonly name: string;
+    readonly vms: number;
+    readonly isSpare: boolean;
+    /** Long-running tasks, two a VM at most. */
+    readonly longRunning: number;
+}
+
+/** What a play came to. */
+export interface PlayedResult {
+    /** Worth of what was on time, as a share of all. */
+    readonly onTime: number;
+    /** The same over the jobs of the two worst windows of two seconds. */
+    readonly worstWindows: number;
+    /** The same for the worst pool. */
+    readonly worstPool: number;
+    /** VM-seconds in pools that are switched on, VMs on their way to them included. */
+    readonly vmSeconds: number;
+    readonly moves: number;
+}
+
+/** Plans moves; called every 100 ms. */
+export type PlanRound = (pools: readonly PoolReading[], now: number) => readonly VmMove[];
+
+const stepMs = 20;
+const planMs = 100;
+const moveMs = 1_500;
+/** From a VM's arrival until its target is known. */
+const announceMs = 120;
+const vmCpu = 32_000;
+const windowMs = 2_000;
+const lateShare = 0.07;
+const lateBy = 3;
+const serving = { cpu: 3_000, memory: 100, gpu: 0 };
+
+interface VmArrival {
+    readonly vm: string;
+    readonly pool: string;
+    readonly at: number;
+}
+
+/**
+ * Plays a load against pools between which VMs move, with the real order of jobs and placement.
+ * @param pools - the pools
+ * @param jobs - the load
+ * @param plan - the moves
+ * @returns what callers got, and what it took
+ */
+export function playPools(pools: readonly PlayedPool[], jobs: readonly PlayedJob[], plan: PlanRound): PlayedResult {
+    return new PoolPlay(pools, jobs).run(plan);
+}
+
+class PoolPlay {
+    private readonly state: ControlState = createControlState();
+    private readonly running: { endsAt: number; task: string; run: number; target: string }[] = [];
+    private readonly arrivals: VmArrival[] = [];
+    /** Pool of each VM that is switched off. */
+    private readonly off = new Map<string, string>();
+    private readonly endedAt = new Map<string, number>();
+    private readonly byId: Map<string, PlayedJob>;
+    private births = 0;
+    private vmSeconds = 0;
+    private moves = 0;
+
+    constructor(private readonly pools: readonly PlayedPool[], private readonly jobs: readonly PlayedJob[]) {
+        this.byId = new Map(jobs.map(job => [job.id, job]));
+        const queue = { priority: 0, maxAttempts: 3, stretch: 1.6, objectiveMs: 600, timeoutMs: 3_000 };
+        this.state.fleet.configuration = {
+            version: 1,
+            queues: pools.map(({ name }) => ({
+                ...queue,
+                name,
+                host: "h",
+                pathPrefix: `/${name}/`,
+                pool: name,
+                isPublic: true,
+                advice: undefined,
+            })),
+            pools: pools.map(({ name, isSpare }) => ({ name, isSpare, isGuarded: true })),
+            accounts: [],
+            source: "{}",
+        };
+        for (const pool of pools) {
+            for (let index = 0; index < pool.vms; index++) {
+                const vm = `${pool.name}-${index}`;
+                this.state.fleet.vmHomes.set(vm, pool.name);
+                if (pool.isSpare) {
+                    this.off.set(vm, pool.name);
+                }
+                else {
+                    this.addTarget(vm, pool.name);
+                }
+            }
+            this.addLongRunning(pool);
+        }
+    }
+
+    run(plan: PlanRound): PlayedResult {
+        const lengthMs = (this.jobs.at(-1)?.atMs ?? 0) + windowMs;
+        const leadMs = 4_000;
+        let next = 0;
+        for (let now = -leadMs; now < lengthMs; now += stepMs) {
+            for (let job = this.jobs[next]; job !== undefined && job.atMs <= now; job = this.jobs[next]) {
+                this.submit(job);
+                next += 1;
+            }
+            this.settleArrivals(now);
+            this.settleEnds(now);
+            this.startTasks(now);
+            if (now % planMs === 0) {
+                plan(this.readPools(now), now).forEach(move => this.startMove(move, now));
+            }
+            const moving = this.arrivals.filter(({ pool }) => !this.isSpare(pool)).length;
+            this.vmSeconds += now < 0 ? 0 : (this.state.fleet.targets.size + moving) * stepMs / 1_000;
+        }
+        return this.computeResult();
+    }
+
+    private submit({ id, pool, atMs, steps }: PlayedJob): void {
+        const request = { spec: "", steps, times: 0, startAtMs: 0, intervalMs: 0 };
+        applySubmitJob(this.state, { kind: CommandKind.SubmitJob, id, queue: pool, account: "", request, atMs });
+    }
+
+    private addLongRunning({ name, longRunning }: PlayedPool): void {
+        if (longRunning > 0) {
+            const steps = [buildTestStep({
+                count: longRunning,
+                needs: serving,
+                isLongRunning: true,
+                maxPerTarget: 2,
+                tailBoundMs: 100,
+            })];
+            this.submit({ id: `lasting-${name}`, pool: name, atMs: 0, steps, takesMs: [], worth: 0 });
+        }
+    }
+
+    private addTarget(vm: string, pool: string): void {
+        this.births += 1;
+        this.state.fleet.targets.set(`t${this.births}`, {
+            id: `t${this.births}`,
+            incarnation: this.births,
+            pool,
+            address: "10.0.0.1:80",
+            zone: "a",
+            vm,
+            rack: "r",
+            labels: [],
+            capacity: { cpu: vmCpu, memory: 1e9, gpu: 0 },
+            state: TargetState.Ready,
+        });
+    }
+
+    private settleArrivals(now: number): void {
+        for (const arrival of [...this.arrivals]) {
+            if (arrival.at <= now) {
+                this.arrivals.splice(this.arrivals.indexOf(arrival), 1);
+                if (this.isSpare(arrival.pool)) {
+                    this.off.set(arrival.vm, arrival.pool);
+                }
+                else {
+                    this.addTarget(arrival.vm, arrival.pool);
+                }
+            }
+        }
+    }
+
+    private settleEnds(now: number): void {
+        const ended = this.running.filter(({ endsAt }) => endsAt <= now);
+        for (const run of ended) {
+            this.running.splice(this.running.indexOf(run), 1);
+        }
+        const ends = ended.map(({ task, run, target }) => ({ task, run, target, how: RunEnd.Done, saved: "" }));
+        applyRecordEnds(this.state, { kind: CommandKind.RecordEnds, ends, atMs: now });
+        for (const { task } of ended) {
+            const job = this.state.fleet.jobs.get(decodeTaskKey(task)?.job ?? "");
+            if (job !== undefined && job.endedAtMs !== 0) {
+                this.endedAt.set(job.id, job.endedAtMs);
+            }
+        }
+    }
+
+    private startTasks(now: number): void {
+        const { fleet } = this.state;
+        const views = buildTargetViews(fleet, () => Number.POSITIVE_INFINITY);
+        const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), views);
+        for (const start of applyRecordStarts(this.state, { kind: CommandKind.RecordStarts, starts })) {
+            const key = decodeTaskKey(start.task);
+            const takes = this.byId.get(key?.job ?? "")?.takesMs[key?.step ?? 0];
+            if (takes !== undefined) {
+                this.running.push({ ...start, endsAt: now + takes });
+            }
+        }
+    }
+
+    private readPools(now: number): PoolReading[] {
+        const { fleet } = this.state;
+        const loads = new Map(
+            collectPoolLoads(fleet, collectCandidates(fleet, now, estimator)).map(load => [load.pool, load]),
+        );
+        return this.pools.map(({ name, isSpare, vms }) => {
+            const load = loads.get(name);
+            const targets = [...fleet.targets.values()].filter(({ pool }) => pool === name);
+            const idle = targets.filter(({ id }) => (fleet.targetLoads.get(id)?.runs.size ?? 0) === 0);
+            const incoming = this.arrivals.filter(({ pool }) => pool === name).length;
+            const parked = [...this.off].filter(([, pool]) => pool === name).map(([vm]) => vm);
+            return {
+                name,
+                isSpare,
+                capacity: (load?.capacity ?? 0) + incoming * vmCpu,
+                used: load?.used ?? 0,
+                usedLongRunning: load?.usedLongRunning ?? 0,
+                wanted: load?.wanted ?? 0,
+                homeCapacity: vms * vmCpu,
+                idleVms: [...idle.map(({ vm }) => vm), ...parked].map(vm => ({
+                    vm,
+                    home: fleet.vmHomes.get(vm) ?? name,
+                    cpu: vmCpu,
+                })),
+            };
+        });
+    }
+
+    private startMove({ vm, from, to }: VmMove, now: number): void {
+        if (applyRecordMove(this.state, { kind: CommandKind.RecordMove, vm, from, to, token: 1 })) {
+            this.off.delete(vm);
+            this.moves += 1;
+            this.arrivals.push({ vm, pool: to, at: now + moveMs + announceMs });
+        }
+    }
+
+    private isSpare(name: string): boolean {
+        return this.pools.some(pool => pool.name === name && pool.isSpare);
+    }
+
+    private computeResult(): PlayedResult {
+        const share = (jobs: readonly PlayedJob[]): number => {
+            const owed = jobs.reduce((sum, { worth }) => sum + worth, 0);
+            return owed === 0 ? 1 : jobs.reduce((sum, job) => sum + this.computeCredit(job), 0) / owed;
+        };
+        const windows = new Map<number, PlayedJob[]>();
+        for (const job of this.jobs) {
+            const window = Math.floor(job.atMs / windowMs);
+            windows.set(window, [...windows.get(window) ?? [], job]);
+        }
+        const worst = [...windows.values()].map(share).sort((a, b) => a - b).slice(0, 2);
+        const names = [...new Set(this.jobs.map(({ pool }) => pool))];
+        return {
+            onTime: share(this.jobs),
+            worstWindows: worst.reduce((sum, value) => sum + value, 0) / Math.max(1, worst.length),
+            worstPool: Math.min(...names.map(name => share(this.jobs.filter(({ pool }) => pool === name)))),
+            vmSeconds: this.vmSeconds,
+            moves: this.moves,
+        };
+    }
+
+    private computeCredit({ id, atMs, takesMs, worth }: PlayedJob): number {
+        const tookMs = (this.endedAt.get(id) ?? Number.POSITIVE_INFINITY) - atMs;
+        const objectiveMs = 1.6 * takesMs.reduce((sum, value) => sum + value, 0) + 600;
+        if (tookMs <= objectiveMs) {
+            return worth;
+        }
+        return tookMs <= lateBy * objectiveMs ? lateShare * worth : 0;
+    }
+}
+
+/** Guesses as callers made them. */
+const estimator = {
+    computeStepMs: (_: unknown, step: { estimateMs: number }) => step.estimateMs,
+    readUsualWork: (job: { steps: readonly { count: number; needs: typeof noResources; estimateMs: number }[] }) =>
+        job.steps.reduce((sum, { count, needs, estimateMs }) => sum + count * needs.cpu * estimateMs, 1),
+};
--- /dev/null
+++ b/packages/core/src/testing/turning-load.ts
@@ -0,0 +1,97 @@
+import type { JobStep } from "../jobs/job-step.js";
+import { buildTestStep } from "./build-test-step.js";
+import { createRandom } from "./create-random.js";
+
+/** A queue of the played load, with the jobs that it usually gets. */
+export interface PlayedQueue {
+    readonly pool: string;
+    /** Jobs a second over the whole play. */
+    readonly perSecond: number;
+    readonly meanSteps: number;
+    readonly meanTasks: number;
+    readonly meanTaskMs: number;
+    /** Thousandths of a core that one task takes. */
+    readonly meanCpu: number;
+}
+
+/** A job of the played load. */
+export interface PlayedJob {
+    readonly id: string;
+    readonly pool: string;
+    readonly atMs: number;
+    readonly steps: readonly JobStep[];
+    /** How long the tasks of each step really take, milliseconds. */
+    readonly takesMs: readonly number[];
+    /** Core-milliseconds of all tasks against the mean of the queue, as callers count it; at most 4. */
+    readonly worth: number;
+}
+
+/** Share of its mean that a queue asks for outside its turn. */
+const calmShare = 0.05;
+const basicWorth = 0.3;
+const maxWorth = 4;
+
+/**
+ * Builds a load in which the queues take turns: demand of one rises to several times its mean and falls again, then that
+ * of the next.
+ * @param queues - the queues, in the order of their turns
+ * @param turnMs - length of one turn
+ * @param lengthMs - length of the load
+ * @param seed - seed of the random numbers
+ * @returns the jobs, by time
+ */
+export function buildTurningLoad(
+    queues: readonly PlayedQueue[],
+    turnMs: number,
+    lengthMs: number,
+    seed: number,
+): PlayedJob[] {
+    const random = createRandom(seed);
+    const jobs: PlayedJob[] = [];
+    const stepMs = 10;
+    for (let now = 0; now < lengthMs; now += stepMs) {
+        queues.forEach((queue, position) => {
+            const rate = queue.perSecond * computeShare(now, position, queues.length, turnMs) * stepMs / 1_000;
+            if (random() < rate) {
+                jobs.push(buildJob(queue, `${jobs.length}`, now, random));
+            }
+        });
+    }
+    return jobs;
+}
+
+/** The square of half a sine in its own turn, so that the mean over all turns is 1. */
+function computeShare(now: number, position: number, turns: number, turnMs: number): number {
+    const phase = now / turnMs % turns - position;
+    const peak = (1 - calmShare) * turns * 2;
+    return calmShare + (phase >= 0 && phase < 1 ? peak * Math.sin(Math.PI * phase) ** 2 : 0);
+}
+
+function buildJob(queue: PlayedQueue, id: string, atMs: number, random: () => number): PlayedJob {
+    const stepCount = Math.max(1, Math.round(queue.meanSteps + (random() - 0.5) * 2));
+    const steps: JobStep[] = [];
+    const takesMs: number[] = [];
+    let work = 0;
+    for (let step = 0; step < stepCount; step++) {
+        const count = Math.max(1, Math.round(queue.meanTasks * readSpread(random, 0.6)));
+        const cpu = Math.round(queue.meanCpu * readSpread(random, 0.45));
+        const taskMs = queue.meanTaskMs * readSpread(random, 0.5);
+        takesMs.push(taskMs);
+        work += count * cpu * taskMs;
+        steps.push(buildTestStep({
+            count,
+            needs: { cpu, memory: 100, gpu: 0 },
+            estimateMs: Math.round(taskMs * readSpread(random, 0.5)),
+            after: step === 0 ? [] : [step - 1],
+        }));
+    }
+    const meanWork = queue.meanSteps * queue.meanTasks * queue.meanTaskMs * queue.meanCpu;
+    const worth = Math.min(maxWorth, basicWorth + (1 - basicWorth) * work / meanWork);
+    return { id, pool: queue.pool, atMs, steps, takesMs, worth };
+}
+
+/** Log-normal with a mean of one. */
+function readSpread(random: () => number, sigma: number): number {
+    const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+    return Math.exp(sigma * normal - sigma * sigma / 2);
+}
--- a/packages/daemon/src/fleet/leader/pool-balancer.ts
+++ b/packages/daemon/src/fleet/leader/pool-balancer.ts
@@ -1,9 +1,7 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
-import { BurstMemory } from "@daisylock/core/pools/burst-memory.js";
-import { DemandTrend } from "@daisylock/core/pools/demand-trend.js";
-import { planMoves } from "@daisylock/core/pools/plan-moves.js";
-import type { PoolView } from "@daisylock/core/pools/pool-view.js";
+import { PoolPlanner } from "@daisylock/core/pools/pool-planner.js";
+import type { PoolReading } from "@daisylock/core/pools/pool-reading.js";
 import type { VmMove } from "@daisylock/core/pools/vm-move.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
@@ -56,14 +54,14 @@
     private readonly moving = new Map<string, MovingVm>();
     /** VMs that this leader has switched off; the platform's list may be older than that. */
     private readonly parked = new Map<string, string>();
-    private readonly bursts = new BurstMemory();
-    private readonly trends = new Map<string, DemandTrend>();
+    private readonly planner: PoolPlanner;
 
     /**
      * @param surroundings - what the balancer needs
      */
     constructor(private readonly surroundings: BalancerSurroundings) {
         super(surroundings.clock);
+        this.planner = new PoolPlanner(surroundings.moveMs);
     }
 
     /**
@@ -83,7 +81,7 @@
         }
         const fleet = leadership.readFleet();
         this.dropArrived(fleet);
-        const moves = planMoves(this.collectPools(fleet));
+        const moves = this.planner.planRound(this.collectPools(fleet), this.surroundings.clock.readMonotonic());
         yield* waitFor(Promise.all(moves.map(move => this.runMove(move))));
         return intervalMs;
     }
@@ -107,43 +105,27 @@
         }
     }
 
-    private collectPools(fleet: FleetState): PoolView[] {
+    private collectPools(fleet: FleetState): PoolReading[] {
         const { estimator, clock } = this.surroundings;
         const candidates = collectCandidates(fleet, clock.readWall(), estimator);
         const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
-        const now = clock.readMonotonic();
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
             const load = loads.get(name);
             const incoming = [...this.moving.values()].filter(({ to }) => to === name);
-            const capacity = (load?.capacity ?? 0) + incoming.reduce((sum, { cpu }) => sum + cpu, 0);
-            const used = load?.used ?? 0;
-            const wanted = load?.wanted ?? 0;
-            const homeCapacity = this.computeHomeCapacity(fleet, name);
-            const usedLongRunning = load?.usedLongRunning ?? 0;
-            const share = (used + wanted - usedLongRunning) / Math.max(1, homeCapacity);
-            const burst = isSpare ? 0 : this.bursts.noteDemand(name, share, now) * homeCapacity + usedLongRunning;
-            const outlook = this.openTrend(name).addSample(now, used + wanted, this.surroundings.moveMs);
             return {
                 name,
                 isSpare,
-                capacity,
-                used,
-                wanted,
-                peak: outlook.peak,
-                expected: Math.max(outlook.expected, burst),
-                homeCapacity,
+                capacity: (load?.capacity ?? 0) + incoming.reduce((sum, { cpu }) => sum + cpu, 0),
+                used: load?.used ?? 0,
+                usedLongRunning: load?.usedLongRunning ?? 0,
+                wanted: load?.wanted ?? 0,
+                homeCapacity: this.computeHomeCapacity(fleet, name),
                 idleVms: isSpare ? this.listSpareVms(fleet, name) : this.listIdleVms(fleet, name),
             };
         });
     }
 
-    private openTrend(pool: string): DemandTrend {
-        const trend = this.trends.get(pool) ?? new DemandTrend();
-        this.trends.set(pool, trend);
-        return trend;
-    }
-
-    private listIdleVms(fleet: FleetState, pool: string): PoolView["idleVms"] {
+    private listIdleVms(fleet: FleetState, pool: string): PoolReading["idleVms"] {
         const { isUsable, isMaintained, gate } = this.surroundings;
         return [...fleet.targets.values()]
             .filter(target =>
@@ -155,7 +137,7 @@
             .map(({ vm, capacity }) => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: capacity.cpu }));
     }
 
-    private listSpareVms(fleet: FleetState, pool: string): PoolView["idleVms"] {
+    private listSpareVms(fleet: FleetState, pool: string): PoolReading["idleVms"] {
         const { gate, isMaintained } = this.surroundings;
         const recorded = new Set([...fleet.targets.values()].map(({ vm }) => vm));
         const listed = gate.readVms().filter(({ pool: where, state }) => where === pool && state === VmState.Up);
