--- a/packages/core/src/pools/pool-planner.test.ts
+++ b/packages/core/src/pools/pool-planner.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 
-import { playPools } from "../testing/play-pools.js";
-import { buildTurningLoad } from "../testing/turning-load.js";
+import { buildTurningLoad } from "../testing/build-turning-load.js";
+import { runPools } from "../testing/run-pools.js";
 import { PoolPlanner } from "./pool-planner.js";
 
 const lengthMs = 40_000;
@@ -29,8 +29,8 @@
         const jobs = buildTurningLoad(queues, turnMs, lengthMs, seed);
         const planner = new PoolPlanner(moveMs);
         return {
-            moved: playPools(pools, jobs, (readings, now) => planner.planRound(readings, now)),
-            fixed: playPools(pools, jobs, () => []),
+            moved: runPools(pools, jobs, (readings, now) => planner.planRound(readings, now)),
+            fixed: runPools(pools, jobs, () => []),
         };
     });
 
--- a/packages/core/src/pools/pool-reading.ts
+++ b/packages/core/src/pools/pool-reading.ts
@@ -1,3 +1,5 @@
+import type { IdleVm } from "./idle-vm.js";
+
 /** A pool as it is now. Amounts are thousandths of a core. */
 export interface PoolReading {
     readonly name: string;
@@ -16,11 +18,3 @@
     /** VMs on which nothing may be running and which may leave. */
     readonly idleVms: readonly IdleVm[];
 }
-
-/** A VM that may leave its pool. */
-export interface IdleVm {
-    readonly vm: string;
-    /** Pool that it belongs to when nobody is short. */
-    readonly home: string;
-    readonly cpu: number;
-}
--- a/packages/core/src/testing/turning-load.ts
+++ b/packages/core/src/testing/build-turning-load.ts
@@ -1,30 +1,8 @@
 import type { JobStep } from "../jobs/job-step.js";
 import { buildTestStep } from "./build-test-step.js";
 import { createRandom } from "./create-random.js";
-
-/** A queue of the played load, with the jobs that it usually gets. */
-export interface PlayedQueue {
-    readonly pool: string;
-    /** Jobs a second over the whole play. */
-    readonly perSecond: number;
-    readonly meanSteps: number;
-    readonly meanTasks: number;
-    readonly meanTaskMs: number;
-    /** Thousandths of a core that one task takes. */
-    readonly meanCpu: number;
-}
-
-/** A job of the played load. */
-export interface PlayedJob {
-    readonly id: string;
-    readonly pool: string;
-    readonly atMs: number;
-    readonly steps: readonly JobStep[];
-    /** How long the tasks of each step really take, milliseconds. */
-    readonly takesMs: readonly number[];
-    /** Core-milliseconds of all tasks against the mean of the queue, as callers count it; at most 4. */
-    readonly worth: number;
-}
+import type { PlayedJob } from "./played-job.js";
+import type { PlayedQueue } from "./played-queue.js";
 
 /** Share of its mean that a queue asks for outside its turn. */
 const calmShare = 0.05;
--- /dev/null
+++ b/packages/core/src/testing/played-pool.ts
@@ -0,0 +1,8 @@
+/** A pool of the played fleet. */
+export interface PlayedPool {
+    readonly name: string;
+    readonly vms: number;
+    readonly isSpare: boolean;
+    /** Long-running tasks, two a VM at most. */
+    readonly longRunning: number;
+}
--- /dev/null
+++ b/packages/core/src/testing/played-result.ts
@@ -0,0 +1,12 @@
+/** What a play came to. */
+export interface PlayedResult {
+    /** Worth of what was on time, as a share of all. */
+    readonly onTime: number;
+    /** The same over the jobs of the two worst windows of two seconds. */
+    readonly worstWindows: number;
+    /** The same for the worst pool. */
+    readonly worstPool: number;
+    /** VM-seconds in pools that are switched on, VMs on their way to them included. */
+    readonly vmSeconds: number;
+    readonly moves: number;
+}
--- a/packages/core/src/testing/play-pools.ts
+++ b/packages/core/src/testing/run-pools.ts
@@ -16,32 +16,10 @@
 import { noResources } from "../resources/no-resources.js";
 import { TargetState } from "../targets/target-state.js";
 import { buildTestStep } from "./build-test-step.js";
-import type { PlayedJob } from "./turning-load.js";
-
-/** A pool of the played fleet. */
-export interface PlayedPool {
-    readonly name: string;
-    readonly vms: number;
-    readonly isSpare: boolean;
-    /** Long-running tasks, two a VM at most. */
-    readonly longRunning: number;
-}
-
-/** What a play came to. */
-export interface PlayedResult {
-    /** Worth of what was on time, as a share of all. */
-    readonly onTime: number;
-    /** The same over the jobs of the two worst windows of two seconds. */
-    readonly worstWindows: number;
-    /** The same for the worst pool. */
-    readonly worstPool: number;
-    /** VM-seconds in pools that are switched on, VMs on their way to them included. */
-    readonly vmSeconds: number;
-    readonly moves: number;
-}
-
-/** Plans moves; called every 100 ms. */
-export type PlanRound = (pools: readonly PoolReading[], now: number) => readonly VmMove[];
+import type { PlanRound } from "./plan-round.js";
+import type { PlayedJob } from "./played-job.js";
+import type { PlayedPool } from "./played-pool.js";
+import type { PlayedResult } from "./played-result.js";
 
 const stepMs = 20;
 const planMs = 100;
@@ -67,7 +45,7 @@
  * @param plan - the moves
  * @returns what callers got, and what it took
  */
-export function playPools(pools: readonly PlayedPool[], jobs: readonly PlayedJob[], plan: PlanRound): PlayedResult {
+export function runPools(pools: readonly PlayedPool[], jobs: readonly PlayedJob[], plan: PlanRound): PlayedResult {
     return new PoolPlay(pools, jobs).run(plan);
 }
 
@@ -122,7 +100,7 @@
         let next = 0;
         for (let now = -leadMs; now < lengthMs; now += stepMs) {
             for (let job = this.jobs[next]; job !== undefined && job.atMs <= now; job = this.jobs[next]) {
-                this.submit(job);
+                this.addJob(job);
                 next += 1;
             }
             this.settleArrivals(now);
@@ -137,7 +115,7 @@
         return this.computeResult();
     }
 
-    private submit({ id, pool, atMs, steps }: PlayedJob): void {
+    private addJob({ id, pool, atMs, steps }: PlayedJob): void {
         const request = { spec: "", steps, times: 0, startAtMs: 0, intervalMs: 0 };
         applySubmitJob(this.state, { kind: CommandKind.SubmitJob, id, queue: pool, account: "", request, atMs });
     }
@@ -151,7 +129,7 @@
                 maxPerTarget: 2,
                 tailBoundMs: 100,
             })];
-            this.submit({ id: `lasting-${name}`, pool: name, atMs: 0, steps, takesMs: [], worth: 0 });
+            this.addJob({ id: `lasting-${name}`, pool: name, atMs: 0, steps, takesMs: [], worth: 0 });
         }
     }
 
