--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -71,6 +71,7 @@
                 const view = vm === "" ? "unknown" : gate.findVm(vm, since);
                 return view !== "unknown" && (view === undefined || view.state === VmState.Down || view.target !== id);
             },
+            handleDoubt: ({ zone }) => this.sessions.checkZone(zone),
             handleWork,
             handleEnd: (task, how, durationMs) => this.noteEnd(leadership.readFleet(), task, how, durationMs),
         });
--- a/packages/daemon/src/fleet/leader/session-surroundings.ts
+++ b/packages/daemon/src/fleet/leader/session-surroundings.ts
@@ -23,6 +23,8 @@
      * @param since - monotonic milliseconds; only what the platform has said since then counts
      */
     readonly isEnded: (target: TargetRecord, since: number) => boolean;
+    /** Called when a target has left an order unanswered: others near it may be out of reach for the same cause. */
+    readonly handleDoubt: (target: TargetRecord) => void;
     /** Called when there may be something to start. */
     readonly handleWork: () => void;
     /** Called with each end: the encoded task key, how the run ended and after how many milliseconds. */
--- a/packages/daemon/src/fleet/leader/target-session.test.ts
+++ b/packages/daemon/src/fleet/leader/target-session.test.ts
@@ -32,6 +32,7 @@
     if (record === undefined) {
         throw new TypeError("the test fleet has no target");
     }
+    const sessions: TargetSession[] = [];
     const surroundings: SessionSurroundings = {
         leadership: {
             isDeciding: () => true,
@@ -58,6 +59,7 @@
         log: { note: () => undefined },
         maxLeaseMs,
         isEnded: () => false,
+        handleDoubt: () => void sessions.forEach(session => void session.checkReachable()),
         handleWork: () => undefined,
         handleEnd: () => undefined,
     };
@@ -68,7 +70,11 @@
         client,
         commands,
         place,
-        open: () => new TargetSession(record, 3, surroundings),
+        open: () => {
+            const session = new TargetSession(record, 3, surroundings);
+            sessions.push(session);
+            return session;
+        },
         setCommitting: (value: boolean) => {
             isCommitting = value;
         },
@@ -172,6 +178,36 @@
             session.close();
         });
 
+        it("takes a target for unreachable as soon as a start is unanswered and a look too", async () => {
+            const test = buildSession();
+            const session = test.open();
+            await test.clock.runFor(200);
+            test.client.startResult = OrderResult.Unanswered;
+            test.client.isAnswering = false;
+            test.place();
+            session.startTask(task, 1);
+            await test.clock.runFor(500);
+            expect(test.client.checks).toBe(1);
+            expect(session.isUsable()).toBe(false);
+            expect(test.client.starts).toHaveLength(1);
+            session.close();
+        });
+
+        it("goes on with a target that left one start unanswered but answers a look", async () => {
+            const test = buildSession();
+            const session = test.open();
+            await test.clock.runFor(200);
+            test.client.startResult = OrderResult.Unanswered;
+            test.place();
+            session.startTask(task, 1);
+            await test.clock.runFor(20);
+            test.client.startResult = OrderResult.Done;
+            await test.clock.runFor(600);
+            expect(test.client.starts).toHaveLength(2);
+            expect(session.isUsable()).toBe(true);
+            session.close();
+        });
+
         it("stops a task that stands still, and tries the target with one task afterwards", async () => {
             const test = buildSession();
             const session = test.open();
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -59,6 +59,8 @@
     private isSynced = false;
     private isClosed = false;
     private failingSince: number | undefined;
+    /** Whether it is being checked that the target still answers; nothing starts there meanwhile. */
+    private isDoubted = false;
     private leftOutUntil = 0;
 
     /**
@@ -88,7 +90,32 @@
      */
     isUsable(): boolean {
         const now = this.readNow();
-        return this.isSynced && this.failingSince === undefined && now >= this.leftOutUntil && !this.isSilent(now);
+        return this.isSynced && this.failingSince === undefined && !this.isDoubted && now >= this.leftOutUntil
+            && !this.isSilent(now);
+    }
+
+    /**
+     * Checks whether the target still answers, as soon as something speaks against it: a start that is given to a target
+     * behind a cut holds its task until the lease there is over.
+     */
+    async checkReachable(): Promise<void> {
+        if (this.isDoubted || this.failingSince !== undefined || this.isClosed) {
+            return;
+        }
+        this.isDoubted = true;
+        const { client } = this.surroundings;
+        const answer = await client.checkTarget(this.readRecord(), {
+            fencingToken: this.token,
+            lastSeen: this.lastSeen,
+        });
+        this.isDoubted = false;
+        this.noteClock(answer);
+        if (answer.result === OrderResult.Unanswered || answer.result === OrderResult.NotSent) {
+            this.noteFailure(answer.result);
+        }
+        else {
+            this.surroundings.handleWork();
+        }
     }
 
     /**
@@ -274,7 +301,7 @@
                 await this.sendStop(task, order);
                 return;
             }
-            if (this.failingSince !== undefined) {
+            if (this.failingSince !== undefined || this.isDoubted) {
                 await this.waitMs(retryMs);
                 continue;
             }
@@ -341,8 +368,12 @@
         if (answer.result === OrderResult.Unanswered) {
             order.isUncertain = true;
             this.leftOutUntil = this.readNow() + refusedMs;
+            this.surroundings.handleDoubt(this.record);
             return false;
         }
+        if (answer.result === OrderResult.NotSent) {
+            this.surroundings.handleDoubt(this.record);
+        }
         if (refusals.has(answer.result) || answer.result === OrderResult.NotSent) {
             this.leftOutUntil = this.readNow() + refusedMs;
             return this.settleRejection(task, order);
--- a/packages/daemon/src/fleet/leader/target-sessions.ts
+++ b/packages/daemon/src/fleet/leader/target-sessions.ts
@@ -53,6 +53,18 @@
         return this.sessions;
     }
 
+    /**
+     * Checks the targets of an availability zone, one of which has left an order unanswered.
+     * @param zone - the zone
+     */
+    checkZone(zone: string): void {
+        for (const session of this.sessions.values()) {
+            if (session.record.zone === zone) {
+                void session.checkReachable();
+            }
+        }
+    }
+
     /** Closes all sessions. */
     closeAll(): void {
         this.sessions.forEach(session => session.close());
--- a/packages/daemon/src/fleet/targets/target-client.ts
+++ b/packages/daemon/src/fleet/targets/target-client.ts
@@ -41,6 +41,17 @@
      */
     abstract updateLease(target: TargetRecord, order: HoldOrder): Promise<HoldAnswer>;
 
+    /**
+     * Looks whether the target answers, beside a renewal that may be under way. Grants nothing.
+     * @param target - the target life that is meant
+     * @param order - the leader's fencing token and the newest end that it has committed
+     * @returns what became of it
+     */
+    abstract checkTarget(
+        target: TargetRecord,
+        order: Pick<HoldOrder, "fencingToken" | "lastSeen">,
+    ): Promise<OrderAnswer>;
+
     /** Closes all connections. */
     abstract close(): void;
 }
--- a/packages/daemon/src/fleet/testing/fake-target-client.ts
+++ b/packages/daemon/src/fleet/testing/fake-target-client.ts
@@ -24,6 +24,7 @@
     readonly starts: StartOrder[] = [];
     readonly stops: RunOrder[] = [];
     readonly holds: HoldOrder[] = [];
+    checks = 0;
 
     /**
      * @param clock - time; the target's clock is ahead of it by a fixed amount
@@ -67,6 +68,13 @@
             : { result: this.silentResult, clockMs: undefined, incarnation: undefined, running: [], ended: [] };
     }
 
+    override async checkTarget(): Promise<OrderAnswer> {
+        this.checks += 1;
+        return this.isAnswering
+            ? { result: OrderResult.Done, clockMs: this.readClock() }
+            : { result: this.silentResult, clockMs: undefined };
+    }
+
     override close(): void {
         // Nothing is open.
     }
