--- a/packages/core/src/control/record-move-command.ts
+++ b/packages/core/src/control/record-move-command.ts
@@ -8,4 +8,8 @@
     readonly to: string;
     /** Fencing token under which the platform is told. */
     readonly token: number;
+    /** Name of the process that tells it. */
+    readonly holder: string;
+    /** Wall clock of that process, milliseconds. */
+    readonly atMs: number;
 }
--- a/packages/core/src/fleet/create-fleet-state.ts
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -10,7 +10,7 @@
         jobs: new Map(),
         targets: new Map(),
         vmHomes: new Map(),
-        vmTokens: new Map(),
+        vmOrders: new Map(),
         upkeep: new Map(),
         activeJobs: new Set(),
         targetLoads: new Map(),
--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -3,6 +3,7 @@
 import { isJobOver } from "../jobs/is-job-over.js";
 import type { Job } from "../jobs/job.js";
 import { TaskPhase } from "../jobs/task-phase.js";
+import type { VmOrderRecord } from "../pools/vm-order-record.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import type { UpkeepWave } from "../upkeep/upkeep-wave.js";
 import { addLoad } from "./add-load.js";
@@ -20,14 +21,14 @@
         jobs: Job[];
         targets: TargetRecord[];
         vmHomes: [string, string][];
-        vmTokens: [string, number][];
+        vmOrders: [string, VmOrderRecord][];
         upkeep: UpkeepWave[];
     };
     const state = createFleetState();
     state.configuration = content.configuration;
     content.targets.forEach(target => state.targets.set(target.id, target));
     content.vmHomes.forEach(([vm, home]) => state.vmHomes.set(vm, home));
-    content.vmTokens.forEach(([vm, token]) => state.vmTokens.set(vm, token));
+    content.vmOrders.forEach(([vm, order]) => state.vmOrders.set(vm, order));
     content.upkeep.forEach(wave => state.upkeep.set(wave.number, wave));
     for (const job of content.jobs) {
         state.jobs.set(job.id, job);
--- a/packages/core/src/fleet/encode-fleet-state.ts
+++ b/packages/core/src/fleet/encode-fleet-state.ts
@@ -11,7 +11,7 @@
         jobs: [...state.jobs.values()],
         targets: [...state.targets.values()],
         vmHomes: [...state.vmHomes],
-        vmTokens: [...state.vmTokens],
+        vmOrders: [...state.vmOrders],
         upkeep: [...state.upkeep.values()],
     };
 }
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -1,5 +1,6 @@
 import type { FleetConfiguration } from "../configuration/fleet-configuration.js";
 import type { Job } from "../jobs/job.js";
+import type { VmOrderRecord } from "../pools/vm-order-record.js";
 import type { Resources } from "../resources/resources.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import type { UpkeepWave } from "../upkeep/upkeep-wave.js";
@@ -14,8 +15,8 @@
     readonly targets: Map<string, TargetRecord>;
     /** Pool to which a VM that was moved belongs when nobody is short. */
     readonly vmHomes: Map<string, string>;
-    /** Fencing token of the newest order about a VM. */
-    readonly vmTokens: Map<string, number>;
+    /** The newest order about a VM. */
+    readonly vmOrders: Map<string, VmOrderRecord>;
     /** Maintenance waves by number. */
     readonly upkeep: Map<number, UpkeepWave>;
     /** Ids of jobs of which something may start or run; derived from the jobs. */
--- a/packages/core/src/pools/apply-record-move.ts
+++ b/packages/core/src/pools/apply-record-move.ts
@@ -8,13 +8,16 @@
  * @param command - the command
  * @returns false when something may be running on the VM, which then stays
  */
-export function applyRecordMove({ fleet }: ControlState, { vm, from, to, token }: RecordMoveCommand): boolean {
+export function applyRecordMove(
+    { fleet }: ControlState,
+    { vm, from, to, token, holder, atMs }: RecordMoveCommand,
+): boolean {
     const targets = [...fleet.targets.values()].filter(target => target.vm === vm);
     if (targets.some(({ id }) => (fleet.targetLoads.get(id)?.runs.size ?? 0) > 0)) {
         return false;
     }
     targets.forEach(({ id }) => fleet.targets.delete(id));
-    fleet.vmTokens.set(vm, token);
+    fleet.vmOrders.set(vm, { token, holder, atMs });
     if (from !== to && !fleet.vmHomes.has(vm)) {
         fleet.vmHomes.set(vm, from);
     }
--- a/packages/core/src/targets/targets.test.ts
+++ b/packages/core/src/targets/targets.test.ts
@@ -64,7 +64,8 @@
 
         it("lets no VM go on which something may be running", () => {
             const state = buildRunning();
-            const move = { kind: CommandKind.RecordMove as const, vm: "vm0", from: "web", to: "off", token: 3 };
+            const order = { token: 3, holder: "core-1", atMs: 0 };
+            const move = { kind: CommandKind.RecordMove as const, vm: "vm0", from: "web", to: "off", ...order };
             expect(applyRecordMove(state, move)).toBe(false);
             expect(applyRecordMove(buildTestFleet(1, room), move)).toBe(true);
         });
--- a/packages/core/src/testing/run-pools.ts
+++ b/packages/core/src/testing/run-pools.ts
@@ -220,7 +220,8 @@
     }
 
     private startMove({ vm, from, to }: VmMove, now: number): void {
-        if (applyRecordMove(this.state, { kind: CommandKind.RecordMove, vm, from, to, token: 1 })) {
+        const order = { token: 1, holder: "core-1", atMs: now };
+        if (applyRecordMove(this.state, { kind: CommandKind.RecordMove, vm, from, to, ...order })) {
             this.off.delete(vm);
             this.moves += 1;
             this.arrivals.push({ vm, pool: to, at: now + moveMs + announceMs });
--- a/packages/daemon/src/fleet/leader/pool-balancer.ts
+++ b/packages/daemon/src/fleet/leader/pool-balancer.ts
@@ -92,7 +92,15 @@
         this.parked.delete(vm);
         this.moving.set(vm, { to, cpu, since: clock.readMonotonic() });
         const token = leadership.readToken();
-        const isFree = await leadership.recordCommand({ kind: CommandKind.RecordMove, vm, from, to, token });
+        const isFree = await leadership.recordCommand({
+            kind: CommandKind.RecordMove,
+            vm,
+            from,
+            to,
+            token,
+            holder: gate.readHolder(),
+            atMs: clock.readWall(),
+        });
         const authority = gate.readAuthority();
         if (isFree !== true || authority?.fencingToken !== token) {
             this.moving.delete(vm);
--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -174,7 +174,15 @@
         }
         const token = authority.fencingToken;
         const pool = target?.pool ?? "";
-        yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordMove, vm, from: pool, to: pool, token }));
+        yield* waitFor(leadership.recordCommand({
+            kind: CommandKind.RecordMove,
+            vm,
+            from: pool,
+            to: pool,
+            token,
+            holder: gate.readHolder(),
+            atMs: clock.readWall(),
+        }));
         if (gate.readAuthority()?.fencingToken !== token) {
             return;
         }
--- a/packages/daemon/src/fleet/leader/vm-authority-gate.ts
+++ b/packages/daemon/src/fleet/leader/vm-authority-gate.ts
@@ -1,3 +1,6 @@
+import { isHolderLeaseOver } from "@daisylock/core/pools/is-holder-lease-over.js";
+import type { VmOrderRecord } from "@daisylock/core/pools/vm-order-record.js";
+
 import type { Clock } from "../../clock/clock.js";
 import type { VmAuthority } from "../vms/vm-authority.js";
 import type { VmService } from "../vms/vm-service.js";
@@ -19,9 +22,9 @@
     readonly holderLeaseMs: number;
 }
 
-/** When an order about a VM was first seen in the replicated state, and under which token it was given. */
+/** When an order about a VM was first seen in the replicated state. */
 interface SeenOrder {
-    readonly token: number;
+    readonly order: VmOrderRecord;
     /** Monotonic milliseconds. */
     readonly at: number;
 }
@@ -47,23 +50,37 @@
     /** Notes the orders of whichever process leads; to be called on every keeper, often against the holder's lease. */
     noteOrders(): void {
         const { leadership, clock } = this.surroundings;
-        for (const [vm, token] of leadership.readFleet().vmTokens) {
-            if (this.seen.get(vm)?.token !== token) {
-                this.seen.set(vm, { token, at: clock.readMonotonic() });
+        for (const [vm, order] of leadership.readFleet().vmOrders) {
+            const known = this.seen.get(vm)?.order;
+            if (known?.token !== order.token || known.atMs !== order.atMs) {
+                this.seen.set(vm, { order, at: clock.readMonotonic() });
             }
         }
     }
 
+    /**
+     * Reads under which name this process gives orders.
+     * @returns its name
+     */
+    readHolder(): string {
+        return this.surroundings.holder;
+    }
+
     /**
      * Tells whether an earlier leader's last order about a VM is older than its lease.
      * @param vm - the VM
      * @returns true when orders about it may go out
      */
     isFree(vm: string): boolean {
-        const { leadership, clock, holderLeaseMs } = this.surroundings;
+        const { leadership, clock, holder, holderLeaseMs } = this.surroundings;
         const seen = this.seen.get(vm);
-        return seen === undefined || seen.token === leadership.readToken()
-            || clock.readMonotonic() - seen.at > holderLeaseMs;
+        return seen === undefined || seen.order.token === leadership.readToken() || isHolderLeaseOver({
+            order: seen.order,
+            holder,
+            seenForMs: clock.readMonotonic() - seen.at,
+            nowMs: clock.readWall(),
+            leaseMs: holderLeaseMs,
+        });
     }
 
     /**
