--- a/packages/core/src/testing/run-pools.ts
+++ b/packages/core/src/testing/run-pools.ts
@@ -18,6 +18,7 @@
 import { buildTestStep } from "./build-test-step.js";
 import type { PlanRound } from "./plan-round.js";
 import type { PlayedJob } from "./played-job.js";
+import type { PlayedOutage } from "./played-outage.js";
 import type { PlayedPool } from "./played-pool.js";
 import type { PlayedResult } from "./played-result.js";
 
@@ -28,6 +29,8 @@
 const announceMs = 120;
 const vmCpu = 32_000;
 const windowMs = 2_000;
+/** Time after the last job in which work may end. */
+const tailMs = 8_000;
 const lateShare = 0.07;
 const lateBy = 3;
 const serving = { cpu: 3_000, memory: 100, gpu: 0 };
@@ -43,10 +46,16 @@
  * @param pools - the pools
  * @param jobs - the load
  * @param plan - the moves
+ * @param outage - a time in which nobody leads
  * @returns what callers got, and what it took
  */
-export function runPools(pools: readonly PlayedPool[], jobs: readonly PlayedJob[], plan: PlanRound): PlayedResult {
-    return new PoolPlay(pools, jobs).run(plan);
+export function runPools(
+    pools: readonly PlayedPool[],
+    jobs: readonly PlayedJob[],
+    plan: PlanRound,
+    outage: PlayedOutage = { atMs: 0, forMs: 0 },
+): PlayedResult {
+    return new PoolPlay(pools, jobs, outage).run(plan);
 }
 
 class PoolPlay {
@@ -61,7 +70,11 @@
     private vmSeconds = 0;
     private moves = 0;
 
-    constructor(private readonly pools: readonly PlayedPool[], private readonly jobs: readonly PlayedJob[]) {
+    constructor(
+        private readonly pools: readonly PlayedPool[],
+        private readonly jobs: readonly PlayedJob[],
+        private readonly outage: PlayedOutage,
+    ) {
         this.byId = new Map(jobs.map(job => [job.id, job]));
         const queue = { priority: 0, maxAttempts: 3, stretch: 1.6, objectiveMs: 600, timeoutMs: 3_000 };
         this.state.fleet.configuration = {
@@ -95,7 +108,7 @@
     }
 
     run(plan: PlanRound): PlayedResult {
-        const lengthMs = (this.jobs.at(-1)?.atMs ?? 0) + windowMs;
+        const lengthMs = (this.jobs.at(-1)?.atMs ?? 0) + tailMs;
         const leadMs = 4_000;
         let next = 0;
         for (let now = -leadMs; now < lengthMs; now += stepMs) {
@@ -104,10 +117,8 @@
                 next += 1;
             }
             this.settleArrivals(now);
-            this.settleEnds(now);
-            this.startTasks(now);
-            if (now % planMs === 0) {
-                plan(this.readPools(now), now).forEach(move => this.startMove(move, now));
+            if (now < this.outage.atMs || now >= this.outage.atMs + this.outage.forMs) {
+                this.runRound(plan, now);
             }
             const moving = this.arrivals.filter(({ pool }) => !this.isSpare(pool)).length;
             this.vmSeconds += now < 0 ? 0 : (this.state.fleet.targets.size + moving) * stepMs / 1_000;
@@ -115,6 +126,14 @@
         return this.computeResult();
     }
 
+    private runRound(plan: PlanRound, now: number): void {
+        this.settleEnds(now);
+        this.startTasks(now);
+        if (now % planMs === 0) {
+            plan(this.readPools(now), now).forEach(move => this.startMove(move, now));
+        }
+    }
+
     private addJob({ id, pool, atMs, steps }: PlayedJob): void {
         const request = { spec: "", steps, times: 0, startAtMs: 0, intervalMs: 0 };
         applySubmitJob(this.state, { kind: CommandKind.SubmitJob, id, queue: pool, account: "", request, atMs });
