--- a/packages/daemon/src/fleet/leader/order-book.ts
+++ b/packages/daemon/src/fleet/leader/order-book.ts
@@ -35,6 +35,7 @@
         const order: TargetOrder = {
             run,
             sentAt: this.clock.readMonotonic(),
+            isSent: false,
             isUncertain: false,
             isStopConfirmed: false,
             isStopWanted: false,
--- a/packages/daemon/src/fleet/leader/target-order.ts
+++ b/packages/daemon/src/fleet/leader/target-order.ts
@@ -3,6 +3,8 @@
     readonly run: number;
     /** When the first order was sent, monotonic milliseconds. */
     readonly sentAt: number;
+    /** Whether a start was sent at all; before, it is certain that the run has not begun. */
+    isSent: boolean;
     /** Whether a start may have arrived that was never answered. */
     isUncertain: boolean;
     /** Whether the target has confirmed a stop; no start of this run can follow it. */
--- a/packages/daemon/src/fleet/leader/target-session.test.ts
+++ b/packages/daemon/src/fleet/leader/target-session.test.ts
@@ -193,6 +193,21 @@
             session.close();
         });
 
+        it("frees a task at once whose start has not been sent when the target stops answering", async () => {
+            const test = buildSession();
+            const session = test.open();
+            await test.clock.runFor(200);
+            test.client.isAnswering = false;
+            test.client.silentResult = OrderResult.NotSent;
+            await session.checkReachable();
+            test.place();
+            session.startTask(task, 1);
+            await test.clock.runFor(20);
+            expect(test.client.starts).toHaveLength(0);
+            expect(test.readPhase()).toBe(TaskPhase.Waiting);
+            session.close();
+        });
+
         it("goes on with a target that left one start unanswered but answers a look", async () => {
             const test = buildSession();
             const session = test.open();
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -301,7 +301,10 @@
                 await this.sendStop(task, order);
                 return;
             }
-            if (this.failingSince !== undefined || this.isDoubted) {
+            if (this.failingSince !== undefined) {
+                if (!order.isSent && await this.settleRejection(task, order)) {
+                    return;
+                }
                 await this.waitMs(retryMs);
                 continue;
             }
@@ -325,6 +328,7 @@
         if (leaseUntilMs === undefined) {
             return { result: OrderResult.NotSent, clockMs: undefined };
         }
+        order.isSent = true;
         const answer = await client.startTask(this.readRecord(), {
             task,
             run: order.run,
