Reload settings on SIGHUP and silently; learn the keepers from the leader

An entry knew only its seeds; once these were replaced and its leader was lost it could find no other. The answer to a ping names the keepers that vote.

--- a/packages/core/src/contact/keeper-contact.test.ts
+++ b/packages/core/src/contact/keeper-contact.test.ts
@@ -25,7 +25,18 @@
         expect(contact.isCutOff(1_100)).toBe(false);
     });
 
-    it("does not count keepers beyond those known from the start", () => {
+    it("follows the keepers that there are", () => {
+        const contact = new KeeperContact(["a", "b", "c"]);
+        contact.noteSilence("a", 0);
+        contact.noteSilence("b", 0);
+        contact.setKeepers(["c", "d", "e"]);
+        expect(contact.isCutOff(0)).toBe(false);
+        contact.noteSilence("d", 0);
+        contact.noteSilence("e", 0);
+        expect(contact.isCutOff(0)).toBe(true);
+    });
+
+    it("does not count keepers beyond those it knows", () => {
         const contact = new KeeperContact(["a", "b", "c"]);
         contact.noteSilence("x", 0);
         contact.noteSilence("y", 0);
--- a/packages/core/src/contact/keeper-contact.ts
+++ b/packages/core/src/contact/keeper-contact.ts
@@ -10,9 +10,20 @@
     private readonly silentAt = new Map<string, number>();
 
     /**
-     * @param keepers - addresses of the keepers that are known from the start
+     * @param keepers - addresses of the keepers that are known at first
      */
-    constructor(private readonly keepers: readonly string[]) {}
+    constructor(private keepers: readonly string[]) {}
+
+    /**
+     * Sets which keepers there are.
+     * @param keepers - their addresses
+     */
+    setKeepers(keepers: readonly string[]): void {
+        this.keepers = keepers;
+        [...this.silentAt.keys()].filter(keeper => !keepers.includes(keeper)).forEach(keeper =>
+            this.silentAt.delete(keeper)
+        );
+    }
 
     /**
      * Notes that a keeper is there, whatever it said; a refused connection counts, as its process is being restarted.
--- a/packages/daemon/src/fleet/entry/leader-watch.ts
+++ b/packages/daemon/src/fleet/entry/leader-watch.ts
@@ -38,6 +38,9 @@
         yield* waitFor(this.caller.updateLeader());
         const reply = yield* waitFor(this.caller.send("ping", {}, timeoutMs));
         const isReachable = reply.isOk && reply.value.hasConfiguration;
+        if (reply.isOk) {
+            this.caller.noteVoters(reply.value.keepers);
+        }
         if (isReachable) {
             this.answeredAt = this.clock.readMonotonic();
         }
--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -27,6 +27,7 @@
 import { PeerServer } from "./peers/peer-server.js";
 import { RaftSender } from "./peers/raft-sender.js";
 import type { FleetSettings } from "./settings/fleet-settings.js";
+import { SettingsWatch } from "./settings/settings-watch.js";
 
 /** A part of the process that fails ends it; what it claimed is loaded from disk again after the restart. */
 const restartPolicy = { maxRestarts: 0, periodMs: 1, delayMs: 0 };
@@ -44,27 +45,34 @@
     private readonly events: EventLog;
     private readonly peers = new HttpCaller(peerConnections);
     private readonly seeds: readonly string[];
+    private readonly caller: LeaderCaller;
+    private readonly watch: SettingsWatch;
     private readonly root: Supervisor;
 
     /**
      * @param settings - checked settings
      * @param adapter - the platform's language
      * @param clock - the clocks
+     * @param file - where the settings came from, to be looked at again
      */
     constructor(
         private readonly settings: FleetSettings,
         private readonly adapter: FleetAdapter,
         private readonly clock: Clock,
+        file: string,
     ) {
-        const { node, cluster, log } = settings;
+        const { node, log } = settings;
         this.log = new DecisionLog(node.name, log.level);
         this.log.addListener({
             noteDecision: (kind, fields) => this.metrics.noteDecision(kind, fields),
             noteDroppedLine: () => this.metrics.noteDroppedLine(),
         });
         this.events = new EventLog(node.name, node.zone, clock, keptEvents);
-        this.seeds = cluster.seeds.map(seed => buildPeerAddress(seed, cluster.peer_port));
+        this.seeds = listSeeds(settings);
+        this.caller = new LeaderCaller(this.peers, this.seeds, clock);
+        this.watch = new SettingsWatch(file, settings, next => this.applySettings(next), this.log, clock);
         const children = [
+            { name: "settings-watch", create: () => this.watch },
             ...this.listMetricsChildren(),
             ...node.roles.includes(Role.Keeper) ? this.listKeeperChildren() : [],
             ...node.roles.includes(Role.Entry) ? this.listEntryChildren() : [],
@@ -107,6 +115,16 @@
         this.root.stop();
     }
 
+    /** Looks at the settings file again at once, instead of within seconds. */
+    updateSettings(): void {
+        this.watch.startRound();
+    }
+
+    private applySettings(settings: FleetSettings): void {
+        this.log.setLevel(settings.log.level);
+        this.caller.setSeeds(listSeeds(settings));
+    }
+
     private listMetricsChildren(): ChildSpec[] {
         const { metrics } = this.settings.listen;
         return metrics === ""
@@ -115,9 +133,8 @@
     }
 
     private listEntryChildren(): ChildSpec[] {
-        const caller = new LeaderCaller(this.peers, this.seeds, this.clock);
-        const gateway = new JobGateway(caller, this.log);
-        const watch = new LeaderWatch(caller, this.log, this.clock);
+        const gateway = new JobGateway(this.caller, this.log);
+        const watch = new LeaderWatch(this.caller, this.log, this.clock);
         return [
             { name: "leader-watch", create: () => watch },
             { name: "caller-listener", create: () => this.adapter.createCallerListener(this.settings, gateway) },
@@ -153,15 +170,14 @@
             clock,
             log,
         });
-        const caller = new LeaderCaller(this.peers, this.seeds, this.clock);
         const plan = { address: listen.peers, seeds: this.seeds, isFounding: cluster.found, voters };
-        const members = new MemberManager(keeper, caller, plan, log, clock);
+        const members = new MemberManager(keeper, this.caller, plan, log, clock);
         const handlers = leader.buildHandlers({
             join: request => members.handleJoin(request),
             findLeader: () => members.handleSearch(),
         });
         const controlPort = parseAddress(listen.control).port;
-        const relay = new ControlRelay(handlers, caller, () => {
+        const relay = new ControlRelay(handlers, this.caller, () => {
             const address = keeper.readView()?.leaderAddress;
             return address === undefined || address === listen.peers
                 ? undefined
@@ -180,3 +196,7 @@
         ];
     }
 }
+
+function listSeeds({ cluster }: FleetSettings): string[] {
+    return cluster.seeds.map(seed => buildPeerAddress(seed, cluster.peer_port));
+}
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -135,6 +135,7 @@
             ping: () =>
                 leadership.serveCall(async () => ({
                     hasConfiguration: leadership.readFleet().configuration !== undefined,
+                    keepers: leadership.listVoters(),
                 })),
             ...members,
         };
--- a/packages/daemon/src/fleet/leader/leadership.ts
+++ b/packages/daemon/src/fleet/leader/leadership.ts
@@ -20,8 +20,7 @@
      * @returns true while it leads, with enough voters to accept anything
      */
     isDeciding(): boolean {
-        const voters = Object.keys(this.keeper.readView()?.members.voters ?? {}).length;
-        return this.keeper.isDeciding() && voters >= this.minVoters;
+        return this.keeper.isDeciding() && this.listVoters().length >= this.minVoters;
     }
 
     /**
@@ -40,6 +39,14 @@
         return this.keeper.readView()?.term ?? 0;
     }
 
+    /**
+     * Lists the keepers that vote.
+     * @returns their peer addresses
+     */
+    listVoters(): readonly string[] {
+        return Object.values(this.keeper.readView()?.members.voters ?? {});
+    }
+
     /**
      * Reads when this leadership began.
      * @returns monotonic milliseconds
--- a/packages/daemon/src/fleet/log/decision-kind.ts
+++ b/packages/daemon/src/fleet/log/decision-kind.ts
@@ -2,6 +2,8 @@
 export enum DecisionKind {
     ProcessStarted = "process-started",
     ProcessStopping = "process-stopping",
+    SettingsReloaded = "settings-reloaded",
+    SettingsRefused = "settings-refused",
     /** An event of the supervisor tree or the replicated log. */
     ProcessEvent = "process-event",
     LeadershipGained = "leadership-gained",
--- a/packages/daemon/src/fleet/log/decision-log.ts
+++ b/packages/daemon/src/fleet/log/decision-log.ts
@@ -55,6 +55,14 @@
         this.logger.setLevel(level, false);
     }
 
+    /**
+     * Sets the lowest level that is written.
+     * @param level - the level
+     */
+    setLevel(level: loglevel.LogLevelDesc): void {
+        this.logger.setLevel(level, false);
+    }
+
     /**
      * Adds a listener, which learns of every decision, also of those whose lines are left out.
      * @param listener - the listener
--- a/packages/daemon/src/fleet/peers/leader-caller.ts
+++ b/packages/daemon/src/fleet/peers/leader-caller.ts
@@ -28,6 +28,8 @@
     private leader: string | undefined;
     private round: Promise<void> | undefined;
     private readonly contact: KeeperContact;
+    /** Peer addresses of the keepers that vote, as far as they are known. */
+    private voters: readonly string[];
 
     /**
      * @param caller - the connections
@@ -36,10 +38,28 @@
      */
     constructor(
         private readonly caller: HttpCaller,
-        private readonly seeds: readonly string[],
+        private seeds: readonly string[],
         private readonly clock: Clock,
     ) {
         this.contact = new KeeperContact(seeds);
+        this.voters = seeds;
+    }
+
+    /**
+     * Sets which keepers are told by the settings; these may be all that is left after the others were replaced.
+     * @param seeds - peer addresses
+     */
+    setSeeds(seeds: readonly string[]): void {
+        this.seeds = seeds;
+    }
+
+    /**
+     * Notes which keepers vote.
+     * @param voters - peer addresses, from the leader
+     */
+    noteVoters(voters: readonly string[]): void {
+        this.voters = voters;
+        this.contact.setKeepers(voters);
     }
 
     /**
@@ -158,7 +178,7 @@
         return new Promise(resolve => {
             const asked = new Set<string>();
             const askAll = async (addresses: readonly string[]): Promise<void> => {
-                const fresh = addresses.filter(address => !asked.has(address));
+                const fresh = [...new Set(addresses)].filter(address => !asked.has(address));
                 fresh.forEach(address => asked.add(address));
                 await Promise.all(fresh.map(async address => {
                     const reply = await this.sendTo(address, "findLeader", {}, searchTimeoutMs);
@@ -171,7 +191,7 @@
                     }
                 }));
             };
-            void askAll(this.seeds).then(resolve);
+            void askAll([...this.voters, ...this.seeds]).then(resolve);
         });
     }
 
--- a/packages/protocol/src/fleet/fleet-calls.ts
+++ b/packages/protocol/src/fleet/fleet-calls.ts
@@ -16,8 +16,8 @@
     leave: { request: { id: string }; reply: { isKnown: boolean } };
     startUpkeep: { request: UpkeepOrder; reply: { isNew: boolean } };
     readUpkeep: { request: { number: number }; reply: UpkeepView };
-    /** Asks whether jobs can be accepted. */
-    ping: { request: Record<string, never>; reply: { hasConfiguration: boolean } };
+    /** Asks whether jobs can be accepted, and for the peer addresses of the keepers that vote. */
+    ping: { request: Record<string, never>; reply: { hasConfiguration: boolean; keepers: readonly string[] } };
     /** Asks whether a keeper leads, even if too few keepers vote yet to accept anything. */
     findLeader: { request: Record<string, never>; reply: Record<string, never> };
     /** Asks to receive the replicated log, under the id of the caller's disk. */
