--- a/packages/core/src/placement/plan-starts.ts
+++ b/packages/core/src/placement/plan-starts.ts
@@ -22,6 +22,14 @@
     readonly pools: ReadonlyMap<string, TargetView[]>;
     readonly accountLoads: Map<string, Resources>;
     readonly starts: TaskStart[];
+    readonly isAdvised: (stepName: string, target: string) => boolean;
+}
+
+interface PlanOptions {
+    /** Order of the steps. */
+    readonly compare?: (a: StepCandidate, b: StepCandidate) => number;
+    /** Whether there is a ticket for a step and a target; asked for queues with an adviser only. */
+    readonly isAdvised?: (stepName: string, target: string) => boolean;
 }
 
 /**
@@ -29,16 +37,16 @@
  * @param fleet - the fleet state
  * @param candidates - the steps that may start
  * @param pools - the targets by pool; what is placed is taken from their room
- * @param compare - order of the steps
+ * @param options - order of the steps, and the tickets of queues with an adviser
  * @returns the starts, most urgent first
  */
 export function planStarts(
     fleet: FleetState,
     candidates: readonly StepCandidate[],
     pools: ReadonlyMap<string, TargetView[]>,
-    compare: (a: StepCandidate, b: StepCandidate) => number = compareCandidates,
+    { compare = compareCandidates, isAdvised = () => false }: PlanOptions = {},
 ): TaskStart[] {
-    const round: Round = { fleet, pools, accountLoads: new Map(fleet.accountLoads), starts: [] };
+    const round: Round = { fleet, pools, accountLoads: new Map(fleet.accountLoads), starts: [], isAdvised };
     for (const candidate of [...candidates].sort(compare)) {
         if (round.starts.length >= maxStarts) {
             break;
@@ -50,9 +58,11 @@
 
 function planStep(round: Round, candidate: StepCandidate): void {
     const { job, rule, occurrence, step, definition } = candidate;
-    const targets = round.pools.get(rule?.pool ?? job.pool) ?? [];
     const tasks = job.occurrences[occurrence]?.[step]?.tasks ?? [];
     const stepName = buildStepName(job.id, occurrence, step);
+    const targets = (round.pools.get(rule?.pool ?? job.pool) ?? []).filter(({ record }) =>
+        rule?.advice === undefined || round.isAdvised(stepName, record.id)
+    );
     const gangRun = Math.max(0, ...tasks.map(task => task.run)) + 1;
     if (definition.isGang && candidate.waiting.length < tasks.length) {
         return;
--- a/packages/core/src/queueing/burst.test.ts
+++ b/packages/core/src/queueing/burst.test.ts
@@ -53,7 +53,7 @@
         const ends = ended.map(({ task, run, target }) => ({ task, run, target, how: RunEnd.Done, saved: "" }));
         applyRecordEnds(state, { kind: CommandKind.RecordEnds, ends, atMs: now });
         const pools = buildTargetViews(fleet, () => Number.POSITIVE_INFINITY);
-        const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), pools, compare);
+        const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), pools, { compare });
         for (const start of applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts })) {
             const job = fleet.jobs.get(decodeTaskKey(start.task)?.job ?? "");
             running.push({ ...start, endsAt: now + (job?.steps[0]?.estimateMs ?? 0) });
--- a/packages/daemon/src/fleet/adapter/fleet-adapter.ts
+++ b/packages/daemon/src/fleet/adapter/fleet-adapter.ts
@@ -1,4 +1,5 @@
 import type { Worker } from "../../supervision/worker.js";
+import type { AdviceService } from "../advice/advice-service.js";
 import type { JobGateway } from "../entry/job-gateway.js";
 import type { DecisionLog } from "../log/decision-log.js";
 import type { FleetSettings } from "../settings/fleet-settings.js";
@@ -45,4 +46,11 @@
      * @returns the client
      */
     abstract createVmService(settings: FleetSettings): VmService;
+
+    /**
+     * Creates the client of the platform's service for advice on placement.
+     * @param settings - checked settings
+     * @returns the client
+     */
+    abstract createAdviceService(settings: FleetSettings): AdviceService;
 }
--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -167,6 +167,7 @@
             leadership,
             client: this.adapter.createTargetClient(),
             vms: this.adapter.createVmService(settings),
+            advice: this.adapter.createAdviceService(settings),
             clock,
             log,
         });
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -5,6 +5,7 @@
 
 import type { Clock } from "../../clock/clock.js";
 import type { ChildSpec } from "../../supervision/child-spec.js";
+import type { AdviceService } from "../advice/advice-service.js";
 import { DecisionKind } from "../log/decision-kind.js";
 import type { DecisionLog } from "../log/decision-log.js";
 import type { FleetHandlers } from "../peers/fleet-handlers.js";
@@ -12,6 +13,7 @@
 import type { TargetClient } from "../targets/target-client.js";
 import type { VmService } from "../vms/vm-service.js";
 import { VmState } from "../vms/vm-state.js";
+import { AdviceDesk } from "./advice-desk.js";
 import { ConfigurationDesk } from "./configuration-desk.js";
 import { DurationBook } from "./duration-book.js";
 import { JobDesk } from "./job-desk.js";
@@ -33,6 +35,7 @@
     readonly leadership: Leadership;
     readonly client: TargetClient;
     readonly vms: VmService;
+    readonly advice: AdviceService;
     readonly clock: Clock;
     readonly log: DecisionLog;
 }
@@ -45,12 +48,13 @@
     private readonly balancer: PoolBalancer;
     private readonly scheduler: Scheduler;
     private readonly targets: TargetDesk;
+    private readonly advice: AdviceDesk;
 
     /**
      * @param surroundings - what the part needs
      */
     constructor(private readonly surroundings: LeaderSurroundings) {
-        const { settings, leadership, client, vms, clock, log } = surroundings;
+        const { settings, leadership, client, vms, advice, clock, log } = surroundings;
         const handleWork = () => this.scheduler.startRound();
         this.targets = new TargetDesk(leadership, clock, log, handleWork);
         const gate = new VmAuthorityGate({
@@ -71,6 +75,8 @@
                 const view = vm === "" ? "unknown" : gate.findVm(vm, since);
                 return view !== "unknown" && (view === undefined || view.state === VmState.Down || view.target !== id);
             },
+            findTicket: (task, target) => this.advice.findTicket(cutIndex(task), target) ?? "",
+            handleBadTicket: (task, target) => this.advice.dropTicket(cutIndex(task), target),
             handleDoubt: ({ zone }) => this.sessions.checkZone(zone),
             handleWork,
             handleEnd: (task, how, durationMs) => this.noteEnd(leadership.readFleet(), task, how, durationMs),
@@ -96,8 +102,10 @@
             clock,
             upkeepMs: settings.vms.upkeep_s * msPerSecond,
         });
+        this.advice = new AdviceDesk({ service: advice, clock, log, handleWork });
         this.scheduler = new Scheduler({
             leadership,
+            advice: this.advice,
             sessions: this.sessions,
             estimator: this.durations,
             isEvacuating: target =>
@@ -181,3 +189,8 @@
         }
     }
 }
+
+/** The name of a task begins with the name of its step. */
+function cutIndex(task: string): string {
+    return task.slice(0, task.lastIndexOf("."));
+}
--- a/packages/daemon/src/fleet/leader/scheduler.ts
+++ b/packages/daemon/src/fleet/leader/scheduler.ts
@@ -6,6 +6,7 @@
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
+import { compareCandidates } from "@daisylock/core/queueing/compare-candidates.js";
 import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -13,6 +14,7 @@
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
 import { DecisionKind } from "../log/decision-kind.js";
 import type { DecisionLog } from "../log/decision-log.js";
+import type { AdviceDesk } from "./advice-desk.js";
 import type { Leadership } from "./leadership.js";
 import type { TargetSessions } from "./target-sessions.js";
 
@@ -30,6 +32,7 @@
     readonly leadership: Leadership;
     readonly sessions: TargetSessions;
     readonly estimator: WorkEstimator;
+    readonly advice: AdviceDesk;
     /** Whether a target is being emptied. */
     readonly isEvacuating: (target: string) => boolean;
     readonly log: DecisionLog;
@@ -85,13 +88,17 @@
     }
 
     private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
-        const { leadership, sessions, estimator, isEvacuating, log } = this.surroundings;
+        const { leadership, sessions, estimator, advice, isEvacuating, log } = this.surroundings;
         const candidates = collectCandidates(fleet, this.surroundings.clock.readWall(), estimator);
         if (candidates.length === 0) {
             return;
         }
         const pools = buildTargetViews(fleet, id => isEvacuating(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0);
-        const starts = planStarts(fleet, candidates, pools);
+        candidates.sort(compareCandidates);
+        advice.updateTickets(candidates, pools);
+        const starts = planStarts(fleet, candidates, pools, {
+            isAdvised: (step, target) => advice.findTicket(step, target) !== undefined,
+        });
         if (starts.length === 0) {
             return;
         }
--- a/packages/daemon/src/fleet/leader/session-surroundings.ts
+++ b/packages/daemon/src/fleet/leader/session-surroundings.ts
@@ -25,6 +25,10 @@
     readonly isEnded: (target: TargetRecord, since: number) => boolean;
     /** Called when a target has left an order unanswered: others near it may be out of reach for the same cause. */
     readonly handleDoubt: (target: TargetRecord) => void;
+    /** Finds the ticket that a start must carry; empty for none. */
+    readonly findTicket: (task: string, target: string) => string;
+    /** Called when a target did not take the ticket of a start. */
+    readonly handleBadTicket: (task: string, target: string) => void;
     /** Called when there may be something to start. */
     readonly handleWork: () => void;
     /** Called with each end: the encoded task key, how the run ended and after how many milliseconds. */
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -336,7 +336,7 @@
             leaseUntilMs,
             fencingToken: this.token,
             saved: record.saved,
-            ticket: "",
+            ticket: this.surroundings.findTicket(task, this.record.id),
         });
         this.noteLease(leaseUntilMs, answer);
         return answer;
@@ -375,6 +375,9 @@
             this.surroundings.handleDoubt(this.record);
             return false;
         }
+        if (answer.result === OrderResult.NoTicket) {
+            this.surroundings.handleBadTicket(task, this.record.id);
+        }
         if (answer.result === OrderResult.NotSent) {
             this.surroundings.handleDoubt(this.record);
         }
--- a/packages/daemon/src/fleet/log/decision-kind.ts
+++ b/packages/daemon/src/fleet/log/decision-kind.ts
@@ -32,6 +32,7 @@
     TaskPlaced = "task-placed",
     TaskStarted = "task-started",
     TaskEnded = "task-ended",
+    AdviceAnswered = "advice-answered",
     OrderFailed = "order-failed",
     LeaseLost = "lease-lost",
     PaceChanged = "pace-changed",
--- a/packages/daemon/src/fleet/settings/fleet-settings-schema.ts
+++ b/packages/daemon/src/fleet/settings/fleet-settings-schema.ts
@@ -52,6 +52,8 @@
         }),
         {},
     ),
+    /** The service that knows on which targets a queue's steps may run; needed for queues with an adviser only. */
+    advice: v.optional(v.strictObject({ address: optionalAddress }), {}),
     tasks: v.optional(
         v.strictObject({
             /** Longest lease that a target grants. */
