--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -85,15 +85,12 @@
     return spare !== 0 ? spare : b.idle.length - a.idle.length;
 }
 
-/** What a pool does not need goes to a pool that is below its reserve, else it is switched off; without a spare pool, borrowed VMs go home. */
+/** What a pool does not need is switched off; without a spare pool, borrowed VMs go home. */
 function planReturns(planned: readonly PlannedPool[]): VmMove[] {
     const spare = planned.find(({ pool }) => pool.isSpare)?.pool.name;
     return planned.filter(({ pool }) => !pool.isSpare).flatMap(item =>
         item.idle.flatMap(({ vm, home, cpu }) => {
-            const waiting = planned.find(other =>
-                other !== item && !other.pool.isSpare && other.capacity + cpu <= other.pool.reserve
-            );
-            const to = waiting?.pool.name ?? spare ?? home;
+            const to = spare ?? home;
             const left = item.capacity - cpu;
             const needed = Math.max(
                 computeFloor(item.pool),
@@ -103,9 +100,6 @@
                 return [];
             }
             item.capacity = left;
-            if (waiting !== undefined) {
-                waiting.capacity += cpu;
-            }
             return [{ vm, from: item.pool.name, to }];
         })
     );
