--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -5,6 +5,7 @@
 import { TaskPhase } from "../jobs/task-phase.js";
 import { computeChain } from "./compute-chain.js";
 import { computeRemainingWork } from "./compute-remaining-work.js";
+import { computeShareExcesses } from "./compute-share-excesses.js";
 import type { StepCandidate } from "./step-candidate.js";
 import type { WorkEstimator } from "./work-estimator.js";
 
@@ -17,11 +18,12 @@
  */
 export function collectCandidates(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
     const candidates: StepCandidate[] = [];
+    const excesses = computeShareExcesses(fleet);
     for (const id of fleet.activeJobs) {
         const job = fleet.jobs.get(id);
         if (job !== undefined && !isJobOver(job)) {
             job.occurrences.forEach((_, occurrence) =>
-                addCandidates(candidates, { fleet, job, occurrence, now, estimator })
+                addCandidates(candidates, { fleet, job, occurrence, now, estimator, excesses })
             );
         }
     }
@@ -34,10 +36,11 @@
     readonly occurrence: number;
     readonly now: number;
     readonly estimator: WorkEstimator;
+    readonly excesses: ReadonlyMap<string, ReadonlyMap<string, number>>;
 }
 
 function addCandidates(candidates: StepCandidate[], view: OccurrenceView): void {
-    const { fleet, job, occurrence, now, estimator } = view;
+    const { fleet, job, occurrence, now, estimator, excesses } = view;
     const { computeStepMs: estimate } = estimator;
     const dueAt = job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
     if (job.times > 0 && now < dueAt) {
@@ -67,6 +70,7 @@
             slackMs,
             remainingMs,
             relativeWork,
+            shareExcess: excesses.get(rule?.pool ?? job.pool)?.get(job.account) ?? 0,
             stepsDone,
         });
     });
--- a/packages/core/src/queueing/compare-candidates.ts
+++ b/packages/core/src/queueing/compare-candidates.ts
@@ -16,11 +16,14 @@
 const sizeWeightMs = 300;
 /** Head start for each step that is done, milliseconds: what a begun job has used is lost if it ends late. */
 const stepWeightMs = 200;
+/** Disadvantage of an account at twice its share or more, milliseconds: about the slack of a usual job. */
+const shareWeightMs = 1_000;
 
 /**
  * Orders steps for starting. Answers the load in which demand rises above what a pool holds for some seconds: work that
  * can still be on time goes first, by least slack, with a head start for small and for begun jobs, as under a deep
- * backlog slack alone makes everything a little late. What is late already waits behind it, smallest first, so that
+ * backlog slack alone makes everything a little late. An account that uses more than its share by weight stands back, so
+ * that one account's burst costs the others little. What is late already waits behind it, smallest first, so that
  * nothing that only grows older holds up what can be on time.
  * @param a - a step
  * @param b - another step
@@ -38,8 +41,9 @@
     return readUrgency(a) === Urgency.Late ? a.relativeWork - b.relativeWork : computeRank(a) - computeRank(b);
 }
 
-function computeRank({ slackMs, relativeWork, stepsDone }: StepCandidate): number {
-    return Math.max(0, slackMs) + sizeWeightMs * Math.sqrt(relativeWork) - stepWeightMs * stepsDone;
+function computeRank({ slackMs, relativeWork, shareExcess, stepsDone }: StepCandidate): number {
+    const shareMs = shareWeightMs * Math.min(1, shareExcess);
+    return Math.max(0, slackMs) + sizeWeightMs * Math.sqrt(relativeWork) + shareMs - stepWeightMs * stepsDone;
 }
 
 function readUrgency(candidate: StepCandidate): Urgency {
--- a/packages/core/src/queueing/step-candidate.ts
+++ b/packages/core/src/queueing/step-candidate.ts
@@ -17,6 +17,8 @@
     readonly remainingMs: number;
     /** Work that is left against the work of a usual job of the queue. */
     readonly relativeWork: number;
+    /** By how much the client account uses more of the pool than its weight gives it; 1 at twice its share. */
+    readonly shareExcess: number;
     /** Steps of the occurrence that are done. */
     readonly stepsDone: number;
 }
