--- /dev/null
+++ b/packages/cli/src/commands/explain-command.ts
@@ -0,0 +1,51 @@
+import { createReadStream } from "node:fs";
+import { createInterface } from "node:readline";
+import type { CommandModule } from "yargs";
+
+import { CommandFailure } from "../command-failure.js";
+import { ExitCode } from "../exit-code.js";
+import { collectStory } from "../explain/collect-story.js";
+import { describeStory } from "../explain/describe-story.js";
+import type { LogLine } from "../explain/log-line.js";
+import { parseLogLine } from "../explain/parse-log-line.js";
+import { OutputFormat } from "../output/output-format.js";
+
+/** Tells from log files what became of one job or request. */
+export const explainCommand: CommandModule = {
+    command: "explain <id> <files..>",
+    describe: "Tell from log files what became of one job or request, in order of time",
+    builder: yargs =>
+        yargs
+            .positional("id", { type: "string", demandOption: true, describe: "Id of the job" })
+            .positional("files", { type: "string", array: true, demandOption: true, describe: "Logs of all processes" })
+            .example("$0 explain 5c0e7a21d94b36f8 *.log", "the way of one job through all processes"),
+    handler: async options => {
+        const lines: LogLine[] = [];
+        for (const file of options["files"] as string[]) {
+            await readLines(file, lines);
+        }
+        const id = String(options["id"]);
+        const story = collectStory(lines, id);
+        if (story.length === 0) {
+            throw new CommandFailure(ExitCode.Refused, `${id} occurs in none of ${lines.length} log lines`);
+        }
+        const described = options["output"] === OutputFormat.Json
+            ? story.map(line => JSON.stringify(line))
+            : describeStory(story);
+        process.stdout.write(`${described.join("\n")}\n`);
+    },
+};
+
+async function readLines(file: string, lines: LogLine[]): Promise<void> {
+    try {
+        for await (const text of createInterface({ input: createReadStream(file), crlfDelay: Infinity })) {
+            const line = parseLogLine(text);
+            if (line !== undefined) {
+                lines.push(line);
+            }
+        }
+    }
+    catch (error) {
+        throw new CommandFailure(ExitCode.Usage, `${file}: expected a readable log file: ${(error as Error).message}`);
+    }
+}
--- /dev/null
+++ b/packages/cli/src/explain/explain.test.ts
@@ -0,0 +1,54 @@
+import { describe, expect, it } from "@jest/globals";
+
+import { collectStory } from "./collect-story.js";
+import { describeStory } from "./describe-story.js";
+import type { LogLine } from "./log-line.js";
+import { parseLogLine } from "./parse-log-line.js";
+
+const id = "5c0e7a21d94b36f8";
+
+function build(second: number, kind: string, fields: LogLine["fields"], process = "core-1"): LogLine {
+    return { time: new Date(second * 1_000).toISOString(), process, kind, fields };
+}
+
+const log = [
+    build(14, "task-ended", { task: `${id}.0.0.1`, run: 1, how: "lapsed", target: "t2" }),
+    build(9, "job-accepted", { job: id, queue: "q" }),
+    build(9.1, "task-placed", { task: `${id}.0.0.1`, run: 1, target: "t2" }),
+    build(9.1, "task-placed", { task: "ffff7a21d94b36f8.0.0.1", run: 1, target: "t9" }),
+    build(10, "target-unreachable", { target: "t2", result: "unanswered" }),
+    build(10, "target-unreachable", { target: "t9", result: "unanswered" }),
+    build(12, "leadership-gained", { term: 2 }, "core-2"),
+    build(60, "leadership-gained", { term: 3 }, "core-3"),
+    build(8.9, "call-unanswered", { path: `/web/${id}`, outcome: "unavailable" }, "edge-1"),
+];
+
+describe("the story of a job", () => {
+    it("holds its own lines, those of its targets, and changes of leadership meanwhile, in order", () => {
+        expect(collectStory(log, id).map(({ kind }) => kind)).toEqual([
+            "call-unanswered",
+            "job-accepted",
+            "task-placed",
+            "target-unreachable",
+            "leadership-gained",
+            "task-ended",
+        ]);
+    });
+
+    it("is empty for an id that occurs nowhere", () => {
+        expect(collectStory(log, "0000000000000000")).toEqual([]);
+    });
+
+    it("is told with times since its beginning and what became of the runs", () => {
+        const lines = describeStory(collectStory(log, id));
+        expect(lines[1]).toBe(`+   0.100 s  core-1  job-accepted  job=${id} queue=q`);
+        expect(lines.at(-1)).toBe("runs: 1 lapsed");
+    });
+
+    it("is read from log files, whatever stands before the JSON", () => {
+        const text = `  9.1 core-1 {"time":"t","level":"info","process":"core-1","kind":"job-accepted","job":"${id}"}`;
+        expect(parseLogLine(text)).toEqual({ time: "t", process: "core-1", kind: "job-accepted", fields: { job: id } });
+        expect(parseLogLine("built in 3 s")).toBeUndefined();
+        expect(parseLogLine("{ not JSON")).toBeUndefined();
+    });
+});
--- /dev/null
+++ b/packages/cli/src/explain/parse-log-line.ts
@@ -0,0 +1,23 @@
+import type { LogLine } from "./log-line.js";
+
+/**
+ * Parses one line of a log file. What other programs put before the JSON is left out.
+ * @param text - the line
+ * @returns the line, or `undefined` when it is not one of the decision log
+ */
+export function parseLogLine(text: string): LogLine | undefined {
+    const start = text.indexOf("{");
+    if (start < 0) {
+        return undefined;
+    }
+    try {
+        const content = JSON.parse(text.slice(start)) as Record<string, unknown>;
+        const { time, level: _level, process, kind, ...fields } = content;
+        return typeof time === "string" && typeof process === "string" && typeof kind === "string"
+            ? { time, process, kind, fields }
+            : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
 import { buildObjectCommand } from "./commands/build-object-command.js";
 import { changeCommand } from "./commands/change-command.js";
 import { entryCommand } from "./commands/entry-command.js";
+import { explainCommand } from "./commands/explain-command.js";
 import { keeperCommand } from "./commands/keeper-command.js";
 import { keyCommand } from "./commands/key-command.js";
 import { objectNouns } from "./commands/object-nouns.js";
@@ -29,6 +30,7 @@
     .command(keeperCommand)
     .command(entryCommand)
     .command(timelineCommand)
+    .command(explainCommand)
     .command(waveCommand)
     .command(benchCommand)
     .example("$0 status", "how the system is")
