--- a/packages/core/src/pools/is-holder-lease-over.ts
+++ b/packages/core/src/pools/is-holder-lease-over.ts
@@ -1,7 +1,7 @@
 import type { VmOrderRecord } from "./vm-order-record.js";
 
-/** By how much the wall clocks of two keepers may differ while one of them is being set, milliseconds. */
-const clockSkewMs = 2_500;
+/** By how much the wall clocks of two keepers may differ, milliseconds. */
+const clockSkewMs = 1_000;
 
 /** What a process knows of the newest order about a VM. */
 interface SeenOrder {
--- a/packages/daemon/src/fleet/leader/duration-book.ts
+++ b/packages/daemon/src/fleet/leader/duration-book.ts
@@ -50,6 +50,16 @@
         this.work.set(job.queue, moments);
     }
 
+    /**
+     * Tells whether enough runs were seen to correct a step's guess.
+     * @param job - the job
+     * @param step - its step
+     * @returns false while the caller's guess is all there is
+     */
+    isLearned(job: Job, step: JobStep): boolean {
+        return (this.seen.get(buildKey(job, step))?.durations.count() ?? 0) >= minRuns;
+    }
+
     readonly computeStepMs = (job: Job, step: JobStep): number => {
         const usual = this.computeTaskMs(job, step);
         return step.count > 1 ? usual * longestOfSeveral : usual;
--- a/packages/daemon/src/fleet/leader/health-watch.ts
+++ b/packages/daemon/src/fleet/leader/health-watch.ts
@@ -2,23 +2,36 @@
 import { RunEnd } from "@daisylock/core/jobs/run-end.js";
 import { ProgressWatch } from "@daisylock/core/targets/progress-watch.js";
 import { TargetHealth } from "@daisylock/core/targets/target-health.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import { TargetSpeed } from "@daisylock/core/targets/target-speed.js";
 
 import { DecisionKind } from "../log/decision-kind.js";
 import type { RunningTask } from "../targets/running-task.js";
 import type { SessionSurroundings } from "./session-surroundings.js";
 
+const wholePercent = 100;
+/** Progress from which a task is left to end where it is, however slow that is. */
+const nearlyDonePercent = 75;
+
 /** Judges one target by what it says of its runs. */
 export class HealthWatch {
     private readonly health = new TargetHealth();
     private readonly progress = new ProgressWatch();
+    private readonly speed = new TargetSpeed();
+    /** Whether the target is left out because it is slow. */
+    isSlow = false;
 
     /**
-     * @param target - id of the target
+     * @param target - the target
      * @param surroundings - state, time and log
      */
     constructor(
-        private readonly target: string,
-        private readonly surroundings: Pick<SessionSurroundings, "leadership" | "clock" | "log">,
+        private readonly target: TargetRecord,
+        private readonly surroundings: Pick<
+            SessionSurroundings,
+            "leadership" | "clock" | "log" | "estimateTask" | "mayBeSlow"
+        >,
     ) {}
 
     /**
@@ -34,15 +47,24 @@
      * Notes how a run ended.
      * @param task - encoded task key
      * @param how - how it ended
+     * @param elapsedMs - time from the order to the end
      */
-    noteEnd(task: string, how: RunEnd): void {
-        if (how === RunEnd.Done) {
-            this.health.noteDone();
-        }
+    noteEnd(task: string, how: RunEnd, elapsedMs: number): void {
         const job = decodeTaskKey(task)?.job ?? task;
         const now = this.surroundings.clock.readMonotonic();
+        if (how === RunEnd.Done) {
+            this.noteSpeed(task, elapsedMs, wholePercent);
+            this.isSlow &&= this.speed.isSlow(now);
+            if (!this.isSlow) {
+                this.health.noteDone();
+            }
+        }
         if (how === RunEnd.Failed && this.health.noteFailed(job, now)) {
-            this.surroundings.log.note(DecisionKind.TargetLeftOut, { target: this.target, reason: "runs fail", task });
+            this.surroundings.log.note(DecisionKind.TargetLeftOut, {
+                target: this.target.id,
+                reason: "runs fail",
+                task,
+            });
         }
     }
 
@@ -60,13 +82,60 @@
         for (const { task, run, percent } of still) {
             this.health.noteStill(now);
             const reason = "a task stands still";
-            this.surroundings.log.note(DecisionKind.TargetLeftOut, { target: this.target, reason, task, run, percent });
+            this.surroundings.log.note(DecisionKind.TargetLeftOut, {
+                target: this.target.id,
+                reason,
+                task,
+                run,
+                percent,
+            });
         }
         const names = new Set(running.map(({ task }) => task));
         this.progress.dropOthers(task => names.has(task));
         return still;
     }
 
+    /**
+     * Lists the tasks that would end sooner elsewhere, once the target has turned slow, and leaves the target out.
+     * @param running - what the target says that it runs
+     * @param readElapsed - time since the order for a run, milliseconds; `undefined` when it is not known
+     * @returns the tasks, to be stopped so that they can begin again elsewhere
+     */
+    listSlow(
+        running: readonly RunningTask[],
+        readElapsed: (task: string, run: number) => number | undefined,
+    ): RunningTask[] {
+        const now = this.surroundings.clock.readMonotonic();
+        const advancing = running.filter(({ task }) => this.isAdvancing(task));
+        for (const { task, run, percent } of advancing) {
+            this.noteSpeed(task, readElapsed(task, run), percent);
+        }
+        const wasSlow = this.isSlow;
+        this.isSlow = this.speed.isSlow(now) && (wasSlow || this.surroundings.mayBeSlow(this.target));
+        if (!this.isSlow) {
+            return [];
+        }
+        this.health.noteStill(now);
+        const slow = advancing.filter(({ percent }) => percent < nearlyDonePercent);
+        if (!wasSlow) {
+            this.surroundings.log.note(DecisionKind.TargetLeftOut, {
+                target: this.target.id,
+                reason: "it is slow",
+                running: advancing.length,
+                stopped: slow.length,
+            });
+        }
+        return slow;
+    }
+
+    private noteSpeed(task: string, elapsedMs: number | undefined, percent: number): void {
+        const expectedMs = this.surroundings.estimateTask(task);
+        const job = decodeTaskKey(task)?.job ?? task;
+        if (expectedMs !== undefined && elapsedMs !== undefined) {
+            this.speed.noteProgress({ job, expectedMs, elapsedMs, percent }, this.surroundings.clock.readMonotonic());
+        }
+    }
+
     /** Long-running tasks stay at their percentage, and gangs wait for their members. */
     private isAdvancing(task: string): boolean {
         const key = decodeTaskKey(task);
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -28,6 +28,8 @@
 import { VmAuthorityGate } from "./vm-authority-gate.js";
 
 const msPerSecond = 1_000;
+/** Share of a pool's targets that may be left out as slow; where more seem so, it is the expectation that is wrong. */
+const maxSlowShare = 0.34;
 
 /** What the leader's part of a keeper needs. */
 interface LeaderSurroundings {
@@ -75,6 +77,8 @@
                 const view = vm === "" ? "unknown" : gate.findVm(vm, since);
                 return view !== "unknown" && (view === undefined || view.state === VmState.Down || view.target !== id);
             },
+            mayBeSlow: ({ pool }) => this.sessions.countSlow(pool) < this.sessions.countAll(pool) * maxSlowShare,
+            estimateTask: task => this.computeTaskMs(leadership.readFleet(), task),
             findTicket: (task, target) => this.advice.findTicket(cutIndex(task), target) ?? "",
             handleBadTicket: (task, target) => this.advice.dropTicket(cutIndex(task), target),
             handleDoubt: ({ zone }) => this.sessions.checkZone(zone),
@@ -168,6 +172,18 @@
         this.scheduler.startRound();
     }
 
+    /** Steps whose tasks are slow far from their data say nothing of a target. */
+    private computeTaskMs(fleet: FleetState, task: string): number | undefined {
+        const key = decodeTaskKey(task);
+        const job = key === undefined ? undefined : fleet.jobs.get(key.job);
+        const step = key === undefined ? undefined : job?.steps[key.step];
+        const isComparable = step !== undefined && !step.isLongRunning && !step.isGang && !step.isSameRack
+            && step.dataRack === undefined;
+        return job === undefined || !isComparable || !this.durations.isLearned(job, step)
+            ? undefined
+            : this.durations.computeStepMs(job, step);
+    }
+
     private noteEnd(fleet: FleetState, task: string, how: RunEnd, durationMs: number): void {
         const key = decodeTaskKey(task);
         const job = key === undefined ? undefined : fleet.jobs.get(key.job);
--- a/packages/daemon/src/fleet/leader/session-surroundings.ts
+++ b/packages/daemon/src/fleet/leader/session-surroundings.ts
@@ -25,6 +25,10 @@
     readonly isEnded: (target: TargetRecord, since: number) => boolean;
     /** Called when a target has left an order unanswered: others near it may be out of reach for the same cause. */
     readonly handleDoubt: (target: TargetRecord) => void;
+    /** Whether a target may be left out as slow; false where many of its pool are already. */
+    readonly mayBeSlow: (target: TargetRecord) => boolean;
+    /** Guesses how long a task takes on a sound target, milliseconds; `undefined` when that can't be compared. */
+    readonly estimateTask: (task: string) => number | undefined;
     /** Finds the ticket that a start must carry; empty for none. */
     readonly findTicket: (task: string, target: string) => string;
     /** Called when a target did not take the ticket of a start. */
--- a/packages/daemon/src/fleet/leader/target-session.test.ts
+++ b/packages/daemon/src/fleet/leader/target-session.test.ts
@@ -59,6 +59,8 @@
         log: { note: () => undefined },
         maxLeaseMs,
         isEnded: () => false,
+        mayBeSlow: () => true,
+        estimateTask: () => 500,
         findTicket: () => "",
         handleBadTicket: () => undefined,
         handleDoubt: () => void sessions.forEach(session => void session.checkReachable()),
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -74,7 +74,7 @@
         private readonly surroundings: SessionSurroundings,
     ) {
         this.orders = new OrderBook(surroundings.clock);
-        this.health = new HealthWatch(record.id, surroundings);
+        this.health = new HealthWatch(record, surroundings);
         void this.runRenewals();
     }
 
@@ -94,6 +94,14 @@
             && !this.isSilent(now);
     }
 
+    /**
+     * Tells whether the target is left out because it is slow.
+     * @returns true while its tasks take several times as long as expected
+     */
+    isSlow(): boolean {
+        return this.health.isSlow;
+    }
+
     /**
      * Checks whether the target still answers, as soon as something speaks against it: a start that is given to a target
      * behind a cut holds its task until the lease there is over.
@@ -242,6 +250,9 @@
         this.health.listStill(answer.running, (task, run) => this.isStopping(task, run)).forEach(({ task, run }) =>
             this.stopTask(task, run)
         );
+        this.health.listSlow(answer.running, (task, run) => this.readElapsed(task, run)).forEach(({ task, run }) =>
+            this.stopTask(task, run)
+        );
         this.orders.dropSettled(this.readLoad().runs);
     }
 
@@ -443,7 +454,7 @@
         for (const { task, run, how } of recorded ?? []) {
             const durationMs = this.readNow() - (this.orders.find(task, run)?.sentAt ?? this.readNow());
             handleEnd(task, how, durationMs);
-            this.health.noteEnd(task, how);
+            this.health.noteEnd(task, how, durationMs);
             log.note(DecisionKind.TaskEnded, {
                 task,
                 run,
@@ -560,6 +571,11 @@
         return this.running.get(task)?.saved ?? "";
     }
 
+    private readElapsed(task: string, run: number): number | undefined {
+        const order = this.orders.find(task, run);
+        return order === undefined ? undefined : this.readNow() - order.sentAt;
+    }
+
     private readLeaseMs(): number {
         return this.surroundings.maxLeaseMs * leaseShare;
     }
--- a/packages/daemon/src/fleet/leader/target-sessions.ts
+++ b/packages/daemon/src/fleet/leader/target-sessions.ts
@@ -65,6 +65,24 @@
         }
     }
 
+    /**
+     * Counts the targets of a pool that are left out as slow.
+     * @param pool - the pool
+     * @returns how many
+     */
+    countSlow(pool: string): number {
+        return [...this.sessions.values()].filter(session => session.record.pool === pool && session.isSlow()).length;
+    }
+
+    /**
+     * Counts the targets of a pool.
+     * @param pool - the pool
+     * @returns how many
+     */
+    countAll(pool: string): number {
+        return [...this.sessions.values()].filter(session => session.record.pool === pool).length;
+    }
+
     /** Closes all sessions. */
     closeAll(): void {
         this.sessions.forEach(session => session.close());
