--- a/packages/daemon/src/fleet/leader/health-watch.test.ts
+++ b/packages/daemon/src/fleet/leader/health-watch.test.ts
@@ -60,7 +60,7 @@
         list(20, 600);
         await clock.runFor(4_500);
         expect(watch.countStartsLeft(0)).toBe(1);
-        watch.noteEnd("a.0.0.0", RunEnd.Done, expectedMs);
+        watch.noteEnd("a.0.0.0", RunEnd.Done);
         expect(watch.countStartsLeft(0)).toBe(Number.POSITIVE_INFINITY);
     });
 });
--- a/packages/daemon/src/fleet/leader/health-watch.ts
+++ b/packages/daemon/src/fleet/leader/health-watch.ts
@@ -10,7 +10,6 @@
 import type { RunningTask } from "../targets/running-task.js";
 import type { SessionSurroundings } from "./session-surroundings.js";
 
-const wholePercent = 100;
 /** Progress from which a task is left to end where it is, however slow that is. */
 const nearlyDonePercent = 75;
 
@@ -47,13 +46,11 @@
      * Notes how a run ended.
      * @param task - encoded task key
      * @param how - how it ended
-     * @param elapsedMs - time from the order to the end
      */
-    noteEnd(task: string, how: RunEnd, elapsedMs: number): void {
+    noteEnd(task: string, how: RunEnd): void {
         const job = decodeTaskKey(task)?.job ?? task;
         const now = this.surroundings.clock.readMonotonic();
         if (how === RunEnd.Done) {
-            this.noteSpeed(task, elapsedMs, wholePercent);
             this.isSlow &&= this.speed.isSlow(now);
             if (!this.isSlow) {
                 this.health.noteDone();
@@ -98,7 +95,7 @@
     /**
      * Lists the tasks that would end sooner elsewhere, once the target has turned slow, and leaves the target out.
      * @param running - what the target says that it runs
-     * @param readElapsed - time since the order for a run, milliseconds; `undefined` when it is not known
+     * @param readElapsed - time since a run was confirmed, milliseconds; `undefined` when it is not known
      * @returns the tasks, to be stopped so that they can begin again elsewhere
      */
     listSlow(
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -454,7 +454,7 @@
         for (const { task, run, how } of recorded ?? []) {
             const durationMs = this.readNow() - (this.orders.find(task, run)?.sentAt ?? this.readNow());
             handleEnd(task, how, durationMs);
-            this.health.noteEnd(task, how, durationMs);
+            this.health.noteEnd(task, how);
             log.note(DecisionKind.TaskEnded, {
                 task,
                 run,
@@ -571,9 +571,10 @@
         return this.running.get(task)?.saved ?? "";
     }
 
+    /** Since the target confirmed the run; orders may have waited for their turn before. */
     private readElapsed(task: string, run: number): number | undefined {
-        const order = this.orders.find(task, run);
-        return order === undefined ? undefined : this.readNow() - order.sentAt;
+        const confirmedAt = this.orders.find(task, run)?.confirmedAt;
+        return confirmedAt === undefined ? undefined : this.readNow() - confirmedAt;
     }
 
     private readLeaseMs(): number {
