--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -184,14 +184,14 @@
             : this.durations.computeStepMs(job, step);
     }
 
-    private noteEnd(fleet: FleetState, task: string, how: RunEnd, durationMs: number): void {
+    private noteEnd(fleet: FleetState, task: string, how: RunEnd, durationMs: number | undefined): void {
         const key = decodeTaskKey(task);
         const job = key === undefined ? undefined : fleet.jobs.get(key.job);
         if (key === undefined || job === undefined) {
             return;
         }
         const step = job.steps[key.step];
-        if (how === RunEnd.Done && step !== undefined) {
+        if (how === RunEnd.Done && step !== undefined && durationMs !== undefined) {
             this.durations.noteRun(job, step, durationMs);
         }
         if (isJobOver(job)) {
--- a/packages/daemon/src/fleet/leader/session-surroundings.ts
+++ b/packages/daemon/src/fleet/leader/session-surroundings.ts
@@ -35,6 +35,6 @@
     readonly handleBadTicket: (task: string, target: string) => void;
     /** Called when there may be something to start. */
     readonly handleWork: () => void;
-    /** Called with each end: the encoded task key, how the run ended and after how many milliseconds. */
-    readonly handleEnd: (task: string, how: RunEnd, durationMs: number) => void;
+    /** Called with each end: the encoded task key, how the run ended and after how many milliseconds, where that is known. */
+    readonly handleEnd: (task: string, how: RunEnd, durationMs: number | undefined) => void;
 }
--- a/packages/daemon/src/fleet/leader/target-session.test.ts
+++ b/packages/daemon/src/fleet/leader/target-session.test.ts
@@ -33,6 +33,7 @@
         throw new TypeError("the test fleet has no target");
     }
     const sessions: TargetSession[] = [];
+    const durations: (number | undefined)[] = [];
     const surroundings: SessionSurroundings = {
         leadership: {
             isDeciding: () => true,
@@ -65,7 +66,7 @@
         handleBadTicket: () => undefined,
         handleDoubt: () => void sessions.forEach(session => void session.checkReachable()),
         handleWork: () => undefined,
-        handleEnd: () => undefined,
+        handleEnd: (_task, _how, durationMs) => void durations.push(durationMs),
     };
     const place = () =>
         applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task, run: 1, target: "t0" }] });
@@ -73,6 +74,7 @@
         clock,
         client,
         commands,
+        durations,
         place,
         open: () => {
             const session = new TargetSession(record, 3, surroundings);
@@ -141,6 +143,21 @@
         });
     });
 
+    describe("durations", () => {
+        it("are not measured for a run that an earlier leader started", async () => {
+            const test = buildSession();
+            test.place();
+            test.client.running.push({ task, run: 1, saved: "", percent: 60, load: 0 });
+            const session = test.open();
+            await test.clock.runFor(100);
+            test.client.running.length = 0;
+            test.client.ended.push({ number: 1, task, run: 1, how: RunEnd.Done, saved: "" });
+            await test.clock.runFor(2_500);
+            expect(test.durations).toEqual([undefined]);
+            session.close();
+        });
+    });
+
     describe("starts", () => {
         it("gives a start that an earlier leader recorded again, under its own token", async () => {
             const test = buildSession();
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -452,7 +452,9 @@
             atMs: Date.now(),
         });
         for (const { task, run, how } of recorded ?? []) {
-            const durationMs = this.readNow() - (this.orders.find(task, run)?.sentAt ?? this.readNow());
+            const order = this.orders.find(task, run);
+            // Runs that an earlier leader started have gone on for an unknown time.
+            const durationMs = order?.isSent === true ? this.readNow() - order.sentAt : undefined;
             handleEnd(task, how, durationMs);
             this.health.noteEnd(task, how);
             log.note(DecisionKind.TaskEnded, {
@@ -460,7 +462,7 @@
                 run,
                 how,
                 target: this.record.id,
-                afterMs: Math.round(durationMs),
+                afterMs: durationMs === undefined ? undefined : Math.round(durationMs),
             });
         }
         handleWork();
