Split the orders for runs out of the target session; free refused starts only once that is recorded

A start that was refused while its end could not be recorded was left without an order for ever, as its task stayed placed; found by reading while the file was split, with a test.

--- a/packages/daemon/src/fleet/leader/target-session.test.ts
+++ b/packages/daemon/src/fleet/leader/target-session.test.ts
@@ -182,6 +182,22 @@
             session.close();
         });
 
+        it("tries again to free the task of a refused start when that could not be recorded", async () => {
+            const test = buildSession();
+            const session = test.open();
+            await test.clock.runFor(200);
+            test.client.startResult = OrderResult.NoRoom;
+            test.place();
+            test.setCommitting(false);
+            session.startTask(task, 1);
+            await test.clock.runFor(500);
+            expect(test.readPhase()).toBe(TaskPhase.Placed);
+            test.setCommitting(true);
+            await test.clock.runFor(500);
+            expect(test.readPhase()).toBe(TaskPhase.Waiting);
+            session.close();
+        });
+
         it("stops a start that may arrive late before the task is free for another target", async () => {
             const test = buildSession();
             const session = test.open();
--- a/packages/daemon/src/fleet/leader/target-session.ts
+++ b/packages/daemon/src/fleet/leader/target-session.ts
@@ -1,11 +1,8 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { TargetLoad } from "@daisylock/core/fleet/target-load.js";
-import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
-import { findTask } from "@daisylock/core/jobs/find-task.js";
 import { RunEnd } from "@daisylock/core/jobs/run-end.js";
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
-import { TargetState } from "@daisylock/core/targets/target-state.js";
 
 import { DecisionKind } from "../log/decision-kind.js";
 import type { HoldAnswer } from "../targets/hold-answer.js";
@@ -15,9 +12,9 @@
 import { HealthWatch } from "./health-watch.js";
 import { minClockRate } from "./min-clock-rate.js";
 import { OrderBook } from "./order-book.js";
+import { RunOrders } from "./run-orders.js";
 import type { SessionSurroundings } from "./session-surroundings.js";
 import { TargetClock } from "./target-clock.js";
-import type { TargetOrder } from "./target-order.js";
 
 /** Share of the longest lease that is asked for; the rest is room for a late renewal to be granted in full. */
 const leaseShare = 0.75;
@@ -29,20 +26,11 @@
 const silenceMs = 3_500;
 /** Pause after a failed order. */
 const retryMs = 120;
-/** Time for which nothing is started on a target that refused a start. */
-const refusedMs = 300;
 /** Margin for the time between two readings of a clock. */
 const lapseMarginMs = 50;
 /** Time after which a target that answers nothing and sends nothing is forgotten. */
 const forgetMs = 20_000;
 
-const refusals: ReadonlySet<OrderResult> = new Set([
-    OrderResult.NoRoom,
-    OrderResult.Unhealthy,
-    OrderResult.NoTicket,
-    OrderResult.Invalid,
-]);
-
 /**
  * The leader's dealings with one life of a target: renews its lease, carries out recorded starts and stops, and records
  * ends before the target may forget them. Every order carries the fencing token of this leadership, so that once the
@@ -53,6 +41,7 @@
     readonly running = new Map<string, RunningTask>();
     private readonly clock = new TargetClock();
     private readonly orders: OrderBook;
+    private readonly runOrders: RunOrders;
     private readonly wakeups = new Set<() => void>();
     private readonly health: HealthWatch;
     private lastSeen = 0;
@@ -74,6 +63,23 @@
         private readonly surroundings: SessionSurroundings,
     ) {
         this.orders = new OrderBook(surroundings.clock);
+        this.runOrders = new RunOrders(token, this.orders, {
+            isClosed: () => this.isClosed,
+            isFailing: () => this.failingSince !== undefined,
+            isOwed: (task, run) => this.isOwed(task, run),
+            readRecord: () => this.readRecord(),
+            computeLeaseEnd: () => this.clock.computeLeaseEnd(this.readNow(), this.readLeaseMs()),
+            noteAnswer: (answer, leaseUntilMs) => {
+                this.noteLease(leaseUntilMs, answer);
+                this.noteClock(answer);
+            },
+            setLeftOut: forMs => {
+                this.leftOutUntil = this.readNow() + forMs;
+            },
+            settleEnds: ends => this.settleEnds(ends),
+            recordGone: reason => this.recordGone(reason),
+            startWork: () => this.startWork(),
+        }, surroundings);
         this.health = new HealthWatch(record, surroundings);
         void this.runRenewals();
     }
@@ -140,9 +146,7 @@
      * @param run - number of the run
      */
     startTask(task: string, run: number): void {
-        const order = this.orders.open(task, run);
-        void this.runOrder(order, () => this.sendStart(task, order));
-        this.startWork();
+        this.runOrders.startTask(task, run);
     }
 
     /**
@@ -151,12 +155,7 @@
      * @param run - number of the run
      */
     stopTask(task: string, run: number): void {
-        const order = this.orders.open(task, run);
-        order.isStopWanted = true;
-        if (!order.isStopConfirmed) {
-            void this.runOrder(order, () => this.sendStop(task, order));
-        }
-        this.startWork();
+        this.runOrders.stopTask(task, run);
     }
 
     /**
@@ -166,7 +165,7 @@
      * @returns true from the wish on
      */
     isStopping(task: string, run: number): boolean {
-        return this.orders.find(task, run)?.isStopWanted === true;
+        return this.runOrders.isStopping(task, run);
     }
 
     /**
@@ -306,144 +305,6 @@
         order.isUncertain = false;
     }
 
-    private async sendStart(task: string, order: TargetOrder): Promise<void> {
-        while (this.isOwed(task, order.run)) {
-            if (order.isStopWanted || this.readRecord().state !== TargetState.Ready) {
-                await this.sendStop(task, order);
-                return;
-            }
-            if (this.failingSince !== undefined) {
-                if (!order.isSent && await this.settleRejection(task, order)) {
-                    return;
-                }
-                await this.waitMs(retryMs);
-                continue;
-            }
-            const answer = await this.sendOneStart(task, order);
-            if (answer === undefined || await this.settleStart(task, order, answer)) {
-                return;
-            }
-            await this.waitMs(retryMs);
-        }
-    }
-
-    private async sendOneStart(task: string, order: TargetOrder): Promise<OrderAnswer | undefined> {
-        const { leadership, client } = this.surroundings;
-        const key = decodeTaskKey(task);
-        const job = key === undefined ? undefined : leadership.readFleet().jobs.get(key.job);
-        const record = key === undefined || job === undefined ? undefined : findTask(job, key);
-        const leaseUntilMs = this.clock.computeLeaseEnd(this.readNow(), this.readLeaseMs());
-        if (job === undefined || record === undefined) {
-            return undefined;
-        }
-        if (leaseUntilMs === undefined) {
-            return { result: OrderResult.NotSent, clockMs: undefined };
-        }
-        order.isSent = true;
-        const answer = await client.startTask(this.readRecord(), {
-            task,
-            run: order.run,
-            spec: job.spec,
-            leaseUntilMs,
-            fencingToken: this.token,
-            saved: record.saved,
-            ticket: this.surroundings.findTicket(task, this.record.id),
-        });
-        this.noteLease(leaseUntilMs, answer);
-        return answer;
-    }
-
-    /** Returns whether the start needs no further attempt. */
-    private async settleStart(task: string, order: TargetOrder, answer: OrderAnswer): Promise<boolean> {
-        this.noteClock(answer);
-        const { log } = this.surroundings;
-        if (answer.result === OrderResult.Done || answer.result === OrderResult.Old) {
-            order.confirmedAt = this.readNow();
-            order.isUncertain = false;
-            log.note(DecisionKind.TaskStarted, {
-                task,
-                run: order.run,
-                target: this.record.id,
-                tookMs: Math.round(this.readNow() - order.sentAt),
-            });
-            return true;
-        }
-        log.note(DecisionKind.OrderFailed, {
-            order: "start",
-            task,
-            run: order.run,
-            target: this.record.id,
-            result: answer.result,
-            uncertain: order.isUncertain,
-        });
-        if (answer.result === OrderResult.WrongTarget) {
-            await this.recordGone("another target answers at its address");
-            return true;
-        }
-        if (answer.result === OrderResult.Unanswered) {
-            order.isUncertain = true;
-            this.leftOutUntil = this.readNow() + refusedMs;
-            this.surroundings.handleDoubt(this.record);
-            return false;
-        }
-        if (answer.result === OrderResult.NoTicket) {
-            this.surroundings.handleBadTicket(task, this.record.id);
-        }
-        if (answer.result === OrderResult.NotSent) {
-            this.surroundings.handleDoubt(this.record);
-        }
-        if (refusals.has(answer.result) || answer.result === OrderResult.NotSent) {
-            this.leftOutUntil = this.readNow() + refusedMs;
-            return this.settleRejection(task, order);
-        }
-        return false;
-    }
-
-    /** A start that may be under way still is stopped first, so that it can't begin after it counts as rejected. */
-    private async settleRejection(task: string, order: TargetOrder): Promise<boolean> {
-        if (order.isUncertain) {
-            order.isStopWanted = true;
-            return false;
-        }
-        await this.settleEnds([{ task, run: order.run, how: RunEnd.Rejected, saved: "" }]);
-        return true;
-    }
-
-    private async sendStop(task: string, order: TargetOrder): Promise<void> {
-        while (!order.isStopConfirmed && !this.isClosed && this.surroundings.leadership.isDeciding()) {
-            const answer = await this.surroundings.client.stopTask(this.readRecord(), {
-                task,
-                run: order.run,
-                fencingToken: this.token,
-            });
-            this.noteClock(answer);
-            if (answer.result === OrderResult.Done || answer.result === OrderResult.Old) {
-                order.isStopConfirmed = true;
-                order.confirmedAt = this.readNow();
-                this.startWork();
-                return;
-            }
-            if (!this.isOwed(task, order.run) && answer.result !== OrderResult.Unanswered) {
-                return;
-            }
-            await this.waitMs(retryMs);
-        }
-    }
-
-    /** One order for a run at a time. */
-    private async runOrder(order: TargetOrder, send: () => Promise<void>): Promise<void> {
-        if (order.isBusy) {
-            return;
-        }
-        order.isBusy = true;
-        try {
-            await send();
-        }
-        finally {
-            order.isBusy = false;
-        }
-    }
-
     private async settleEnds(ends: readonly Omit<TaskEnd, "target">[]): Promise<boolean> {
         const { leadership, handleEnd, handleWork, log } = this.surroundings;
         const recorded = await leadership.recordCommand({
@@ -587,12 +448,6 @@
         return this.surroundings.clock.readMonotonic();
     }
 
-    private waitMs(delayMs: number): Promise<void> {
-        return new Promise(resolve => {
-            this.surroundings.clock.schedule(delayMs, resolve);
-        });
-    }
-
     private waitForWork(delayMs: number): Promise<void> {
         return new Promise(resolve => {
             const settle = () => {
