Use the time that a caller has left; don't send what can't be answered in it

Now 30 ms are kept back, and with less than 60 ms left nothing is sent, so that the refusal is certain.

--- a/packages/daemon/src/fleet/entry/job-gateway.ts
+++ b/packages/daemon/src/fleet/entry/job-gateway.ts
@@ -8,8 +8,10 @@
 import type { DecisionLog } from "../log/decision-log.js";
 import type { LeaderCaller } from "../peers/leader-caller.js";
 
-/** Time for the answer to travel back, milliseconds. */
-const reserveMs = 150;
+/** Time for the answer to travel back, milliseconds: callers are a few milliseconds away. */
+const reserveMs = 30;
+/** Time in which a leader commits and answers, milliseconds; with less left a request is not sent, so that its refusal is certain. */
+const minHoldMs = 60;
 /** Longest time that a request is held for an answer of the leader, milliseconds. */
 const maxHoldMs = 2_500;
 const retryAfterS = 1;
@@ -20,7 +22,7 @@
      * @param caller - the way to the leader
      * @param log - decisions
      */
-    constructor(private readonly caller: LeaderCaller, private readonly log: DecisionLog) {}
+    constructor(private readonly caller: Pick<LeaderCaller, "send">, private readonly log: Pick<DecisionLog, "note">) {}
 
     /**
      * Answers a request. While a leader is being elected the request is kept for it; when none can be reached the answer
@@ -30,7 +32,12 @@
      * @returns the answer
      */
     async handleCall(call: JobCall, deadlineMs: number): Promise<JobAnswer> {
-        const timeoutMs = Math.max(1, Math.min(maxHoldMs, deadlineMs - reserveMs));
+        const timeoutMs = Math.min(maxHoldMs, deadlineMs - reserveMs);
+        if (timeoutMs < minHoldMs) {
+            const reason = `too little time: ${deadlineMs} ms`;
+            this.log.note(DecisionKind.CallRefused, { verb: call.verb, path: call.path, reason });
+            return { outcome: JobOutcome.Unavailable, retryAfterS, reason };
+        }
         const reply = await this.caller.send("job", call, timeoutMs);
         if (reply.isOk) {
             return reply.value;
--- a/packages/daemon/src/fleet/log/decision-kind.ts
+++ b/packages/daemon/src/fleet/log/decision-kind.ts
@@ -29,6 +29,7 @@
     JobEnded = "job-ended",
     KeyRefused = "key-refused",
     CallUnanswered = "call-unanswered",
+    CallRefused = "call-refused",
     PoolLoad = "pool-load",
     TaskPlaced = "task-placed",
     TaskStarted = "task-started",
