--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -6,6 +6,7 @@
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
 import { buildStepName } from "@daisylock/core/placement/build-step-name.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+import { isVmDown } from "@daisylock/core/upkeep/is-vm-down.js";
 import { isWaveCompleted } from "@daisylock/core/upkeep/is-wave-completed.js";
 import { planUpkeep } from "@daisylock/core/upkeep/plan-upkeep.js";
 import type { UpkeepRun } from "@daisylock/core/upkeep/upkeep-run.js";
@@ -29,8 +30,6 @@
 const idleIntervalMs = 500;
 /** Progress at which a long-running task is at work. */
 const atWorkPercent = 100;
-/** Longest time after its maintenance for which a VM that does not come back counts as down. */
-const returnMs = 1_500;
 /** Time before a VM is tried again that the platform could not maintain; its place in the wave goes to another. */
 const busyMs = 1_500;
 
@@ -53,7 +52,7 @@
     private token = 0;
     /** Until when a VM is not tried again, wall clock. */
     private readonly busyUntil = new Map<string, number>();
-    /** When the maintenance of a VM began, wall clock. */
+    /** When the newest maintenance of a VM was ordered, wall clock. */
     private readonly down = new Map<string, number>();
     /** Since when a VM is being emptied, wall clock. */
     private emptying = new Map<string, number>();
@@ -81,7 +80,7 @@
      * @returns true while it may not be moved
      */
     isMaintained(vm: string): boolean {
-        return this.down.has(vm) || this.emptying.has(vm);
+        return this.isDown(vm) || this.emptying.has(vm);
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
@@ -124,12 +123,11 @@
     ): Generator<unknown, void, unknown> {
         const { clock, sessions, upkeepMs, leadership, gate, isMoving } = this.surroundings;
         const now = clock.readWall();
-        this.dropReturned(fleet, now);
         const targets = collectByVm(fleet);
         const plan = planUpkeep({
             cap: wave.cap,
             deadlineAtMs: wave.deadlineAtMs,
-            downCount: wave.vms.filter(vm => this.down.has(vm)).length,
+            downCount: wave.vms.filter(vm => this.isDown(vm)).length,
             waiting: wave.vms.filter(vm =>
                 !wave.done.includes(vm) && !isMoving(vm) && gate.isFree(vm) && now >= (this.busyUntil.get(vm) ?? 0)
             ).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
@@ -250,15 +248,12 @@
         return othersAway.length < (mayMiss ?? tasks.length);
     }
 
-    /** A VM is back once a target that was born after its maintenance has announced itself. */
-    private dropReturned(fleet: FleetState, now: number): void {
-        const targets = collectByVm(fleet);
-        for (const [vm, since] of this.down) {
-            const isBack = now - since >= this.surroundings.upkeepMs && (targets.get(vm)?.incarnation ?? 0) > since;
-            if (isBack || now - since > this.surroundings.upkeepMs + returnMs) {
-                this.down.delete(vm);
-            }
-        }
+    private isDown(vm: string): boolean {
+        const { leadership, clock, upkeepMs } = this.surroundings;
+        const orderedAtMs = this.down.get(vm);
+        const target = [...leadership.readFleet().targets.values()].find(record => record.vm === vm);
+        return orderedAtMs !== undefined
+            && isVmDown({ orderedAtMs, nowMs: clock.readWall(), upkeepMs, incarnation: target?.incarnation ?? 0 });
     }
 
     private setEmptying(fleet: FleetState, emptying: Map<string, number>): void {
