--- a/packages/daemon/src/fleet/leader/duration-book.ts
+++ b/packages/daemon/src/fleet/leader/duration-book.ts
@@ -5,6 +5,8 @@
 
 /** Runs after which what was seen is used. */
 const minRuns = 5;
+/** Most by which a run counts as longer or shorter than usual, as a logarithm: a factor of two. */
+const maxStep = Math.LN2;
 /** Least time that a task counts for; guesses of nothing would make every job late at once. */
 const minTaskMs = 50;
 /** By how much the longest of several parallel tasks exceeds the usual one. */
@@ -35,8 +37,8 @@
         const key = buildKey(job, step);
         const seen = this.seen.get(key) ?? { durations: new RunningMoments(), errors: new RunningMoments() };
         const duration = Math.log(Math.max(1, durationMs));
-        seen.durations.add(duration);
-        seen.errors.add(duration - Math.log(Math.max(minTaskMs, step.estimateMs)));
+        addBounded(seen.durations, duration);
+        addBounded(seen.errors, duration - Math.log(Math.max(minTaskMs, step.estimateMs)));
         this.seen.set(key, seen);
     }
 
@@ -89,6 +91,13 @@
     }
 }
 
+/** Bounds what one run can change, so that targets that have turned slow don't become what is expected of all. */
+function addBounded(moments: RunningMoments, value: number): void {
+    const mean = moments.readMean();
+    const bounded = Math.min(mean + maxStep, Math.max(mean - maxStep, value));
+    moments.add(moments.count() < minRuns ? value : bounded);
+}
+
 function buildKey(job: Job, step: JobStep): string {
     return `${job.queue}|${step.image}`;
 }
--- a/packages/daemon/src/fleet/leader/pool-balancer.ts
+++ b/packages/daemon/src/fleet/leader/pool-balancer.ts
@@ -82,7 +82,8 @@
         const fleet = leadership.readFleet();
         this.dropArrived(fleet);
         const moves = this.planner.planRound(this.collectPools(fleet), this.surroundings.clock.readMonotonic());
-        yield* waitFor(Promise.all(moves.map(move => this.runMove(move))));
+        // Answers are not waited for: a platform that is slow must not hold up the next decisions.
+        moves.forEach(move => void this.runMove(move));
         return intervalMs;
     }
 
