--- a/packages/daemon/src/fleet/leader/pool-balancer.ts
+++ b/packages/daemon/src/fleet/leader/pool-balancer.ts
@@ -9,7 +9,6 @@
 import { TargetState } from "@daisylock/core/targets/target-state.js";
 
 import type { Clock } from "../../clock/clock.js";
-import { waitFor } from "../../concurrency/wait-for.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
 import { DecisionKind } from "../log/decision-kind.js";
 import type { DecisionLog } from "../log/decision-log.js";
