--- a/packages/core/src/targets/target-speed.ts
+++ b/packages/core/src/targets/target-speed.ts
@@ -1,9 +1,11 @@
 /** Time for which an observation counts, milliseconds. */
 const spanMs = 4_000;
 /** Least jobs whose tasks must agree; guesses about single jobs are far off. */
-const minJobs = 3;
-/** How many times as long as expected tasks must take, in the median, for the target to count as slow. */
-const slowFactor = 3.5;
+const minJobs = 4;
+/** How many times as long as expected tasks must take for the target to count as slow. */
+const slowFactor = 2.5;
+/** Share of the jobs that may be below that. */
+const quickShare = 0.3;
 /** Least progress from which the whole time is projected, percent. */
 const minPercent = 5;
 const wholePercent = 100;
@@ -25,7 +27,7 @@
 
 /**
  * Judges how fast a target works by how long its tasks take against what was expected. Answers targets that turn slow
- * while they answer every call: the median over several jobs tells them from jobs whose guess is off.
+ * while they answer every call: that most of several jobs agree tells them from jobs whose guess is off.
  */
 export class TargetSpeed {
     private readonly seen = new Map<string, Observation>();
@@ -54,8 +56,8 @@
             }
         }
         const factors = [...this.seen.values()].map(({ factor }) => factor).sort((a, b) => a - b);
-        const median = factors[Math.floor((factors.length - 1) / 2)] ?? 0;
-        return factors.length >= minJobs && median >= slowFactor;
+        const factor = factors[Math.floor(factors.length * quickShare)] ?? 0;
+        return factors.length >= minJobs && factor >= slowFactor;
     }
 }
 
--- a/packages/daemon/src/fleet/leader/duration-book.ts
+++ b/packages/daemon/src/fleet/leader/duration-book.ts
@@ -72,7 +72,13 @@
         return mean > 0 ? mean : Math.max(1, job.steps.reduce((sum, step) => sum + this.computeWork(job, step), 0));
     };
 
-    private computeTaskMs(job: Job, step: JobStep): number {
+    /**
+     * Computes how long one task of a step takes, alone.
+     * @param job - the job
+     * @param step - its step
+     * @returns milliseconds
+     */
+    computeTaskMs(job: Job, step: JobStep): number {
         const seen = this.seen.get(buildKey(job, step));
         const guess = Math.log(Math.max(minTaskMs, step.estimateMs));
         if (seen === undefined || seen.durations.count() < minRuns) {
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -181,7 +181,7 @@
             && step.dataRack === undefined;
         return job === undefined || !isComparable || !this.durations.isLearned(job, step)
             ? undefined
-            : this.durations.computeStepMs(job, step);
+            : this.durations.computeTaskMs(job, step);
     }
 
     private noteEnd(fleet: FleetState, task: string, how: RunEnd, durationMs: number | undefined): void {
