--- a/packages/daemon/src/fleet/leader/duration-book.test.ts
+++ b/packages/daemon/src/fleet/leader/duration-book.test.ts
@@ -19,6 +19,7 @@
 describe("what is expected of tasks", () => {
     it("is the caller's guess until several runs were seen", () => {
         const { book, job, step } = createFixture();
+        Array.from({ length: 10 }, () => book.noteRun(job, step, 500));
         expect(book.isLearned(job, step)).toBe(false);
         expect(book.computeStepMs(job, step)).toBeCloseTo(500);
     });
--- a/packages/daemon/src/fleet/leader/duration-book.ts
+++ b/packages/daemon/src/fleet/leader/duration-book.ts
@@ -5,6 +5,8 @@
 
 /** Runs after which what was seen is used. */
 const minRuns = 5;
+/** Runs after which targets are judged by what was seen: the first that end are the short ones. */
+const learnedRuns = 20;
 /** Most by which a run counts as longer or shorter than usual, as a logarithm: a factor of two. */
 const maxStep = Math.LN2;
 /** Least time that a task counts for; guesses of nothing would make every job late at once. */
@@ -59,7 +61,7 @@
      * @returns false while the caller's guess is all there is
      */
     isLearned(job: Job, step: JobStep): boolean {
-        return (this.seen.get(buildKey(job, step))?.durations.count() ?? 0) >= minRuns;
+        return (this.seen.get(buildKey(job, step))?.durations.count() ?? 0) >= learnedRuns;
     }
 
     readonly computeStepMs = (job: Job, step: JobStep): number => {
