Give the orders of one round of a wave side by side

In the larger deployment (128 VMs in a wave) one order at a time made 45 of them late (docs/CAPACITY.md). The plan of a round already keeps to the wave's cap.

--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -138,10 +138,8 @@
         for (const { target, run } of this.pickStops(fleet, plan.stops)) {
             sessions.find(target)?.stopTask(run.task, run.run);
         }
-        for (const vm of plan.orders) {
-            if (leadership.isDeciding()) {
-                yield* this.startUpkeep(wave, vm, targets.get(vm));
-            }
+        if (leadership.isDeciding()) {
+            yield* waitFor(Promise.all(plan.orders.map(vm => this.startUpkeep(wave, vm, targets.get(vm)))));
         }
     }
 
@@ -160,11 +158,11 @@
         });
     }
 
-    private *startUpkeep(
+    private async startUpkeep(
         wave: UpkeepWave,
         vm: string,
         target: TargetRecord | undefined,
-    ): Generator<unknown, void, unknown> {
+    ): Promise<void> {
         const { vms, gate, leadership, log, clock } = this.surroundings;
         const authority = gate.readAuthority();
         if (authority === undefined) {
@@ -172,7 +170,7 @@
         }
         const token = authority.fencingToken;
         const pool = target?.pool ?? "";
-        yield* waitFor(leadership.recordCommand({
+        await leadership.recordCommand({
             kind: CommandKind.RecordMove,
             vm,
             from: pool,
@@ -180,11 +178,11 @@
             token,
             holder: gate.readHolder(),
             atMs: clock.readWall(),
-        }));
+        });
         if (gate.readAuthority()?.fencingToken !== token) {
             return;
         }
-        const result = yield* waitFor(vms.startUpkeep(vm, wave.number, authority));
+        const result = await vms.startUpkeep(vm, wave.number, authority);
         const listed = gate.readVms().find(view => view.vm === vm);
         const isGone = result === VmOrderResult.Busy && listed === undefined;
         const isOver = result === VmOrderResult.Done || result === VmOrderResult.Unknown
@@ -206,11 +204,11 @@
         if (!isOver) {
             return;
         }
-        yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordUpkeep, wave: wave.number, vm }));
+        await leadership.recordCommand({ kind: CommandKind.RecordUpkeep, wave: wave.number, vm });
         if (target !== undefined && result === VmOrderResult.Done) {
             const { id, incarnation } = target;
             const atMs = clock.readWall();
-            yield* waitFor(leadership.recordCommand({ kind: CommandKind.RemoveTarget, id, incarnation, atMs }));
+            await leadership.recordCommand({ kind: CommandKind.RemoveTarget, id, incarnation, atMs });
         }
     }
 
