--- a/packages/core/src/contact/keeper-contact.test.ts
+++ b/packages/core/src/contact/keeper-contact.test.ts
@@ -25,6 +25,22 @@
         expect(contact.isCutOff(1_100)).toBe(false);
     });
 
+    it("bears refused connections for as long as a restart takes, and takes them for a partition afterwards", () => {
+        const contact = new KeeperContact(["a", "b", "c"]);
+        for (let now = 0; now < 800; now += 100) {
+            contact.noteRefusal("a", now);
+            contact.noteRefusal("b", now);
+            contact.noteAnswer("c");
+        }
+        expect(contact.isCutOff(800)).toBe(false);
+        contact.noteRefusal("a", 900);
+        contact.noteRefusal("b", 900);
+        expect(contact.isCutOff(900)).toBe(true);
+        contact.noteAnswer("a");
+        contact.noteRefusal("a", 1_000);
+        expect(contact.isCutOff(1_000)).toBe(false);
+    });
+
     it("follows the keepers that there are", () => {
         const contact = new KeeperContact(["a", "b", "c"]);
         contact.noteSilence("a", 0);
--- a/packages/core/src/contact/keeper-contact.ts
+++ b/packages/core/src/contact/keeper-contact.ts
@@ -1,5 +1,7 @@
 /** Time for which a keeper that has not answered counts as silent, milliseconds; then it is worth asking again. */
 const silentForMs = 1_000;
+/** Time of refused connections after which a keeper counts as silent: longer than a process takes to be started again. */
+const refusedForMs = 900;
 
 /**
  * Remembers which keepers answer. Answers a partition: whoever can't hear most keepers can't reach a leader either, as a
@@ -8,6 +10,8 @@
 export class KeeperContact {
     /** When a keeper was last found silent, monotonic milliseconds. */
     private readonly silentAt = new Map<string, number>();
+    /** Since when a keeper has refused every connection, monotonic milliseconds. */
+    private readonly refusedSince = new Map<string, number>();
 
     /**
      * @param keepers - addresses of the keepers that are known at first
@@ -20,17 +24,34 @@
      */
     setKeepers(keepers: readonly string[]): void {
         this.keepers = keepers;
-        [...this.silentAt.keys()].filter(keeper => !keepers.includes(keeper)).forEach(keeper =>
-            this.silentAt.delete(keeper)
-        );
+        [...this.silentAt.keys(), ...this.refusedSince.keys()].filter(keeper => !keepers.includes(keeper))
+            .forEach(keeper => this.noteAnswer(keeper));
     }
 
     /**
-     * Notes that a keeper is there, whatever it said; a refused connection counts, as its process is being restarted.
+     * Notes that a keeper is there, whatever it said.
      * @param keeper - its address
      */
     noteAnswer(keeper: string): void {
         this.silentAt.delete(keeper);
+        this.refusedSince.delete(keeper);
+    }
+
+    /**
+     * Notes that a keeper refused a connection or broke it off. Its process may be being restarted; when that goes on, a
+     * partition that refuses connections is likelier.
+     * @param keeper - its address
+     * @param now - monotonic milliseconds
+     */
+    noteRefusal(keeper: string, now: number): void {
+        const since = this.refusedSince.get(keeper) ?? now;
+        if (now - since >= refusedForMs) {
+            this.noteSilence(keeper, now);
+        }
+        else {
+            this.silentAt.delete(keeper);
+        }
+        this.refusedSince.set(keeper, since);
     }
 
     /**
--- a/packages/daemon/src/fleet/peers/leader-caller.test.ts
+++ b/packages/daemon/src/fleet/peers/leader-caller.test.ts
@@ -90,6 +90,16 @@
         expect(call).toMatchObject({ isOk: true });
     });
 
+    it("are refused at once when most keepers have refused connections for longer than a restart takes", async () => {
+        const { clock, keepers, caller, start } = createFixture();
+        keepers.behaviors.set("10.0.0.1:70", Behavior.Refusing);
+        keepers.behaviors.set("10.0.0.2:70", Behavior.Refusing);
+        const call = start();
+        await clock.runFor(1_100);
+        expect(call).toMatchObject({ isOk: false, kind: CallFailureKind.NotSent });
+        expect(caller.isCutOff()).toBe(true);
+    });
+
     it("end truthfully as not sent when no leader comes", async () => {
         const { clock, start } = createFixture();
         const call = start();
--- a/packages/daemon/src/fleet/peers/leader-caller.ts
+++ b/packages/daemon/src/fleet/peers/leader-caller.ts
@@ -195,6 +195,19 @@
         });
     }
 
+    private noteContact(address: string, reply: Result<unknown, CallFailure>): void {
+        const now = this.clock.readMonotonic();
+        if (reply.isOk) {
+            this.contact.noteAnswer(address);
+        }
+        else if (reply.error.isSilent) {
+            this.contact.noteSilence(address, now);
+        }
+        else {
+            this.contact.noteRefusal(address, now);
+        }
+    }
+
     private async sendTo<Name extends keyof FleetCalls>(
         address: string,
         name: Name,
@@ -209,12 +222,7 @@
             body: Buffer.from(JSON.stringify(request)),
             timeoutMs,
         });
-        if (reply.isErr && reply.error.isSilent) {
-            this.contact.noteSilence(address, this.clock.readMonotonic());
-        }
-        else {
-            this.contact.noteAnswer(address);
-        }
+        this.noteContact(address, reply);
         return reply.andThen(({ status, body }) =>
             status === 200
                 ? Result.ok(JSON.parse(body.toString()) as Reply<Name>)
