Sort only advised steps before asking; look up a VM's target only when its maintenance was ordered

Found on a last reading: the scheduler sorted all steps in every round for the advice desk, which planStarts sorts again; and each look whether a VM is down scanned all targets, also for VMs that no wave touched. Behaviour is the same.

--- a/packages/daemon/src/fleet/leader/advice-desk.ts
+++ b/packages/daemon/src/fleet/leader/advice-desk.ts
@@ -3,6 +3,7 @@
 import type { AdviceRule } from "@daisylock/core/configuration/advice-rule.js";
 import { buildStepName } from "@daisylock/core/placement/build-step-name.js";
 import type { TargetView } from "@daisylock/core/placement/target-view.js";
+import { compareCandidates } from "@daisylock/core/queueing/compare-candidates.js";
 import type { StepCandidate } from "@daisylock/core/queueing/step-candidate.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -39,17 +40,24 @@
     constructor(private readonly surroundings: AdviceSurroundings) {}
 
     /**
-     * Asks about the steps that lack tickets, the first ones first.
-     * @param candidates - the steps that have tasks to start, most urgent first
+     * Asks about the steps that lack tickets, the most urgent first.
+     * @param candidates - the steps that have tasks to start, in any order
      * @param pools - the targets by pool
      */
     updateTickets(candidates: readonly StepCandidate[], pools: ReadonlyMap<string, readonly TargetView[]>): void {
-        const advised = candidates.flatMap(candidate => {
-            const { rule, job, occurrence, step } = candidate;
-            return rule?.advice === undefined
-                ? []
-                : [{ candidate, rule: rule.advice, pool: rule.pool, name: buildStepName(job.id, occurrence, step) }];
-        });
+        const advised = candidates.filter(({ rule }) => rule?.advice !== undefined).sort(compareCandidates).flatMap(
+            candidate => {
+                const { rule, job, occurrence, step } = candidate;
+                return rule?.advice === undefined
+                    ? []
+                    : [{
+                        candidate,
+                        rule: rule.advice,
+                        pool: rule.pool,
+                        name: buildStepName(job.id, occurrence, step),
+                    }];
+            },
+        );
         const names = new Set(advised.map(({ name }) => name));
         this.tickets.dropOthers(name => names.has(name));
         for (const { candidate, rule, pool, name } of advised) {
--- a/packages/daemon/src/fleet/leader/scheduler.ts
+++ b/packages/daemon/src/fleet/leader/scheduler.ts
@@ -6,7 +6,6 @@
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
-import { compareCandidates } from "@daisylock/core/queueing/compare-candidates.js";
 import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -94,7 +93,6 @@
             return;
         }
         const pools = buildTargetViews(fleet, id => isEvacuating(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0);
-        candidates.sort(compareCandidates);
         advice.updateTickets(candidates, pools);
         const starts = planStarts(fleet, candidates, pools, {
             isAdvised: (step, target) => advice.findTicket(step, target) !== undefined,
--- a/packages/daemon/src/fleet/leader/upkeep-runner.ts
+++ b/packages/daemon/src/fleet/leader/upkeep-runner.ts
@@ -249,9 +249,11 @@
     private isDown(vm: string): boolean {
         const { leadership, clock, upkeepMs } = this.surroundings;
         const orderedAtMs = this.down.get(vm);
+        if (orderedAtMs === undefined) {
+            return false;
+        }
         const target = [...leadership.readFleet().targets.values()].find(record => record.vm === vm);
-        return orderedAtMs !== undefined
-            && isVmDown({ orderedAtMs, nowMs: clock.readWall(), upkeepMs, incarnation: target?.incarnation ?? 0 });
+        return isVmDown({ orderedAtMs, nowMs: clock.readWall(), upkeepMs, incarnation: target?.incarnation ?? 0 });
     }
 
     private setEmptying(fleet: FleetState, emptying: Map<string, number>): void {
