--- /dev/null
+++ b/packages/core/src/contact/keeper-contact.test.ts
@@ -0,0 +1,34 @@
+import { describe, expect, it } from "@jest/globals";
+
+import { KeeperContact } from "./keeper-contact.js";
+
+describe("contact with the keepers", () => {
+    it("is there while most of them answer", () => {
+        const contact = new KeeperContact(["a", "b", "c"]);
+        contact.noteSilence("a", 0);
+        expect(contact.isCutOff(0)).toBe(false);
+    });
+
+    it("is lost when most of them are silent, and back with an answer", () => {
+        const contact = new KeeperContact(["a", "b", "c"]);
+        contact.noteSilence("a", 0);
+        contact.noteSilence("b", 100);
+        expect(contact.isCutOff(200)).toBe(true);
+        contact.noteAnswer("b");
+        expect(contact.isCutOff(200)).toBe(false);
+    });
+
+    it("is tried again when the silence is some time ago", () => {
+        const contact = new KeeperContact(["a"]);
+        contact.noteSilence("a", 0);
+        expect(contact.isCutOff(900)).toBe(true);
+        expect(contact.isCutOff(1_100)).toBe(false);
+    });
+
+    it("does not count keepers beyond those known from the start", () => {
+        const contact = new KeeperContact(["a", "b", "c"]);
+        contact.noteSilence("x", 0);
+        contact.noteSilence("y", 0);
+        expect(contact.isCutOff(0)).toBe(false);
+    });
+});
--- /dev/null
+++ b/packages/core/src/contact/keeper-contact.ts
@@ -0,0 +1,45 @@
+/** Time for which a keeper that has not answered counts as silent, milliseconds; then it is worth asking again. */
+const silentForMs = 1_000;
+
+/**
+ * Remembers which keepers answer. Answers a partition: whoever can't hear most keepers can't reach a leader either, as a
+ * leader needs a majority, and should say so at once. Whoever hears most of them only waits for an election to end.
+ */
+export class KeeperContact {
+    /** When a keeper was last found silent, monotonic milliseconds. */
+    private readonly silentAt = new Map<string, number>();
+
+    /**
+     * @param keepers - addresses of the keepers that are known from the start
+     */
+    constructor(private readonly keepers: readonly string[]) {}
+
+    /**
+     * Notes that a keeper is there, whatever it said; a refused connection counts, as its process is being restarted.
+     * @param keeper - its address
+     */
+    noteAnswer(keeper: string): void {
+        this.silentAt.delete(keeper);
+    }
+
+    /**
+     * Notes that nothing came from a keeper in time.
+     * @param keeper - its address
+     * @param now - monotonic milliseconds
+     */
+    noteSilence(keeper: string, now: number): void {
+        if (this.keepers.includes(keeper)) {
+            this.silentAt.set(keeper, now);
+        }
+    }
+
+    /**
+     * Tells whether most keepers are silent.
+     * @param now - monotonic milliseconds
+     * @returns true when no leader can be reached from here
+     */
+    isCutOff(now: number): boolean {
+        const silent = [...this.silentAt.values()].filter(at => now - at < silentForMs).length;
+        return silent > this.keepers.length / 2;
+    }
+}
--- a/packages/daemon/src/calls/http-caller.ts
+++ b/packages/daemon/src/calls/http-caller.ts
@@ -83,11 +83,14 @@
         timeoutMs: number,
         private readonly resolve: (result: Result<HttpReply, CallFailure>) => void,
     ) {
-        this.timer = setTimeout(() => this.settleFailure("timeout"), timeoutMs);
+        this.timer = setTimeout(() => this.settleFailure("timeout", true), timeoutMs);
         outgoing.on("socket", (socket: Socket) => {
             socket.setNoDelay(true);
             if (socket.connecting) {
-                const connectTimer = setTimeout(() => this.settleFailure("no connection in time"), connectTimeoutMs);
+                const connectTimer = setTimeout(
+                    () => this.settleFailure("no connection in time", true),
+                    connectTimeoutMs,
+                );
                 socket.once("connect", () => {
                     clearTimeout(connectTimer);
                     this.isConnected = true;
@@ -109,12 +112,12 @@
         }
     }
 
-    settleFailure(detail: string): void {
+    settleFailure(detail: string, isSilent = false): void {
         if (this.isSettled) {
             return;
         }
         const kind = this.isConnected ? CallFailureKind.Unanswered : CallFailureKind.NotSent;
-        this.settle(Result.err({ kind, detail }));
+        this.settle(Result.err({ kind, detail, isSilent }));
         this.outgoing.destroy();
     }
 }
--- a/packages/daemon/src/fleet/entry/job-gateway.ts
+++ b/packages/daemon/src/fleet/entry/job-gateway.ts
@@ -1,6 +1,7 @@
 import type { JobAnswer } from "@daisylock/protocol/fleet/job-answer.js";
 import type { JobCall } from "@daisylock/protocol/fleet/job-call.js";
 import { JobOutcome } from "@daisylock/protocol/fleet/job-outcome.js";
+import { JobVerb } from "@daisylock/protocol/fleet/job-verb.js";
 
 import { CallFailureKind } from "../../calls/call-failure-kind.js";
 import { DecisionKind } from "../log/decision-kind.js";
@@ -22,8 +23,8 @@
     constructor(private readonly caller: LeaderCaller, private readonly log: DecisionLog) {}
 
     /**
-     * Answers a request. Without a leader the answer is given at once: that nothing has run, or, when the request may have
-     * reached a leader, that this is not known.
+     * Answers a request. While a leader is being elected the request is kept for it; when none can be reached the answer
+     * is given at once: that nothing has run, or, when the request may have reached a leader, that this is not known.
      * @param call - the request
      * @param deadlineMs - milliseconds that the caller waits
      * @returns the answer
@@ -35,7 +36,8 @@
             return reply.value;
         }
         const { kind, detail } = reply.error;
-        const outcome = kind === CallFailureKind.NotSent ? JobOutcome.Unavailable : JobOutcome.Unknown;
+        const isHarmless = kind === CallFailureKind.NotSent || call.verb === JobVerb.Read;
+        const outcome = isHarmless ? JobOutcome.Unavailable : JobOutcome.Unknown;
         this.log.note(DecisionKind.CallUnanswered, { verb: call.verb, path: call.path, outcome, detail });
         return outcome === JobOutcome.Unavailable ? { outcome, retryAfterS, reason: detail } : { outcome };
     }
--- a/packages/daemon/src/fleet/entry/leader-watch.ts
+++ b/packages/daemon/src/fleet/entry/leader-watch.ts
@@ -5,10 +5,10 @@
 import type { DecisionLog } from "../log/decision-log.js";
 import type { LeaderCaller } from "../peers/leader-caller.js";
 
-const intervalMs = 500;
-const timeoutMs = 700;
-/** Time after the last answer of a leader for which an entry still says that it is ready. */
-const readyMs = 1_600;
+const intervalMs = 250;
+const timeoutMs = 600;
+/** Time after the last answer of a leader for which an entry still says that it is ready: an election and its discovery. */
+const readyMs = 1_200;
 
 /** Watches whether an entry can have jobs accepted. */
 export class LeaderWatch extends PeriodicWorker {
@@ -27,13 +27,15 @@
 
     /**
      * Tells whether new callers should come to this entry.
-     * @returns true while a leader with a configuration has answered lately
+     * @returns true while a leader with a configuration has answered lately and most keepers are not silent
      */
     isReady(): boolean {
-        return this.answeredAt !== undefined && this.clock.readMonotonic() - this.answeredAt < readyMs;
+        return !this.caller.isCutOff() && this.answeredAt !== undefined
+            && this.clock.readMonotonic() - this.answeredAt < readyMs;
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
+        yield* waitFor(this.caller.updateLeader());
         const reply = yield* waitFor(this.caller.send("ping", {}, timeoutMs));
         const isReachable = reply.isOk && reply.value.hasConfiguration;
         if (isReachable) {
--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -33,7 +33,7 @@
 /** Events kept for people; decisions are in the log. */
 const keptEvents = 256;
 /** Times of the replicated log for keepers a millisecond apart, milliseconds. */
-const timing: RaftTiming = { heartbeat: 100, electionMin: 500, electionMax: 900, lease: 400 };
+const timing: RaftTiming = { heartbeat: 75, electionMin: 320, electionMax: 560, lease: 260 };
 
 /** One process that serves jobs: the root of its supervisor tree. */
 export class FleetDaemon {
@@ -100,7 +100,7 @@
     }
 
     private listEntryChildren(): ChildSpec[] {
-        const caller = new LeaderCaller(this.peers, this.seeds);
+        const caller = new LeaderCaller(this.peers, this.seeds, this.clock);
         const gateway = new JobGateway(caller, this.log);
         const watch = new LeaderWatch(caller, this.log, this.clock);
         return [
@@ -138,10 +138,13 @@
             clock,
             log,
         });
-        const caller = new LeaderCaller(this.peers, this.seeds);
+        const caller = new LeaderCaller(this.peers, this.seeds, this.clock);
         const plan = { address: listen.peers, seeds: this.seeds, isFounding: cluster.found, voters };
         const members = new MemberManager(keeper, caller, plan, log, clock);
-        const handlers = leader.buildHandlers(request => members.handleJoin(request));
+        const handlers = leader.buildHandlers({
+            join: request => members.handleJoin(request),
+            findLeader: () => members.handleSearch(),
+        });
         const controlPort = parseAddress(listen.control).port;
         const relay = new ControlRelay(handlers, caller, () => {
             const address = keeper.readView()?.leaderAddress;
--- a/packages/daemon/src/fleet/keeper/member-manager.ts
+++ b/packages/daemon/src/fleet/keeper/member-manager.ts
@@ -53,6 +53,19 @@
         this.leaderSeenAt = clock.readMonotonic();
     }
 
+    /**
+     * Tells whoever looks for the leader whether it is this keeper.
+     * @returns that it leads, or where the leader may be
+     */
+    handleSearch(): Promise<LeaderReply<Record<string, never>>> {
+        if (this.keeper.isDeciding()) {
+            return Promise.resolve({ isLeader: true, value: {} });
+        }
+        const view = this.keeper.readView();
+        const leader = view?.leader === view?.id ? undefined : view?.leaderAddress;
+        return Promise.resolve({ isLeader: false, leader, mayHaveRun: false });
+    }
+
     /**
      * Lets a keeper receive the log. An older disk at its address is gone, and with it what that disk had promised.
      * @param request - id of the keeper's disk and its peer address
--- a/packages/daemon/src/fleet/leader/leader-part.ts
+++ b/packages/daemon/src/fleet/leader/leader-part.ts
@@ -110,10 +110,10 @@
 
     /**
      * Builds the answers to the calls that only the leader answers.
-     * @param handleJoin - answers keepers that want to become members
+     * @param members - answers keepers that want to become members, and who looks for the leader
      * @returns the answers by call
      */
-    buildHandlers(handleJoin: FleetHandlers["join"]): FleetHandlers {
+    buildHandlers(members: Pick<FleetHandlers, "join" | "findLeader">): FleetHandlers {
         const { leadership, log } = this.surroundings;
         const jobs = new JobDesk(leadership, log, job => {
             if (job !== undefined) {
@@ -135,7 +135,7 @@
                 leadership.serveCall(async () => ({
                     hasConfiguration: leadership.readFleet().configuration !== undefined,
                 })),
-            join: handleJoin,
+            ...members,
         };
     }
 
--- a/packages/daemon/src/fleet/peers/leader-caller.ts
+++ b/packages/daemon/src/fleet/peers/leader-caller.ts
@@ -1,3 +1,4 @@
+import { KeeperContact } from "@daisylock/core/contact/keeper-contact.js";
 import type { FleetCalls } from "@daisylock/protocol/fleet/fleet-calls.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 import Result from "true-myth/result";
@@ -5,25 +6,41 @@
 import { CallFailureKind } from "../../calls/call-failure-kind.js";
 import type { CallFailure } from "../../calls/call-failure.js";
 import type { HttpCaller } from "../../calls/http-caller.js";
+import type { Clock } from "../../clock/clock.js";
 import { peerPaths } from "./peer-paths.js";
 
-/** Longest wait for one process, milliseconds. */
-const maxAttemptMs = 900;
-/** Processes that one call asks before it gives up. */
-const maxAttempts = 6;
-/** Wait before processes are asked again when none of them knows a leader, milliseconds. */
-const pauseMs = 40;
+/** Longest wait for one process, milliseconds; a commit takes a few tens. */
+const maxAttemptMs = 600;
+/** Longest wait for a leader while most keepers answer, milliseconds: the time of an election, and of a restart. */
+const maxElectionMs = 1_300;
+/** Time for a keeper to say whether it leads, milliseconds. */
+const searchTimeoutMs = 300;
+/** Wait before the keepers are asked again when none of them leads, milliseconds. */
+const pauseMs = 70;
 
-/** Finds the leader among the keepers and calls it. */
+type Reply<Name extends keyof FleetCalls> = LeaderReply<FleetCalls[Name]["reply"]>;
+
+/**
+ * Finds the leader among the keepers and calls it. Calls wait for an election while most keepers answer, and fail at once
+ * while most are silent.
+ */
 export class LeaderCaller {
     private leader: string | undefined;
-    private next = 0;
+    private round: Promise<void> | undefined;
+    private readonly contact: KeeperContact;
 
     /**
      * @param caller - the connections
      * @param seeds - peer addresses of some keepers
+     * @param clock - time
      */
-    constructor(private readonly caller: HttpCaller, private readonly seeds: readonly string[]) {}
+    constructor(
+        private readonly caller: HttpCaller,
+        private readonly seeds: readonly string[],
+        private readonly clock: Clock,
+    ) {
+        this.contact = new KeeperContact(seeds);
+    }
 
     /**
      * Reads where the leader was last found.
@@ -33,6 +50,28 @@
         return this.leader;
     }
 
+    /**
+     * Tells whether most keepers are silent.
+     * @returns true when no leader can be reached from here
+     */
+    isCutOff(): boolean {
+        return this.leader === undefined && this.contact.isCutOff(this.clock.readMonotonic());
+    }
+
+    /**
+     * Asks all known keepers once whether they lead, unless the leader is known. One round at a time serves all who wait.
+     * @returns resolves when a leader was found, or when none of those that answered leads
+     */
+    updateLeader(): Promise<void> {
+        if (this.leader !== undefined) {
+            return Promise.resolve();
+        }
+        this.round ??= this.runRound().finally(() => {
+            this.round = undefined;
+        });
+        return this.round;
+    }
+
     /**
      * Calls the leader, wherever it is.
      * @param name - the call
@@ -45,47 +84,95 @@
         request: FleetCalls[Name]["request"],
         timeoutMs: number,
     ): Promise<Result<FleetCalls[Name]["reply"], CallFailure>> {
-        const endsAt = performance.now() + timeoutMs;
+        const startedAt = this.clock.readMonotonic();
+        const endsAt = startedAt + timeoutMs;
+        const searchUntil = Math.min(endsAt, startedAt + maxElectionMs);
         let mayHaveRun = false;
-        let detail = "no leader known";
-        for (let attempt = 0; attempt < maxAttempts; attempt++) {
-            const leftMs = Math.min(maxAttemptMs, endsAt - performance.now());
-            if (leftMs <= 0) {
+        let detail = "no time left";
+        let isSilent = false;
+        for (;;) {
+            const address = await this.findLeader(searchUntil);
+            const leftMs = Math.min(maxAttemptMs, endsAt - this.clock.readMonotonic());
+            if (address === undefined || leftMs <= 0) {
+                detail = this.isCutOff() ? `most keepers are silent; ${detail}` : `no leader in time; ${detail}`;
                 break;
             }
-            const address = this.leader ?? this.pickSeed();
             const reply = await this.sendTo(address, name, request, leftMs);
             if (reply.isOk && reply.value.isLeader) {
                 this.leader = address;
                 return Result.ok(reply.value.value);
             }
-            if (reply.isOk && !reply.value.isLeader) {
-                mayHaveRun ||= reply.value.mayHaveRun;
-                await this.noteNoLeader(address, reply.value.leader);
-            }
-            else if (reply.isErr) {
+            if (reply.isErr) {
                 mayHaveRun ||= reply.error.kind === CallFailureKind.Unanswered;
                 detail = `${address}: ${reply.error.detail}`;
-                this.leader = undefined;
+                isSilent = reply.error.isSilent;
+            }
+            else {
+                mayHaveRun ||= !reply.value.isLeader && reply.value.mayHaveRun;
+                detail = `${address} does not lead`;
+            }
+            this.dropLeader(address);
+            if (reply.isOk) {
+                await this.waitPause();
+            }
+            if (reply.isOk && this.clock.readMonotonic() >= searchUntil) {
+                break;
             }
         }
         const kind = mayHaveRun ? CallFailureKind.Unanswered : CallFailureKind.NotSent;
-        return Result.err({ kind, detail });
+        return Result.err({ kind, detail, isSilent });
+    }
+
+    /** Another call may have found the next leader meanwhile. */
+    private dropLeader(address: string): void {
+        if (this.leader === address) {
+            this.leader = undefined;
+        }
     }
 
-    private async noteNoLeader(address: string, hint: string | undefined): Promise<void> {
-        if (hint !== undefined && hint !== address) {
-            this.leader = hint;
-            return;
+    private async findLeader(until: number): Promise<string | undefined> {
+        for (let isFirst = true;; isFirst = false) {
+            const now = this.clock.readMonotonic();
+            if (this.leader !== undefined || this.isCutOff() || (now >= until && !isFirst)) {
+                return this.leader;
+            }
+            await this.updateLeader();
         }
-        this.leader = undefined;
-        await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
 
-    private pickSeed(): string {
-        const seed = this.seeds[this.next % this.seeds.length] ?? "";
-        this.next += 1;
-        return seed;
+    private waitPause(): Promise<void> {
+        return new Promise(resolve => {
+            this.clock.schedule(pauseMs, resolve);
+        });
+    }
+
+    private async runRound(): Promise<void> {
+        await this.findAmongKeepers();
+        if (this.leader === undefined && !this.isCutOff()) {
+            await this.waitPause();
+        }
+    }
+
+    /** Ends with the first keeper that says that it leads; the others are not waited for. */
+    private findAmongKeepers(): Promise<void> {
+        return new Promise(resolve => {
+            const asked = new Set<string>();
+            const askAll = async (addresses: readonly string[]): Promise<void> => {
+                const fresh = addresses.filter(address => !asked.has(address));
+                fresh.forEach(address => asked.add(address));
+                await Promise.all(fresh.map(async address => {
+                    const reply = await this.sendTo(address, "findLeader", {}, searchTimeoutMs);
+                    if (reply.isOk && reply.value.isLeader) {
+                        this.leader = address;
+                        resolve();
+                    }
+                    else if (reply.isOk && !reply.value.isLeader && reply.value.leader !== undefined) {
+                        await askAll([reply.value.leader]);
+                    }
+                }));
+            };
+            void askAll(this.seeds).then(resolve);
+        });
     }
 
     private async sendTo<Name extends keyof FleetCalls>(
@@ -93,7 +180,7 @@
         name: Name,
         request: FleetCalls[Name]["request"],
         timeoutMs: number,
-    ): Promise<Result<LeaderReply<FleetCalls[Name]["reply"]>, CallFailure>> {
+    ): Promise<Result<Reply<Name>, CallFailure>> {
         const reply = await this.caller.send({
             address,
             method: "POST",
@@ -102,10 +189,16 @@
             body: Buffer.from(JSON.stringify(request)),
             timeoutMs,
         });
+        if (reply.isErr && reply.error.isSilent) {
+            this.contact.noteSilence(address, this.clock.readMonotonic());
+        }
+        else {
+            this.contact.noteAnswer(address);
+        }
         return reply.andThen(({ status, body }) =>
             status === 200
-                ? Result.ok(JSON.parse(body.toString()) as LeaderReply<FleetCalls[Name]["reply"]>)
-                : Result.err({ kind: CallFailureKind.Unanswered, detail: `status ${status}` })
+                ? Result.ok(JSON.parse(body.toString()) as Reply<Name>)
+                : Result.err({ kind: CallFailureKind.Unanswered, detail: `status ${status}`, isSilent: false })
         );
     }
 }
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -49,7 +49,8 @@
 const mailboxCapacity = 900;
 /** Events handled before one write to disk. */
 const maxBatch = 512;
-const tickMs = 100;
+/** Well below the shortest heartbeat, so that elections and heartbeats are on time. */
+const tickMs = 25;
 /** Applied entries kept for keepers that are a little behind. */
 const keptEntries = 256;
 
--- a/packages/protocol/src/fleet/fleet-calls.ts
+++ b/packages/protocol/src/fleet/fleet-calls.ts
@@ -18,6 +18,8 @@
     readUpkeep: { request: { number: number }; reply: UpkeepView };
     /** Asks whether jobs can be accepted. */
     ping: { request: Record<string, never>; reply: { hasConfiguration: boolean } };
+    /** Asks whether a keeper leads, even if too few keepers vote yet to accept anything. */
+    findLeader: { request: Record<string, never>; reply: Record<string, never> };
     /** Asks to receive the replicated log, under the id of the caller's disk. */
     join: { request: { id: string; address: string }; reply: { isMember: boolean } };
 }
