--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -20,6 +20,8 @@
 import { Leadership } from "./leader/leadership.js";
 import { DecisionKind } from "./log/decision-kind.js";
 import { DecisionLog } from "./log/decision-log.js";
+import { FleetMetrics } from "./metrics/fleet-metrics.js";
+import { MetricsListener } from "./metrics/metrics-listener.js";
 import { buildPeerAddress } from "./peers/build-peer-address.js";
 import { LeaderCaller } from "./peers/leader-caller.js";
 import { PeerServer } from "./peers/peer-server.js";
@@ -38,6 +40,7 @@
 /** One process that serves jobs: the root of its supervisor tree. */
 export class FleetDaemon {
     private readonly log: DecisionLog;
+    private readonly metrics = new FleetMetrics();
     private readonly events: EventLog;
     private readonly peers = new HttpCaller(peerConnections);
     private readonly seeds: readonly string[];
@@ -55,9 +58,14 @@
     ) {
         const { node, cluster, log } = settings;
         this.log = new DecisionLog(node.name, log.level);
+        this.log.addListener({
+            noteDecision: (kind, fields) => this.metrics.noteDecision(kind, fields),
+            noteDroppedLine: () => this.metrics.noteDroppedLine(),
+        });
         this.events = new EventLog(node.name, node.zone, clock, keptEvents);
         this.seeds = cluster.seeds.map(seed => buildPeerAddress(seed, cluster.peer_port));
         const children = [
+            ...this.listMetricsChildren(),
             ...node.roles.includes(Role.Keeper) ? this.listKeeperChildren() : [],
             ...node.roles.includes(Role.Entry) ? this.listEntryChildren() : [],
         ];
@@ -99,6 +107,13 @@
         this.root.stop();
     }
 
+    private listMetricsChildren(): ChildSpec[] {
+        const { metrics } = this.settings.listen;
+        return metrics === ""
+            ? []
+            : [{ name: "metrics-listener", create: () => new MetricsListener(metrics, this.metrics) }];
+    }
+
     private listEntryChildren(): ChildSpec[] {
         const caller = new LeaderCaller(this.peers, this.seeds, this.clock);
         const gateway = new JobGateway(caller, this.log);
@@ -123,7 +138,7 @@
             random: Math.random,
             timing,
             events: this.events,
-            metrics: { recordTime: () => undefined, addCount: () => undefined, setLevel: () => undefined },
+            metrics: this.metrics,
             snapshotEntries: limits.snapshot_entries,
             send: (address, messages) => sender.sendMessages(address, messages),
             handleApplied: () => leader.startRound(),
--- a/packages/daemon/src/fleet/leader/scheduler.ts
+++ b/packages/daemon/src/fleet/leader/scheduler.ts
@@ -97,11 +97,19 @@
         }
         const recorded = yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordStarts, starts }));
         for (const { task, run, target } of recorded ?? []) {
-            log.note(DecisionKind.TaskPlaced, { task, run, target });
+            log.note(DecisionKind.TaskPlaced, { task, run, target, waitMs: this.computeWait(fleet, task, run) });
             sessions.find(target)?.startTask(task, run);
         }
     }
 
+    /** Time since the job was accepted, for the first tasks of a job; what starts later waits for these. */
+    private computeWait(fleet: FleetState, task: string, run: number): number | undefined {
+        const key = decodeTaskKey(task);
+        const job = fleet.jobs.get(key?.job ?? "");
+        const isFirst = run === 1 && job?.times === 0 && job.steps[key?.step ?? 0]?.after.length === 0;
+        return isFirst ? this.surroundings.clock.readWall() - job.acceptedAtMs : undefined;
+    }
+
     /** One line a pool and second, so that a late job can be told from a slow one afterwards. */
     private noteLoads(fleet: FleetState): void {
         const { clock, estimator, log } = this.surroundings;
--- a/packages/daemon/src/fleet/log/decision-log.ts
+++ b/packages/daemon/src/fleet/log/decision-log.ts
@@ -10,6 +10,12 @@
 const windowMs = 1_000;
 const standardOutput = 1;
 
+/** Who learns of decisions. */
+interface DecisionListener {
+    readonly noteDecision: (kind: DecisionKind, fields: Fields) => void;
+    readonly noteDroppedLine: () => void;
+}
+
 type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /**
@@ -20,6 +26,7 @@
     private readonly logger: loglevel.Logger;
     private readonly output: WriteStream;
     private readonly counts = new Map<DecisionKind, number>();
+    private readonly listeners: DecisionListener[] = [];
     private windowEndsAt = 0;
     private dropped = 0;
 
@@ -48,12 +55,21 @@
         this.logger.setLevel(level, false);
     }
 
+    /**
+     * Adds a listener, which learns of every decision, also of those whose lines are left out.
+     * @param listener - the listener
+     */
+    addListener(listener: DecisionListener): void {
+        this.listeners.push(listener);
+    }
+
     /**
      * Notes a decision.
      * @param kind - what was decided
      * @param fields - what decided it, and the outcome
      */
     note(kind: DecisionKind, fields: Fields): void {
+        this.listeners.forEach(({ noteDecision }) => noteDecision(kind, fields));
         const now = performance.now();
         if (now >= this.windowEndsAt) {
             this.startWindow(now);
@@ -61,12 +77,17 @@
         const count = (this.counts.get(kind) ?? 0) + 1;
         this.counts.set(kind, count);
         if (count > maxLinesPerSecond) {
-            this.dropped += 1;
+            this.dropLine();
             return;
         }
         this.logger.info(kind, fields);
     }
 
+    private dropLine(): void {
+        this.dropped += 1;
+        this.listeners.forEach(({ noteDroppedLine }) => noteDroppedLine());
+    }
+
     private startWindow(now: number): void {
         this.windowEndsAt = now + windowMs;
         this.counts.clear();
@@ -79,7 +100,7 @@
 
     private writeLine(line: string): void {
         if (this.output.writableLength > maxWaitingBytes) {
-            this.dropped += 1;
+            this.dropLine();
             return;
         }
         this.output.write(`${line}\n`);
--- /dev/null
+++ b/packages/daemon/src/fleet/metrics/fleet-metrics.ts
@@ -0,0 +1,142 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+import { MetricName } from "../../metrics/metric-name.js";
+import { DecisionKind } from "../log/decision-kind.js";
+import { FleetMetricName } from "./fleet-metric-name.js";
+
+const msPerSecond = 1_000;
+const thousandths = 1_000;
+/** Upper bounds of the histograms, seconds: from one message to the longest objective of a job. */
+const buckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16];
+
+type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/**
+ * Counters, levels and latency histograms of one process, as text for whoever asks. They are derived from the decisions
+ * that are logged, also from those whose lines are left out of the log. Labels are kinds, ends and pools, which are few.
+ */
+export class FleetMetrics {
+    private readonly registry = new Registry();
+    private readonly decisions = this.createCounter(FleetMetricName.Decisions, "Decisions by kind", ["kind"]);
+    private readonly dropped = this.createCounter(FleetMetricName.DroppedLines, "Log lines left out", []);
+    private readonly logSync = this.createHistogram(FleetMetricName.LogSync, "Writes of the log to disk", []);
+    private readonly startWait = this.createHistogram(FleetMetricName.StartWait, "From acceptance to placement", []);
+    private readonly startOrder = this.createHistogram(
+        FleetMetricName.StartOrder,
+        "From placement to the target's word",
+        [],
+    );
+    private readonly runTime = this.createHistogram(FleetMetricName.RunTime, "From the order to the end of a run", [
+        "how",
+    ]);
+    private readonly jobTime = this.createHistogram(FleetMetricName.JobTime, "From acceptance to the end", ["phase"]);
+    private readonly capacity = this.createGauge(FleetMetricName.PoolCapacity, "Cores of the pool's targets", ["pool"]);
+    private readonly used = this.createGauge(FleetMetricName.PoolUsed, "Cores that may be in use", ["pool"]);
+    private readonly waiting = this.createGauge(FleetMetricName.PoolWaiting, "Tasks that wait", ["pool"]);
+    private readonly late = this.createGauge(FleetMetricName.PoolLate, "Tasks that wait and can't be on time", [
+        "pool",
+    ]);
+    private readonly leading = this.createGauge(FleetMetricName.Leading, "1 while this process leads", []);
+    private readonly term = this.createGauge(FleetMetricName.Term, "Term of the replicated log", []);
+
+    /**
+     * Notes a decision.
+     * @param kind - what was decided
+     * @param fields - the fields of its log line
+     */
+    noteDecision(kind: DecisionKind, fields: Fields): void {
+        this.decisions.inc({ kind });
+        switch (kind) {
+            case DecisionKind.TaskPlaced:
+                recordMs(this.startWait, fields["waitMs"]);
+                break;
+            case DecisionKind.TaskStarted:
+                recordMs(this.startOrder, fields["tookMs"]);
+                break;
+            case DecisionKind.TaskEnded:
+                recordMs(this.runTime, fields["afterMs"], { how: String(fields["how"]) });
+                break;
+            case DecisionKind.JobEnded:
+                recordMs(this.jobTime, fields["afterMs"], { phase: String(fields["phase"]) });
+                break;
+            case DecisionKind.PoolLoad:
+                this.setPool(fields);
+                break;
+            case DecisionKind.LeadershipGained:
+                this.leading.set(1);
+                break;
+            case DecisionKind.LeadershipLost:
+                this.leading.set(0);
+                break;
+            default:
+                break;
+        }
+    }
+
+    /** Notes a line that was left out of the log. */
+    noteDroppedLine(): void {
+        this.dropped.inc();
+    }
+
+    /**
+     * Records a duration that the replicated log measures.
+     * @param name - the metric
+     * @param milliseconds - the duration
+     */
+    recordTime(name: MetricName, milliseconds: number): void {
+        if (name === MetricName.LogSync) {
+            this.logSync.observe(milliseconds / msPerSecond);
+        }
+    }
+
+    /** The commits of the log are counted by what they decide. */
+    addCount(): void {
+        // Nothing to add to the decisions that are counted.
+    }
+
+    /**
+     * Sets a level that the replicated log reports.
+     * @param name - the metric
+     * @param value - its value now
+     */
+    setLevel(name: MetricName, value: number): void {
+        if (name === MetricName.LogTerm) {
+            this.term.set(value);
+        }
+    }
+
+    /**
+     * Describes all metrics.
+     * @returns the text exposition format of Prometheus
+     */
+    describeAll(): Promise<string> {
+        return this.registry.metrics();
+    }
+
+    private setPool(fields: Fields): void {
+        const labels = { pool: String(fields["pool"]) };
+        this.capacity.set(labels, Number(fields["capacity"]) / thousandths);
+        this.used.set(labels, Number(fields["used"]) / thousandths);
+        this.waiting.set(labels, Number(fields["waiting"]));
+        this.late.set(labels, Number(fields["late"]));
+    }
+
+    private createCounter(name: FleetMetricName, help: string, labelNames: string[]): Counter {
+        return new Counter({ name, help, labelNames, registers: [this.registry] });
+    }
+
+    private createGauge(name: FleetMetricName, help: string, labelNames: string[]): Gauge {
+        return new Gauge({ name, help, labelNames, registers: [this.registry] });
+    }
+
+    private createHistogram(name: FleetMetricName, help: string, labelNames: string[]): Histogram {
+        return new Histogram({ name, help, labelNames, buckets, registers: [this.registry] });
+    }
+}
+
+/** A decision without a time, such as one about what an earlier leader began, adds nothing. */
+function recordMs(histogram: Histogram, milliseconds: Fields[string], labels: Record<string, string> = {}): void {
+    if (typeof milliseconds === "number") {
+        histogram.observe(labels, milliseconds / msPerSecond);
+    }
+}
--- a/packages/daemon/src/fleet/settings/fleet-settings-schema.ts
+++ b/packages/daemon/src/fleet/settings/fleet-settings-schema.ts
@@ -28,6 +28,8 @@
         control: optionalAddress,
         /** Other processes of the cluster; required for the role keeper. */
         peers: optionalAddress,
+        /** Counters and histograms as text, under /metrics; none when left out. */
+        metrics: optionalAddress,
     }),
     cluster: v.strictObject({
         /** Some keepers of the cluster; the others are learned from them. */
