--- /dev/null
+++ b/packages/core/src/log/hand-over.test.ts
@@ -0,0 +1,46 @@
+import { describe, expect, it } from "@jest/globals";
+
+import { createRandom } from "../testing/create-random.js";
+import { SimulatedCluster } from "../testing/simulated-cluster.js";
+import { handOver } from "./hand-over.js";
+import { isLeaseValid } from "./is-lease-valid.js";
+
+function createCluster(): SimulatedCluster {
+    const cluster = new SimulatedCluster(3, createRandom(5), 0);
+    for (const id of ["k1", "k2"]) {
+        cluster.sendMembers(({ voters, learners }) => ({ voters, learners: { ...learners, [id]: id } }));
+        cluster.run(1_500);
+        cluster.sendMembers(({ voters }) => ({ voters: { ...voters, [id]: id }, learners: {} }));
+        cluster.run(500);
+    }
+    return cluster;
+}
+
+describe("handing leadership over", () => {
+    it("gives up the lease at once and has a successor long before an election would be due", () => {
+        const cluster = createCluster();
+        const leader = cluster.findLeader();
+        if (leader?.raft === undefined) {
+            throw new TypeError("nobody leads");
+        }
+        expect(handOver(leader.raft, cluster.now)).not.toBe(undefined);
+        expect(isLeaseValid(leader.raft, cluster.now)).toBe(false);
+        cluster.runNode(leader);
+        const startedAt = cluster.now;
+        cluster.runUntil(() => cluster.findLeader() !== undefined && cluster.findLeader() !== leader, 2_000);
+        expect(cluster.now - startedAt).toBeLessThan(200);
+    });
+
+    it("does nothing on a follower, or when nobody has the whole log", () => {
+        const cluster = createCluster();
+        const leader = cluster.findLeader();
+        const follower = cluster.nodes.find(node => node !== leader);
+        if (leader?.raft === undefined || follower?.raft === undefined) {
+            throw new TypeError("a keeper is missing");
+        }
+        expect(handOver(follower.raft, cluster.now)).toBeUndefined();
+        cluster.nodes.filter(node => node !== leader).forEach(node => cluster.stopNode(node));
+        cluster.run(350);
+        expect(handOver(leader.raft, cluster.now)).toBeUndefined();
+    });
+});
--- /dev/null
+++ b/packages/core/src/log/hand-over.ts
@@ -0,0 +1,35 @@
+import { RaftMessageKind } from "./raft-message-kind.js";
+import { RaftRole } from "./raft-role.js";
+import type { RaftState } from "./raft-state.js";
+import { readLastIndex } from "./read-last-index.js";
+import { startFollowing } from "./start-following.js";
+
+/**
+ * Hands leadership over to a voter that has the whole log (Ongaro's thesis, 3.10). The leader gives up its lease before
+ * the successor stands for election, so that the voters need not wait for the lease.
+ * @param state - the leader
+ * @param now - monotonic milliseconds
+ * @returns the successor; `undefined` when this keeper does not lead or nobody is ready
+ */
+export function handOver(state: RaftState, now: number): string | undefined {
+    if (state.role !== RaftRole.Leader) {
+        return undefined;
+    }
+    const lastIndex = readLastIndex(state);
+    const successor = Object.keys(state.members.voters).find(id => {
+        const peer = state.peers.get(id);
+        return peer !== undefined && peer.matchIndex === lastIndex
+            && now - peer.ackedSentAt < state.timing.electionMin;
+    });
+    if (successor === undefined) {
+        return undefined;
+    }
+    state.outbox.push({
+        kind: RaftMessageKind.HandOver,
+        from: state.id,
+        to: successor,
+        term: state.hard.term,
+    });
+    startFollowing(state, state.hard.term, undefined, now);
+    return successor;
+}
--- a/packages/core/src/log/handle-vote-request.ts
+++ b/packages/core/src/log/handle-vote-request.ts
@@ -12,14 +12,16 @@
 type VoteRequest = Extract<RaftMessage, { kind: RaftMessageKind.PreVote | RaftMessageKind.Vote }>;
 
 /**
- * Answers a request for a vote. Refuses while this keeper hears a leader, which keeps that leader's lease true.
+ * Answers a request for a vote. Refuses while this keeper hears a leader, which keeps that leader's lease true,
+ * unless that leader has given it up.
  * @param state - the keeper
  * @param message - the request
  * @param now - monotonic milliseconds
  */
 export function handleVoteRequest(state: RaftState, message: VoteRequest, now: number): void {
     const isPreVote = message.kind === RaftMessageKind.PreVote;
-    if (!isVoter(state, message.from) || isLeaderHeard(state, now)) {
+    const isLeaseKept = !message.isHandover && isLeaderHeard(state, now);
+    if (!isVoter(state, message.from) || isLeaseKept) {
         sendReply(state, message, false);
         return;
     }
--- a/packages/core/src/log/raft-message.ts
+++ b/packages/core/src/log/raft-message.ts
@@ -11,6 +11,8 @@
     readonly kind: RaftMessageKind.PreVote | RaftMessageKind.Vote;
     readonly lastIndex: number;
     readonly lastTerm: number;
+    /** Whether the leader wished for the election and has given up its lease. */
+    readonly isHandover: boolean;
 }
 
 interface VoteReply extends Envelope {
@@ -56,5 +58,9 @@
     readonly sentAt: number;
 }
 
+interface HandOver extends Envelope {
+    readonly kind: RaftMessageKind.HandOver;
+}
+
 /** A message between keepers. */
-export type RaftMessage = VoteRequest | VoteReply | Append | AppendReply | SnapshotChunk | SnapshotReply;
+export type RaftMessage = VoteRequest | VoteReply | Append | AppendReply | SnapshotChunk | SnapshotReply | HandOver;
--- a/packages/core/src/log/receive-raft-message.ts
+++ b/packages/core/src/log/receive-raft-message.ts
@@ -1,5 +1,6 @@
 import { handleAppendReply } from "./handle-append-reply.js";
 import { handleAppend } from "./handle-append.js";
+import { handleHandOver } from "./handle-hand-over.js";
 import { handleSnapshotChunk } from "./handle-snapshot-chunk.js";
 import { handleSnapshotReply } from "./handle-snapshot-reply.js";
 import { handleVoteReply } from "./handle-vote-reply.js";
@@ -18,6 +19,7 @@
     [RaftMessageKind.AppendReply]: handleAppendReply,
     [RaftMessageKind.SnapshotChunk]: handleSnapshotChunk,
     [RaftMessageKind.SnapshotReply]: handleSnapshotReply,
+    [RaftMessageKind.HandOver]: handleHandOver,
 };
 
 /** Kinds whose term is only asked about or refused, and so does not move the receiver's term. */
--- a/packages/core/src/log/replicated-log.soak.test.ts
+++ b/packages/core/src/log/replicated-log.soak.test.ts
@@ -3,6 +3,7 @@
 
 import { createRandom } from "../testing/create-random.js";
 import { SimulatedCluster } from "../testing/simulated-cluster.js";
+import { handOver } from "./hand-over.js";
 
 const runs = Number(process.env["DAISYLOCK_SOAK_RUNS"] ?? 40);
 const seed = Number(process.env["DAISYLOCK_SOAK_SEED"] ?? 20_261_204);
@@ -18,6 +19,7 @@
     { weight: 2, arbitrary: fc.record({ kind: fc.constant("mend" as const), node: fc.nat(4), other: fc.nat(4) }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("freeze" as const), node: fc.nat(4) }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("thaw" as const), node: fc.nat(4) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("hand-over" as const), node: fc.nat(4) }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("add" as const), node: fc.nat(4) }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("promote" as const), node: fc.nat(4) }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("remove" as const), node: fc.nat(4) }) },
@@ -60,6 +62,12 @@
                 node.isFrozen = step.kind === "freeze";
             }
             break;
+        case "hand-over":
+            if (node?.raft !== undefined && !node.isFrozen) {
+                handOver(node.raft, cluster.now);
+                cluster.runNode(node);
+            }
+            break;
         case "add":
             cluster.sendMembers(({ voters, learners }) => {
                 const id = node?.id ?? "";
--- a/packages/core/src/log/start-election.ts
+++ b/packages/core/src/log/start-election.ts
@@ -13,8 +13,9 @@
  * @param state - the keeper
  * @param isPreVote - true to ask without raising the term
  * @param now - monotonic milliseconds
+ * @param isHandover - whether the leader wished for it and has given up its lease
  */
-export function startElection(state: RaftState, isPreVote: boolean, now: number): void {
+export function startElection(state: RaftState, isPreVote: boolean, now: number, isHandover = false): void {
     setElectionTime(state, now);
     if (!isVoter(state, state.id)) {
         return;
@@ -39,6 +40,7 @@
             term: isPreVote ? state.hard.term + 1 : state.hard.term,
             lastIndex,
             lastTerm: readTerm(state, lastIndex) ?? 0,
+            isHandover,
         });
     }
 }
--- a/packages/core/src/testing/simulated-cluster.ts
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -210,7 +210,11 @@
     }
 
     /** Writes, sends and applies, in the order of the real keeper. */
-    private runNode(node: Node): void {
+    /**
+     * Writes, sends and applies what a keeper has to.
+     * @param node - the keeper
+     */
+    runNode(node: Node): void {
         const { raft } = node;
         if (raft === undefined) {
             return;
--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -33,6 +33,8 @@
 const restartPolicy = { maxRestarts: 0, periodMs: 1, delayMs: 0 };
 /** Connections to one other process; calls wait for each other beyond that. */
 const peerConnections = 8;
+/** Time for a successor to be elected before the process stops, milliseconds. */
+const handoverMs = 300;
 /** Events kept for people; decisions are in the log. */
 const keptEvents = 256;
 /** Times of the replicated log for keepers a millisecond apart, milliseconds. */
@@ -48,6 +50,7 @@
     private readonly caller: LeaderCaller;
     private readonly watch: SettingsWatch;
     private readonly root: Supervisor;
+    private keeper: Keeper | undefined;
 
     /**
      * @param settings - checked settings
@@ -109,10 +112,18 @@
         });
     }
 
-    /** Stops gracefully. */
+    /** Stops gracefully; a leader first lets another keeper lead, and passes calls on to it for a moment. */
     stop(): void {
         this.log.note(DecisionKind.ProcessStopping, {});
-        this.root.stop();
+        const handedOver = this.keeper?.handOver() ?? Promise.resolve(undefined);
+        void handedOver.then(successor => {
+            if (successor === undefined) {
+                this.root.stop();
+                return;
+            }
+            this.log.note(DecisionKind.LeadershipHandedOver, { successor });
+            this.clock.schedule(handoverMs, () => this.root.stop());
+        });
     }
 
     /** Looks at the settings file again at once, instead of within seconds. */
@@ -160,6 +171,7 @@
             send: (address, messages) => sender.sendMessages(address, messages),
             handleApplied: () => leader.startRound(),
         });
+        this.keeper = keeper;
         const voters = 2 * cluster.tolerated_losses + 1;
         const leadership = new Leadership(keeper, Math.min(this.seeds.length, cluster.tolerated_losses + 1));
         const leader = new LeaderPart({
--- a/packages/daemon/src/fleet/log/decision-kind.ts
+++ b/packages/daemon/src/fleet/log/decision-kind.ts
@@ -8,6 +8,7 @@
     ProcessEvent = "process-event",
     LeadershipGained = "leadership-gained",
     LeadershipLost = "leadership-lost",
+    LeadershipHandedOver = "leadership-handed-over",
     MemberJoining = "member-joining",
     MemberPromoted = "member-promoted",
     MemberRemoved = "member-removed",
--- a/packages/daemon/src/root/keeper/keeper-event-kind.ts
+++ b/packages/daemon/src/root/keeper/keeper-event-kind.ts
@@ -6,4 +6,6 @@
     Members = "members",
     /** Makes this keeper, whose disk is empty, the first member of a new cluster. */
     Bootstrap = "bootstrap",
+    /** Makes a leader that is about to stop give up its leadership. */
+    HandOver = "hand-over",
 }
--- a/packages/daemon/src/root/keeper/keeper-event.ts
+++ b/packages/daemon/src/root/keeper/keeper-event.ts
@@ -30,4 +30,8 @@
         readonly kind: KeeperEventKind.Bootstrap;
         readonly address: string;
         readonly resolve: (isDone: boolean) => void;
+    }
+    | {
+        readonly kind: KeeperEventKind.HandOver;
+        readonly resolve: (successor: string | undefined) => void;
     };
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -12,6 +12,7 @@
 import { createRaftState } from "@daisylock/core/log/create-raft-state.js";
 import { cutLog } from "@daisylock/core/log/cut-log.js";
 import { EntryKind } from "@daisylock/core/log/entry-kind.js";
+import { handOver } from "@daisylock/core/log/hand-over.js";
 import { isLeaseValid } from "@daisylock/core/log/is-lease-valid.js";
 import type { LogEntry } from "@daisylock/core/log/log-entry.js";
 import type { MemberChangeFault } from "@daisylock/core/log/member-change-fault.js";
@@ -160,6 +161,18 @@
         return new Promise(resolve => this.mailbox.put({ kind: KeeperEventKind.Bootstrap, address, resolve }));
     }
 
+    /**
+     * Hands leadership over, if this keeper leads and another one is ready.
+     * @returns the successor's id, or `undefined`
+     */
+    handOver(): Promise<string | undefined> {
+        return new Promise(resolve => {
+            if (!this.mailbox.put({ kind: KeeperEventKind.HandOver, resolve })) {
+                resolve(undefined);
+            }
+        });
+    }
+
     /**
      * Receives messages from another keeper; drops them when too many wait.
      * @param messages - the messages
@@ -262,6 +275,9 @@
                 event.resolve(typeof index === "number" ? Result.ok(index) : Result.err(index));
                 break;
             }
+            case KeeperEventKind.HandOver:
+                event.resolve(handOver(raft, now));
+                break;
             case KeeperEventKind.Bootstrap:
                 event.resolve(startBootstrap(raft, event.address, now));
                 break;
--- a/packages/protocol/src/peer/decode-raft-messages.ts
+++ b/packages/protocol/src/peer/decode-raft-messages.ts
@@ -3,7 +3,7 @@
 
 import type { RaftBatch } from "../generated/raft.js";
 
-const lastKind: number = RaftMessageKind.SnapshotReply;
+const lastKind: number = RaftMessageKind.HandOver;
 
 /**
  * Decodes messages between keepers. Those of an unknown kind are left out.
