--- a/packages/core/src/log/hand-over.ts
+++ b/packages/core/src/log/release-leadership.ts
@@ -11,7 +11,7 @@
  * @param now - monotonic milliseconds
  * @returns the successor; `undefined` when this keeper does not lead or nobody is ready
  */
-export function handOver(state: RaftState, now: number): string | undefined {
+export function releaseLeadership(state: RaftState, now: number): string | undefined {
     if (state.role !== RaftRole.Leader) {
         return undefined;
     }
--- a/packages/daemon/src/fleet/fleet-daemon.ts
+++ b/packages/daemon/src/fleet/fleet-daemon.ts
@@ -115,7 +115,7 @@
     /** Stops gracefully; a leader first lets another keeper lead, and passes calls on to it for a moment. */
     stop(): void {
         this.log.note(DecisionKind.ProcessStopping, {});
-        const handedOver = this.keeper?.handOver() ?? Promise.resolve(undefined);
+        const handedOver = this.keeper?.releaseLeadership() ?? Promise.resolve(undefined);
         void handedOver.then(successor => {
             if (successor === undefined) {
                 this.root.stop();
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -12,7 +12,6 @@
 import { createRaftState } from "@daisylock/core/log/create-raft-state.js";
 import { cutLog } from "@daisylock/core/log/cut-log.js";
 import { EntryKind } from "@daisylock/core/log/entry-kind.js";
-import { handOver } from "@daisylock/core/log/hand-over.js";
 import { isLeaseValid } from "@daisylock/core/log/is-lease-valid.js";
 import type { LogEntry } from "@daisylock/core/log/log-entry.js";
 import type { MemberChangeFault } from "@daisylock/core/log/member-change-fault.js";
@@ -24,6 +23,7 @@
 import type { RaftTiming } from "@daisylock/core/log/raft-timing.js";
 import { readLastIndex } from "@daisylock/core/log/read-last-index.js";
 import { receiveRaftMessage } from "@daisylock/core/log/receive-raft-message.js";
+import { releaseLeadership } from "@daisylock/core/log/release-leadership.js";
 import { setMembers } from "@daisylock/core/log/set-members.js";
 import { startBootstrap } from "@daisylock/core/log/start-bootstrap.js";
 import { takeCommitted } from "@daisylock/core/log/take-committed.js";
@@ -165,7 +165,7 @@
      * Hands leadership over, if this keeper leads and another one is ready.
      * @returns the successor's id, or `undefined`
      */
-    handOver(): Promise<string | undefined> {
+    releaseLeadership(): Promise<string | undefined> {
         return new Promise(resolve => {
             if (!this.mailbox.put({ kind: KeeperEventKind.HandOver, resolve })) {
                 resolve(undefined);
@@ -276,7 +276,7 @@
                 break;
             }
             case KeeperEventKind.HandOver:
-                event.resolve(handOver(raft, now));
+                event.resolve(releaseLeadership(raft, now));
                 break;
             case KeeperEventKind.Bootstrap:
                 event.resolve(startBootstrap(raft, event.address, now));
