--- /dev/null
+++ b/packages/daemon/src/root/keeper/keeper.test.ts
@@ -0,0 +1,111 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { buildPromotion } from "@daisylock/core/log/build-promotion.js";
+import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+
+import { SystemClock } from "../../clock/system-clock.js";
+import { runGoroutine } from "../../concurrency/run-goroutine.js";
+import { EventLog } from "../../events/event-log.js";
+import { Keeper } from "./keeper.js";
+import { KeeperDisk } from "./storage/keeper-disk.js";
+
+/** A disk that writes at once and starts empty. */
+class MemoryDisk extends KeeperDisk {
+    constructor(private readonly id: string) {
+        super();
+    }
+
+    override async load() {
+        const members = { voters: {}, learners: {} };
+        return {
+            id: this.id,
+            hard: { term: 0, votedFor: undefined },
+            snapshot: { index: 0, term: 0, members, data: "" },
+            base: { index: 0, term: 0 },
+            entries: [],
+        };
+    }
+
+    override async append(): Promise<void> {
+        await new Promise(resolve => setTimeout(resolve, 2));
+    }
+
+    override async saveSnapshot(): Promise<void> {
+        await this.append();
+    }
+
+    override async close(): Promise<void> {
+        // Nothing is open.
+    }
+}
+
+const timing = { heartbeat: 75, electionMin: 1_200, electionMax: 1_600, lease: 900 };
+const addresses = ["k0", "k1", "k2"];
+
+async function waitUntil(isTrue: () => boolean, maxMs = 5_000): Promise<void> {
+    const endsAt = performance.now() + maxMs;
+    while (!isTrue() && performance.now() < endsAt) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    expect(isTrue()).toBe(true);
+}
+
+describe("a keeper that gives up its leadership", () => {
+    let keepers: Keeper[];
+    const findLeader = () => keepers.find(keeper => keeper.isDeciding());
+
+    beforeEach(async () => {
+        const clock = new SystemClock();
+        keepers = addresses.map(address =>
+            new Keeper({
+                disk: new MemoryDisk(address),
+                clock,
+                random: Math.random,
+                timing,
+                events: new EventLog(address, "a", clock, 16),
+                metrics: { recordTime: () => undefined, addCount: () => undefined, setLevel: () => undefined },
+                snapshotEntries: 10_000,
+                send: (to, messages) =>
+                    void setTimeout(() => keepers[addresses.indexOf(to)]?.receive(messages, address), 1),
+            })
+        );
+        keepers.forEach(keeper => runGoroutine(() => keeper.run(), () => undefined));
+        await keepers[0]?.startCluster("k0");
+        await waitUntil(() => findLeader() !== undefined);
+        for (const address of addresses.slice(1)) {
+            const leader = findLeader();
+            await leader?.sendMembers({
+                voters: leader.readView()?.members.voters ?? {},
+                learners: { [address]: address },
+            });
+            await waitUntil(() => findLeader()?.readView()?.matchIndexes[address] !== undefined);
+            await new Promise(resolve => setTimeout(resolve, 200));
+            const members = leader?.readView()?.members;
+            if (members !== undefined) {
+                await leader?.sendMembers(buildPromotion(members, address));
+            }
+            await waitUntil(() => address in (findLeader()?.readView()?.members.voters ?? {}));
+            await new Promise(resolve => setTimeout(resolve, 100));
+        }
+    });
+
+    afterEach(() => keepers.forEach(keeper => keeper.stop()));
+
+    it("has a successor long before an election is due, although commands keep coming", async () => {
+        const leader = findLeader();
+        const proposing = setInterval(() => {
+            Array.from({ length: 5 }, () => void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership }));
+        }, 1);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        const startedAt = performance.now();
+        const successor = await leader?.releaseLeadership();
+        clearInterval(proposing);
+        expect(successor).toBeDefined();
+        await waitUntil(() => findLeader() !== undefined && findLeader() !== leader, timing.electionMin);
+        expect(performance.now() - startedAt).toBeLessThan(timing.electionMin);
+    });
+
+    it("answers at once where it does not lead", async () => {
+        const follower = keepers.find(keeper => !keeper.isDeciding());
+        expect(await follower?.releaseLeadership()).toBeUndefined();
+    });
+});
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -52,9 +52,18 @@
 const maxBatch = 512;
 /** Well below the shortest heartbeat, so that elections and heartbeats are on time. */
 const tickMs = 25;
+/** Longest time for a successor to catch up before a leader stops without one, milliseconds. */
+const releaseMs = 300;
 /** Applied entries kept for keepers that are a little behind. */
 const keptEntries = 256;
 
+/** A leadership that is being given up. */
+interface LeadershipRelease {
+    readonly resolve: (successor: string | undefined) => void;
+    /** Monotonic milliseconds. */
+    readonly until: number;
+}
+
 /** What a keeper needs of its surroundings. */
 interface KeeperSurroundings {
     readonly disk: KeeperDisk;
@@ -81,6 +90,8 @@
     /** Addresses of keepers that have spoken; a new member knows no others. */
     private readonly senders = new Map<string, string>();
     private seenRole = RaftRole.Follower;
+    /** Set while this keeper gives up its leadership: it accepts nothing more, so that a successor can catch up. */
+    private release: LeadershipRelease | undefined;
     private stopTick: () => void = () => undefined;
     private isTickWaiting = false;
     private readonly suspension: SuspensionWatch;
@@ -104,6 +115,7 @@
                     break;
                 }
                 this.handleBatch(this.raft, event);
+                this.updateRelease(this.raft);
                 this.sendEarly(this.raft);
                 yield* this.saveUnsaved(this.raft);
                 this.sendMessages(this.raft);
@@ -114,6 +126,7 @@
         finally {
             this.stopTick();
             this.raft = undefined;
+            this.release?.resolve(undefined);
             this.proposals.settleAll();
             disk.close().catch(() => undefined);
         }
@@ -276,7 +289,7 @@
                 break;
             }
             case KeeperEventKind.HandOver:
-                event.resolve(releaseLeadership(raft, now));
+                this.release = { resolve: event.resolve, until: now + releaseMs };
                 break;
             case KeeperEventKind.Bootstrap:
                 event.resolve(startBootstrap(raft, event.address, now));
@@ -284,12 +297,28 @@
         }
     }
 
+    /** Tries again with each batch until a voter has the whole log. */
+    private updateRelease(raft: RaftState): void {
+        if (this.release === undefined) {
+            return;
+        }
+        const { resolve, until } = this.release;
+        const now = this.surroundings.clock.readMonotonic();
+        const successor = releaseLeadership(raft, now);
+        if (successor !== undefined || raft.role !== RaftRole.Leader || now >= until) {
+            this.release = undefined;
+            resolve(successor);
+        }
+    }
+
     private handleCommand(
         raft: RaftState,
         event: Extract<KeeperEvent, { kind: KeeperEventKind.Command }>,
         now: number,
     ): void {
-        const index = addProposal(raft, EntryKind.Command, JSON.stringify(event.command), now);
+        const index = this.release === undefined
+            ? addProposal(raft, EntryKind.Command, JSON.stringify(event.command), now)
+            : undefined;
         if (index === undefined) {
             const leaderAddress = this.readView()?.leaderAddress;
             event.resolve(Result.err({ kind: ProposeFailureKind.NotLeader, leaderAddress }));
