--- /dev/null
+++ b/packages/daemon/src/fleet/metrics/metrics-listener.test.ts
@@ -0,0 +1,42 @@
+import { afterAll, beforeAll, describe, expect, it } from "@jest/globals";
+import { type AddressInfo, createServer } from "node:net";
+
+import { runGoroutine } from "../../concurrency/run-goroutine.js";
+import { DecisionKind } from "../log/decision-kind.js";
+import { FleetMetrics } from "./fleet-metrics.js";
+import { MetricsListener } from "./metrics-listener.js";
+
+async function findPort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+describe("the metrics address", () => {
+    let base: string;
+    let listener: MetricsListener;
+    beforeAll(async () => {
+        const address = `127.0.0.1:${await findPort()}`;
+        base = `http://${address}`;
+        const metrics = new FleetMetrics();
+        metrics.noteDecision(DecisionKind.JobAccepted, {});
+        listener = new MetricsListener(address, metrics);
+        runGoroutine(() => listener.run(), () => undefined);
+        await new Promise(resolve => setTimeout(resolve, 100));
+    });
+    afterAll(() => listener.stop());
+
+    it("serves the metrics as text", async () => {
+        const response = await fetch(`${base}/metrics`);
+        expect(response.status).toBe(200);
+        expect(response.headers.get("content-type")).toContain("text/plain");
+        expect(await response.text()).toContain("daisylock_decisions_total{kind=\"job-accepted\"} 1");
+    });
+
+    it("serves nothing else", async () => {
+        expect((await fetch(`${base}/other`)).status).toBe(404);
+        expect((await fetch(`${base}/metrics`, { method: "POST" })).status).toBe(404);
+    });
+});
--- a/packages/daemon/src/root/keeper/keeper.ts
+++ b/packages/daemon/src/root/keeper/keeper.ts
@@ -21,7 +21,6 @@
 import { RaftRole } from "@daisylock/core/log/raft-role.js";
 import type { RaftState } from "@daisylock/core/log/raft-state.js";
 import type { RaftTiming } from "@daisylock/core/log/raft-timing.js";
-import { readLastIndex } from "@daisylock/core/log/read-last-index.js";
 import { receiveRaftMessage } from "@daisylock/core/log/receive-raft-message.js";
 import { releaseLeadership } from "@daisylock/core/log/release-leadership.js";
 import { setMembers } from "@daisylock/core/log/set-members.js";
@@ -38,6 +37,8 @@
 import { MetricName } from "../../metrics/metric-name.js";
 import type { Metrics } from "../../metrics/metrics.js";
 import { Worker } from "../../supervision/worker.js";
+import { buildKeeperView } from "./build-keeper-view.js";
+import { collectByReceiver } from "./collect-by-receiver.js";
 import { KeeperEventKind } from "./keeper-event-kind.js";
 import type { KeeperEvent } from "./keeper-event.js";
 import type { KeeperView } from "./keeper-view.js";
@@ -219,27 +220,9 @@
      * @returns the view, or `undefined` before the disk is loaded
      */
     readView(): KeeperView | undefined {
-        const raft = this.raft;
-        if (raft === undefined) {
-            return undefined;
-        }
-        const addresses = { ...raft.members.learners, ...raft.members.voters };
-        return {
-            id: raft.id,
-            role: raft.role,
-            term: raft.hard.term,
-            leader: raft.leader,
-            leaderAddress: raft.leader === undefined ? undefined : addresses[raft.leader],
-            members: raft.members,
-            commitIndex: raft.commitIndex,
-            lastIndex: readLastIndex(raft),
-            silentMs: Object.fromEntries([...raft.peers].map(([id, peer]) => [
-                id,
-                this.surroundings.clock.readMonotonic() - Math.max(peer.ackedSentAt, raft.ledSince),
-            ])),
-            ledSince: raft.ledSince,
-            matchIndexes: Object.fromEntries([...raft.peers].map(([id, peer]) => [id, peer.matchIndex])),
-        };
+        return this.raft === undefined
+            ? undefined
+            : buildKeeperView(this.raft, this.surroundings.clock.readMonotonic());
     }
 
     private *loadRaft(): Generator<unknown, RaftState, unknown> {
@@ -429,13 +412,3 @@
         metrics.setLevel(MetricName.LogTerm, raft.hard.term);
     }
 }
-
-function collectByReceiver(messages: readonly RaftMessage[]): Map<string, RaftMessage[]> {
-    const groups = new Map<string, RaftMessage[]>();
-    for (const message of messages) {
-        const group = groups.get(message.to) ?? [];
-        group.push(message);
-        groups.set(message.to, group);
-    }
-    return groups;
-}
