--- a/packages/daemon/src/reference.test.ts
+++ b/packages/daemon/src/reference.test.ts
@@ -4,8 +4,11 @@
 import { unknownRules } from "@daisylock/protocol/http/unknown-rules.js";
 import { describe, expect, it } from "@jest/globals";
 import { readFileSync } from "node:fs";
+import * as v from "valibot";
 
+import { DecisionKind } from "./fleet/log/decision-kind.js";
 import { FleetMetricName } from "./fleet/metrics/fleet-metric-name.js";
+import { fleetSettingsSchema } from "./fleet/settings/fleet-settings-schema.js";
 import { MetricName } from "./metrics/metric-name.js";
 import { operateHandlers } from "./root/keeper/operate/operate-handlers.js";
 import { loadSettings } from "./settings/load-settings.js";
@@ -50,6 +53,30 @@
         }
     });
 
+    it("list every kind of log line", () => {
+        const listed = readRows(readPage("decisions")).map(([kind]) => kind);
+        expect(listed.sort()).toEqual([...Object.values(DecisionKind)].sort());
+    });
+
+    it("list every setting of processes that serve jobs, with its default", () => {
+        const rows = readRows(readPage("fleet-settings"));
+        const minimal = {
+            node: { name: "n", zone: "z", roles: ["entry"] },
+            listen: {},
+            cluster: { seeds: ["10.0.0.1:80"], peer_port: 7_000, found: true },
+        };
+        const settings = v.parse(fleetSettingsSchema, minimal);
+        const values = new Map<string, string>(
+            Object.entries(settings).flatMap(([section, content]) =>
+                Object.entries(content).map(([key, value]) => [`${section}.${key}`, String(value)] as const)
+            ),
+        );
+        expect(rows.map(([key]) => key).sort()).toEqual([...values.keys()].sort());
+        for (const [key, fallback] of rows.filter(row => row[1] !== "required")) {
+            expect(`${key} ${values.get(key ?? "") || "empty"}`).toBe(`${key} ${fallback}`);
+        }
+    });
+
     it("list every request that the leader answers", () => {
         const page = readPage("http-api");
         for (const [method, pattern] of operateHandlers) {
