Reproduce committed starts that are never sent after a lapse of the leader lease

With the lease lapsing for 300 ms within one term, the session neither sends the committed start nor ends the run afterwards.

--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -28,6 +28,7 @@
     addTestJob(state, "a", [buildTestStep()]);
     const commands: ControlCommand[] = [];
     let isCommitting = true;
+    let isActive = true;
     const record = state.fleet.targets.get("t0");
     if (record === undefined) {
         throw new TypeError("the test fleet has no target");
@@ -36,7 +37,7 @@
     const durations: (number | undefined)[] = [];
     const dependencies: SessionDependencies = {
         leadership: {
-            isActive: () => true,
+            isActive: () => isActive,
             readFleet: () => state.fleet,
             readStartedAt: () => options.startedAt ?? 0,
             recordCommand: async command => {
@@ -84,6 +85,9 @@
         setCommitting: (value: boolean) => {
             isCommitting = value;
         },
+        setActive: (value: boolean) => {
+            isActive = value;
+        },
         readJob: () => state.fleet.jobs.get("a")?.phase,
         readPhase: () => state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.tasks[0]?.phase,
     };
@@ -260,6 +264,74 @@
             session.close();
         });
 
+        describe("after a lapse of the leader lease within one term", () => {
+            it.failing("sends a start that was committed just before the lapse", async () => {
+                const fixture = createFixture();
+                const session = fixture.openSession();
+                await fixture.clock.runFor(200);
+                fixture.recordStart();
+                fixture.setActive(false);
+                session.startTask(task, 1);
+                await fixture.clock.runFor(300);
+                expect(fixture.client.starts).toHaveLength(0);
+                fixture.setActive(true);
+                await fixture.clock.runFor(2_000);
+                expect(fixture.client.starts).toHaveLength(1);
+                session.close();
+            });
+
+            it.failing("resends a start that was unanswered before the lapse", async () => {
+                const fixture = createFixture();
+                const session = fixture.openSession();
+                await fixture.clock.runFor(200);
+                fixture.client.startResult = TargetRequestResult.Unanswered;
+                fixture.recordStart();
+                session.startTask(task, 1);
+                await fixture.clock.runFor(20);
+                fixture.setActive(false);
+                await fixture.clock.runFor(300);
+                fixture.client.startResult = TargetRequestResult.Done;
+                fixture.setActive(true);
+                await fixture.clock.runFor(2_000);
+                expect(fixture.client.starts).toHaveLength(2);
+                session.close();
+            });
+
+            it.failing("releases the task of a start that the target had rejected", async () => {
+                const fixture = createFixture();
+                const session = fixture.openSession();
+                await fixture.clock.runFor(200);
+                fixture.client.startResult = TargetRequestResult.InsufficientCapacity;
+                fixture.setCommitting(false);
+                fixture.recordStart();
+                session.startTask(task, 1);
+                await fixture.clock.runFor(20);
+                fixture.setActive(false);
+                await fixture.clock.runFor(300);
+                fixture.setCommitting(true);
+                fixture.setActive(true);
+                await fixture.clock.runFor(2_000);
+                expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+                session.close();
+            });
+
+            it.failing("sends a stop that was requested during the lapse", async () => {
+                const fixture = createFixture();
+                const session = fixture.openSession();
+                await fixture.clock.runFor(200);
+                fixture.recordStart();
+                session.startTask(task, 1);
+                await fixture.clock.runFor(20);
+                fixture.setActive(false);
+                session.stopTask(task, 1);
+                await fixture.clock.runFor(300);
+                fixture.setActive(true);
+                await fixture.clock.runFor(1_200);
+                expect(fixture.client.stops).toHaveLength(1);
+                session.close();
+            });
+        });
+
         it("stops a stalled task and ejects the target", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
