Report unconfirmed runs and excluded targets of each pool

Change: once a second, the pool-load line of each pool has the number of recorded runs without a confirmed start (unconfirmed), those of them without a request in flight (unsent), and the age of the oldest (oldestUnconfirmedMs). Runs of an earlier leader count from the opening of the session. It also has the number of usable targets and of the others by reason. The same values are gauges. TargetSession.isUsable is derived from the reason and keeps its conditions and their order; no decision reads the new values.

--- a/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
@@ -1,3 +1,5 @@
+import type { UnconfirmedRun } from "@daisylock/core/queueing/unconfirmed-run.js";
+
 import type { Clock } from "../../clock/clock.js";
 import type { RunRequestState } from "./run-request-state.js";
 
@@ -46,6 +48,26 @@
         return request;
     }
 
+    /**
+     * Collects the recorded runs of the target whose start it has not confirmed. This includes runs that an earlier
+     * leader recorded and for which this leadership has created no request.
+     * @param runs - numbers of the recorded runs, by encoded task key
+     * @param openedAt - when the session was opened, monotonic milliseconds
+     * @returns the unconfirmed runs
+     */
+    collectUnconfirmedRuns(runs: ReadonlyMap<string, number>, openedAt: number): UnconfirmedRun[] {
+        const now = this.clock.readMonotonic();
+        const unconfirmedRuns: UnconfirmedRun[] = [];
+        for (const [task, run] of runs) {
+            const request = this.find(task, run);
+            if (request?.confirmedAt === undefined) {
+                const ageMs = now - (request?.createdAt ?? openedAt);
+                unconfirmedRuns.push({ ageMs, isInFlight: request?.isInFlight === true });
+            }
+        }
+        return unconfirmedRuns;
+    }
+
     /**
      * Deletes requests for runs that have ended.
      * @param runs - numbers of the runs that may still be running, by encoded task key
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -6,6 +6,9 @@
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
+import { computePoolTargetSummary } from "@daisylock/core/queueing/compute-pool-target-summary.js";
+import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
+import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -126,7 +129,7 @@
         return isFirst ? this.dependencies.clock.readWall() - job.acceptedAtMs : undefined;
     }
 
-    /** Logs one line per pool and second, which later tells whether a job started late or ran slowly. */
+    /** Logs one line per pool and second, which later tells why a job started late or ran slowly. */
     private writePoolLoads(fleet: FleetState): void {
         const { clock, estimator, log } = this.dependencies;
         const now = clock.readMonotonic();
@@ -136,10 +139,22 @@
         this.nextLoadLogAt = now + loadLogIntervalMs;
         const candidates = collectCandidates(fleet, clock.readWall(), estimator);
         for (const load of collectPoolLoads(fleet, candidates)) {
-            log.record(DecisionKind.PoolLoad, { ...load });
+            const { excluded, ...summary } = computePoolTargetSummary(
+                fleet,
+                load.pool,
+                target => this.readTargetStatus(target),
+            );
+            log.record(DecisionKind.PoolLoad, { ...load, ...summary, ...excluded });
         }
     }
 
+    private readTargetStatus(target: string): TargetStatus {
+        const { sessions, isCordoned } = this.dependencies;
+        const status = sessions.find(target)?.readStatus()
+            ?? { exclusion: TargetExclusion.Unsynced, unconfirmedRuns: [] };
+        return isCordoned(target) ? { ...status, exclusion: TargetExclusion.Cordoned } : status;
+    }
+
     private stopEndedJobs(fleet: FleetState): void {
         for (const [target, { runs }] of fleet.targetLoads) {
             for (const [task, run] of runs) {
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -4,6 +4,7 @@
 import { JobPhase } from "@daisylock/core/jobs/job-phase.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
+import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
@@ -28,6 +29,7 @@
     addTestJob(state, "a", [buildTestStep()]);
     const commands: ControlCommand[] = [];
     let isCommitting = true;
+    let lastReportAt: number | undefined;
     const record = state.fleet.targets.get("t0");
     if (record === undefined) {
         throw new TypeError("the test fleet has no target");
@@ -51,7 +53,7 @@
                     ? {
                         incarnation: 1,
                         sequence: 1,
-                        at: clock.readMonotonic(),
+                        at: lastReportAt ?? clock.readMonotonic(),
                         clockMs: clock.readMonotonic() + clockOffsetMs,
                     }
                     : { incarnation: 1, sequence: 1, at: 0, clockMs: options.oldReportClockMs },
@@ -84,6 +86,9 @@
         setCommitting: (value: boolean) => {
             isCommitting = value;
         },
+        stopReports: () => {
+            lastReportAt = clock.readMonotonic();
+        },
         readJob: () => state.fleet.jobs.get("a")?.phase,
         readPhase: () => state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.tasks[0]?.phase,
     };
@@ -272,4 +277,79 @@
             session.close();
         });
     });
+
+    describe("status", () => {
+        it("tells why no task may be started on the target", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            expect(session.readStatus().exclusion).toBe(TargetExclusion.Unsynced);
+            await fixture.clock.runFor(200);
+            expect(session.readStatus().exclusion).toBeUndefined();
+            const checked = session.checkReachable();
+            expect(session.readStatus().exclusion).toBe(TargetExclusion.Checking);
+            await checked;
+            fixture.client.startResult = TargetRequestResult.InsufficientCapacity;
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(20);
+            expect(session.readStatus().exclusion).toBe(TargetExclusion.Backoff);
+            await fixture.clock.runFor(500);
+            fixture.stopReports();
+            await fixture.clock.runFor(3_600);
+            expect(session.readStatus().exclusion).toBe(TargetExclusion.Overdue);
+            fixture.client.isResponding = false;
+            await fixture.clock.runFor(1_500);
+            expect(session.readStatus().exclusion).toBe(TargetExclusion.Unreachable);
+            expect(session.isUsable()).toBe(false);
+            session.close();
+        });
+
+        it("tells that the circuit of the target is open, which isUsable ignores", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(4_000);
+            expect(session.readStatus().exclusion).toBe(TargetExclusion.Ejected);
+            expect(session.isUsable()).toBe(true);
+            session.close();
+        });
+
+        it("lists a start as unconfirmed until the target confirms it", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.client.startResult = TargetRequestResult.Unanswered;
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(100);
+            expect(session.readStatus().unconfirmedRuns).toEqual([{ ageMs: 100, isInFlight: true }]);
+            fixture.client.startResult = TargetRequestResult.Done;
+            await fixture.clock.runFor(600);
+            expect(session.readStatus().unconfirmedRuns).toEqual([]);
+            session.close();
+        });
+
+        it("lists a start that an earlier leader committed, with its age since the session was opened", async () => {
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.client.isResponding = false;
+            await fixture.clock.runFor(1_000);
+            const session = fixture.openSession();
+            await fixture.clock.runFor(300);
+            expect(session.readStatus().unconfirmedRuns).toEqual([{ ageMs: 300, isInFlight: false }]);
+            session.close();
+        });
+
+        it("does not list a run of an earlier leader that the target reports as running", async () => {
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.client.running.push({ task, run: 1, saved: "", percent: 60, load: 0 });
+            const session = fixture.openSession();
+            await fixture.clock.runFor(100);
+            expect(session.readStatus().unconfirmedRuns).toEqual([]);
+            session.close();
+        });
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -2,6 +2,8 @@
 import type { TargetLoad } from "@daisylock/core/fleet/target-load.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
+import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
+import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import { DecisionKind } from "../logging/decision-kind.js";
@@ -47,6 +49,8 @@
     private readonly requestSender: RunRequestSender;
     private readonly wakeups = new Set<() => void>();
     private readonly healthMonitor: TargetHealthMonitor;
+    /** Monotonic milliseconds. */
+    private readonly openedAt: number;
     /** Number of the last ended run that is committed; 0 for none. */
     private lastCommittedEnd = 0;
     /** Whether a renewal has succeeded and the ended runs that it listed are committed. */
@@ -69,6 +73,7 @@
         private readonly fencingToken: number,
         private readonly dependencies: SessionDependencies,
     ) {
+        this.openedAt = dependencies.clock.readMonotonic();
         this.requests = new RunRequestTracker(dependencies.clock);
         this.requestSender = new RunRequestSender(fencingToken, this.requests, {
             isClosed: () => this.isClosed,
@@ -103,10 +108,20 @@
      *     heartbeats, and shortly after it refused a start or left one unanswered
      */
     isUsable(): boolean {
-        const now = this.readNow();
-        return this.isSynced && this.unreachableSince === undefined && !this.isBeingChecked
-            && now >= this.startBackoffUntil
-            && !this.isReportOverdue(now);
+        return this.findExclusion() === undefined;
+    }
+
+    /**
+     * Reads why no task may be started on the target, and which of its recorded runs it has not confirmed.
+     * @returns the status at this moment
+     */
+    readStatus(): TargetStatus {
+        const { runs } = this.readLoad();
+        const isEjected = this.healthMonitor.countStartsLeft(runs.size) === 0;
+        return {
+            exclusion: this.findExclusion() ?? (isEjected ? TargetExclusion.Ejected : undefined),
+            unconfirmedRuns: this.requests.collectUnconfirmedRuns(runs, this.openedAt),
+        };
     }
 
     /**
@@ -194,6 +209,23 @@
         return response.result === TargetRequestResult.Done;
     }
 
+    private findExclusion(): TargetExclusion | undefined {
+        const now = this.readNow();
+        if (!this.isSynced) {
+            return TargetExclusion.Unsynced;
+        }
+        if (this.unreachableSince !== undefined) {
+            return TargetExclusion.Unreachable;
+        }
+        if (this.isBeingChecked) {
+            return TargetExclusion.Checking;
+        }
+        if (now < this.startBackoffUntil) {
+            return TargetExclusion.Backoff;
+        }
+        return this.isReportOverdue(now) ? TargetExclusion.Overdue : undefined;
+    }
+
     private async runRenewals(): Promise<void> {
         while (!this.isClosed) {
             const load = this.readLoad();
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
@@ -11,6 +11,11 @@
     PoolUsed = "daisylock_pool_used_cores",
     PoolWaiting = "daisylock_pool_waiting_tasks",
     PoolLate = "daisylock_pool_late_tasks",
+    PoolUsableTargets = "daisylock_pool_usable_targets",
+    PoolExcludedTargets = "daisylock_pool_excluded_targets",
+    PoolUnconfirmedRuns = "daisylock_pool_unconfirmed_runs",
+    PoolUnsentRuns = "daisylock_pool_unsent_runs",
+    PoolOldestUnconfirmed = "daisylock_pool_oldest_unconfirmed_seconds",
     Leading = "daisylock_leading",
     Term = "daisylock_log_term",
 }
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
@@ -36,6 +36,25 @@
         expect(text).toContain("daisylock_pool_waiting_tasks{pool=\"web\"} 3");
     });
 
+    it("shows the usable targets of each pool, and the others by reason", async () => {
+        const metrics = new FleetMetrics();
+        metrics.noteDecision(DecisionKind.PoolLoad, { pool: "web", usable: 5, unreachable: 2, ejected: 0 });
+        const text = await metrics.describeAll();
+        expect(text).toContain("daisylock_pool_usable_targets{pool=\"web\"} 5");
+        expect(text).toContain("daisylock_pool_excluded_targets{pool=\"web\",reason=\"unreachable\"} 2");
+        expect(text).toContain("daisylock_pool_excluded_targets{pool=\"web\",reason=\"ejected\"} 0");
+    });
+
+    it("shows the runs of each pool that are not confirmed, and the age of the oldest in seconds", async () => {
+        const metrics = new FleetMetrics();
+        const fields = { pool: "web", unconfirmed: 4, unsent: 3, oldestUnconfirmedMs: 12_500 };
+        metrics.noteDecision(DecisionKind.PoolLoad, fields);
+        const text = await metrics.describeAll();
+        expect(text).toContain("daisylock_pool_unconfirmed_runs{pool=\"web\"} 4");
+        expect(text).toContain("daisylock_pool_unsent_runs{pool=\"web\"} 3");
+        expect(text).toContain("daisylock_pool_oldest_unconfirmed_seconds{pool=\"web\"} 12.5");
+    });
+
     it("shows whether the process is the leader", async () => {
         const metrics = new FleetMetrics();
         metrics.noteDecision(DecisionKind.LeadershipGained, { term: 2 });
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -1,3 +1,4 @@
+import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 import { MetricName } from "../../metrics/metric-name.js";
@@ -14,7 +15,7 @@
 /**
  * Counters, gauges and latency histograms of one process in the Prometheus text format. They are derived from the
  * decisions that are recorded, including those whose log lines are dropped. Labels are decision kinds, run outcomes,
- * job phases and pools, which bounds the number of time series.
+ * job phases, pools and reasons from enums, which bounds the number of time series.
  */
 export class FleetMetrics {
     private readonly registry = new Registry();
@@ -37,6 +38,31 @@
     private readonly late = this.createGauge(FleetMetricName.PoolLate, "Tasks that wait and can't be on time", [
         "pool",
     ]);
+    private readonly usableTargets = this.createGauge(
+        FleetMetricName.PoolUsableTargets,
+        "Targets on which tasks may be started",
+        ["pool"],
+    );
+    private readonly excludedTargets = this.createGauge(
+        FleetMetricName.PoolExcludedTargets,
+        "Targets on which no task is started, by reason",
+        ["pool", "reason"],
+    );
+    private readonly unconfirmedRuns = this.createGauge(
+        FleetMetricName.PoolUnconfirmedRuns,
+        "Recorded runs whose start the target has not confirmed",
+        ["pool"],
+    );
+    private readonly unsentRuns = this.createGauge(
+        FleetMetricName.PoolUnsentRuns,
+        "Unconfirmed runs without a request in flight",
+        ["pool"],
+    );
+    private readonly oldestUnconfirmed = this.createGauge(
+        FleetMetricName.PoolOldestUnconfirmed,
+        "Age of the oldest unconfirmed run",
+        ["pool"],
+    );
     private readonly leading = this.createGauge(FleetMetricName.Leading, "1 while this process leads", []);
     private readonly term = this.createGauge(FleetMetricName.Term, "Term of the replicated log", []);
 
@@ -120,6 +146,13 @@
         this.used.set(labels, Number(fields["used"]) / millicoresPerCore);
         this.waiting.set(labels, Number(fields["waiting"]));
         this.late.set(labels, Number(fields["late"]));
+        this.usableTargets.set(labels, Number(fields["usable"]));
+        for (const reason of Object.values(TargetExclusion)) {
+            this.excludedTargets.set({ ...labels, reason }, Number(fields[reason]));
+        }
+        this.unconfirmedRuns.set(labels, Number(fields["unconfirmed"]));
+        this.unsentRuns.set(labels, Number(fields["unsent"]));
+        this.oldestUnconfirmed.set(labels, Number(fields["oldestUnconfirmedMs"]) / msPerSecond);
     }
 
     private createCounter(name: FleetMetricName, help: string, labelNames: string[]): Counter {
