Stop a run whose stop was requested while its start was in flight

A stalled run that was to be stopped while its start had not been answered kept running: the loop that sent the start ended with the target's confirmation, and a stop is not requested twice for a stalled task. The task, and the steps that wait for it, then never ended. The new test saw no stop in 2 s; it sees one now, as the loop goes on with the stop after the confirmation.

--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -166,7 +166,7 @@
                 target: this.session.readRecord().id,
                 tookMs: Math.round(this.readNow() - request.createdAt),
             });
-            return true;
+            return !request.isStopRequested;
         }
         log.record(DecisionKind.OrderFailed, {
             order: "start",
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -332,6 +332,20 @@
             });
         });
 
+        it("stops a run whose stop was requested while its start was in flight", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.client.startDelayMs = 400;
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(100);
+            session.stopTask(task, 1);
+            await fixture.clock.runFor(2_000);
+            expect(fixture.client.stops).toHaveLength(1);
+            session.close();
+        });
+
         it("stops a stalled task and ejects the target", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
--- a/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
@@ -11,10 +11,14 @@
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
 
+const roundTripMs = 2;
+
 /** A target client whose responses a test controls. */
 export class FakeTargetClient extends TargetClient {
     /** Result of start requests. */
     startResult = TargetRequestResult.Done;
+    /** Time until the response to a start request, milliseconds. */
+    startDelayMs = 0;
     /** Whether lease renewals and probes are answered. */
     isResponding = true;
     /** Result of lease renewals and probes that are not answered. */
@@ -43,6 +47,9 @@
         ) {
             this.running.push({ task, run, saved, percent: 0, load: 0 });
         }
+        if (this.startDelayMs > 0) {
+            await this.waitFor(this.startDelayMs);
+        }
         return { result: this.startResult, clockMs: this.readClock() };
     }
 
@@ -60,9 +67,9 @@
         request: LeaseRenewalRequest,
     ): Promise<LeaseRenewalResponse> {
         this.renewals.push(request);
-        await new Promise<void>(resolve => {
-            this.clock.schedule(request.waitMs, resolve);
-        });
+        // A target responds at once while it lists runs whose end the leader has not committed.
+        const hasEnded = this.isResponding && this.ended.some(({ number }) => number > request.lastSeen);
+        await this.waitFor(Math.max(roundTripMs, hasEnded ? 0 : request.waitMs));
         return this.isResponding
             ? {
                 result: TargetRequestResult.Done,
@@ -85,6 +92,12 @@
         // There are no connections to close.
     }
 
+    private waitFor(delayMs: number): Promise<void> {
+        return new Promise(resolve => {
+            this.clock.schedule(delayMs, resolve);
+        });
+    }
+
     private readClock(): number {
         return this.clock.readMonotonic() + this.clockOffsetMs;
     }
