Wait before a renewal is repeated that could not make progress

The leader renewed without any delay while an ended run or the removal of a target could not be committed, and while the heartbeats of an idle target were late, both of which happen when the leader is short of processor time: the loop then takes what is left of it, and heartbeats and commits stay late. Class: a loop that is paced by the other side's response only. The renewals now wait for the delay that other failed requests have, or, on an idle target, for the interval of idle checks.

--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -147,6 +147,45 @@
         });
     });
 
+    describe("renewals", () => {
+        it("are not repeated without a delay while ended runs cannot be committed", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(1_100);
+            fixture.setCommitting(false);
+            fixture.client.running.length = 0;
+            fixture.client.ended.push({ number: 1, task, run: 1, how: RunOutcome.Done, saved: "" });
+            await fixture.clock.runFor(1_000);
+            const renewalCount = fixture.client.renewals.length;
+            await fixture.clock.runFor(1_200);
+            expect(fixture.client.renewals.length - renewalCount).toBeLessThanOrEqual(10);
+            session.close();
+        });
+
+        it("are not repeated without a delay while the removal of a replaced target cannot be committed", async () => {
+            const fixture = createFixture();
+            fixture.client.incarnation = 2;
+            fixture.setCommitting(false);
+            const session = fixture.openSession();
+            await fixture.clock.runFor(1_200);
+            expect(fixture.client.renewals.length).toBeLessThanOrEqual(11);
+            session.close();
+        });
+
+        it("are not repeated without a delay while the heartbeats of an idle target are overdue", async () => {
+            const fixture = createFixture({ oldReportClockMs: clockOffsetMs });
+            const session = fixture.openSession();
+            await fixture.clock.runFor(5_000);
+            const renewalCount = fixture.client.renewals.length;
+            await fixture.clock.runFor(1_200);
+            expect(fixture.client.renewals.length - renewalCount).toBeLessThanOrEqual(10);
+            session.close();
+        });
+    });
+
     describe("durations", () => {
         it("are not measured for a run that an earlier leader started", async () => {
             const fixture = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -230,6 +230,7 @@
                 break;
             case TargetRequestResult.WrongTarget:
                 await this.removeTarget("another target responds at its address");
+                await this.waitForRenewal(retryDelayMs);
                 break;
             case TargetRequestResult.Fenced:
                 this.noteUnreachable(response.result);
@@ -245,12 +246,14 @@
     private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<void> {
         if (response.incarnation !== undefined && response.incarnation !== this.record.incarnation) {
             await this.removeTarget("another incarnation responds under its id");
+            await this.waitForRenewal(retryDelayMs);
             return;
         }
         this.noteReachable();
         this.running.clear();
         response.running.forEach(task => this.running.set(task.task, task));
         if (response.ended.length > 0 && !await this.recordListedEnds(response)) {
+            await this.waitForRenewal(retryDelayMs);
             return;
         }
         this.isSynced = true;
@@ -262,6 +265,9 @@
             { task, run },
         ) => this.stopTask(task, run));
         this.requests.dropEndedRuns(this.readLoad().runs);
+        if (this.readLoad().runs.size === 0) {
+            await this.waitForRenewal(idleIntervalMs);
+        }
     }
 
     /** Commits ended runs; the target is told to discard them only once they are committed. */
--- a/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
@@ -23,6 +23,8 @@
     isResponding = true;
     /** Result of lease renewals and probes that are not answered. */
     unansweredResult = TargetRequestResult.Unanswered;
+    /** Incarnation that responds. */
+    incarnation = 1;
     readonly running: RunningTask[] = [];
     readonly ended: EndedRun[] = [];
     readonly starts: StartTaskRequest[] = [];
@@ -74,7 +76,7 @@
             ? {
                 result: TargetRequestResult.Done,
                 clockMs: this.readClock(),
-                incarnation: 1,
+                incarnation: this.incarnation,
                 running: [...this.running],
                 ended: this.ended.filter(({ number }) => number > request.lastSeen),
             }
