Keep a part of the log buffer for rare kinds of lines

Cause: all kinds shared one limit of buffered bytes. The limit of 500 lines a second is a kind's own and does not help: a few busy kinds fill the buffer.

Change: kinds with a line for each call, job, task or heartbeat may fill three quarters of the buffer; the rest is kept for the other kinds. The whole stays bounded by the same 256 KiB, and lines beyond it are dropped and counted as before, never waited for.

The new test 'still writes rare lines after lines of jobs and tasks have filled their part of the buffer' failed on the old code: the last line written was task-placed instead of leadership-gained.

--- a/packages/daemon/src/job-scheduler/logging/decision-log.test.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.test.ts
@@ -10,6 +10,22 @@
     return { lines, stream: stream as unknown as WriteStream };
 }
 
+/** An output whose reader never reads, so that every line stays in its buffer. */
+function createBlockedOutput() {
+    const lines: string[] = [];
+    const stream = {
+        writableLength: 0,
+        write: (line: string) => {
+            lines.push(line);
+            stream.writableLength += line.length;
+        },
+    };
+    return { lines, stream: stream as unknown as WriteStream, readBufferedBytes: () => stream.writableLength };
+}
+
+const longDetail = "x".repeat(2_000);
+const maxBufferedBytes = 262_144;
+
 describe("DecisionLog", () => {
     it("writes one JSON line for each decision", () => {
         const { lines, stream } = createOutput();
@@ -33,4 +49,26 @@
         new DecisionLog("p3", "info", stream).record(DecisionKind.TaskPlaced, {});
         expect(lines).toEqual([]);
     });
+
+    it("still writes rare lines after lines of jobs and tasks have filled their part of the buffer", () => {
+        const { lines, stream } = createBlockedOutput();
+        const log = new DecisionLog("p4", "info", stream);
+        for (let index = 0; index < 400; index++) {
+            log.record(DecisionKind.TaskPlaced, { index, detail: longDetail });
+            log.record(DecisionKind.JobAccepted, { index, detail: longDetail });
+        }
+        log.record(DecisionKind.LeadershipGained, { term: 2 });
+        expect(lines.length).toBeLessThan(800);
+        expect(lines.at(-1)).toContain("leadership-gained");
+    });
+
+    it("limits the buffer for rare lines too", () => {
+        const { stream, readBufferedBytes } = createBlockedOutput();
+        const log = new DecisionLog("p5", "info", stream);
+        for (let index = 0; index < 400; index++) {
+            log.record(DecisionKind.TargetUnreachable, { index, detail: longDetail });
+        }
+        expect(readBufferedBytes()).toBeGreaterThan(maxBufferedBytes / 2);
+        expect(readBufferedBytes()).toBeLessThan(maxBufferedBytes + 2 * longDetail.length);
+    });
 });
--- a/packages/daemon/src/job-scheduler/logging/decision-log.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.ts
@@ -2,11 +2,14 @@
 import { createWriteStream, type WriteStream } from "node:fs";
 
 import { DecisionKind } from "./decision-kind.js";
+import { highVolumeKinds } from "./high-volume-kinds.js";
 
 /** Limit of lines of each kind per second; further lines are dropped and counted. */
 const maxLinesPerSecond = 500;
 /** Bytes that may be buffered for a slow reader of standard output; further lines are dropped and counted. */
 const maxBufferedBytes = 262_144;
+/** Part of these bytes that is left to kinds whose number of lines does not grow with the load. */
+const reservedBytes = 65_536;
 const rateWindowMs = 1_000;
 const standardOutputFd = 1;
 
@@ -20,7 +23,8 @@
 
 /**
  * Writes one JSON line for each decision, with a limited rate and buffer. Lines that exceed the limits, for example
- * because of a slow reader, are dropped and counted, so that logging never blocks the process.
+ * because of a slow reader, are dropped and counted, so that logging never blocks the process. A part of the buffer is
+ * reserved for rare kinds, such as changes of leadership, which lines of jobs and tasks would otherwise push out.
  */
 export class DecisionLog {
     private readonly logger: loglevel.Logger;
@@ -44,6 +48,7 @@
         this.logger = loglevel.getLogger(`daisylock/decisions/${process}`);
         this.logger.methodFactory = methodName => (kind: unknown, fields?: unknown) =>
             this.writeLine(
+                kind as DecisionKind,
                 JSON.stringify({
                     time: new Date().toISOString(),
                     level: methodName,
@@ -106,8 +111,9 @@
         }
     }
 
-    private writeLine(line: string): void {
-        if (this.output.writableLength > maxBufferedBytes) {
+    private writeLine(kind: DecisionKind, line: string): void {
+        const maxBytes = highVolumeKinds.has(kind) ? maxBufferedBytes - reservedBytes : maxBufferedBytes;
+        if (this.output.writableLength > maxBytes) {
             this.dropLine();
             return;
         }
