Count what the replicated log sends, drops and refuses, and measure its timer

Change: FleetMetrics takes the counters of the Keeper and of RaftSender; addCount of both implementations has an increment. Entries and bytes are counted after the limit of batches in flight, so that only what is sent counts.

The set-up of keeper.test.ts is shared by its two tests of a leadership transfer, which are unchanged, and the new ones.

--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 
+import { MessageDropReason } from "../../metrics/message-drop-reason.js";
 import { MetricName } from "../../metrics/metric-name.js";
+import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import { FleetMetrics } from "./fleet-metrics.js";
 
@@ -55,6 +57,46 @@
         expect(text).toContain("daisylock_pool_oldest_unconfirmed_seconds{pool=\"web\"} 12.5");
     });
 
+    it("counts sent entries and bytes of the replicated log, and its commits", async () => {
+        const metrics = new FleetMetrics();
+        metrics.addCount(MetricName.EntriesSent, {}, 7);
+        metrics.addCount(MetricName.EntriesSent, {}, 0);
+        metrics.addCount(MetricName.BytesSent, {}, 900);
+        metrics.addCount(MetricName.LogCommits);
+        const text = await metrics.describeAll();
+        expect(text).toContain("daisylock_log_entries_sent_total 7");
+        expect(text).toContain("daisylock_log_bytes_sent_total 900");
+        expect(text).toContain("daisylock_log_commits_total 1");
+    });
+
+    it("counts dropped messages and refused commands by reason, from 0", async () => {
+        const metrics = new FleetMetrics();
+        metrics.addCount(MetricName.MessagesDropped, { reason: MessageDropReason.InFlight }, 3);
+        metrics.addCount(MetricName.CommandsRefused, { reason: ProposeFailureKind.Busy });
+        const text = await metrics.describeAll();
+        expect(text).toContain("daisylock_log_messages_dropped_total{reason=\"in-flight\"} 3");
+        expect(text).toContain("daisylock_log_messages_dropped_total{reason=\"mailbox\"} 0");
+        expect(text).toContain("daisylock_log_commands_refused_total{reason=\"busy\"} 1");
+        expect(text).toContain("daisylock_log_commands_refused_total{reason=\"unknown\"} 0");
+    });
+
+    it("shows how late the keeper's timer fires and how often its lease lapses", async () => {
+        const metrics = new FleetMetrics();
+        metrics.recordTime(MetricName.TickDelay, 300);
+        metrics.addCount(MetricName.LeaseLapses);
+        const text = await metrics.describeAll();
+        expect(text).toContain("daisylock_tick_delay_seconds_bucket{le=\"0.25\"} 0");
+        expect(text).toContain("daisylock_tick_delay_seconds_bucket{le=\"0.5\"} 1");
+        expect(text).toContain("daisylock_lease_lapses_total 1");
+    });
+
+    it("ignores counters of other components", async () => {
+        const metrics = new FleetMetrics();
+        const before = await metrics.describeAll();
+        metrics.addCount(MetricName.RequestsRefused, { reason: "queue-full" });
+        expect(await metrics.describeAll()).toBe(before);
+    });
+
     it("shows whether the process is the leader", async () => {
         const metrics = new FleetMetrics();
         metrics.noteDecision(DecisionKind.LeadershipGained, { term: 2 });
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -1,7 +1,9 @@
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+import { MessageDropReason } from "../../metrics/message-drop-reason.js";
 import { MetricName } from "../../metrics/metric-name.js";
+import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import { FleetMetricName } from "./fleet-metric-name.js";
 
@@ -22,6 +24,8 @@
     private readonly decisions = this.createCounter(FleetMetricName.Decisions, "Decisions by kind", ["kind"]);
     private readonly dropped = this.createCounter(FleetMetricName.DroppedLines, "Log lines left out", []);
     private readonly logSync = this.createHistogram(FleetMetricName.LogSync, "Writes of the log to disk", []);
+    private readonly tickDelay = this.createHistogram(FleetMetricName.TickDelay, "Lateness of the keeper's timer", []);
+    private readonly logCounters = this.createLogCounters();
     private readonly startWait = this.createHistogram(FleetMetricName.StartWait, "From acceptance to placement", []);
     private readonly startRequest = this.createHistogram(
         FleetMetricName.StartOrder,
@@ -114,11 +118,19 @@
         if (name === MetricName.LogSync) {
             this.logSync.observe(milliseconds / msPerSecond);
         }
+        if (name === MetricName.TickDelay) {
+            this.tickDelay.observe(milliseconds / msPerSecond);
+        }
     }
 
-    /** Ignores the counters of the replicated log, because its commits are counted as decisions, by kind. */
-    addCount(): void {
-        // Intentionally empty.
+    /**
+     * Increments a counter of the replicated log; counters of other components are ignored.
+     * @param name - the metric
+     * @param tags - labels of the counter
+     * @param count - the increment
+     */
+    addCount(name: MetricName, tags: Readonly<Record<string, string>> = {}, count = 1): void {
+        this.logCounters.get(name)?.inc(tags, count);
     }
 
     /**
@@ -155,6 +167,38 @@
         this.oldestUnconfirmed.set(labels, Number(fields["oldestUnconfirmedMs"]) / msPerSecond);
     }
 
+    private createLogCounters(): ReadonlyMap<MetricName, Counter> {
+        const dropped = this.createCounter(
+            FleetMetricName.MessagesDropped,
+            "Messages of the replicated log that were dropped",
+            ["reason"],
+        );
+        const refused = this.createCounter(
+            FleetMetricName.CommandsRefused,
+            "Commands that were not confirmed as committed",
+            ["reason"],
+        );
+        Object.values(MessageDropReason).forEach(reason => dropped.inc({ reason }, 0));
+        Object.values(ProposeFailureKind).forEach(reason => refused.inc({ reason }, 0));
+        return new Map([
+            [MetricName.LogCommits, this.createCounter(FleetMetricName.LogCommits, "Commands applied", [])],
+            [
+                MetricName.EntriesSent,
+                this.createCounter(FleetMetricName.EntriesSent, "Log entries sent to other keepers", []),
+            ],
+            [
+                MetricName.BytesSent,
+                this.createCounter(FleetMetricName.BytesSent, "Bytes of log messages sent to other keepers", []),
+            ],
+            [MetricName.MessagesDropped, dropped],
+            [MetricName.CommandsRefused, refused],
+            [
+                MetricName.LeaseLapses,
+                this.createCounter(FleetMetricName.LeaseLapses, "Leader leases that expired within the term", []),
+            ],
+        ]);
+    }
+
     private createCounter(name: FleetMetricName, help: string, labelNames: string[]): Counter {
         return new Counter({ name, help, labelNames, registers: [this.registry] });
     }
--- a/packages/daemon/src/job-scheduler/peers/raft-sender.ts
+++ b/packages/daemon/src/job-scheduler/peers/raft-sender.ts
@@ -1,8 +1,12 @@
+import { RaftMessageKind } from "@daisylock/core/raft/raft-message-kind.js";
 import type { RaftMessage } from "@daisylock/core/raft/raft-message.js";
 import { RaftBatch } from "@daisylock/protocol/generated/raft.js";
 import { encodeRaftMessages } from "@daisylock/protocol/peer/encode-raft-messages.js";
 
 import type { HttpClient } from "../../http-client/http-client.js";
+import { MessageDropReason } from "../../metrics/message-drop-reason.js";
+import { MetricName } from "../../metrics/metric-name.js";
+import type { Metrics } from "../../metrics/metrics.js";
 import { peerPaths } from "./peer-paths.js";
 
 /** Time after which a batch counts as lost, milliseconds; its connection, which may be half-open, is then replaced. */
@@ -18,8 +22,13 @@
     /**
      * @param http - HTTP client for other processes
      * @param ownAddress - peer address of this process, to which replies go
+     * @param metrics - counters of sent entries and bytes and of dropped messages
      */
-    constructor(private readonly http: HttpClient, private readonly ownAddress: string) {}
+    constructor(
+        private readonly http: Pick<HttpClient, "send">,
+        private readonly ownAddress: string,
+        private readonly metrics: Pick<Metrics, "addCount">,
+    ) {}
 
     /**
      * Sends messages in one batch; drops them while too many batches are in flight.
@@ -29,11 +38,25 @@
     sendMessages(address: string, messages: readonly RaftMessage[]): void {
         const inFlightCount = this.inFlightBatches.get(address) ?? 0;
         if (inFlightCount >= maxInFlightBatches) {
+            this.metrics.addCount(
+                MetricName.MessagesDropped,
+                { reason: MessageDropReason.InFlight },
+                messages.length,
+            );
             return;
         }
         this.inFlightBatches.set(address, inFlightCount + 1);
         const body = Buffer.from(RaftBatch.encode(encodeRaftMessages(messages, this.ownAddress)).finish());
+        this.metrics.addCount(MetricName.EntriesSent, {}, countEntries(messages));
+        this.metrics.addCount(MetricName.BytesSent, {}, body.length);
         void this.http.send({ address, method: "POST", path: peerPaths.raft, headers, body, timeoutMs: sendTimeoutMs })
             .then(() => this.inFlightBatches.set(address, (this.inFlightBatches.get(address) ?? 1) - 1));
     }
 }
+
+function countEntries(messages: readonly RaftMessage[]): number {
+    return messages.reduce(
+        (count, message) => message.kind === RaftMessageKind.Append ? count + message.entries.length : count,
+        0,
+    );
+}
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -164,7 +164,7 @@
     private listKeeperChildren(): ChildSpec[] {
         const { settings, clock, log } = this;
         const { node, listen, cluster, limits } = settings;
-        const sender = new RaftSender(this.peerHttp, listen.peers);
+        const sender = new RaftSender(this.peerHttp, listen.peers, this.metrics);
         const keeper = new Keeper({
             storage: new FileKeeperStorage(node.data, node.name),
             clock,
--- a/packages/daemon/src/metrics/metric-name.ts
+++ b/packages/daemon/src/metrics/metric-name.ts
@@ -13,6 +13,12 @@
     LogCommits = "keeper.commits",
     LogSync = "keeper.sync",
     LogTerm = "keeper.term",
+    EntriesSent = "keeper.entries_sent",
+    BytesSent = "keeper.bytes_sent",
+    MessagesDropped = "keeper.messages_dropped",
+    CommandsRefused = "keeper.commands_refused",
+    TickDelay = "keeper.tick_delay",
+    LeaseLapses = "keeper.lease_lapses",
     InvariantsBroken = "invariants.broken",
     ChildRestarts = "supervisor.restarts",
 }
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -31,12 +31,13 @@
     }
 
     /**
-     * Increments a counter by one.
+     * Increments a counter.
      * @param name - the metric
      * @param tags - tags of low cardinality
+     * @param count - the increment
      */
-    addCount(name: MetricName, tags: Tags = {}): void {
-        this.client?.increment(name, tags);
+    addCount(name: MetricName, tags: Tags = {}, count = 1): void {
+        this.client?.increment(name, count, tags);
     }
 
     /**
--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -1,10 +1,14 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import { buildPromotion } from "@daisylock/core/raft/build-promotion.js";
+import { RaftMessageKind } from "@daisylock/core/raft/raft-message-kind.js";
+import type { RaftMessage } from "@daisylock/core/raft/raft-message.js";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import { SystemClock } from "../../clock/system-clock.js";
 import { runGoroutine } from "../../concurrency/run-goroutine.js";
 import { EventLog } from "../../events/event-log.js";
+import { MetricName } from "../../metrics/metric-name.js";
+import type { Metrics } from "../../metrics/metrics.js";
 import { Keeper } from "./keeper.js";
 import { KeeperStorage } from "./storage/keeper-storage.js";
 
@@ -49,12 +53,38 @@
     expect(condition()).toBe(true);
 }
 
-describe("a leadership transfer", () => {
+type KeeperMetrics = Pick<Metrics, "recordTime" | "addCount" | "setGauge">;
+
+/** Metrics that only remember counts, by name and tags, and delays of ticks. */
+function createMetrics() {
+    const counts = new Map<string, number>();
+    const tickDelays: number[] = [];
+    const metrics: KeeperMetrics = {
+        recordTime: (name, milliseconds) => {
+            if (name === MetricName.TickDelay) {
+                tickDelays.push(milliseconds);
+            }
+        },
+        addCount: (name, tags = {}, count = 1) => {
+            const key = [name, ...Object.values(tags)].join(" ");
+            counts.set(key, (counts.get(key) ?? 0) + count);
+        },
+        setGauge: () => undefined,
+    };
+    return { counts, tickDelays, metrics };
+}
+
+describe("a cluster of keepers", () => {
     let keepers: Keeper[];
+    let counts: Map<string, number>;
+    let isConnected: boolean;
     const findLeader = () => keepers.find(keeper => keeper.isActiveLeader());
 
     beforeEach(async () => {
         const clock = new SystemClock();
+        const created = createMetrics();
+        counts = created.counts;
+        isConnected = true;
         keepers = addresses.map(address =>
             new Keeper({
                 storage: new MemoryStorage(address),
@@ -62,10 +92,13 @@
                 random: Math.random,
                 timing,
                 events: new EventLog(address, "a", clock, 16),
-                metrics: { recordTime: () => undefined, addCount: () => undefined, setGauge: () => undefined },
+                metrics: created.metrics,
                 snapshotEntries: 10_000,
-                send: (to, messages) =>
-                    void setTimeout(() => keepers[addresses.indexOf(to)]?.receive(messages, address), 1),
+                send: (to, messages) => {
+                    if (isConnected) {
+                        setTimeout(() => keepers[addresses.indexOf(to)]?.receive(messages, address), 1);
+                    }
+                },
             })
         );
         keepers.forEach(keeper => runGoroutine(() => keeper.run(), () => undefined));
@@ -90,22 +123,88 @@
 
     afterEach(() => keepers.forEach(keeper => keeper.stop()));
 
-    it("elects a successor before the shortest election timeout while commands are proposed", async () => {
-        const leader = findLeader();
-        const proposing = setInterval(() => {
-            Array.from({ length: 5 }, () => void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership }));
-        }, 1);
-        await new Promise(resolve => setTimeout(resolve, 100));
-        const startedAt = performance.now();
-        const successor = await leader?.startLeadershipTransfer();
-        clearInterval(proposing);
-        expect(successor).toBeDefined();
-        await waitUntil(() => findLeader() !== undefined && findLeader() !== leader, timing.minElectionTimeoutMs);
-        expect(performance.now() - startedAt).toBeLessThan(timing.minElectionTimeoutMs);
+    describe("during a leadership transfer", () => {
+        it("elects a successor before the shortest election timeout while commands are proposed", async () => {
+            const leader = findLeader();
+            const proposing = setInterval(() => {
+                Array.from({ length: 5 }, () => void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership }));
+            }, 1);
+            await new Promise(resolve => setTimeout(resolve, 100));
+            const startedAt = performance.now();
+            const successor = await leader?.startLeadershipTransfer();
+            clearInterval(proposing);
+            expect(successor).toBeDefined();
+            await waitUntil(() => findLeader() !== undefined && findLeader() !== leader, timing.minElectionTimeoutMs);
+            expect(performance.now() - startedAt).toBeLessThan(timing.minElectionTimeoutMs);
+        });
+
+        it("returns at once without a successor on a keeper that does not lead", async () => {
+            const follower = keepers.find(keeper => !keeper.isActiveLeader());
+            expect(await follower?.startLeadershipTransfer()).toBeUndefined();
+        });
     });
 
-    it("returns at once without a successor on a keeper that does not lead", async () => {
-        const follower = keepers.find(keeper => !keeper.isActiveLeader());
-        expect(await follower?.startLeadershipTransfer()).toBeUndefined();
+    describe("without connections", () => {
+        it("counts the lapse of the leader's lease, and the commands whose outcome is unknown", async () => {
+            expect(counts.get(MetricName.LeaseLapses)).toBeUndefined();
+            const leader = findLeader();
+            isConnected = false;
+            await leader?.sendCommand({ kind: CommandKind.ConfirmLeadership });
+            expect(counts.get(MetricName.LeaseLapses)).toBe(1);
+            expect(counts.get(`${MetricName.CommandsRefused} unknown`)).toBe(1);
+        });
     });
 });
+
+describe("a keeper", () => {
+    let keeper: Keeper;
+    let counts: Map<string, number>;
+    let tickDelays: number[];
+
+    beforeEach(() => {
+        const created = createMetrics();
+        counts = created.counts;
+        tickDelays = created.tickDelays;
+        const clock = new SystemClock();
+        keeper = new Keeper({
+            storage: new MemoryStorage("k0"),
+            clock,
+            random: Math.random,
+            timing,
+            events: new EventLog("k0", "a", clock, 16),
+            metrics: created.metrics,
+            snapshotEntries: 10_000,
+            send: () => undefined,
+        });
+    });
+
+    afterEach(() => keeper.stop());
+
+    it("counts messages and commands that a full mailbox refuses", async () => {
+        const commands = Array.from({ length: 901 }, () => keeper.sendCommand({ kind: CommandKind.ConfirmLeadership }));
+        await commands.at(-1);
+        keeper.receive([buildTimeoutNow(), buildTimeoutNow()], "k1");
+        expect(counts.get(`${MetricName.CommandsRefused} busy`)).toBe(1);
+        expect(counts.get(`${MetricName.MessagesDropped} mailbox`)).toBe(2);
+    });
+
+    it("counts commands that it refuses because it does not lead", async () => {
+        runGoroutine(() => keeper.run(), () => undefined);
+        await keeper.sendCommand({ kind: CommandKind.ConfirmLeadership });
+        expect(counts.get(`${MetricName.CommandsRefused} not-leader`)).toBe(1);
+    });
+
+    it("records how late a tick is after the event loop was blocked", async () => {
+        runGoroutine(() => keeper.run(), () => undefined);
+        await waitUntil(() => tickDelays.length > 0);
+        const blockedUntil = performance.now() + 200;
+        while (performance.now() < blockedUntil) {
+            // Blocks the event loop.
+        }
+        await waitUntil(() => tickDelays.some(delayMs => delayMs >= 150));
+    });
+});
+
+function buildTimeoutNow(): RaftMessage {
+    return { kind: RaftMessageKind.TimeoutNow, from: "k1", to: "k0", term: 1 };
+}
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -34,6 +34,7 @@
 import { Mailbox } from "../../concurrency/mailbox.js";
 import { waitFor } from "../../concurrency/wait-for.js";
 import type { EventLog } from "../../events/event-log.js";
+import { MessageDropReason } from "../../metrics/message-drop-reason.js";
 import { MetricName } from "../../metrics/metric-name.js";
 import type { Metrics } from "../../metrics/metrics.js";
 import { Worker } from "../../supervision/worker.js";
@@ -95,6 +96,8 @@
     private transfer: LeadershipTransfer | undefined;
     private stopTick: () => void = () => undefined;
     private isTickWaiting = false;
+    /** Whether the leader lease was valid at the last tick. */
+    private wasLeaseValid = false;
     private readonly suspensionDetector: SuspensionDetector;
 
     /**
@@ -146,13 +149,19 @@
         command: Command,
     ): Promise<Result<CommandResults[Command["kind"]], ProposeFailure>> {
         return new Promise(resolve => {
+            const settle = (result: Result<CommandResults[Command["kind"]], ProposeFailure>): void => {
+                if (result.isErr) {
+                    this.dependencies.metrics.addCount(MetricName.CommandsRefused, { reason: result.error.kind });
+                }
+                resolve(result);
+            };
             const accepted = this.mailbox.put({
                 kind: KeeperEventKind.Command,
                 command,
-                resolve: resolve as Extract<KeeperEvent, { kind: KeeperEventKind.Command }>["resolve"],
+                resolve: settle as Extract<KeeperEvent, { kind: KeeperEventKind.Command }>["resolve"],
             });
             if (!accepted) {
-                resolve(Result.err({ kind: ProposeFailureKind.Busy }));
+                settle(Result.err({ kind: ProposeFailureKind.Busy }));
             }
         });
     }
@@ -193,7 +202,10 @@
      * @param fromAddress - peer address of the sender
      */
     receive(messages: readonly RaftMessage[], fromAddress: string): void {
-        this.mailbox.put({ kind: KeeperEventKind.Messages, messages, fromAddress });
+        if (!this.mailbox.put({ kind: KeeperEventKind.Messages, messages, fromAddress })) {
+            const reason = MessageDropReason.Mailbox;
+            this.dependencies.metrics.addCount(MetricName.MessagesDropped, { reason }, messages.length);
+        }
     }
 
     /**
@@ -235,7 +247,12 @@
     }
 
     private startTick(): void {
-        this.stopTick = this.dependencies.clock.schedule(tickMs, () => {
+        const { clock, metrics } = this.dependencies;
+        const dueAt = clock.readMonotonic() + tickMs;
+        this.stopTick = clock.schedule(tickMs, () => {
+            const now = clock.readMonotonic();
+            metrics.recordTime(MetricName.TickDelay, Math.max(0, now - dueAt));
+            this.reportLeaseLapse(now);
             if (!this.isTickWaiting) {
                 this.isTickWaiting = this.mailbox.put({ kind: KeeperEventKind.Tick });
             }
@@ -243,6 +260,15 @@
         });
     }
 
+    /** Counts when the lease of a leader expires within its term, for example because the event loop was blocked. */
+    private reportLeaseLapse(now: number): void {
+        const isValid = this.raft !== undefined && isLeaseValid(this.raft, now);
+        if (this.wasLeaseValid && !isValid && this.raft?.role === RaftRole.Leader) {
+            this.dependencies.metrics.addCount(MetricName.LeaseLapses);
+        }
+        this.wasLeaseValid = isValid;
+    }
+
     private handleBatch(raft: RaftState, first: KeeperEvent): void {
         let event: KeeperEvent | undefined = first;
         for (let handled = 0; event !== undefined && handled < maxBatchEvents; handled++) {
