Tell a lapse of the leader lease from a change of leader in the log

Cause: leadership-lost and leadership-gained are written for both, and their pairs within one term had to be found by comparing terms over lines some of which were dropped.

Change: leadership-lost has sameTerm, true while the term is still the one that the process decided under; leadership-gained has lapsedMs when the lease comes back within its term.

scheduler.test.ts covers these fields and those of pool-load.

--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -0,0 +1,110 @@
+import { applyCommand } from "@daisylock/core/control/apply-command.js";
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
+import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
+import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
+import { afterEach, describe, expect, it } from "@jest/globals";
+
+import { SystemClock } from "../../clock/system-clock.js";
+import { runGoroutine } from "../../concurrency/run-goroutine.js";
+import { DecisionKind } from "../logging/decision-kind.js";
+import type { DecisionLog } from "../logging/decision-log.js";
+import type { Leadership } from "./leadership.js";
+import type { PlacementTicketFetcher } from "./placement-ticket-fetcher.js";
+import { Scheduler } from "./scheduler.js";
+import type { TargetSessions } from "./target-sessions.js";
+
+type Line = Readonly<Record<string, string | number | boolean | undefined>>;
+
+async function waitUntil(condition: () => boolean, maxMs = 5_000): Promise<void> {
+    const deadline = performance.now() + maxMs;
+    while (!condition() && performance.now() < deadline) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    expect(condition()).toBe(true);
+}
+
+describe("Scheduler", () => {
+    const schedulers: Scheduler[] = [];
+    afterEach(() => schedulers.splice(0).forEach(scheduler => scheduler.stop()));
+
+    function createFixture(statuses: Readonly<Record<string, TargetStatus>> = {}) {
+        const state = buildTestFleet(3, { cpu: 4_000, memory: 1_000, gpu: 0 });
+        addTestJob(state, "a", [buildTestStep()]);
+        applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task: "a.0.0.0", run: 1, target: "t0" }] });
+        const lines: { readonly kind: DecisionKind; readonly fields: Line }[] = [];
+        const leadership = { isActive: true, term: 7 };
+        const scheduler = new Scheduler({
+            leadership: {
+                isActive: () => leadership.isActive,
+                readFencingToken: () => leadership.term,
+                readFleet: () => state.fleet,
+                recordCommand: async () => undefined,
+            } as Partial<Leadership> as Leadership,
+            sessions: {
+                update: () => undefined,
+                closeAll: () => undefined,
+                find: id => {
+                    const status = statuses[id];
+                    return status === undefined ? undefined : { readStatus: () => status, countStartsLeft: () => 0 };
+                },
+            } as Partial<TargetSessions> as TargetSessions,
+            estimator: { computeStepMs: () => 500, readMeanJobWork: () => 500 },
+            tickets: { updateTickets: () => undefined } as Partial<PlacementTicketFetcher> as PlacementTicketFetcher,
+            isCordoned: target => target === "t2",
+            log: {
+                record: (kind: DecisionKind, fields: Line) => lines.push({ kind, fields }),
+            } as Partial<DecisionLog> as DecisionLog,
+            clock: new SystemClock(),
+            keepStateMs: 1_000,
+        });
+        schedulers.push(scheduler);
+        runGoroutine(() => scheduler.run(), () => undefined);
+        const findLines = (kind: DecisionKind) => lines.filter(line => line.kind === kind).map(({ fields }) => fields);
+        return { leadership, findLines };
+    }
+
+    it("logs the targets and unconfirmed runs of each pool with its load", async () => {
+        const { findLines } = createFixture({
+            t0: { exclusion: TargetExclusion.Overdue, unconfirmedRuns: [{ ageMs: 9_000, isInFlight: false }] },
+            t2: { exclusion: undefined, unconfirmedRuns: [] },
+        });
+        await waitUntil(() => findLines(DecisionKind.PoolLoad).length > 0);
+        expect(findLines(DecisionKind.PoolLoad).find(({ pool }) => pool === "web")).toMatchObject({
+            targets: 3,
+            usable: 0,
+            overdue: 1,
+            unsynced: 1,
+            cordoned: 1,
+            unreachable: 0,
+            unconfirmed: 1,
+            unsent: 1,
+            oldestUnconfirmedMs: 9_000,
+        });
+    });
+
+    it("tells a lapse of the lease within one term from a change of leader", async () => {
+        const { leadership, findLines } = createFixture();
+        const gained = () => findLines(DecisionKind.LeadershipGained);
+        const lost = () => findLines(DecisionKind.LeadershipLost);
+        await waitUntil(() => gained().length === 1);
+        leadership.isActive = false;
+        await waitUntil(() => lost().length === 1);
+        leadership.isActive = true;
+        await waitUntil(() => gained().length === 2);
+        leadership.isActive = false;
+        leadership.term = 8;
+        await waitUntil(() => lost().length === 2);
+        leadership.term = 9;
+        leadership.isActive = true;
+        await waitUntil(() => gained().length === 3);
+        expect(lost()).toEqual([{ term: 7, sameTerm: true }, { term: 8, sameTerm: false }]);
+        expect(gained()).toEqual([
+            { term: 7, lapsedMs: undefined },
+            { term: 7, lapsedMs: expect.any(Number) },
+            { term: 9, lapsedMs: undefined },
+        ]);
+    });
+});
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -49,6 +49,10 @@
     private nextDropAt = 0;
     private nextLoadLogAt = 0;
     private isLeading = false;
+    /** Term in which this process last led. */
+    private ledTerm = 0;
+    /** When it last ceased to be the active leader, monotonic milliseconds. */
+    private ceasedAt = 0;
 
     /**
      * @param dependencies - leadership, sessions, estimator, tickets, clock and log
@@ -77,18 +81,33 @@
     }
 
     private noteLeadership(isActive: boolean): void {
-        const { leadership, sessions, log } = this.dependencies;
+        const { leadership, sessions } = this.dependencies;
         if (isActive !== this.isLeading) {
-            log.record(isActive ? DecisionKind.LeadershipGained : DecisionKind.LeadershipLost, {
-                term: leadership.readFencingToken(),
-            });
             this.isLeading = isActive;
+            this.recordLeadership(isActive);
         }
         if (!isActive && leadership.readFencingToken() === 0) {
             sessions.closeAll();
         }
     }
 
+    /** Logs a change of leadership. One that returns within its term had only lapsed: no other process led meanwhile. */
+    private recordLeadership(isActive: boolean): void {
+        const { leadership, clock, log } = this.dependencies;
+        const now = clock.readMonotonic();
+        const term = leadership.readFencingToken();
+        const isSameTerm = term === this.ledTerm;
+        if (isActive) {
+            const lapsedMs = isSameTerm ? Math.round(now - this.ceasedAt) : undefined;
+            log.record(DecisionKind.LeadershipGained, { term, lapsedMs });
+            this.ledTerm = term;
+        }
+        else {
+            log.record(DecisionKind.LeadershipLost, { term, sameTerm: isSameTerm });
+            this.ceasedAt = now;
+        }
+    }
+
     private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
         const { leadership, sessions, estimator, tickets, isCordoned, log } = this.dependencies;
         const candidates = collectCandidates(fleet, this.dependencies.clock.readWall(), estimator);
