Reproduce the leader's multiplied replication traffic

Cause: sendAppend takes the entries from nextIndex, which moves only on a reply. A heartbeat sends the entries in flight again, every reply, also one to a duplicate, clears isAppendInFlight and sends all missing entries again, and the next proposal starts one more append.

--- a/packages/core/src/testing/simulated-cluster.ts
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -7,6 +7,7 @@
 import { isLeaseValid } from "../raft/is-lease-valid.js";
 import { LogEntryKind } from "../raft/log-entry-kind.js";
 import type { LogEntry } from "../raft/log-entry.js";
+import { RaftMessageKind } from "../raft/raft-message-kind.js";
 import type { RaftMessage } from "../raft/raft-message.js";
 import { RaftRole } from "../raft/raft-role.js";
 import type { RaftState } from "../raft/raft-state.js";
@@ -17,7 +18,28 @@
 import { tickRaft } from "../raft/tick-raft.js";
 
 const timing = { heartbeatIntervalMs: 50, minElectionTimeoutMs: 300, maxElectionTimeoutMs: 600, leaseMs: 240 };
-const stepMs = 10;
+
+/** Behaviour of the simulated transport and of the snapshots. */
+interface SimulationOptions {
+    /** Simulated time between two rounds of timers, milliseconds. */
+    readonly stepMs: number;
+    /** Shortest delay of a message, milliseconds. */
+    readonly minDelayMs: number;
+    /** Longest delay of a message, milliseconds. Messages are reordered unless it equals the shortest one. */
+    readonly maxDelayMs: number;
+    /** Probability that a message arrives twice, percent. */
+    readonly duplicatePercent: number;
+    /** Applied entries after which a keeper takes a snapshot. */
+    readonly snapshotEntries: number;
+}
+
+const defaultOptions: SimulationOptions = {
+    stepMs: 10,
+    minDelayMs: 1,
+    maxDelayMs: 41,
+    duplicatePercent: 5,
+    snapshotEntries: 40,
+};
 
 interface Disk {
     hard: RaftState["hard"];
@@ -42,7 +64,12 @@
     readonly nodes: Node[] = [];
     /** Payloads whose commit was acknowledged to the proposer. */
     readonly acknowledged = new Set<string>();
+    /** Number of log entries handed to the transport, by receiver; an entry that is sent again counts again. */
+    readonly sentEntries = new Map<string, number>();
+    /** Number of snapshot chunks handed to the transport, by receiver. */
+    readonly sentSnapshotChunks = new Map<string, number>();
     now = 0;
+    private readonly options: SimulationOptions;
     private inFlight: { at: number; message: RaftMessage }[] = [];
     private readonly cutLinks = new Set<string>();
     /** Ids of the leaders by term. */
@@ -56,8 +83,15 @@
      * @param size - number of keepers
      * @param random - numbers from 0 to below 1
      * @param lossPercent - probability that a message is lost, percent
+     * @param options - behaviour that differs from the default
      */
-    constructor(size: number, private readonly random: () => number, private readonly lossPercent: number) {
+    constructor(
+        size: number,
+        private readonly random: () => number,
+        private readonly lossPercent: number,
+        options: Partial<SimulationOptions> = {},
+    ) {
+        this.options = { ...defaultOptions, ...options };
         for (let number = 0; number < size; number++) {
             this.addNode(`k${number}`);
         }
@@ -175,7 +209,7 @@
      */
     run(milliseconds: number): void {
         for (const end = this.now + milliseconds; this.now < end;) {
-            this.now += stepMs;
+            this.now += this.options.stepMs;
             this.receiveDueMessages();
             for (const node of this.nodes) {
                 if (node.raft !== undefined && !node.isFrozen) {
@@ -195,7 +229,7 @@
      */
     runUntil(check: () => boolean, maxMs: number): boolean {
         for (const end = this.now + maxMs; this.now < end && !check();) {
-            this.run(stepMs);
+            this.run(this.options.stepMs);
         }
         return check();
     }
@@ -237,8 +271,7 @@
             node.applied.push(entry.kind === LogEntryKind.Command ? JSON.parse(entry.payload) as string : "");
         }
         this.confirmProposals(node, raft);
-        const snapshotEvery = 40;
-        if (raft.appliedIndex - raft.snapshot.index >= snapshotEvery) {
+        if (raft.appliedIndex - raft.snapshot.index >= this.options.snapshotEntries) {
             createSnapshot(raft, JSON.stringify(node.applied), 8);
             node.disk = { hard: raft.hard, snapshot: raft.snapshot, base: raft.base, entries: [...raft.entries] };
             confirmPersisted(raft);
@@ -246,13 +279,27 @@
     }
 
     private sendMessage(message: RaftMessage): void {
+        this.recordTraffic(message);
         if (this.random() * 100 < this.lossPercent) {
             return;
         }
-        const copies = this.random() < 0.05 ? 2 : 1;
+        const { duplicatePercent, minDelayMs, maxDelayMs } = this.options;
+        const copies = this.random() * 100 < duplicatePercent ? 2 : 1;
         for (let copy = 0; copy < copies; copy++) {
             const copied = JSON.parse(JSON.stringify(message)) as RaftMessage;
-            this.inFlight.push({ at: this.now + 1 + this.random() * 40, message: copied });
+            this.inFlight.push({
+                at: this.now + minDelayMs + this.random() * (maxDelayMs - minDelayMs),
+                message: copied,
+            });
+        }
+    }
+
+    private recordTraffic(message: RaftMessage): void {
+        if (message.kind === RaftMessageKind.Append) {
+            this.sentEntries.set(message.to, (this.sentEntries.get(message.to) ?? 0) + message.entries.length);
+        }
+        else if (message.kind === RaftMessageKind.SnapshotChunk) {
+            this.sentSnapshotChunks.set(message.to, (this.sentSnapshotChunks.get(message.to) ?? 0) + 1);
         }
     }
 
