Acknowledge a repeated heartbeat only once it is committed

A target that reports that it drains, or that it is new, could get a 2xx for a heartbeat of which nothing was committed. No start follows an acknowledged drain only if the drain is in the log, so the leader could go on placing tasks on such a target until its next heartbeat.

Cause: TargetReportHandler noted the sequence number before the commit.

Each noted heartbeat now says whether it is recorded. A repeat of one that is not is proposed again, which is idempotent, and acknowledged with its own commit. Overtaken heartbeats are ignored as before. The test drives the real Leadership over a FakeKeeper, whose lease and refusals a test controls.

--- a/packages/daemon/src/job-scheduler/leader/leadership.ts
+++ b/packages/daemon/src/job-scheduler/leader/leadership.ts
@@ -14,7 +14,10 @@
      * @param minVoters - number of voters below which no command is accepted, so that accepted commands are never
      *     stored on one disk only
      */
-    constructor(private readonly keeper: Keeper, private readonly minVoters: number) {}
+    constructor(
+        private readonly keeper: Pick<Keeper, "isActiveLeader" | "readControl" | "readView" | "sendCommand">,
+        private readonly minVoters: number,
+    ) {}
 
     /**
      * Tells whether this process is the active leader.
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -0,0 +1,58 @@
+import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
+import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
+import { describe, expect, it } from "@jest/globals";
+
+import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
+import { FakeKeeper } from "../testing/fake-keeper.js";
+import { ManualClock } from "../testing/manual-clock.js";
+import { Leadership } from "./leadership.js";
+import { TargetReportHandler } from "./target-report-handler.js";
+
+function createFixture() {
+    const state = buildTestFleet(1, { cpu: 2_000, memory: 1_000, gpu: 0 });
+    addTestJob(state, "a", [buildTestStep()]);
+    const record = state.fleet.targets.get("t0");
+    if (record === undefined) {
+        throw new TypeError("the test fleet has no target");
+    }
+    const keeper = new FakeKeeper(state);
+    const handler = new TargetReportHandler(
+        new Leadership(keeper, 1),
+        new ManualClock(),
+        { record: () => undefined },
+        () => undefined,
+    );
+    const report = (sequence: number, fields: Partial<typeof record> = {}) =>
+        handler.handleReport({
+            record: { ...record, ...fields },
+            sequence,
+            clockMs: undefined,
+            remainingMs: undefined,
+        });
+    return { state, keeper, handler, report, readState: () => state.fleet.targets.get("t0")?.state };
+}
+
+describe("TargetReportHandler", () => {
+    describe("heartbeats", () => {
+        it("does not acknowledge a repeated heartbeat whose first commit was refused before it is committed", async () => {
+            const { keeper, report, readState } = createFixture();
+            keeper.refuseCommand = () => ProposeFailureKind.Busy;
+            const draining = { state: ReportedTargetState.Draining };
+            expect(await report(5, draining)).toMatchObject({ isLeader: false });
+            expect(await report(5, draining)).toMatchObject({ isLeader: false });
+            keeper.refuseCommand = () => undefined;
+            expect(await report(5, draining)).toEqual({ isLeader: true, value: { isNewest: true } });
+            expect(readState()).toBe(ReportedTargetState.Draining);
+        });
+
+        it("ignores a heartbeat that a newer one has overtaken", async () => {
+            const { report, readState } = createFixture();
+            await report(6);
+            const draining = { state: ReportedTargetState.Draining };
+            expect(await report(5, draining)).toEqual({ isLeader: true, value: { isNewest: false } });
+            expect(readState()).toBe(ReportedTargetState.Ready);
+        });
+    });
+});
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -18,6 +18,8 @@
     readonly at: number;
     /** The target's clock in the heartbeat, milliseconds. */
     readonly clockMs: number | undefined;
+    /** Whether the heartbeat is committed or needed no commit. A repeat of one that is not has to be committed too. */
+    readonly isRecorded: boolean;
 }
 
 /** Handles heartbeats of targets, on the leader. */
@@ -33,7 +35,7 @@
     constructor(
         private readonly leadership: Leadership,
         private readonly clock: Clock,
-        private readonly log: DecisionLog,
+        private readonly log: Pick<DecisionLog, "record">,
         private readonly startScheduling: () => void,
     ) {}
 
@@ -50,19 +52,25 @@
             if (this.isOutdated(report, known?.incarnation)) {
                 return { isNewest: false };
             }
-            this.latestReports.set(record.id, {
+            const isChanged = isTargetChanged(known, record);
+            const latest: LatestReport = {
                 incarnation: record.incarnation,
                 sequence,
                 at: this.clock.readMonotonic(),
                 clockMs,
-            });
-            if (!isTargetChanged(known, record)) {
+                isRecorded: !isChanged,
+            };
+            this.latestReports.set(record.id, latest);
+            if (!isChanged) {
                 return { isNewest: true };
             }
             const isNewest = await this.leadership.recordCommand({ kind: CommandKind.RecordTarget, record });
             if (isNewest === undefined) {
                 return undefined;
             }
+            if (this.latestReports.get(record.id) === latest) {
+                this.latestReports.set(record.id, { ...latest, isRecorded: true });
+            }
             const kind = record.state === ReportedTargetState.Draining
                 ? DecisionKind.TargetDraining
                 : DecisionKind.TargetRecorded;
@@ -109,7 +117,7 @@
      * @param incarnation - incarnation of the target
      * @returns the heartbeat, or `undefined` when this process has received none
      */
-    findReport(id: string, incarnation: number): LatestReport | undefined {
+    findReport(id: string, incarnation: number): Omit<LatestReport, "isRecorded"> | undefined {
         const latest = this.latestReports.get(id);
         return latest?.incarnation === incarnation ? latest : undefined;
     }
@@ -117,7 +125,7 @@
     private isOutdated({ record, sequence }: TargetReport, knownIncarnation: number | undefined): boolean {
         const latest = this.latestReports.get(record.id);
         const newest = Math.max(latest?.incarnation ?? 0, knownIncarnation ?? 0);
-        return record.incarnation < newest
-            || (latest?.incarnation === record.incarnation && sequence <= latest.sequence);
+        return record.incarnation < newest || (latest?.incarnation === record.incarnation
+            && (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded)));
     }
 }
