Ignore a delayed announcement to leave of an earlier incarnation

A target that starts again under its id could be removed by the delayed DELETE of its predecessor. Its runs were then started elsewhere although they were still running, so that tasks ran twice.

Cause: handleLeave removed whichever incarnation was recorded under the id, and the control listener dropped the body of the announcement, in which a target may name its incarnation (`born`).

Before, target-report-handler.test.ts, with incarnation 2 recorded and an announcement of incarnation 1: expected { isKnown: false }, received { isKnown: true }.

The platform's documents say that `born` stands in everything that a target says of itself but show no body of this call, so an announcement without it has to be expected. It is believed only of a target that is recorded as draining, which every target reports before it leaves. Another one that has really left is noticed by its session: the lease of its runs expires or the VM service reports it as gone, as after a crash.

--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -55,4 +55,25 @@
             expect(readState()).toBe(ReportedTargetState.Ready);
         });
     });
+
+    describe("announcements to leave", () => {
+        it("does not restart the tasks of a newer incarnation on a delayed announcement of the earlier one", async () => {
+            const { handler, report, readState } = createFixture();
+            await report(1, { incarnation: 2 });
+            const isUnknown = { isLeader: true, value: { isKnown: false } };
+            expect(await handler.handleLeave({ id: "t0", incarnation: 1 })).toEqual(isUnknown);
+            expect(await handler.handleLeave({ id: "t0", incarnation: undefined })).toEqual(isUnknown);
+            expect(readState()).toBe(ReportedTargetState.Ready);
+        });
+
+        it("removes the announced incarnation, or one that drains if the announcement names none", async () => {
+            const named = createFixture();
+            await named.handler.handleLeave({ id: "t0", incarnation: 1 });
+            expect(named.readState()).toBeUndefined();
+            const draining = createFixture();
+            await draining.report(1, { state: ReportedTargetState.Draining });
+            await draining.handler.handleLeave({ id: "t0", incarnation: undefined });
+            expect(draining.readState()).toBeUndefined();
+        });
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -3,6 +3,7 @@
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetReport } from "@daisylock/core/targets/target-report.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
+import type { TargetLeave } from "@daisylock/protocol/fleet/target-leave.js";
 
 import type { Clock } from "../../clock/clock.js";
 import { DecisionKind } from "../logging/decision-kind.js";
@@ -81,14 +82,19 @@
     }
 
     /**
-     * Handles the announcement of a target that it is leaving.
-     * @param request - id of the target
-     * @returns whether the target was known, or a not-leader reply
+     * Handles the announcement of a target that it is leaving. An announcement may be delayed until a newer incarnation
+     * runs under the same id, whose tasks must not be started elsewhere. One that names no incarnation is therefore
+     * believed only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
+     * @param request - id of the target and the incarnation that is leaving
+     * @returns whether that incarnation was known, or a not-leader reply
      */
-    handleLeave({ id }: { id: string }): Promise<LeaderReply<{ isKnown: boolean }>> {
+    handleLeave({ id, incarnation }: TargetLeave): Promise<LeaderReply<{ isKnown: boolean }>> {
         return this.leadership.serveCall(async () => {
             const known = this.leadership.readFleet().targets.get(id);
-            if (known === undefined) {
+            const isLeaving = incarnation === undefined
+                ? known?.state === ReportedTargetState.Draining
+                : known?.incarnation === incarnation;
+            if (known === undefined || !isLeaving) {
                 return { isKnown: false };
             }
             const isKnown = await this.leadership.recordCommand({
--- a/packages/protocol/src/fleet/leader-calls.ts
+++ b/packages/protocol/src/fleet/leader-calls.ts
@@ -6,6 +6,7 @@
 import type { JobReply } from "./job-reply.js";
 import type { MaintenanceWaveProgress } from "./maintenance-wave-progress.js";
 import type { MaintenanceWaveRequest } from "./maintenance-wave-request.js";
+import type { TargetLeave } from "./target-leave.js";
 
 /** Request and reply types of the calls that only the leader serves. All of them are idempotent. */
 export interface LeaderCalls {
@@ -13,7 +14,7 @@
     putConfiguration: { request: FleetConfiguration; reply: ConfigurationReply };
     readConfiguration: { request: Record<string, never>; reply: { source: string | undefined } };
     report: { request: TargetReport; reply: { isNewest: boolean } };
-    leave: { request: { id: string }; reply: { isKnown: boolean } };
+    leave: { request: TargetLeave; reply: { isKnown: boolean } };
     startUpkeep: { request: MaintenanceWaveRequest; reply: { isNew: boolean } };
     readUpkeep: { request: { number: number }; reply: MaintenanceWaveProgress };
     /** Reports whether jobs can be accepted, and the peer addresses of the voting keepers. */
