Settle proposals of a leadership that ends within one batch

A call that waits for a commit could wait for good: a caller's request, or a round of the scheduler, the maintenance runner or the balancer, after which that component would do nothing until the process ends.

Cause: the keeper settled its pending proposals only when its role at the end of a batch differed from the one before and had been Leader. Under load a batch holds up to 512 events, so it can contain the last vote, a command and a message of a newer term. The role is then Follower before and after, and the proposal stays. Leader to follower to leader within one batch is not possible with several voters, as votes are requested at the end of a batch.

Every batch that doesn't end as leader now settles what is pending, which costs nothing when there is none, and a proposal of a later term settles those of earlier ones as unknown, which they are.

--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -1,5 +1,9 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import { buildPromotion } from "@daisylock/core/raft/build-promotion.js";
+import type { Members } from "@daisylock/core/raft/members.js";
+import { RaftMessageKind } from "@daisylock/core/raft/raft-message-kind.js";
+import type { RaftMessage } from "@daisylock/core/raft/raft-message.js";
+import { RaftRole } from "@daisylock/core/raft/raft-role.js";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 
 import { SystemClock } from "../../clock/system-clock.js";
@@ -10,12 +14,15 @@
 
 /** Storage that starts empty, keeps nothing and takes 2 ms for each write. */
 class MemoryStorage extends KeeperStorage {
-    constructor(private readonly id: string) {
+    constructor(
+        private readonly id: string,
+        private readonly members: Members = { voters: {}, learners: {} },
+    ) {
         super();
     }
 
     override async load() {
-        const members = { voters: {}, learners: {} };
+        const { members } = this;
         return {
             id: this.id,
             hard: { term: 0, votedFor: undefined },
@@ -109,3 +116,58 @@
         expect(await follower?.startLeadershipTransfer()).toBeUndefined();
     });
 });
+
+describe("a promise of a keeper", () => {
+    let keeper: Keeper;
+    let sent: RaftMessage[];
+
+    function startKeeper(storage: KeeperStorage): void {
+        const clock = new SystemClock();
+        sent = [];
+        keeper = new Keeper({
+            storage,
+            clock,
+            random: Math.random,
+            timing: { ...timing, minElectionTimeoutMs: 300, maxElectionTimeoutMs: 400, leaseMs: 200 },
+            events: new EventLog("k0", "a", clock, 16),
+            metrics: { recordTime: () => undefined, addCount: () => undefined, setGauge: () => undefined },
+            snapshotEntries: 10_000,
+            send: (_, messages) => void sent.push(...messages),
+        });
+        runGoroutine(() => keeper.run(), () => undefined);
+    }
+
+    const findSent = (kind: RaftMessageKind) => sent.find(message => message.kind === kind);
+
+    afterEach(() => keeper.stop());
+
+    it("settles when the leadership began and ended between two writes to disk", async () => {
+        startKeeper(new MemoryStorage("k0", { voters: { k0: "k0", k1: "k1", k2: "k2" }, learners: {} }));
+        await waitUntil(() => findSent(RaftMessageKind.PreVote) !== undefined);
+        const answer = (kind: RaftMessageKind.PreVoteReply | RaftMessageKind.VoteReply, term: number) =>
+            keeper.receive([{ kind, from: "k1", to: "k0", term, isGranted: true }], "k1");
+        const preVoteTerm = findSent(RaftMessageKind.PreVote)?.term ?? 0;
+        answer(RaftMessageKind.PreVoteReply, preVoteTerm);
+        await waitUntil(() => findSent(RaftMessageKind.Vote) !== undefined);
+        const term = findSent(RaftMessageKind.Vote)?.term ?? 0;
+        answer(RaftMessageKind.VoteReply, term);
+        const result = keeper.sendCommand({ kind: CommandKind.ConfirmLeadership });
+        keeper.receive([{
+            kind: RaftMessageKind.Append,
+            from: "k2",
+            to: "k0",
+            term: term + 1,
+            previousIndex: 0,
+            previousTerm: 0,
+            entries: [],
+            commitIndex: 0,
+            sentAt: 0,
+        }], "k2");
+        await waitUntil(() => keeper.readView()?.role === RaftRole.Follower);
+        const settled = await Promise.race([
+            result.then(({ isErr }) => isErr),
+            new Promise(resolve => setTimeout(resolve, 300, "not settled")),
+        ]);
+        expect(settled).toBe(true);
+    });
+});
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -397,6 +397,10 @@
     }
 
     private reportRole(raft: RaftState): void {
+        // A leadership may have begun and ended within the batch, so the previous role does not matter.
+        if (raft.role !== RaftRole.Leader) {
+            this.proposals.settleAll();
+        }
         if (raft.role === this.lastRole) {
             return;
         }
@@ -406,7 +410,6 @@
         }
         else if (this.lastRole === RaftRole.Leader) {
             events.record(EventKind.LeaderLost, { detail: `term ${raft.hard.term}` });
-            this.proposals.settleAll();
         }
         this.lastRole = raft.role;
         metrics.setGauge(MetricName.LogTerm, raft.hard.term);
--- a/packages/daemon/src/request-proxy/keeper/pending-proposals.ts
+++ b/packages/daemon/src/request-proxy/keeper/pending-proposals.ts
@@ -10,14 +10,20 @@
 /** Proposals whose log entries are not applied yet. */
 export class PendingProposals {
     private readonly proposalsByIndex = new Map<number, { readonly term: number; readonly resolve: Resolve }>();
+    /** Term of the proposals. */
+    private term = 0;
 
     /**
-     * Adds a proposal.
+     * Adds a proposal. Those of an earlier term are resolved first, as their entries may have been replaced.
      * @param index - index of its log entry
      * @param term - term of its log entry
      * @param resolve - called with the result
      */
     add(index: number, term: number, resolve: Resolve): void {
+        if (term !== this.term) {
+            this.settleAll();
+            this.term = term;
+        }
         this.proposalsByIndex.set(index, { term, resolve });
     }
 
