--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -3,6 +3,7 @@
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetReport } from "@daisylock/core/targets/target-report.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
+import type { TargetLeave } from "@daisylock/protocol/fleet/target-leave.js";
 
 import type { Clock } from "../../clock/clock.js";
 import { DecisionKind } from "../logging/decision-kind.js";
@@ -18,6 +19,8 @@
     readonly at: number;
     /** The target's clock in the heartbeat, milliseconds. */
     readonly clockMs: number | undefined;
+    /** Whether the heartbeat is committed or needed no commit. A repeat of one that is not has to be committed too. */
+    readonly isRecorded: boolean;
 }
 
 /** Handles heartbeats of targets, on the leader. */
@@ -33,7 +36,7 @@
     constructor(
         private readonly leadership: Leadership,
         private readonly clock: Clock,
-        private readonly log: DecisionLog,
+        private readonly log: Pick<DecisionLog, "record">,
         private readonly startScheduling: () => void,
     ) {}
 
@@ -50,19 +53,25 @@
             if (this.isOutdated(report, known?.incarnation)) {
                 return { isNewest: false };
             }
-            this.latestReports.set(record.id, {
+            const isChanged = isTargetChanged(known, record);
+            const latest: LatestReport = {
                 incarnation: record.incarnation,
                 sequence,
                 at: this.clock.readMonotonic(),
                 clockMs,
-            });
-            if (!isTargetChanged(known, record)) {
+                isRecorded: !isChanged,
+            };
+            this.latestReports.set(record.id, latest);
+            if (!isChanged) {
                 return { isNewest: true };
             }
             const isNewest = await this.leadership.recordCommand({ kind: CommandKind.RecordTarget, record });
             if (isNewest === undefined) {
                 return undefined;
             }
+            if (this.latestReports.get(record.id) === latest) {
+                this.latestReports.set(record.id, { ...latest, isRecorded: true });
+            }
             const kind = record.state === ReportedTargetState.Draining
                 ? DecisionKind.TargetDraining
                 : DecisionKind.TargetRecorded;
@@ -73,14 +82,19 @@
     }
 
     /**
-     * Handles the announcement of a target that it is leaving.
-     * @param request - id of the target
-     * @returns whether the target was known, or a not-leader reply
+     * Handles the announcement of a target that it is leaving. An announcement may be delayed until a newer incarnation
+     * runs under the same id, whose tasks must not be started elsewhere. One that names no incarnation is therefore
+     * believed only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
+     * @param request - id of the target and the incarnation that is leaving
+     * @returns whether that incarnation was known, or a not-leader reply
      */
-    handleLeave({ id }: { id: string }): Promise<LeaderReply<{ isKnown: boolean }>> {
+    handleLeave({ id, incarnation }: TargetLeave): Promise<LeaderReply<{ isKnown: boolean }>> {
         return this.leadership.serveCall(async () => {
             const known = this.leadership.readFleet().targets.get(id);
-            if (known === undefined) {
+            const isLeaving = incarnation === undefined
+                ? known?.state === ReportedTargetState.Draining
+                : known?.incarnation === incarnation;
+            if (known === undefined || !isLeaving) {
                 return { isKnown: false };
             }
             const isKnown = await this.leadership.recordCommand({
@@ -109,7 +123,7 @@
      * @param incarnation - incarnation of the target
      * @returns the heartbeat, or `undefined` when this process has received none
      */
-    findReport(id: string, incarnation: number): LatestReport | undefined {
+    findReport(id: string, incarnation: number): Omit<LatestReport, "isRecorded"> | undefined {
         const latest = this.latestReports.get(id);
         return latest?.incarnation === incarnation ? latest : undefined;
     }
@@ -117,7 +131,7 @@
     private isOutdated({ record, sequence }: TargetReport, knownIncarnation: number | undefined): boolean {
         const latest = this.latestReports.get(record.id);
         const newest = Math.max(latest?.incarnation ?? 0, knownIncarnation ?? 0);
-        return record.incarnation < newest
-            || (latest?.incarnation === record.incarnation && sequence <= latest.sequence);
+        return record.incarnation < newest || (latest?.incarnation === record.incarnation
+            && (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded)));
     }
 }
