--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -45,7 +45,7 @@
             } as Partial<Leadership> as Leadership,
             sessions: {
                 update: () => undefined,
-                closeAll: () => undefined,
+                closeEarlier: () => undefined,
                 find: id => {
                     const status = statuses[id];
                     return status === undefined ? undefined : { readStatus: () => status, countStartsLeft: () => 0 };
