Settle changes of members and the bootstrap when the mailbox is full

A keeper that was to bootstrap, to promote a learner or to replace a dead voter could stop doing so for good, and a join call from another keeper could stay unanswered until its caller gave up.

Cause: sendMemberChange and startCluster ignored that Mailbox.put refuses an event when the mailbox is full or closed. Their promise then never settled, and the member manager and the learner promoter wait for it in their only loop. Commands and leadership transfers were refused properly.

Before, keeper.test.ts with a full mailbox: expected "busy", received "not settled", for both.

Both now say that the keeper is busy. The loops try again after their interval, as they do after other refusals, and operators get a 503, which the command line tool takes for temporary, instead of no answer.

--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -5,11 +5,13 @@
 import type { RaftMessage } from "@daisylock/core/raft/raft-message.js";
 import { RaftRole } from "@daisylock/core/raft/raft-role.js";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
+import type Result from "true-myth/result";
 
 import { SystemClock } from "../../clock/system-clock.js";
 import { runGoroutine } from "../../concurrency/run-goroutine.js";
 import { EventLog } from "../../events/event-log.js";
 import { Keeper } from "./keeper.js";
+import { ProposeFailureKind } from "./propose-failure-kind.js";
 import { KeeperStorage } from "./storage/keeper-storage.js";
 
 /** Storage that starts empty, keeps nothing and takes 2 ms for each write. */
@@ -170,4 +172,23 @@
         ]);
         expect(settled).toBe(true);
     });
+
+    it("settles when the mailbox is full, also for changes of members and the bootstrap", async () => {
+        startKeeper(new MemoryStorage("k0"));
+        const readError = (promise: Promise<Result<unknown, unknown>>) =>
+            Promise.race([
+                promise.then(result => result.isErr ? result.error : undefined),
+                new Promise(resolve => setTimeout(resolve, 0, "not settled")),
+            ]);
+        // The keeper handles no event before this test yields.
+        const proposals = Array.from(
+            { length: 2_000 },
+            () => keeper.sendCommand({ kind: CommandKind.ConfirmLeadership }),
+        );
+        const memberChange = readError(keeper.sendMemberChange({ voters: {}, learners: {} }));
+        const bootstrap = readError(keeper.startCluster("k0"));
+        expect(await memberChange).toBe(ProposeFailureKind.Busy);
+        expect(await bootstrap).toBe(ProposeFailureKind.Busy);
+        await Promise.all(proposals);
+    });
 });
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -162,17 +162,26 @@
      * @param members - the new members
      * @returns index of the log entry, or why the change was refused
      */
-    sendMemberChange(members: Members): Promise<Result<number, MemberChangeFault>> {
-        return new Promise(resolve => this.mailbox.put({ kind: KeeperEventKind.ChangeMembers, members, resolve }));
+    sendMemberChange(members: Members): Promise<Result<number, MemberChangeFault | ProposeFailureKind.Busy>> {
+        return new Promise(resolve => {
+            if (!this.mailbox.put({ kind: KeeperEventKind.ChangeMembers, members, resolve })) {
+                resolve(Result.err(ProposeFailureKind.Busy));
+            }
+        });
     }
 
     /**
      * Makes this keeper the first member of a new cluster.
      * @param address - peer address of this keeper
-     * @returns false when the keeper already has members
+     * @returns false when the keeper already has members, or why that was not tried
      */
-    startCluster(address: string): Promise<boolean> {
-        return new Promise(resolve => this.mailbox.put({ kind: KeeperEventKind.Bootstrap, address, resolve }));
+    startCluster(address: string): Promise<Result<boolean, ProposeFailureKind.Busy>> {
+        return new Promise(resolve => {
+            const handleStart = (isStarted: boolean) => resolve(Result.ok(isStarted));
+            if (!this.mailbox.put({ kind: KeeperEventKind.Bootstrap, address, resolve: handleStart })) {
+                resolve(Result.err(ProposeFailureKind.Busy));
+            }
+        });
     }
 
     /**
--- a/packages/daemon/src/request-proxy/keeper/operator-api/handle-keeper-change.ts
+++ b/packages/daemon/src/request-proxy/keeper/operator-api/handle-keeper-change.ts
@@ -5,6 +5,7 @@
 import { keeperRequestSchema } from "@daisylock/protocol/operator/keeper-request-schema.js";
 import * as v from "valibot";
 
+import { ProposeFailureKind } from "../propose-failure-kind.js";
 import { handleKeeperList } from "./handle-keeper-list.js";
 import type { OperatorContext } from "./operator-context.js";
 import type { OperatorResult } from "./operator-result.js";
@@ -59,7 +60,7 @@
 async function setMembers(context: OperatorContext, members: Members): Promise<OperatorResult> {
     const result = await context.keeper.sendMemberChange(members);
     if (result.isErr) {
-        return { status: 409, body: { type: result.error } };
+        return { status: result.error === ProposeFailureKind.Busy ? 503 : 409, body: { type: result.error } };
     }
     return handleKeeperList(context);
 }
--- a/packages/daemon/src/request-proxy/operator/local-request-handler.ts
+++ b/packages/daemon/src/request-proxy/operator/local-request-handler.ts
@@ -95,7 +95,10 @@
             return { status: 409, body: JSON.stringify({ type: "not-a-keeper" }) };
         }
         const isBootstrapped = await this.keeper.startCluster(this.settings.listen.peers);
-        return isBootstrapped
+        if (isBootstrapped.isErr) {
+            return { status: 503, body: JSON.stringify({ type: isBootstrapped.error }) };
+        }
+        return isBootstrapped.value
             ? { status: 200, body: JSON.stringify({ keeper: this.keeper.readView()?.id }) }
             : { status: 409, body: JSON.stringify({ type: "already-bootstrapped" }) };
     }
