Count a busy VM as gone only by a list requested afterwards

A wave of maintenance could be said to be completed although one of its VMs had never been maintained, because its maintenance was recorded as begun.

Cause: a VM that the service reports as busy and that is not in the cached list counts as gone, so that the wave doesn't wait for it. The cached list may be four seconds old and lack a VM that has joined since. It may also be empty: the first look at the lease in a new term drops it, and a request may be in flight for 1.5 s across a lost and regained leadership.

Before, maintenance-runner.test.ts: expected done to be [], received ["vm0"], both with a VM that joined after the list was requested and with a list dropped by a new term.

The VM now counts as gone only once a list that was requested after the first busy response lacks it; VmLeaseTracker.findVm gives that and asks for such a list. Until then the request is repeated after the delay for busy VMs, as before. A VM that has really gone is still skipped, 1.5 s later.

The runner takes only the part of the sessions that it uses, so that the test needs no targets.

--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
@@ -0,0 +1,100 @@
+import { applyCommand } from "@daisylock/core/control/apply-command.js";
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
+import { afterEach, describe, expect, it } from "@jest/globals";
+
+import { FakeKeeper } from "../testing/fake-keeper.js";
+import { FakeVmService } from "../testing/fake-vm-service.js";
+import { ManualClock } from "../testing/manual-clock.js";
+import { runWorker } from "../testing/run-worker.js";
+import { VmRequestResult } from "../vms/vm-request-result.js";
+import { Leadership } from "./leadership.js";
+import { MaintenanceRunner } from "./maintenance-runner.js";
+import { VmLeaseTracker } from "./vm-lease-tracker.js";
+
+const waveNumber = 1;
+const task = "a.0.0.0";
+
+describe("MaintenanceRunner", () => {
+    let runner: MaintenanceRunner;
+    afterEach(() => runner.stop());
+
+    function createFixture() {
+        const state = buildTestFleet(1, { cpu: 4_000, memory: 1_000, gpu: 0 });
+        const { fleet } = state;
+        addTestJob(state, "a", [buildTestStep()]);
+        const wave = { number: waveNumber, vms: ["vm0"], cap: 1, deadlineAtMs: 20_000, done: [] };
+        applyCommand(state, { kind: CommandKind.StartMaintenance, wave });
+        const clock = new ManualClock();
+        const keeper = new FakeKeeper(state);
+        const leadership = new Leadership(keeper, 1);
+        const vms = new FakeVmService();
+        const vmLeases = new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 });
+        const stops: string[] = [];
+        runner = new MaintenanceRunner({
+            leadership,
+            sessions: {
+                find: () => ({
+                    running: new Map(),
+                    isStopping: () => false,
+                    stopTask: stopped => void stops.push(stopped),
+                }),
+            },
+            vms,
+            vmLeases,
+            log: { record: () => undefined },
+            clock,
+            isMoving: () => false,
+            maintenanceMs: 2_000,
+        });
+        return {
+            state,
+            keeper,
+            vms,
+            vmLeases,
+            stops,
+            recordStart: () =>
+                applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task, run: 1, target: "t0" }] }),
+            runFor: runWorker(runner, clock),
+            readDone: () => fleet.maintenanceWaves.get(waveNumber)?.done,
+            readRequests: () => vms.requests.map(({ vm }) => vm),
+        };
+    }
+
+    describe("a VM that the service reports as busy", () => {
+        it("does not count as gone while a new term has dropped the list of VMs", async () => {
+            const { vms, vmLeases, keeper, runFor, readDone } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            vms.handleRequest = () => {
+                vms.isListAvailable = false;
+                keeper.term += 1;
+                vmLeases.readLease();
+                return VmRequestResult.Busy;
+            };
+            await runFor(1_000);
+            expect(readDone()).toEqual([]);
+        });
+
+        it("does not count as gone by a list that is older than the VM", async () => {
+            const { vms, runFor, readDone } = createFixture();
+            vms.handleRequest = () => {
+                vms.addVm("vm0", "web", "t0");
+                return VmRequestResult.Busy;
+            };
+            await runFor(1_000);
+            expect(readDone()).toEqual([]);
+            vms.handleRequest = () => VmRequestResult.Done;
+            await runFor(2_000);
+            expect(readDone()).toEqual(["vm0"]);
+        });
+
+        it("counts as gone once a list requested afterwards lacks it", async () => {
+            const { vms, runFor, readDone } = createFixture();
+            vms.handleRequest = () => VmRequestResult.Busy;
+            await runFor(6_000);
+            expect(readDone()).toEqual(["vm0"]);
+        });
+    });
+});
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -23,7 +23,7 @@
 import type { VmService } from "../vms/vm-service.js";
 import { VmState } from "../vms/vm-state.js";
 import type { Leadership } from "./leadership.js";
-import type { TargetSessions } from "./target-sessions.js";
+import type { TargetSession } from "./target-session.js";
 import type { VmLeaseTracker } from "./vm-lease-tracker.js";
 
 const intervalMs = 150;
@@ -33,12 +33,17 @@
 /** Delay before maintenance of a busy VM is requested again, milliseconds; another VM of the wave goes first. */
 const busyRetryDelayMs = 1_500;
 
+/** The sessions as far as the maintenance runner needs them. */
+interface SessionRegistry {
+    readonly find: (target: string) => Pick<TargetSession, "running" | "isStopping" | "stopTask"> | undefined;
+}
+
 /** Dependencies of the maintenance runner. */
 interface MaintenanceDependencies {
     readonly leadership: Leadership;
-    readonly sessions: TargetSessions;
+    readonly sessions: SessionRegistry;
     readonly vms: VmService;
-    readonly log: DecisionLog;
+    readonly log: Pick<DecisionLog, "record">;
     readonly clock: Clock;
     readonly vmLeases: VmLeaseTracker;
     /** Whether a VM is being moved to another pool. */
@@ -53,6 +58,8 @@
     private token = 0;
     /** Earliest time at which maintenance of a VM is requested again, wall-clock milliseconds. */
     private readonly retryAt = new Map<string, number>();
+    /** When the first of the latest requests that all found a VM busy was sent, monotonic milliseconds. */
+    private readonly busySince = new Map<string, number>();
     /** When the latest maintenance of a VM was requested, wall-clock milliseconds. */
     private readonly maintenanceStartedAt = new Map<string, number>();
     /** Since when a VM has been draining, wall-clock milliseconds. */
@@ -112,6 +119,7 @@
         }
         const { vmLeases, clock } = this.dependencies;
         this.token = lease.fencingToken;
+        this.busySince.clear();
         this.maintenanceStartedAt.clear();
         vmLeases.readVms().filter(({ state }) => state === VmState.Maintenance)
             .forEach(({ vm }) => this.maintenanceStartedAt.set(vm, clock.readWall()));
@@ -184,21 +192,24 @@
         if (vmLeases.readLease()?.fencingToken !== token) {
             return;
         }
+        const sentAt = clock.readMonotonic();
         const result = await vms.startMaintenance(vm, wave.number, lease);
-        const listed = vmLeases.readVms().find(view => view.vm === vm);
-        const isGone = result === VmRequestResult.Busy && listed === undefined;
+        const isGone = result === VmRequestResult.Busy && this.isGone(vm, sentAt);
         const isFinished = result === VmRequestResult.Done || result === VmRequestResult.Unknown
             || result === VmRequestResult.NotOfWave || isGone;
         if (result === VmRequestResult.Busy) {
             this.retryAt.set(vm, clock.readWall() + busyRetryDelayMs);
         }
+        else {
+            this.busySince.delete(vm);
+        }
         log.record(isFinished ? DecisionKind.UpkeepOrdered : DecisionKind.UpkeepDelayed, {
             wave: wave.number,
             vm,
             result,
             target: target?.id,
             token: this.token,
-            listed: listed?.state ?? "not listed",
+            listed: vmLeases.readVms().find(view => view.vm === vm)?.state ?? "not listed",
         });
         if (result === VmRequestResult.Done || result === VmRequestResult.Unanswered) {
             this.maintenanceStartedAt.set(vm, clock.readWall());
@@ -214,6 +225,16 @@
         }
     }
 
+    /**
+     * Tells whether a VM that is busy is leaving for good. An older list may lack a VM that has joined since, and there
+     * is no list at first in a new term.
+     */
+    private isGone(vm: string, busyAt: number): boolean {
+        const since = this.busySince.get(vm) ?? busyAt;
+        this.busySince.set(vm, since);
+        return this.dependencies.vmLeases.findVm(vm, since) === undefined;
+    }
+
     private buildVm(fleet: FleetState, vm: string, target: TargetRecord | undefined): MaintenanceCandidate {
         const runs = target === undefined ? [] : [...fleet.targetLoads.get(target.id)?.runs ?? []];
         return {
