Maintain a VM only once its request is recorded and it is idle

The maintenance runner sent the maintenance of a VM whatever became of the record that has to be committed before. Three promises depended on it:

- The record names the sender, whose lease keeps the next leader from giving orders about the same VM.
Without it two leaders could give orders about one VM within the lease.
- It is refused while a task may be running on the VM.
A long-running task whose start was committed after the round was planned was ended by the maintenance, however few tasks its step may miss.
- After a request that was answered late the VM may be back with a new target, for which the service responds that the maintenance is already done.
The runner then removed this target, and its tasks were started elsewhere while they were still running.

Cause: startMaintenance ignored the result of RecordMove (false: not idle; undefined: not committed), and the plan relied on that, as it starts the maintenance with short tasks still on the VM once their grace period is over. docs/design/platform.md says that a VM is maintained after its record, "which is refused while anything may run on it".

Before, maintenance-runner.test.ts: expected no request, received ["vm0"], both with a refused commit (mailbox full) and with a task recorded on the VM.

The request is now sent only after the record is committed and the VM is idle, otherwise the next round tries again. So that short tasks don't hold up a wave, the plan stops them when their grace period is over, as it does with tasks that have checkpoints, instead of letting the maintenance abort them; the work lost is the same, and the maintenance begins one stop later. The test of the plan that expected the maintenance to start over short tasks now expects their stops at the same time, no start while they are there, and the start once they are gone.

Two tests show what already held: a request is repeated after the lease lapsed between record and request, and after its success could not be recorded.

--- a/packages/core/src/vm-maintenance/plan-maintenance.test.ts
+++ b/packages/core/src/vm-maintenance/plan-maintenance.test.ts
@@ -33,12 +33,13 @@
         expect(plan.vmsToStart).toEqual([]);
     });
 
-    it("waits for short tasks, moves those with checkpoints, and aborts tasks only after the grace period", () => {
+    it("waits for short tasks, moves those with checkpoints, and stops the others only after the grace period", () => {
         const waiting = [buildVm("a", [buildRun({ hasCheckpoints: true }), buildRun()], 0)];
         expect(planMaintenance({ ...wave, waiting, now: 1_000 }).stops).toEqual([]);
         expect(planMaintenance({ ...wave, waiting, now: 2_000 }).stops).toHaveLength(1);
         expect(planMaintenance({ ...wave, waiting, now: 2_000 }).vmsToStart).toEqual([]);
-        expect(planMaintenance({ ...wave, waiting, now: 7_000 }).vmsToStart).toEqual(["a"]);
+        expect(planMaintenance({ ...wave, waiting, now: 7_000 })).toMatchObject({ stops: [{}, {}], vmsToStart: [] });
+        expect(planMaintenance({ ...wave, waiting: [buildVm("a", [], 0)], now: 7_000 }).vmsToStart).toEqual(["a"]);
     });
 
     it("stops a long-running task only when its step tolerates that, and starts no maintenance while one runs", () => {
--- a/packages/core/src/vm-maintenance/plan-maintenance.ts
+++ b/packages/core/src/vm-maintenance/plan-maintenance.ts
@@ -28,7 +28,7 @@
 /**
  * Plans the next actions of a wave. Load comes in bursts during the maintenance too, so the least loaded VMs go first,
  * short tasks get time to end by themselves, tasks with checkpoints move, and a long-running task is stopped only when
- * its step tolerates that. No more VMs are drained than may be down.
+ * its step tolerates that. No more VMs are drained than may be down, and none is maintained while a run is left on it.
  * @param wave - state of the wave
  * @returns the VMs to drain, the runs to stop and the VMs to maintain
  */
@@ -42,7 +42,7 @@
             : planStops(vm, wave.now, graceMs).map(run => ({ target: vm.target ?? "", run }))
     );
     const readyVms = selected.filter(vm => vm.drainingSince !== undefined || vm.target === undefined)
-        .filter(vm => isReadyForMaintenance(vm, wave.now, graceMs));
+        .filter(({ runs }) => runs.length === 0);
     return { draining: selected.map(({ vm }) => vm), stops, vmsToStart: readyVms.map(({ vm }) => vm) };
 }
 
@@ -64,6 +64,10 @@
     return Math.min(maxGraceMs, Math.max(minGraceMs, perRoundMs));
 }
 
+/**
+ * Plans which runs to stop: after the grace period also short tasks, as waiting longer could make the wave late. The
+ * maintenance itself starts only once no run is left.
+ */
 function planStops(
     { runs, drainingSince }: MaintenanceCandidate,
     now: number,
@@ -73,19 +77,6 @@
     return runs.filter(run =>
         run.isLongRunning
             ? run.isDispensable
-            : run.hasCheckpoints && drainingMs >= Math.min(checkpointGraceMs, graceMs)
+            : drainingMs >= (run.hasCheckpoints ? Math.min(checkpointGraceMs, graceMs) : graceMs)
     );
 }
-
-/**
- * Tells whether the maintenance of a VM may start: when no task is left on it, or when only short tasks are left after
- * the grace period. These are aborted, as waiting longer could make the wave late.
- */
-function isReadyForMaintenance(
-    { runs, drainingSince }: MaintenanceCandidate,
-    now: number,
-    graceMs: number,
-): boolean {
-    const isGraceOver = drainingSince !== undefined && now - drainingSince >= graceMs;
-    return runs.length === 0 || (isGraceOver && runs.every(run => !run.isLongRunning));
-}
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
@@ -1,10 +1,12 @@
 import { applyCommand } from "@daisylock/core/control/apply-command.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 import { afterEach, describe, expect, it } from "@jest/globals";
 
+import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { FakeKeeper } from "../testing/fake-keeper.js";
 import { FakeVmService } from "../testing/fake-vm-service.js";
 import { ManualClock } from "../testing/manual-clock.js";
@@ -97,4 +99,61 @@
             expect(readDone()).toEqual(["vm0"]);
         });
     });
+
+    describe("a request", () => {
+        it("is sent only once its record is committed, as the next leader must see who sent it", async () => {
+            const { vms, keeper, runFor, readRequests } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            keeper.refuseCommand = () => ProposeFailureKind.Busy;
+            await runFor(1_000);
+            expect(readRequests()).toEqual([]);
+            keeper.refuseCommand = () => undefined;
+            await runFor(500);
+            expect(readRequests()).toEqual(["vm0"]);
+        });
+
+        it("is not sent while a task is recorded on the VM, which is stopped after the grace period", async () => {
+            const { state, vms, stops, recordStart, runFor, readRequests } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            recordStart();
+            await runFor(8_000);
+            expect(readRequests()).toEqual([]);
+            expect(stops).toContain(task);
+            applyCommand(state, {
+                kind: CommandKind.RecordEnds,
+                ends: [{ task, run: 1, target: "t0", how: RunOutcome.Stopped, saved: "" }],
+                atMs: 0,
+            });
+            await runFor(500);
+            expect(readRequests()).toEqual(["vm0"]);
+            expect(state.fleet.vmOrders.get("vm0")).toMatchObject({ holder: "k0" });
+        });
+
+        it("is sent again when the lease lapsed after its record was committed", async () => {
+            const { vms, keeper, runFor, readRequests, readDone } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            keeper.refuseCommand = ({ kind }) => {
+                keeper.isLeaseValid = kind !== CommandKind.RecordMove;
+                return undefined;
+            };
+            await runFor(1_000);
+            expect(readRequests()).toEqual([]);
+            keeper.refuseCommand = () => undefined;
+            keeper.isLeaseValid = true;
+            await runFor(1_000);
+            expect(readDone()).toEqual(["vm0"]);
+        });
+
+        it("is sent again when its success could not be recorded", async () => {
+            const { vms, keeper, runFor, readDone } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            keeper.refuseCommand = ({ kind }) =>
+                kind === CommandKind.RecordMaintenance ? ProposeFailureKind.Busy : undefined;
+            await runFor(1_000);
+            expect(readDone()).toEqual([]);
+            keeper.refuseCommand = () => undefined;
+            await runFor(4_000);
+            expect(readDone()).toEqual(["vm0"]);
+        });
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -180,7 +180,7 @@
         }
         const token = lease.fencingToken;
         const pool = target?.pool ?? "";
-        await leadership.recordCommand({
+        const isVmIdle = await leadership.recordCommand({
             kind: CommandKind.RecordMove,
             vm,
             from: pool,
@@ -189,7 +189,7 @@
             holder: vmLeases.readHolder(),
             atMs: clock.readWall(),
         });
-        if (vmLeases.readLease()?.fencingToken !== token) {
+        if (isVmIdle !== true || vmLeases.readLease()?.fencingToken !== token) {
             return;
         }
         const sentAt = clock.readMonotonic();
