Keep VMs cordoned while the leader lease lapses for a moment

During a wave of maintenance tasks were started on VMs that were about to be maintained, and the wave fell behind.

Cause: a round without a valid lease dropped which VMs were being drained. After a lapse within one term the scheduler used them again until the next round, up to 500 ms later, and their grace period began anew. Besides, the cordon was kept by the ids of the targets recorded at the end of a round. A target that announced itself again after RecordMove had removed it, which is how a request that was not sent after a lapse ends, was therefore not cordoned while the request was in flight, and the maintenance ended the tasks that were started there.

Before, maintenance-runner.test.ts: expected isDraining true, received false, in both cases.

The VMs that are being drained are now kept for the whole leadership and dropped with its term, and a target is cordoned by the VM that it runs on, from the moment the plan picks the VM.

--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
@@ -156,4 +156,56 @@
             expect(readDone()).toEqual(["vm0"]);
         });
     });
+
+    describe("a VM that is being drained", () => {
+        it("stays cordoned, without a new grace period, while the lease lapses for a moment", async () => {
+            const { vms, keeper, stops, recordStart, runFor } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            recordStart();
+            await runFor(5_000);
+            expect([runner.isDraining("t0"), stops]).toEqual([true, []]);
+            keeper.isLeaseValid = false;
+            await runFor(500);
+            keeper.isLeaseValid = true;
+            expect(runner.isDraining("t0")).toBe(true);
+            await runFor(1_000);
+            expect(stops).toContain(task);
+        });
+
+        it("is released by a new term, in which another leader may have drained other VMs", async () => {
+            const { vms, keeper, recordStart, runFor } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            recordStart();
+            await runFor(1_000);
+            expect(runner.isDraining("t0")).toBe(true);
+            keeper.isLeaseValid = false;
+            keeper.term += 1;
+            await runFor(500);
+            expect(runner.isDraining("t0")).toBe(false);
+        });
+
+        it("cordons a target that announces itself again after its removal was committed", async () => {
+            const { state, vms, keeper, runFor } = createFixture();
+            vms.addVm("vm0", "web", "t0");
+            const record = state.fleet.targets.get("t0");
+            keeper.refuseCommand = ({ kind }) => {
+                keeper.isLeaseValid = kind !== CommandKind.RecordMove;
+                return undefined;
+            };
+            await runFor(1_000);
+            expect(state.fleet.targets.size).toBe(0);
+            keeper.isLeaseValid = true;
+            let isDraining: boolean | undefined;
+            vms.handleRequest = () => {
+                if (record !== undefined) {
+                    applyCommand(state, { kind: CommandKind.RecordTarget, record });
+                }
+                isDraining = runner.isDraining("t0");
+                return VmRequestResult.Busy;
+            };
+            keeper.refuseCommand = () => undefined;
+            await runFor(1_000);
+            expect(isDraining).toBe(true);
+        });
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -64,7 +64,8 @@
     private readonly maintenanceStartedAt = new Map<string, number>();
     /** Since when a VM has been draining, wall-clock milliseconds. */
     private drainingSince = new Map<string, number>();
-    private drainingTargets: ReadonlySet<string> = new Set();
+    /** Fencing token of the leadership that drains these VMs. */
+    private drainingToken = 0;
 
     /**
      * @param dependencies - leadership, sessions, VM service, clock and log
@@ -79,7 +80,8 @@
      * @returns true while no task may be started on it
      */
     isDraining(target: string): boolean {
-        return this.drainingTargets.has(target);
+        const vm = this.dependencies.leadership.readFleet().targets.get(target)?.vm;
+        return vm !== undefined && this.drainingSince.has(vm);
     }
 
     /**
@@ -95,10 +97,15 @@
         const { leadership } = this.dependencies;
         const fleet = leadership.readFleet();
         const waves = [...fleet.maintenanceWaves.values()].filter(wave => !isWaveCompleted(wave));
-        if (!leadership.isActive() || waves.length === 0) {
-            this.setDraining(fleet, new Map());
+        const token = leadership.readFencingToken();
+        if (waves.length === 0 || token !== this.drainingToken) {
+            this.drainingSince = new Map();
+            this.drainingToken = token;
+        }
+        if (waves.length === 0) {
             return idleIntervalMs;
         }
+        // A lapsed lease may be valid again at once, so that the VMs stay cordoned meanwhile.
         const lease = this.dependencies.vmLeases.readLease();
         if (lease === undefined) {
             return intervalMs;
@@ -108,7 +115,7 @@
         for (const wave of waves) {
             yield* this.runWave(fleet, wave, draining);
         }
-        this.setDraining(fleet, draining);
+        this.drainingSince = draining;
         return intervalMs;
     }
 
@@ -144,7 +151,11 @@
             maintenanceMs,
             now,
         });
-        plan.draining.forEach(vm => draining.set(vm, this.drainingSince.get(vm) ?? now));
+        for (const vm of plan.draining) {
+            const since = this.drainingSince.get(vm) ?? now;
+            draining.set(vm, since);
+            this.drainingSince.set(vm, since);
+        }
         for (const { target, run } of this.pickStops(fleet, plan.stops)) {
             sessions.find(target)?.stopTask(run.task, run.run);
         }
@@ -284,12 +295,6 @@
             incarnation: target?.incarnation ?? 0,
         });
     }
-
-    private setDraining(fleet: FleetState, draining: Map<string, number>): void {
-        this.drainingSince = draining;
-        const targets = collectTargetsByVm(fleet);
-        this.drainingTargets = new Set([...draining.keys()].flatMap(vm => targets.get(vm)?.id ?? []));
-    }
 }
 
 function collectTargetsByVm(fleet: FleetState): Map<string, TargetRecord> {
