Find the runs to stop by their jobs instead of by every target

Each scheduling round read every run of every target and decoded its key to find runs of finished jobs; such runs are rare. The round now looks only at the active jobs that have finished: a finished job stays active exactly while one of its tasks may be running.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -1,5 +1,6 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { collectRunsOfFinishedJobs } from "@daisylock/core/jobs/collect-runs-of-finished-jobs.js";
 import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
 import { isJobFinished } from "@daisylock/core/jobs/is-job-finished.js";
 import { buildPlacementTargets } from "@daisylock/core/placement/build-placement-targets.js";
@@ -141,13 +142,8 @@
     }
 
     private stopEndedJobs(fleet: FleetState): void {
-        for (const [target, { runs }] of fleet.targetLoads) {
-            for (const [task, run] of runs) {
-                const job = fleet.jobs.get(decodeTaskKey(task)?.job ?? "");
-                if (job !== undefined && isJobFinished(job)) {
-                    this.dependencies.sessions.find(target)?.stopTask(task, run);
-                }
-            }
+        for (const { task, run, target } of collectRunsOfFinishedJobs(fleet)) {
+            this.dependencies.sessions.find(target)?.stopTask(task, run);
         }
     }
 
