Count the tasks of each step on a target when they start and end

Placement rebuilt its view of each target in every round from the keys of all its runs, and the load of the pools did the same once a second and in each round of the balancer. The counts are now kept in the load of the target, which is derived from the jobs and not stored. The views of a pool are appended to one list instead of copying it for each target.

--- a/packages/core/src/fleet/add-load.ts
+++ b/packages/core/src/fleet/add-load.ts
@@ -2,8 +2,9 @@
 import type { TaskRecord } from "../jobs/task-record.js";
 import { addResources } from "../resources/add-resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
-import { computeReservedResources } from "./compute-reserved-resources.js";
+import { countStepTask } from "./count-step-task.js";
 import type { FleetState } from "./fleet-state.js";
+import type { TargetLoad } from "./target-load.js";
 
 /**
  * Adds a placed task to the loads of its target and its client account.
@@ -18,10 +19,21 @@
     if (definition === undefined) {
         return;
     }
-    const load = state.targetLoads.get(task.target) ?? { used: zeroResources, runs: new Map<string, number>() };
-    load.used = addResources(load.used, computeReservedResources(definition));
+    const load = state.targetLoads.get(task.target) ?? createTargetLoad();
     load.runs.set(taskKey, task.run);
+    countStepTask(load, definition, taskKey, 1);
     state.targetLoads.set(task.target, load);
     const accountLoad = state.accountLoads.get(job.account) ?? zeroResources;
     state.accountLoads.set(job.account, addResources(accountLoad, definition.needs));
 }
+
+function createTargetLoad(): TargetLoad {
+    return {
+        used: zeroResources,
+        servingCpu: 0,
+        servingCount: 0,
+        fillerCount: 0,
+        runs: new Map(),
+        stepCounts: new Map(),
+    };
+}
--- a/packages/core/src/fleet/remove-load.ts
+++ b/packages/core/src/fleet/remove-load.ts
@@ -1,7 +1,7 @@
 import type { Job } from "../jobs/job.js";
 import { addResources } from "../resources/add-resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
-import { computeReservedResources } from "./compute-reserved-resources.js";
+import { countStepTask } from "./count-step-task.js";
 import type { FleetState } from "./fleet-state.js";
 
 /**
@@ -18,7 +18,7 @@
     if (definition === undefined || load === undefined || !load.runs.delete(taskKey)) {
         return;
     }
-    load.used = addResources(load.used, computeReservedResources(definition), -1);
+    countStepTask(load, definition, taskKey, -1);
     if (load.runs.size === 0) {
         state.targetLoads.delete(target);
     }
--- a/packages/core/src/placement/build-placement-targets.ts
+++ b/packages/core/src/placement/build-placement-targets.ts
@@ -1,9 +1,7 @@
 import type { FleetState } from "../fleet/fleet-state.js";
-import { decodeTaskKey } from "../jobs/decode-task-key.js";
 import { addResources } from "../resources/add-resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
 import { ReportedTargetState } from "../targets/reported-target-state.js";
-import { encodeStepKey } from "./encode-step-key.js";
 import type { PlacementTarget } from "./placement-target.js";
 
 /**
@@ -27,26 +25,17 @@
             record,
             free: addResources(record.capacity, load?.used ?? zeroResources, -1),
             startsLeft,
-            stepCounts: new Map(),
-            hasServingTasks: false,
-            hasFillers: false,
+            stepCounts: new Map(load?.stepCounts),
+            hasServingTasks: (load?.servingCount ?? 0) > 0,
+            hasFillers: (load?.fillerCount ?? 0) > 0,
         };
-        for (const taskKey of load?.runs.keys() ?? []) {
-            addRun(fleet, view, taskKey);
+        const views = pools.get(record.pool);
+        if (views === undefined) {
+            pools.set(record.pool, [view]);
+        }
+        else {
+            views.push(view);
         }
-        pools.set(record.pool, [...pools.get(record.pool) ?? [], view]);
     }
     return pools;
 }
-
-function addRun(fleet: FleetState, view: PlacementTarget, taskKey: string): void {
-    const key = decodeTaskKey(taskKey);
-    const step = key === undefined ? undefined : fleet.jobs.get(key.job)?.steps[key.step];
-    if (key === undefined || step === undefined) {
-        return;
-    }
-    const stepKey = encodeStepKey(key.job, key.occurrence, key.step);
-    view.stepCounts.set(stepKey, (view.stepCounts.get(stepKey) ?? 0) + 1);
-    view.hasServingTasks ||= step.isLongRunning && !step.isFiller;
-    view.hasFillers ||= step.isFiller;
-}
--- a/packages/core/src/queueing/collect-pool-loads.ts
+++ b/packages/core/src/queueing/collect-pool-loads.ts
@@ -1,5 +1,4 @@
 import type { FleetState } from "../fleet/fleet-state.js";
-import { decodeTaskKey } from "../jobs/decode-task-key.js";
 import type { PoolLoad } from "./pool-load.js";
 import type { StepCandidate } from "./step-candidate.js";
 
@@ -20,20 +19,10 @@
             targets: targets.length,
             capacity: sum(targets.map(target => target.capacity.cpu)),
             used: sum(targets.map(target => fleet.targetLoads.get(target.id)?.used.cpu ?? 0)),
-            usedLongRunning: sum(targets.map(target => computeLongRunningCpu(fleet, target.id))),
+            usedLongRunning: sum(targets.map(target => fleet.targetLoads.get(target.id)?.servingCpu ?? 0)),
             waiting: sum(waitingSteps.map(step => step.waiting.length)),
             wanted: sum(waitingSteps.map(step => step.waiting.length * step.definition.needs.cpu)),
             late: sum(waitingSteps.map(step => step.slackMs < 0 ? step.waiting.length : 0)),
         };
     });
 }
-
-function computeLongRunningCpu(fleet: FleetState, target: string): number {
-    let used = 0;
-    for (const name of fleet.targetLoads.get(target)?.runs.keys() ?? []) {
-        const key = decodeTaskKey(name);
-        const step = key === undefined ? undefined : fleet.jobs.get(key.job)?.steps[key.step];
-        used += step?.isLongRunning === true && !step.isFiller ? step.needs.cpu : 0;
-    }
-    return used;
-}
