Build the views only of targets in pools that waiting tasks need

A round built the views of all 244 targets, each with several look-ups of whether it may be used, although waiting tasks mostly belong to one or two pools.

A property test shows the same starts as with the views of all pools, on random fleets.

--- a/packages/core/src/placement/build-placement-targets.test.ts
+++ b/packages/core/src/placement/build-placement-targets.test.ts
@@ -3,10 +3,12 @@
 
 import type { FleetState } from "../fleet/fleet-state.js";
 import { decodeTaskKey } from "../jobs/decode-task-key.js";
+import { collectCandidates } from "../queueing/collect-candidates.js";
 import { collectPoolLoads } from "../queueing/collect-pool-loads.js";
 import { runRandomFleet } from "../testing/run-random-fleet.js";
 import { buildPlacementTargets } from "./build-placement-targets.js";
 import { encodeStepKey } from "./encode-step-key.js";
+import { planStarts } from "./plan-starts.js";
 
 /** Derives from the runs on a target what the loads of the fleet state count incrementally. */
 function collectRunFacts(fleet: FleetState, target: string): object {
@@ -59,4 +61,23 @@
             { numRuns: 30 },
         );
     });
+
+    it("of the pools that waiting tasks need lead to the same starts as those of all pools", () => {
+        let starts = 0;
+        fc.assert(
+            fc.property(fc.integer(), seed =>
+                runRandomFleet(seed, ({ state: { fleet }, now, estimator, countStartsLeft }) => {
+                    const candidates = collectCandidates(fleet, now, estimator);
+                    const needed = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
+                    const neededViews = buildPlacementTargets(fleet, countStartsLeft, pool => needed.has(pool));
+                    const planned = planStarts(fleet, candidates, neededViews);
+                    const allViews = buildPlacementTargets(fleet, countStartsLeft);
+                    starts += planned.length;
+                    expect(planned).toEqual(planStarts(fleet, candidates, allViews));
+                    expect([...neededViews.keys()].every(pool => needed.has(pool))).toBe(true);
+                })),
+            { numRuns: 30 },
+        );
+        expect(starts).toBeGreaterThan(0);
+    });
 });
--- a/packages/core/src/placement/build-placement-targets.ts
+++ b/packages/core/src/placement/build-placement-targets.ts
@@ -8,15 +8,18 @@
  * Builds the views of the targets on which tasks may start; targets that are not ready are skipped.
  * @param fleet - the fleet state
  * @param countStartsLeft - how many more tasks may be started on a target now
+ * @param isPoolNeeded - whether the targets of a pool are needed; all are by default
  * @returns the target views by pool
  */
 export function buildPlacementTargets(
     fleet: FleetState,
     countStartsLeft: (target: string) => number,
+    isPoolNeeded: (pool: string) => boolean = () => true,
 ): Map<string, PlacementTarget[]> {
     const pools = new Map<string, PlacementTarget[]>();
     for (const record of fleet.targets.values()) {
-        const startsLeft = record.state === ReportedTargetState.Ready ? countStartsLeft(record.id) : 0;
+        const isCandidate = record.state === ReportedTargetState.Ready && isPoolNeeded(record.pool);
+        const startsLeft = isCandidate ? countStartsLeft(record.id) : 0;
         if (startsLeft === 0) {
             continue;
         }
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -93,9 +93,11 @@
         if (candidates.length === 0) {
             return;
         }
+        const neededPools = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
         const pools = buildPlacementTargets(
             fleet,
             id => isCordoned(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0,
+            pool => neededPools.has(pool),
         );
         tickets.updateTickets(candidates, pools);
         const starts = planStarts(fleet, candidates, pools, {
