Keep the processor time that each job's running tasks need

The excess of accounts over their shares was computed in every round by a filter over all tasks of all active jobs. The sum is now kept by job when tasks start and end, derived like the other loads and not stored.

A property test compares the excesses with those summed over the tasks, on random fleets.

--- a/packages/core/src/fleet/add-load.ts
+++ b/packages/core/src/fleet/add-load.ts
@@ -7,7 +7,7 @@
 import type { TargetLoad } from "./target-load.js";
 
 /**
- * Adds a placed task to the loads of its target and its client account.
+ * Adds a placed task to the loads of its target, its client account and its job.
  * @param state - the fleet state
  * @param job - the job of the task
  * @param step - position of the step in the job
@@ -25,6 +25,7 @@
     state.targetLoads.set(task.target, load);
     const accountLoad = state.accountLoads.get(job.account) ?? zeroResources;
     state.accountLoads.set(job.account, addResources(accountLoad, definition.needs));
+    state.jobCpus.set(job.id, (state.jobCpus.get(job.id) ?? 0) + definition.needs.cpu);
 }
 
 function createTargetLoad(): TargetLoad {
--- a/packages/core/src/fleet/create-fleet-state.ts
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -15,5 +15,6 @@
         activeJobs: new Set(),
         targetLoads: new Map(),
         accountLoads: new Map(),
+        jobCpus: new Map(),
     };
 }
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -26,4 +26,6 @@
     readonly targetLoads: Map<string, TargetLoad>;
     /** Resources of tasks that may be running, by client account; derived from the jobs. */
     readonly accountLoads: Map<string, Resources>;
+    /** Thousandths of a core that the tasks of a job that may be running need, by job id; derived from the jobs. */
+    readonly jobCpus: Map<string, number>;
 }
--- a/packages/core/src/fleet/remove-load.ts
+++ b/packages/core/src/fleet/remove-load.ts
@@ -5,7 +5,7 @@
 import type { FleetState } from "./fleet-state.js";
 
 /**
- * Removes a task from the loads of its target and its client account.
+ * Removes a task from the loads of its target, its client account and its job.
  * @param state - the fleet state
  * @param job - the job of the task
  * @param step - position of the step in the job
@@ -24,4 +24,11 @@
     }
     const accountLoad = state.accountLoads.get(job.account) ?? zeroResources;
     state.accountLoads.set(job.account, addResources(accountLoad, definition.needs, -1));
+    const jobCpu = (state.jobCpus.get(job.id) ?? 0) - definition.needs.cpu;
+    if (jobCpu > 0) {
+        state.jobCpus.set(job.id, jobCpu);
+    }
+    else {
+        state.jobCpus.delete(job.id);
+    }
 }
--- a/packages/core/src/placement/build-placement-targets.test.ts
+++ b/packages/core/src/placement/build-placement-targets.test.ts
@@ -65,17 +65,20 @@
     it("of the pools that waiting tasks need lead to the same starts as those of all pools", () => {
         let starts = 0;
         fc.assert(
-            fc.property(fc.integer(), seed =>
-                runRandomFleet(seed, ({ state: { fleet }, now, estimator, countStartsLeft }) => {
-                    const candidates = collectCandidates(fleet, now, estimator);
-                    const needed = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
-                    const neededViews = buildPlacementTargets(fleet, countStartsLeft, pool => needed.has(pool));
-                    const planned = planStarts(fleet, candidates, neededViews);
-                    const allViews = buildPlacementTargets(fleet, countStartsLeft);
-                    starts += planned.length;
-                    expect(planned).toEqual(planStarts(fleet, candidates, allViews));
-                    expect([...neededViews.keys()].every(pool => needed.has(pool))).toBe(true);
-                })),
+            fc.property(
+                fc.integer(),
+                seed =>
+                    runRandomFleet(seed, ({ state: { fleet }, now, estimator, countStartsLeft }) => {
+                        const candidates = collectCandidates(fleet, now, estimator);
+                        const needed = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
+                        const neededViews = buildPlacementTargets(fleet, countStartsLeft, pool => needed.has(pool));
+                        const planned = planStarts(fleet, candidates, neededViews);
+                        const allViews = buildPlacementTargets(fleet, countStartsLeft);
+                        starts += planned.length;
+                        expect(planned).toEqual(planStarts(fleet, candidates, allViews));
+                        expect([...neededViews.keys()].every(pool => needed.has(pool))).toBe(true);
+                    }),
+            ),
             { numRuns: 30 },
         );
         expect(starts).toBeGreaterThan(0);
--- /dev/null
+++ b/packages/core/src/queueing/collect-candidates.test.ts
@@ -0,0 +1,126 @@
+import { describe, expect, it } from "@jest/globals";
+import fc from "fast-check";
+
+import type { FleetState } from "../fleet/fleet-state.js";
+import { isJobFinished } from "../jobs/is-job-finished.js";
+import { isStepReady } from "../jobs/is-step-ready.js";
+import type { Job } from "../jobs/job.js";
+import { TaskPhase } from "../jobs/task-phase.js";
+import { runRandomFleet } from "../testing/run-random-fleet.js";
+import { collectCandidates } from "./collect-candidates.js";
+import { computeCriticalPath } from "./compute-critical-path.js";
+import { computeRemainingWork } from "./compute-remaining-work.js";
+import { computeShareExcesses } from "./compute-share-excesses.js";
+import type { StepCandidate } from "./step-candidate.js";
+import type { WorkEstimator } from "./work-estimator.js";
+
+/** Sums the CPU of the running tasks of unfinished jobs without long-running steps by pool and account. */
+function collectUsedCpu(fleet: FleetState): Map<string, Map<string, number>> {
+    const usedByPool = new Map<string, Map<string, number>>();
+    const jobs = [...fleet.jobs.values()].filter(job =>
+        fleet.activeJobs.has(job.id) && !isJobFinished(job) && !job.steps.some(step => step.isLongRunning)
+    );
+    for (const job of jobs) {
+        const pool = fleet.configuration?.queues.find(({ name }) => name === job.queue)?.pool ?? job.pool;
+        const cpus = job.occurrences.flatMap(steps =>
+            steps.flatMap(({ tasks }, step) =>
+                tasks.map(({ phase }) => phase === TaskPhase.Placed ? job.steps[step]?.needs.cpu ?? 0 : 0)
+            )
+        );
+        const usedByAccount = usedByPool.get(pool) ?? new Map<string, number>();
+        const used = cpus.reduce((sum, cpu) => sum + cpu, usedByAccount.get(job.account) ?? 0);
+        usedByPool.set(pool, usedByAccount.set(job.account, used));
+    }
+    return usedByPool;
+}
+
+function computeExcess(fleet: FleetState, used: ReadonlyMap<string, number>, account: string): number {
+    const findWeight = (name: string): number =>
+        Math.max(1, fleet.configuration?.accounts.find(other => other.name === name)?.weight ?? 1);
+    const totalUsed = [...used.values()].reduce((sum, cpu) => sum + cpu, 0);
+    const totalWeight = [...used.keys()].reduce((sum, name) => sum + findWeight(name), 0);
+    const share = totalUsed * findWeight(account) / totalWeight;
+    return share === 0 ? 0 : Math.max(0, (used.get(account) ?? 0) / share - 1);
+}
+
+/** Collects the candidates step by step, with each value computed anew from the state. */
+function collectCandidatesPerStep(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
+    const jobs = [...fleet.activeJobs].flatMap(id => fleet.jobs.get(id) ?? []).filter(job => !isJobFinished(job));
+    return jobs.flatMap(job =>
+        job.occurrences.flatMap((_, occurrence) =>
+            job.steps.flatMap((__, step) => buildCandidate(fleet, now, estimator, { job, occurrence, step }))
+        )
+    );
+}
+
+function buildCandidate(
+    fleet: FleetState,
+    now: number,
+    { computeStepMs, readMeanJobWork }: WorkEstimator,
+    { job, occurrence, step }: { readonly job: Job; readonly occurrence: number; readonly step: number },
+): StepCandidate[] {
+    const queue = fleet.configuration?.queues.find(({ name }) => name === job.queue);
+    const definition = job.steps[step];
+    const progress = job.occurrences[occurrence] ?? [];
+    const waiting = (progress[step]?.tasks ?? []).flatMap(({ phase }, index) =>
+        phase === TaskPhase.Waiting ? [index] : []
+    );
+    const dueAt = job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
+    const isDue = job.times === 0 || now >= dueAt;
+    if (definition === undefined || waiting.length === 0 || !isDue || !isStepReady(job, occurrence, step)) {
+        return [];
+    }
+    const remainingMs = computeCriticalPath(job, occurrence, computeStepMs);
+    const budgetMs = (queue?.stretch ?? 1) * computeCriticalPath(job, undefined, computeStepMs)
+        + (queue?.objectiveMs ?? 0);
+    const isCounted = !job.steps.some(({ isLongRunning }) => isLongRunning);
+    const used = collectUsedCpu(fleet).get(queue?.pool ?? job.pool);
+    return [{
+        job,
+        queue,
+        occurrence,
+        step,
+        definition,
+        waiting,
+        slackMs: dueAt + budgetMs - now - remainingMs,
+        remainingMs,
+        relativeWork: computeRemainingWork(job, occurrence, computeStepMs) / readMeanJobWork(job),
+        // A job that is not counted itself has the excess of its account's other jobs in the pool, if any.
+        shareExcess: used === undefined || !(isCounted || used.has(job.account))
+            ? 0
+            : computeExcess(fleet, used, job.account),
+        stepsDone: progress.filter(({ doneCount }, position) => doneCount === job.steps[position]?.count).length,
+    }];
+}
+
+describe("steps that have tasks to start", () => {
+    it("are the same, with the same values, as collected step by step", () => {
+        let found = 0;
+        fc.assert(
+            fc.property(fc.integer(), seed =>
+                runRandomFleet(seed, ({ state: { fleet }, now, estimator }) => {
+                    const candidates = collectCandidates(fleet, now, estimator);
+                    found += candidates.length;
+                    expect(candidates).toEqual(collectCandidatesPerStep(fleet, now, estimator));
+                })),
+            { numRuns: 40 },
+        );
+        expect(found).toBeGreaterThan(0);
+    });
+});
+
+describe("excesses over weighted shares", () => {
+    it("are those of the tasks that may be running", () => {
+        fc.assert(
+            fc.property(fc.integer(), seed =>
+                runRandomFleet(seed, ({ state: { fleet } }) => {
+                    const expected = [...collectUsedCpu(fleet)].map(([pool, used]) => [
+                        pool,
+                        new Map([...used.keys()].map(account => [account, computeExcess(fleet, used, account)])),
+                    ]);
+                    expect([...computeShareExcesses(fleet)].sort()).toEqual(expected.sort());
+                })),
+            { numRuns: 40 },
+        );
+    });
+});
--- a/packages/core/src/queueing/compute-share-excesses.ts
+++ b/packages/core/src/queueing/compute-share-excesses.ts
@@ -1,6 +1,5 @@
 import type { FleetState } from "../fleet/fleet-state.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
-import { TaskPhase } from "../jobs/task-phase.js";
 
 /**
  * Computes by how much client accounts exceed their weighted share of the cores in use in a pool (weighted max-min
@@ -21,11 +20,7 @@
         }
         const pool = poolByQueue.get(job.queue) ?? job.pool;
         const usedByAccount = usedByPool.get(pool) ?? new Map<string, number>();
-        // The flattened list repeats the steps of the job for each occurrence.
-        const runningCpu = job.occurrences.flat().reduce((sum, { tasks }, position) => {
-            const cpu = job.steps[position % job.steps.length]?.needs.cpu ?? 0;
-            return sum + cpu * tasks.filter(task => task.phase === TaskPhase.Placed).length;
-        }, 0);
+        const runningCpu = fleet.jobCpus.get(id) ?? 0;
         usedByAccount.set(job.account, (usedByAccount.get(job.account) ?? 0) + runningCpu);
         usedByPool.set(pool, usedByAccount);
     }
