Compute the estimates of a waiting step once for each occurrence

For each waiting step a round looked up the queue by a search, walked the critical path twice and summed the remaining work, and it built an array for each task to find the waiting ones. The queues are now looked up by name in a map made once a round (names are unique, as the configuration is refused otherwise), the estimates are computed once for each occurrence with waiting tasks, and completed steps are skipped.

--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -1,3 +1,4 @@
+import type { QueueConfiguration } from "../configuration/queue-configuration.js";
 import type { FleetState } from "../fleet/fleet-state.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
 import { isStepReady } from "../jobs/is-step-ready.js";
@@ -19,11 +20,13 @@
 export function collectCandidates(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
     const candidates: StepCandidate[] = [];
     const excesses = computeShareExcesses(fleet);
+    const queues = new Map(fleet.configuration?.queues.map(queue => [queue.name, queue]));
     for (const id of fleet.activeJobs) {
         const job = fleet.jobs.get(id);
         if (job !== undefined && !isJobFinished(job)) {
+            const queue = queues.get(job.queue);
             job.occurrences.forEach((_, occurrence) =>
-                addCandidates(candidates, { fleet, job, occurrence, now, estimator, excesses })
+                addCandidates(candidates, { job, queue, occurrence, now, estimator, excesses })
             );
         }
     }
@@ -31,48 +34,72 @@
 }
 
 interface OccurrenceContext {
-    readonly fleet: FleetState;
     readonly job: Job;
+    readonly queue: QueueConfiguration | undefined;
     readonly occurrence: number;
     readonly now: number;
     readonly estimator: WorkEstimator;
     readonly excesses: ReadonlyMap<string, ReadonlyMap<string, number>>;
 }
 
+type OccurrenceEstimate = Pick<
+    StepCandidate,
+    "slackMs" | "remainingMs" | "relativeWork" | "shareExcess" | "stepsDone"
+>;
+
 function addCandidates(candidates: StepCandidate[], context: OccurrenceContext): void {
-    const { fleet, job, occurrence, now, estimator, excesses } = context;
-    const { computeStepMs: estimate } = estimator;
-    const dueAt = job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
+    const { job, queue, occurrence, now } = context;
+    const dueAt = computeDueTime(job, occurrence);
     if (job.times > 0 && now < dueAt) {
         return;
     }
-    const queueConfiguration = fleet.configuration?.queues.find(({ name }) => name === job.queue);
+    let estimated: OccurrenceEstimate | undefined;
     job.steps.forEach((definition, step) => {
-        const tasks = job.occurrences[occurrence]?.[step]?.tasks ?? [];
-        const waiting = tasks.flatMap((task, index) => task.phase === TaskPhase.Waiting ? [index] : []);
-        if (waiting.length === 0 || !isStepReady(job, occurrence, step)) {
-            return;
+        const waiting = listWaitingTasks(job, occurrence, step);
+        if (waiting.length > 0) {
+            estimated ??= computeEstimate(context, dueAt);
+            candidates.push({ job, queue, occurrence, step, definition, waiting, ...estimated });
+        }
+    });
+}
+
+function computeDueTime(job: Job, occurrence: number): number {
+    return job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
+}
+
+/** Lists the indexes of the tasks of a step that may start now. */
+function listWaitingTasks(job: Job, occurrence: number, step: number): number[] {
+    const waiting: number[] = [];
+    const progress = job.occurrences[occurrence]?.[step];
+    if (progress === undefined || progress.doneCount === progress.tasks.length) {
+        return waiting;
+    }
+    // Called for each step of each active job in every round; most tasks are running.
+    for (let index = 0; index < progress.tasks.length; index++) {
+        if (progress.tasks[index]?.phase === TaskPhase.Waiting) {
+            waiting.push(index);
         }
-        const remainingMs = computeCriticalPath(job, occurrence, estimate);
-        const budgetMs = (queueConfiguration?.stretch ?? 1) * computeCriticalPath(job, undefined, estimate)
-            + (queueConfiguration?.objectiveMs ?? 0);
-        const slackMs = dueAt + budgetMs - now - remainingMs;
-        const relativeWork = computeRemainingWork(job, occurrence, estimate) / estimator.readMeanJobWork(job);
-        const stepsDone = (job.occurrences[occurrence] ?? []).filter((progress, position) =>
+    }
+    return waiting.length > 0 && !isStepReady(job, occurrence, step) ? [] : waiting;
+}
+
+/** Computes what decides on the order of steps; it is the same for all steps of an occurrence. */
+function computeEstimate(
+    { job, queue, occurrence, now, estimator, excesses }: OccurrenceContext,
+    dueAt: number,
+): OccurrenceEstimate {
+    const { computeStepMs: estimate } = estimator;
+    const remainingMs = computeCriticalPath(job, occurrence, estimate);
+    const budgetMs = (queue?.stretch ?? 1) * computeCriticalPath(job, undefined, estimate) + (queue?.objectiveMs ?? 0);
+    const stepsDone =
+        (job.occurrences[occurrence] ?? []).filter((progress, position) =>
             progress.doneCount === job.steps[position]?.count
         ).length;
-        candidates.push({
-            job,
-            queue: queueConfiguration,
-            occurrence,
-            step,
-            definition,
-            waiting,
-            slackMs,
-            remainingMs,
-            relativeWork,
-            shareExcess: excesses.get(queueConfiguration?.pool ?? job.pool)?.get(job.account) ?? 0,
-            stepsDone,
-        });
-    });
+    return {
+        slackMs: dueAt + budgetMs - now - remainingMs,
+        remainingMs,
+        relativeWork: computeRemainingWork(job, occurrence, estimate) / estimator.readMeanJobWork(job),
+        shareExcess: excesses.get(queue?.pool ?? job.pool)?.get(job.account) ?? 0,
+        stepsDone,
+    };
 }
