Don't take a VM for powered off whose move was not carried out

The balancer could order a VM from the spare pool that was never there: a VM whose target had ended for a moment in its own pool. The order is repeated, counts against the rate limit of the VM service, and the VM's capacity counts as arriving although nothing arrives.

Cause: when a move to the spare pool was not answered, the VM counts as powered off once the time of the move is over, also if its target has announced itself again. The entry stayed until this process moved the VM itself, through later terms as well, in which another leader may have moved it. While a target is recorded on the VM the entry has no effect, afterwards it has.

A VM on which a target is recorded is now dropped from the powered-off ones.

The other test shows what already held: a VM whose move was recorded but not sent, because the lease lapsed in between, is back in its pool with its next heartbeat, keeps its home, and is moved later.

--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -0,0 +1,102 @@
+import { applyCommand } from "@daisylock/core/control/apply-command.js";
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
+import { afterEach, describe, expect, it } from "@jest/globals";
+
+import { FakeKeeper } from "../testing/fake-keeper.js";
+import { FakeVmService } from "../testing/fake-vm-service.js";
+import { ManualClock } from "../testing/manual-clock.js";
+import { runWorker } from "../testing/run-worker.js";
+import { VmRequestResult } from "../vms/vm-request-result.js";
+import { Leadership } from "./leadership.js";
+import { PoolBalancer } from "./pool-balancer.js";
+import { TargetReportHandler } from "./target-report-handler.js";
+import { VmLeaseTracker } from "./vm-lease-tracker.js";
+
+const moveMs = 1_000;
+
+describe("PoolBalancer", () => {
+    let balancer: PoolBalancer;
+    afterEach(() => balancer.stop());
+
+    /** Two idle VMs in a pool that needs one, so that the other is to be moved to the spare pool. */
+    function createFixture() {
+        const state = buildTestFleet(2, { cpu: 4_000, memory: 1_000, gpu: 0 });
+        const records = [...state.fleet.targets.values()];
+        const clock = new ManualClock();
+        const keeper = new FakeKeeper(state);
+        const leadership = new Leadership(keeper, 1);
+        const vms = new FakeVmService();
+        records.forEach(({ vm, pool, id }) => vms.addVm(vm, pool, id));
+        const log = { record: () => undefined };
+        const reports = new TargetReportHandler(leadership, clock, log, () => undefined);
+        balancer = new PoolBalancer({
+            leadership,
+            vmLeases: new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 }),
+            vms,
+            estimator: { computeStepMs: () => 500, readMeanJobWork: () => 1 },
+            isInMaintenance: () => false,
+            isUsable: () => true,
+            log,
+            clock,
+            moveMs,
+        });
+        let sequence = 0;
+        return {
+            state,
+            keeper,
+            vms,
+            runFor: runWorker(balancer, clock),
+            sendHeartbeats: async (isSending: (vm: string) => boolean = () => true) => {
+                sequence += 1;
+                for (const record of records.filter(({ vm }) => isSending(vm))) {
+                    await reports.handleReport({ record, sequence, clockMs: undefined, remainingMs: undefined });
+                }
+            },
+            listVms: () => [...state.fleet.targets.values()].map(({ vm }) => vm).sort(),
+            readRequests: () => vms.requests.map(({ vm, argument }) => `${vm} ${argument}`),
+        };
+    }
+
+    it("gets back a VM whose move was recorded but not sent, by its next heartbeat, and moves it later", async () => {
+        const { state, keeper, runFor, sendHeartbeats, listVms, readRequests } = createFixture();
+        keeper.refuseCommand = ({ kind }) => {
+            keeper.isLeaseValid = kind !== CommandKind.RecordMove;
+            return undefined;
+        };
+        await sendHeartbeats();
+        await runFor(500);
+        expect([listVms().length, readRequests()]).toEqual([1, []]);
+        keeper.refuseCommand = () => undefined;
+        keeper.isLeaseValid = true;
+        await sendHeartbeats();
+        expect(listVms()).toEqual(["vm0", "vm1"]);
+        await runFor(1_000);
+        expect(readRequests()).toHaveLength(1);
+        expect(new Set(state.fleet.vmHomes.values())).toEqual(new Set(["web"]));
+    });
+
+    it("uses a VM again whose move was not carried out, and never takes it for powered off", async () => {
+        const { state, vms, runFor, sendHeartbeats, listVms, readRequests } = createFixture();
+        vms.handleRequest = () => VmRequestResult.Unanswered;
+        await runFor(500);
+        const [moved] = vms.requests.map(({ vm }) => vm);
+        await sendHeartbeats();
+        expect([listVms().length, balancer.isMoving(moved ?? "")]).toEqual([2, true]);
+        addTestJob(state, "a", [buildTestStep({ count: 20 })]);
+        await runFor(moveMs + 1_000);
+        expect(balancer.isMoving(moved ?? "")).toBe(false);
+        const sentCount = readRequests().length;
+        const crashed = [...state.fleet.targets.values()].find(({ vm }) => vm === moved);
+        applyCommand(state, {
+            kind: CommandKind.RemoveTarget,
+            id: crashed?.id ?? "",
+            incarnation: crashed?.incarnation ?? 0,
+            atMs: 0,
+        });
+        await runFor(1_000);
+        expect(readRequests().slice(sentCount)).toEqual([]);
+    });
+});
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -35,7 +35,7 @@
     readonly isInMaintenance: (vm: string) => boolean;
     /** Whether tasks may be started on a target. */
     readonly isUsable: (target: string) => boolean;
-    readonly log: DecisionLog;
+    readonly log: Pick<DecisionLog, "record">;
     readonly clock: Clock;
     /** Time that the platform takes to move a VM, milliseconds. */
     readonly moveMs: number;
@@ -184,6 +184,10 @@
                 this.movingVms.delete(vm);
             }
         }
+        // A VM on which a target runs is not powered off: its move was not carried out, or another leader has moved it.
+        for (const { vm } of fleet.targets.values()) {
+            this.poweredOffVms.delete(vm);
+        }
     }
 }
 
