--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/pace-controller.test.ts
@@ -0,0 +1,97 @@
+import { applyCommand } from "@daisylock/core/control/apply-command.js";
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
+import { afterEach, describe, expect, it } from "@jest/globals";
+
+import { FakeKeeper } from "../testing/fake-keeper.js";
+import { ManualClock } from "../testing/manual-clock.js";
+import { runWorker } from "../testing/run-worker.js";
+import { Leadership } from "./leadership.js";
+import { PaceController } from "./pace-controller.js";
+
+const serving = "a.0.0.0";
+const filler = "a.0.1.0";
+const tailBoundMs = 100;
+
+describe("PaceController", () => {
+    let controller: PaceController;
+    afterEach(() => controller.stop());
+
+    /** A target on which a task serves users and a filler runs, whose pace starts at 100 percent. */
+    function createFixture() {
+        const state = buildTestFleet(1, { cpu: 4_000, memory: 1_000, gpu: 0 });
+        addTestJob(state, "a", [
+            buildTestStep({ isLongRunning: true, tailBoundMs }),
+            buildTestStep({ isLongRunning: true, isFiller: true }),
+        ]);
+        const starts = [serving, filler].map(task => ({ task, run: 1, target: "t0" }));
+        applyCommand(state, { kind: CommandKind.RecordStarts, starts });
+        const record = state.fleet.targets.get("t0");
+        if (record === undefined) {
+            throw new TypeError("the test fleet has no target");
+        }
+        const clock = new ManualClock();
+        const keeper = new FakeKeeper(state);
+        const tail = { ms: 0 };
+        const target = { pace: 100, requestCount: 0 };
+        const buildRunning = (task: string, load: number) =>
+            [task, { task, run: 1, saved: "", percent: 100, load }] as const;
+        const session = {
+            record,
+            get running() {
+                return new Map([buildRunning(serving, tail.ms), buildRunning(filler, 1_000)]);
+            },
+            setPace: async (_task: string, _run: number, percent: number) => {
+                target.pace = percent;
+                target.requestCount += 1;
+                return true;
+            },
+        };
+        const open = () => {
+            controller = new PaceController(
+                new Leadership(keeper, 1),
+                { list: () => new Map([["t0", session]]) },
+                { record: () => undefined },
+                clock,
+            );
+            return runWorker(controller, clock);
+        };
+        return { keeper, tail, target, open };
+    }
+
+    it("raises the pace of a filler that an earlier leader slowed down", async () => {
+        const { target, open } = createFixture();
+        target.pace = 20;
+        await open()(4_000);
+        expect(target.pace).toBe(100);
+    });
+
+    it("stops a filler again that another leader has sped up between two leaderships of its own", async () => {
+        const { keeper, tail, target, open } = createFixture();
+        tail.ms = tailBoundMs;
+        const runFor = open();
+        await runFor(1_000);
+        expect(target.pace).toBe(0);
+        keeper.isLeaseValid = false;
+        keeper.term += 2;
+        target.pace = 100;
+        await runFor(1_000);
+        keeper.isLeaseValid = true;
+        await runFor(2_000);
+        expect(target.pace).toBe(0);
+    });
+
+    it("sends nothing while the pace stays, also after the lease lapsed within a term", async () => {
+        const { keeper, target, open } = createFixture();
+        const runFor = open();
+        await runFor(2_000);
+        const { requestCount } = target;
+        keeper.isLeaseValid = false;
+        await runFor(1_000);
+        keeper.isLeaseValid = true;
+        await runFor(2_000);
+        expect(target.requestCount).toBe(requestCount);
+    });
+});
