Take up a pace again whose request was not answered

A filler whose stop or slow-down was carried out but not answered stayed slow until its end while the tasks beside it had room to spare.

Cause: an unanswered request left the last confirmed pace in place. As soon as the tail latency fell, the pace computed from it was full pace again, equal to the one assumed in force, and nothing was sent.

A pace whose request is not answered is now unconfirmed, and the lower of the two counts for the next one, so that a filler never speeds up by a lost answer. An unconfirmed pace is sent in every round in which the tail latency calls for a change in either direction. The rule for paces that an earlier leader may have set is the same one. A second test covers the opposite direction, a stop that was not carried out.

--- a/packages/daemon/src/job-scheduler/leader/pace-controller.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pace-controller.test.ts
@@ -35,7 +35,7 @@
         const clock = new ManualClock();
         const keeper = new FakeKeeper(state);
         const tail = { ms: 0 };
-        const target = { pace: 100, requestCount: 0 };
+        const target = { pace: 100, requestCount: 0, isAnswering: true };
         const buildRunning = (task: string, load: number) =>
             [task, { task, run: 1, saved: "", percent: 100, load }] as const;
         const session = {
@@ -46,7 +46,7 @@
             setPace: async (_task: string, _run: number, percent: number) => {
                 target.pace = percent;
                 target.requestCount += 1;
-                return true;
+                return target.isAnswering;
             },
         };
         const open = () => {
@@ -83,6 +83,32 @@
         expect(target.pace).toBe(0);
     });
 
+    it("raises the pace of a filler again whose stop was carried out but not answered", async () => {
+        const { tail, target, open } = createFixture();
+        const runFor = open();
+        await runFor(1_000);
+        tail.ms = tailBoundMs;
+        target.isAnswering = false;
+        await runFor(1_000);
+        expect(target.pace).toBe(0);
+        tail.ms = 0;
+        target.isAnswering = true;
+        await runFor(4_000);
+        expect(target.pace).toBe(100);
+    });
+
+    it("repeats a stop that was not answered while the tail latency is at its bound", async () => {
+        const { tail, target, open } = createFixture();
+        tail.ms = tailBoundMs;
+        target.isAnswering = false;
+        const runFor = open();
+        await runFor(1_000);
+        target.pace = 100;
+        target.isAnswering = true;
+        await runFor(1_000);
+        expect(target.pace).toBe(0);
+    });
+
     it("sends nothing while the pace stays, also after the lease lapsed within a term", async () => {
         const { keeper, target, open } = createFixture();
         const runFor = open();
--- a/packages/daemon/src/job-scheduler/leader/pace-controller.ts
+++ b/packages/daemon/src/job-scheduler/leader/pace-controller.ts
@@ -7,6 +7,7 @@
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
+import type { RunningTask } from "../targets/running-task.js";
 import type { Leadership } from "./leadership.js";
 import type { TargetSession } from "./target-session.js";
 
@@ -14,6 +15,17 @@
 const intervalMs = 600;
 const fullPacePercent = 100;
 
+/** Pace of a filler. */
+interface Pace {
+    /** Percent of full speed. The lower one when a request was not answered, which may have been carried out. */
+    readonly percent: number;
+    /** Whether the target has confirmed it. */
+    readonly isConfirmed: boolean;
+}
+
+/** Pace of a filler that this leadership has not set. It is full from the start, but an earlier leader may have set it. */
+const presumedPace: Pace = { percent: fullPacePercent, isConfirmed: false };
+
 /** A session as far as the pace controller needs it. */
 type PacedSession = Pick<TargetSession, "record" | "running" | "setPace">;
 
@@ -23,8 +35,8 @@
  */
 export class PaceController extends PeriodicWorker {
     override readonly name = "pace-controller";
-    /** Pace in percent of full speed that targets confirmed in this leadership, by encoded task key and run. */
-    private readonly paces = new Map<string, number>();
+    /** Paces set in this leadership, by encoded task key and run. */
+    private readonly paces = new Map<string, Pace>();
     /** Fencing token of the leadership in which the paces were set. */
     private token = 0;
 
@@ -71,35 +83,38 @@
         );
         return fillers.flatMap(({ running }) => {
             const key = `${running.task}#${running.run}`;
-            const pace = this.paces.get(key);
-            const next = computePace(pace ?? fullPacePercent, maxTailShare);
-            // An earlier leader may have set any pace, so it is set once as soon as the tail latency calls for a change.
-            const isSent = pace === undefined
-                ? next !== fullPacePercent || isRecovering(maxTailShare)
-                : next !== pace;
-            return isSent ? [this.setPace(session, running.task, running.run, next, maxTailShare)] : [];
+            const pace = this.paces.get(key) ?? presumedPace;
+            const next = computePace(pace.percent, maxTailShare);
+            const isSent = pace.isConfirmed ? next !== pace.percent : !isPaceKept(maxTailShare);
+            return isSent ? [this.setPace(session, running, pace, next, maxTailShare)] : [];
         });
     }
 
     private async setPace(
         session: PacedSession,
-        task: string,
-        run: number,
+        { task, run }: RunningTask,
+        previous: Pace,
         percent: number,
         maxTailShare: number,
     ): Promise<void> {
         const { token } = this;
-        if (!await session.setPace(task, run, percent) || token !== this.token) {
+        const isConfirmed = await session.setPace(task, run, percent);
+        if (token !== this.token) {
             return;
         }
-        this.paces.set(`${task}#${run}`, percent);
-        this.log.record(DecisionKind.PaceChanged, {
-            task,
-            run,
-            percent,
-            target: session.record.id,
-            tailShare: Number(maxTailShare.toFixed(2)),
+        this.paces.set(`${task}#${run}`, {
+            percent: isConfirmed ? percent : Math.min(percent, previous.percent),
+            isConfirmed,
         });
+        if (isConfirmed) {
+            this.log.record(DecisionKind.PaceChanged, {
+                task,
+                run,
+                percent,
+                target: session.record.id,
+                tailShare: Number(maxTailShare.toFixed(2)),
+            });
+        }
     }
 
     private findStep(task: string): JobStep | undefined {
@@ -108,9 +123,9 @@
     }
 }
 
-/** Tells whether the tail latency is low enough for fillers to speed up. */
-function isRecovering(maxTailShare: number): boolean {
-    return computePace(0, maxTailShare) > 0;
+/** Tells whether the tail latency calls for no change of any pace. */
+function isPaceKept(maxTailShare: number): boolean {
+    return computePace(0, maxTailShare) === 0 && computePace(fullPacePercent, maxTailShare) === fullPacePercent;
 }
 
 function isServing(step: JobStep): boolean {
