Probe an idle target until it responds again

Targets without runs stayed unused for good: one unanswered start has every target of its zone checked, a busy leader takes some checks for unanswered, and a target that was marked unreachable that way was not contacted again while it was idle and sent heartbeats, as only a renewal that succeeds takes the mark away. Class: a state that only an event ends which nobody brings about any more. The new test, in which the target responds again for 2 s, found it unusable before. An unreachable target now counts as not idle and is probed until it responds or is removed.

--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -390,6 +390,19 @@
             session.close();
         });
 
+        it("uses an idle target again that left one reachability check unanswered but sends heartbeats", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(1_000);
+            fixture.client.isResponding = false;
+            await session.checkReachable();
+            expect(session.isUsable()).toBe(false);
+            fixture.client.isResponding = true;
+            await fixture.clock.runFor(2_000);
+            expect(session.isUsable()).toBe(true);
+            session.close();
+        });
+
         it("stops a stalled task and ejects the target", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -229,7 +229,9 @@
     private async runRenewals(): Promise<void> {
         while (!this.isClosed) {
             const load = this.readLoad();
-            const isIdle = this.isSynced && load.runs.size === 0 && !this.isReportOverdue(this.readNow());
+            // An unreachable target is probed until it responds, also while nothing runs on it.
+            const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
+                && !this.isReportOverdue(this.readNow());
             if (isIdle || !this.dependencies.leadership.isActive()) {
                 await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
                 continue;
