Stop an outdated run without stopping the newest one of its task

When a late start made a target run an earlier run of a task beside the committed one, the leader stopped the committed run and left the earlier one running: requests were tracked by task, and a lookup for a lower run number returned the request for the higher one. The task then ran without being recorded, and again elsewhere. The new test expected a stop of run 0 and saw one of run 1. Requests are now tracked by task and run.

--- a/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
@@ -3,9 +3,16 @@
 import type { Clock } from "../../clock/clock.js";
 import type { RunRequestState } from "./run-request-state.js";
 
-/** Tracks the leader's requests to one target, by encoded task key. */
+/** The leader's request for one run of a task. */
+interface TrackedRequest {
+    /** Encoded task key. */
+    readonly task: string;
+    readonly state: RunRequestState;
+}
+
+/** Tracks the leader's requests to one target, by task and run. */
 export class RunRequestTracker {
-    private readonly requests = new Map<string, RunRequestState>();
+    private readonly requests = new Map<string, TrackedRequest>();
 
     /**
      * @param clock - clock for the creation time of requests
@@ -19,22 +26,21 @@
      * @returns the request, or `undefined` when this leader has created none
      */
     find(task: string, run: number): RunRequestState | undefined {
-        const request = this.requests.get(task);
-        return request?.run === run ? request : undefined;
+        return this.requests.get(buildKey(task, run))?.state;
     }
 
     /**
-     * Finds the request for a run, or creates one. A request for a higher run number supersedes those for lower ones.
+     * Finds the request for a run, or creates one.
      * @param task - encoded task key
      * @param run - run number
-     * @returns the request for this run or a later one
+     * @returns the request
      */
     findOrCreate(task: string, run: number): RunRequestState {
-        const existing = this.requests.get(task);
-        if (existing !== undefined && existing.run >= run) {
+        const existing = this.find(task, run);
+        if (existing !== undefined) {
             return existing;
         }
-        const request: RunRequestState = {
+        const state: RunRequestState = {
             run,
             createdAt: this.clock.readMonotonic(),
             isStartSent: false,
@@ -44,8 +50,8 @@
             confirmedAt: undefined,
             isInFlight: false,
         };
-        this.requests.set(task, request);
-        return request;
+        this.requests.set(buildKey(task, run), { task, state });
+        return state;
     }
 
     /**
@@ -73,10 +79,14 @@
      * @param runs - numbers of the runs that may still be running, by encoded task key
      */
     dropEndedRuns(runs: ReadonlyMap<string, number>): void {
-        for (const [task, request] of this.requests) {
-            if (!request.isInFlight && runs.get(task) !== request.run) {
-                this.requests.delete(task);
+        for (const [key, { task, state }] of this.requests) {
+            if (!state.isInFlight && runs.get(task) !== state.run) {
+                this.requests.delete(key);
             }
         }
     }
 }
+
+function buildKey(task: string, run: number): string {
+    return `${task} ${run}`;
+}
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -403,6 +403,19 @@
             session.close();
         });
 
+        it("stops an earlier run that begins late, and leaves the committed run of the task alone", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(100);
+            fixture.client.running.push({ task, run: 0, saved: "", percent: 0, load: 0 });
+            await fixture.clock.runFor(1_200);
+            expect(fixture.client.stops.map(({ run }) => run)).toEqual([0]);
+            session.close();
+        });
+
         it("stops a stalled task and ejects the target", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
