--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -19,27 +19,31 @@
  */
 export function collectCandidates(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
     const candidates: StepCandidate[] = [];
-    const excesses = computeShareExcesses(fleet);
+    let excesses: ShareExcesses | undefined;
+    // Computed at the first waiting step, as most rounds under light load find none.
+    const readExcesses = (): ShareExcesses => excesses ??= computeShareExcesses(fleet);
     const queues = new Map(fleet.configuration?.queues.map(queue => [queue.name, queue]));
     for (const id of fleet.activeJobs) {
         const job = fleet.jobs.get(id);
         if (job !== undefined && !isJobFinished(job)) {
             const queue = queues.get(job.queue);
             job.occurrences.forEach((_, occurrence) =>
-                addCandidates(candidates, { job, queue, occurrence, now, estimator, excesses })
+                addCandidates(candidates, { job, queue, occurrence, now, estimator, readExcesses })
             );
         }
     }
     return candidates;
 }
 
+type ShareExcesses = ReturnType<typeof computeShareExcesses>;
+
 interface OccurrenceContext {
     readonly job: Job;
     readonly queue: QueueConfiguration | undefined;
     readonly occurrence: number;
     readonly now: number;
     readonly estimator: WorkEstimator;
-    readonly excesses: ReadonlyMap<string, ReadonlyMap<string, number>>;
+    readonly readExcesses: () => ShareExcesses;
 }
 
 type OccurrenceEstimate = Pick<
@@ -85,7 +89,7 @@
 
 /** Computes what decides on the order of steps; it is the same for all steps of an occurrence. */
 function computeEstimate(
-    { job, queue, occurrence, now, estimator, excesses }: OccurrenceContext,
+    { job, queue, occurrence, now, estimator, readExcesses }: OccurrenceContext,
     dueAt: number,
 ): OccurrenceEstimate {
     const { computeStepMs: estimate } = estimator;
@@ -99,7 +103,7 @@
         slackMs: dueAt + budgetMs - now - remainingMs,
         remainingMs,
         relativeWork: computeRemainingWork(job, occurrence, estimate) / estimator.readMeanJobWork(job),
-        shareExcess: excesses.get(queue?.pool ?? job.pool)?.get(job.account) ?? 0,
+        shareExcess: readExcesses().get(queue?.pool ?? job.pool)?.get(job.account) ?? 0,
         stepsDone,
     };
 }
