--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -17,7 +17,10 @@
 const runTimeoutMs = 3_000;
 
 const target = fc.nat(3);
-const fate = fc.constantFrom(RequestFate.Refused, RequestFate.Lost, RequestFate.ResponseLost, RequestFate.Late);
+const fate = fc.oneof(
+    { weight: 1, arbitrary: fc.constantFrom(RequestFate.Refused, RequestFate.Lost, RequestFate.ResponseLost) },
+    { weight: 1, arbitrary: fc.constant(RequestFate.Late) },
+);
 const refusal = fc.constantFrom(TargetRequestResult.InsufficientCapacity, TargetRequestResult.Unhealthy);
 
 const action = fc.oneof(
@@ -32,7 +35,7 @@
         }),
     },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("submit-long-running" as const) }) },
-    { weight: 1, arbitrary: fc.record({ kind: fc.constant("cancel" as const), position: fc.nat(20) }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("cancel" as const), position: fc.nat(20) }) },
     {
         weight: 6,
         arbitrary: fc.record({ kind: fc.constant("lapse" as const), ms: fc.integer({ min: 50, max: 600 }) }),
@@ -63,8 +66,8 @@
             ms: fc.integer({ min: 200, max: 9_000 }),
         }),
     },
-    { weight: 1, arbitrary: fc.record({ kind: fc.constant("refuse" as const), target, refusal }) },
-    { weight: 1, arbitrary: fc.record({ kind: fc.constant("accept" as const), target }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("refuse" as const), target, refusal }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("accept" as const), target }) },
     {
         weight: 1,
         arbitrary: fc.record({
@@ -78,6 +81,10 @@
         arbitrary: fc.record({ kind: fc.constant("delay-heartbeats" as const), target, ms: fc.nat(6_000) }),
     },
     { weight: 14, arbitrary: fc.record({ kind: fc.constant("wait" as const), ms: fc.integer({ min: 1, max: 500 }) }) },
+    {
+        weight: 1,
+        arbitrary: fc.record({ kind: fc.constant("wait" as const), ms: fc.integer({ min: 1_000, max: 5_000 }) }),
+    },
 );
 
 type Action = typeof action extends fc.Arbitrary<infer Value> ? Value : never;
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -123,7 +123,9 @@
     start(): void {
         runGoroutine(() => this.scheduler.run(), error => {
             if (error !== undefined) {
-                this.monitor.violations.push(`the scheduler failed: ${String(error)}`);
+                this.monitor.violations.push(
+                    `the scheduler failed: ${error instanceof Error ? error.message : "unknown error"}`,
+                );
             }
         });
         this.targets.forEach(target => this.sendHeartbeats(target, 1));
--- a/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
@@ -82,13 +82,13 @@
     ): Promise<Response | TargetResponse> {
         const target = this.targets.get(id);
         const fate = this.pickFate(id);
-        const requestDelayMs = this.drawDelay(minDelayMs, maxDelayMs);
+        const requestDelayMs = this.pickDelay(minDelayMs, maxDelayMs);
         if (target === undefined || fate === RequestFate.Refused) {
             await this.waitDelay(requestDelayMs);
             return { result: TargetRequestResult.NotSent, clockMs: undefined };
         }
         if (fate === RequestFate.ResponseLost || fate === RequestFate.Late) {
-            const executionDelayMs = fate === RequestFate.Late ? this.drawDelay(minLateMs, maxLateMs) : requestDelayMs;
+            const executionDelayMs = fate === RequestFate.Late ? this.pickDelay(minLateMs, maxLateMs) : requestDelayMs;
             this.clock.schedule(executionDelayMs, () => void execute(target));
         }
         if (fate !== RequestFate.Answered) {
@@ -97,11 +97,11 @@
         }
         await this.waitDelay(requestDelayMs);
         const response = await execute(target);
-        await this.waitDelay(this.drawDelay(minDelayMs, maxDelayMs));
+        await this.waitDelay(this.pickDelay(minDelayMs, maxDelayMs));
         return response;
     }
 
-    private drawDelay(minMs: number, maxMs: number): number {
+    private pickDelay(minMs: number, maxMs: number): number {
         return minMs + this.random() * (maxMs - minMs);
     }
 
