Commit no ends of runs in a session that was closed

A rejection, or an expired lease, that a closed session learnt of released the run although the session of the next leadership may have sent its start again with success; the task then runs twice. It takes a response that is older than the next session's first renewal, so that it is rare.

--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -429,7 +429,7 @@
             session.close();
         });
 
-        it.failing("does not release a run for a rejection that arrives after the session was closed", async () => {
+        it("does not release a run for a rejection that arrives after the session was closed", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
             await fixture.clock.runFor(200);
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -357,6 +357,10 @@
     }
 
     private async recordRunEnds(ends: readonly Omit<TaskEnd, "target">[]): Promise<boolean> {
+        if (this.isClosed) {
+            // The next session may have started the runs again.
+            return false;
+        }
         const { leadership, handleRunEnd, startScheduling, log } = this.dependencies;
         const recorded = await leadership.recordCommand({
             kind: CommandKind.RecordEnds,
