Keep a run that the target has confirmed when its start is sent again

Cause: a renewal that is answered between the commit of a start and the scheduler's next step sends the start itself; once it is confirmed, the scheduler's own request sends it again. A run that the target lists while its unanswered start is retried is also only marked as confirmed. An attempt that could not be sent then released the run although it was at work. Both new tests saw the task waiting instead of placed. A confirmed run is no longer started, nor rejected, again.

--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -105,6 +105,9 @@
                 await this.waitDelay(retryDelayMs);
                 continue;
             }
+            if (request.confirmedAt !== undefined && !request.isStopRequested) {
+                return;
+            }
             const isDraining = this.session.readRecord().state !== ReportedTargetState.Ready;
             if (request.isStopRequested || isDraining || this.isJobFinished(task)) {
                 await this.sendStopUntilConfirmed(task, request);
@@ -203,9 +206,13 @@
 
     /**
      * Commits that the start was rejected, and returns whether that succeeded. If an earlier attempt may still arrive,
-     * only requests a stop, so that the run cannot begin after it counts as rejected.
+     * only requests a stop, so that the run cannot begin after it counts as rejected. A run that the target has
+     * confirmed meanwhile is left alone.
      */
     private async recordRejection(task: string, request: RunRequestState): Promise<boolean> {
+        if (request.confirmedAt !== undefined) {
+            return true;
+        }
         if (request.isStartUnanswered) {
             request.isStopRequested = true;
             return false;
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -475,6 +475,37 @@
             session.close();
         });
 
+        it("keeps a run that the target has confirmed when its start is sent again to a target that is cut off", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(20);
+            fixture.client.startResult = TargetRequestResult.NotSent;
+            session.startTask(task, 1);
+            await fixture.clock.runFor(500);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            session.close();
+        });
+
+        it("keeps a run that the target has listed when the retry of its unanswered start is not sent", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.client.startResult = TargetRequestResult.Unanswered;
+            fixture.recordStart();
+            session.startTask(task, 1);
+            fixture.client.running.push({ task, run: 1, saved: "", percent: 10, load: 0 });
+            await fixture.clock.runFor(60);
+            fixture.client.startResult = TargetRequestResult.NotSent;
+            fixture.client.startDelayMs = 1_500;
+            await fixture.clock.runFor(2_000);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            expect(fixture.client.stops).toHaveLength(0);
+            session.close();
+        });
+
         it("stops an earlier run that begins late, and leaves the committed run of the task alone", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
