Open a session again for a target that was removed and reports again

The removal of a target closes its session, which is dropped in the scheduler's next round. When a heartbeat of the same incarnation arrived before that round, the closed session stayed, looked usable, and neither sent the starts placed on its target nor renewed its lease, until the next term. The new test got the closed session back; a closed session is now replaced.

--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -96,6 +96,14 @@
         void this.runRenewals();
     }
 
+    /**
+     * Tells whether the session serves its target.
+     * @returns false once it was closed, also by the removal of its target
+     */
+    isOpen(): boolean {
+        return !this.isClosed;
+    }
+
     /** Closes the session without waiting for requests in flight. */
     close(): void {
         this.isClosed = true;
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -47,4 +47,14 @@
         await clock.runFor(20_000);
         expect(client.renewals).toHaveLength(renewalCount);
     });
+
+    it("opens a session again for a target that was removed and has reported again before the next round", () => {
+        const { fleet, sessions } = createFixture();
+        sessions.update(fleet.targets, 3);
+        const session = sessions.find("t0");
+        session?.close();
+        sessions.update(fleet.targets, 3);
+        expect(sessions.find("t0")).not.toBe(session);
+        sessions.closeAll();
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -21,7 +21,7 @@
     update(targets: ReadonlyMap<string, TargetRecord>, token: number): void {
         this.closeEarlier(token);
         for (const [id, session] of this.sessions) {
-            if (targets.get(id)?.incarnation !== session.record.incarnation) {
+            if (!session.isOpen() || targets.get(id)?.incarnation !== session.record.incarnation) {
                 session.close();
                 this.sessions.delete(id);
             }
