--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -54,7 +54,7 @@
         const session = sessions.find("t0");
         session?.close();
         sessions.update(fleet.targets, 3);
-        expect(sessions.find("t0")).not.toBe(session);
+        expect(sessions.find("t0") === session).toBe(false);
         sessions.closeAll();
     });
 });
