Add a seeded soak test of the scheduler and its sessions

The test runs the real Scheduler, TargetSessions, RunRequestSender, TargetReportHandler and Leadership on a manual clock, over a simulated keeper (lapses, refused and unknown commands, changes of term) and four simulated targets (leases, ends, run numbers, fencing tokens, capacity; two guard it). fast-check draws the faults. It checks that a task never runs twice at once or after its end as done was discarded, that the capacity is kept, that no listed end is lost, and that everything ends within 14 s of the last fault, plus one lease where a target was cut.

--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -0,0 +1,224 @@
+import { createRandom } from "@daisylock/core/testing/create-random.js";
+import { describe, expect, it } from "@jest/globals";
+import fc from "fast-check";
+
+import { TargetRequestResult } from "../targets/target-request-result.js";
+import { RequestFate } from "../testing/request-fate.js";
+import { SimulatedFleet } from "../testing/simulated-fleet.js";
+import { minClockRate } from "./min-clock-rate.js";
+
+const runs = Number(process.env["DAISYLOCK_SOAK_RUNS"] ?? 15);
+const seed = Number(process.env["DAISYLOCK_SOAK_SEED"] ?? 20_261_204);
+
+/** Time within which the platform expects accepted jobs to end once the disruptions have, milliseconds. */
+const finishMs = 14_000;
+const pollIntervalMs = 100;
+/** Upper bound of the duration of one run of the test, milliseconds. */
+const runTimeoutMs = 3_000;
+
+const target = fc.nat(3);
+const fate = fc.oneof(
+    {
+        weight: 1,
+        arbitrary: fc.constantFrom<RequestFate[]>(RequestFate.Refused, RequestFate.Lost, RequestFate.ResponseLost),
+    },
+    { weight: 1, arbitrary: fc.constant<RequestFate>(RequestFate.Late) },
+);
+const refusal = fc.constantFrom(TargetRequestResult.InsufficientCapacity, TargetRequestResult.Unhealthy);
+
+const action = fc.oneof(
+    {
+        weight: 6,
+        arbitrary: fc.record({
+            kind: fc.constant("submit" as const),
+            count: fc.integer({ min: 1, max: 4 }),
+            stepCount: fc.integer({ min: 1, max: 2 }),
+            durationMs: fc.integer({ min: 40, max: 900 }),
+            cpu: fc.constantFrom(250, 500, 1_000),
+        }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("submit-long-running" as const) }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("cancel" as const), position: fc.nat(20) }) },
+    {
+        weight: 6,
+        arbitrary: fc.record({ kind: fc.constant("lapse" as const), ms: fc.integer({ min: 50, max: 600 }) }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("term" as const), ms: fc.integer({ min: 50, max: 800 }) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("busy" as const), percent: fc.nat(70) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("unknown" as const), percent: fc.nat(70) }) },
+    {
+        weight: 1,
+        arbitrary: fc.record({ kind: fc.constant("hold-rounds" as const), ms: fc.integer({ min: 50, max: 900 }) }),
+    },
+    {
+        weight: 5,
+        arbitrary: fc.record({
+            kind: fc.constant("disturb" as const),
+            target,
+            fate,
+            percent: fc.integer({ min: 10, max: 99 }),
+            ms: fc.integer({ min: 100, max: 3_000 }),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("cut" as const),
+            target,
+            fate,
+            ms: fc.integer({ min: 200, max: 9_000 }),
+        }),
+    },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("refuse" as const), target, refusal }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("accept" as const), target }) },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("fail" as const),
+            target,
+            count: fc.integer({ min: 1, max: 3 }),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("stall" as const),
+            target,
+            count: fc.integer({ min: 1, max: 2 }),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({ kind: fc.constant("delay-heartbeats" as const), target, ms: fc.nat(6_000) }),
+    },
+    { weight: 14, arbitrary: fc.record({ kind: fc.constant("wait" as const), ms: fc.integer({ min: 1, max: 500 }) }) },
+    {
+        weight: 1,
+        arbitrary: fc.record({ kind: fc.constant("wait" as const), ms: fc.integer({ min: 1_000, max: 5_000 }) }),
+    },
+);
+
+type Action =
+    | (typeof action extends fc.Arbitrary<infer Value> ? Value : never)
+    | { readonly kind: "restart"; readonly target: number; readonly downMs: number };
+
+async function runAction(fleet: SimulatedFleet, step: Action): Promise<void> {
+    const { keeper } = fleet;
+    const disturbed = "target" in step ? fleet.targets[step.target] : undefined;
+    switch (step.kind) {
+        case "submit":
+            fleet.addJob(
+                { needs: { cpu: step.cpu, memory: 10, gpu: 0 }, durationMs: step.durationMs },
+                step.count,
+                step.stepCount,
+            );
+            break;
+        case "submit-long-running":
+            fleet.addJob({ needs: { cpu: 500, memory: 10, gpu: 0 }, durationMs: 0 }, 1, 1);
+            break;
+        case "cancel":
+            void fleet.stopJob(step.position);
+            break;
+        case "lapse":
+            keeper.startLapse(step.ms);
+            break;
+        case "term":
+            keeper.startTerm(step.ms);
+            break;
+        case "busy":
+            keeper.busyProbability = step.percent / 100;
+            break;
+        case "unknown":
+            keeper.unknownProbability = step.percent / 100;
+            break;
+        case "hold-rounds":
+            fleet.roundClock.setHold(step.ms);
+            break;
+        case "wait":
+            await fleet.clock.runFor(step.ms);
+            break;
+        default:
+            if (disturbed !== undefined) {
+                runTargetAction(fleet, disturbed, step);
+            }
+    }
+}
+
+function runTargetAction(fleet: SimulatedFleet, disturbed: SimulatedFleet["targets"][number], step: Action): void {
+    switch (step.kind) {
+        case "disturb":
+            fleet.setRequestFault(disturbed, step, step.ms);
+            break;
+        case "cut":
+            fleet.setRequestFault(disturbed, { fate: step.fate, percent: 100 }, step.ms);
+            break;
+        case "refuse":
+            disturbed.refusal = step.refusal;
+            break;
+        case "accept":
+            disturbed.refusal = undefined;
+            break;
+        case "fail":
+            disturbed.failingRuns = step.count;
+            break;
+        case "stall":
+            disturbed.stallingRuns = step.count;
+            break;
+        case "restart":
+            fleet.stopTarget(disturbed, step.downMs);
+            break;
+        case "delay-heartbeats":
+            fleet.setHeartbeatDelay(disturbed, step.ms);
+            break;
+    }
+}
+
+/** Runs the actions, then waits without faults until all jobs have ended, and fails when they do not end in time. */
+async function runScenario(random: number, steps: readonly Action[]): Promise<void> {
+    const fleet = new SimulatedFleet(createRandom(random));
+    fleet.start();
+    for (const step of steps) {
+        await runAction(fleet, step);
+        expect(fleet.monitor.violations).toEqual([]);
+    }
+    fleet.stopFaults();
+    const isTargetCut = steps.some(({ kind }) => kind === "cut" || kind === "disturb");
+    const deadline = fleet.clock.readMonotonic() + finishMs + (isTargetCut ? fleet.maxLeaseMs / minClockRate : 0);
+    do {
+        await fleet.clock.runFor(pollIntervalMs);
+        expect(fleet.monitor.violations).toEqual([]);
+    }
+    while (fleet.clock.readMonotonic() < deadline && fleet.describeRemainder().length > 0);
+    expect(fleet.describeRemainder()).toEqual([]);
+    await fleet.stop();
+}
+
+describe("Scheduler", () => {
+    describe("under lapses of the leader lease, refused commands, changes of term and unanswered requests", () => {
+        it(
+            "runs each task once at a time and to its end, within the capacity of the targets",
+            () =>
+                fc.assert(
+                    fc.asyncProperty(fc.nat(), fc.array(action, { minLength: 20, maxLength: 80 }), runScenario),
+                    { numRuns: runs, seed, endOnFailure: true },
+                ),
+            Math.max(60_000, runs * runTimeoutMs),
+        );
+
+        // A start that was being repeated during the lapse was dropped, and its task stayed placed until the next term.
+        it("sends starts that targets left unanswered before a lapse of the leader lease", () =>
+            runScenario(0, [
+                { kind: "wait", ms: 700 },
+                ...[0, 1, 2, 3].map(index => ({
+                    kind: "cut" as const,
+                    target: index,
+                    fate: RequestFate.Lost,
+                    ms: 400,
+                })),
+                { kind: "submit", count: 4, stepCount: 1, durationMs: 300, cpu: 1_000 },
+                { kind: "wait", ms: 300 },
+                { kind: "lapse", ms: 600 },
+                { kind: "wait", ms: 700 },
+            ]));
+    });
+});
--- a/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
@@ -14,6 +14,8 @@
 export class FakeKeeper implements Pick<Keeper, "isActiveLeader" | "readControl" | "readView" | "sendCommand"> {
     isLeaseValid = true;
     term = 1;
+    /** When this leadership began, monotonic milliseconds. */
+    ledSince = 0;
     /** Called before each command; it is applied unless a failure is returned. */
     refuseCommand: (command: ControlCommand) => ProposeFailureKind | undefined = () => undefined;
     readonly commands: ControlCommand[] = [];
@@ -21,7 +23,7 @@
     /**
      * @param state - the replicated state, which commands change
      */
-    constructor(private readonly state: ControlState) {}
+    constructor(protected readonly state: ControlState) {}
 
     isActiveLeader(): boolean {
         return this.isLeaseValid;
@@ -32,7 +34,7 @@
     }
 
     readView(): KeeperView {
-        const { term } = this;
+        const { term, ledSince } = this;
         return {
             id: "k0",
             role: RaftRole.Leader,
@@ -44,7 +46,7 @@
             lastIndex: 0,
             matchIndexes: {},
             silentMs: {},
-            ledSince: 0,
+            ledSince,
         };
     }
 
--- a/packages/daemon/src/job-scheduler/testing/manual-clock.ts
+++ b/packages/daemon/src/job-scheduler/testing/manual-clock.ts
@@ -13,6 +13,13 @@
     private now = 0;
     private timers: Timer[] = [];
 
+    /**
+     * @param macrotaskRounds - number of macrotask rounds run before each timer, which goroutines need to proceed
+     */
+    constructor(private readonly macrotaskRounds = 0) {
+        super();
+    }
+
     override readMonotonic(): number {
         return this.now;
     }
@@ -36,7 +43,7 @@
     async runFor(ms: number): Promise<void> {
         const end = this.now + ms;
         for (;;) {
-            await settlePromises();
+            await this.settleTasks();
             const due = this.timers.filter(({ at }) => at <= end).sort((a, b) => a.at - b.at)[0];
             if (due === undefined) {
                 break;
@@ -46,7 +53,15 @@
             due.callback();
         }
         this.now = end;
+        await this.settleTasks();
+    }
+
+    private async settleTasks(): Promise<void> {
         await settlePromises();
+        for (let round = 0; round < this.macrotaskRounds; round++) {
+            await new Promise(resolve => setImmediate(resolve));
+            await settlePromises();
+        }
     }
 }
 
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -0,0 +1,320 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { ControlState } from "@daisylock/core/control/control-state.js";
+import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
+import { findTask } from "@daisylock/core/jobs/find-task.js";
+import { isJobFinished } from "@daisylock/core/jobs/is-job-finished.js";
+import { JobPhase } from "@daisylock/core/jobs/job-phase.js";
+import type { JobStep } from "@daisylock/core/jobs/job-step.js";
+import type { Job } from "@daisylock/core/jobs/job.js";
+import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
+
+import { runGoroutine } from "../../concurrency/run-goroutine.js";
+import { Leadership } from "../leader/leadership.js";
+import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
+import { Scheduler } from "../leader/scheduler.js";
+import { TargetReportHandler } from "../leader/target-report-handler.js";
+import { TargetSessions } from "../leader/target-sessions.js";
+import { TaskDurationEstimator } from "../leader/task-duration-estimator.js";
+import type { DecisionLog } from "../logging/decision-log.js";
+import { HeldClock } from "./held-clock.js";
+import { ManualClock } from "./manual-clock.js";
+import { RequestFate } from "./request-fate.js";
+import { RunMonitor } from "./run-monitor.js";
+import { SimulatedKeeper } from "./simulated-keeper.js";
+import { SimulatedTargetClient } from "./simulated-target-client.js";
+import { SimulatedTarget } from "./simulated-target.js";
+import type { SimulatedWork } from "./simulated-work.js";
+
+const targetCount = 4;
+const targetCapacity = { cpu: 4_000, memory: 1_000, gpu: 0 };
+/** Clock rate of every other target relative to the leader's: the slowest that the platform allows. */
+const slowClockRate = 0.98;
+const clockOffsetMs = 500_000;
+const heartbeatIntervalMs = 1_000;
+/** Delay before a request or heartbeat that the leader has not accepted is sent again, milliseconds. */
+const retryDelayMs = 100;
+const keepStateMs = 120_000;
+/** Number of macrotask rounds within which all goroutines that can proceed have done so. */
+const macrotaskRounds = 5;
+
+/** Fault of the network between the leader and one target. */
+interface RequestFault {
+    readonly fate: RequestFate;
+    /** Probability that a request is affected, percent. */
+    readonly percent: number;
+}
+
+/** A leader with its scheduler and sessions, and simulated targets, on a clock that only the test advances. */
+export class SimulatedFleet {
+    /** Longest lease that the targets accept, milliseconds. */
+    readonly maxLeaseMs = 6_000;
+    readonly clock = new ManualClock(macrotaskRounds);
+    readonly roundClock = new HeldClock(this.clock);
+    readonly keeper: SimulatedKeeper;
+    readonly monitor: RunMonitor;
+    readonly targets: readonly SimulatedTarget[];
+    private readonly state: ControlState;
+    private readonly scheduler: Scheduler;
+    private readonly reports: TargetReportHandler;
+    private readonly requestFaults = new Map<string, RequestFault>();
+    private readonly heartbeatDelaysMs = new Map<string, number>();
+    private jobCount = 0;
+    private heartbeatCount = 0;
+    private isStopped = false;
+
+    /**
+     * @param random - returns numbers from 0 to below 1
+     */
+    constructor(private readonly random: () => number) {
+        this.state = buildTestFleet(targetCount, targetCapacity);
+        this.keeper = new SimulatedKeeper(this.state, this.clock, random);
+        this.monitor = new RunMonitor(task => this.isRecordedDone(task));
+        this.targets = [...this.state.fleet.targets.values()].map((record, index) =>
+            new SimulatedTarget(record, {
+                clock: this.clock,
+                clockRate: index % 2 === 0 ? slowClockRate : 1,
+                clockOffsetMs: clockOffsetMs * (index + 1),
+                maxLeaseMs: this.maxLeaseMs,
+                isGuarded: index < targetCount / 2,
+                monitor: this.monitor,
+                random,
+            })
+        );
+        const leadership = new Leadership(this.keeper, 1);
+        const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
+        const startScheduling = () => this.startRound();
+        this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling);
+        const client = new SimulatedTargetClient(
+            new Map(this.targets.map(target => [target.record.id, target])),
+            this.clock,
+            random,
+        );
+        client.pickFate = id => this.pickFate(id);
+        const sessions: TargetSessions = new TargetSessions({
+            leadership,
+            client,
+            reports: this.reports,
+            clock: this.clock,
+            log,
+            maxLeaseMs: this.maxLeaseMs,
+            isTargetGone: () => false,
+            mayEjectSlow: () => true,
+            estimateTask: () => undefined,
+            findTicket: () => "",
+            handleRejectedTicket: () => undefined,
+            handleUnansweredRequest: ({ zone }) => sessions.checkZoneReachable(zone),
+            startScheduling,
+            handleRunEnd: () => undefined,
+        });
+        this.scheduler = new Scheduler({
+            leadership,
+            sessions,
+            estimator: new TaskDurationEstimator(),
+            tickets: { updateTickets: () => undefined } as Partial<PlacementTicketFetcher> as PlacementTicketFetcher,
+            isCordoned: () => false,
+            log,
+            clock: this.roundClock,
+            keepStateMs,
+        });
+    }
+
+    /** Starts the scheduler and the heartbeats. */
+    start(): void {
+        runGoroutine(() => this.scheduler.run(), error => {
+            if (error !== undefined) {
+                this.monitor.violations.push(
+                    `the scheduler failed: ${error instanceof Error ? error.message : "unknown error"}`,
+                );
+            }
+        });
+        this.targets.forEach(target => this.sendHeartbeats(target));
+    }
+
+    /** Stops the scheduler and closes the sessions. */
+    async stop(): Promise<void> {
+        this.isStopped = true;
+        this.scheduler.stop();
+        await this.clock.runFor(0);
+    }
+
+    /**
+     * Submits a job, and repeats the request until it is accepted.
+     * @param work - what its tasks do
+     * @param count - number of tasks of each step
+     * @param stepCount - number of steps, each of which waits for the one before
+     */
+    addJob(work: SimulatedWork, count: number, stepCount: number): void {
+        this.jobCount += 1;
+        const steps: JobStep[] = Array.from({ length: stepCount }, (_, index) =>
+            buildTestStep({
+                count,
+                needs: work.needs,
+                estimateMs: work.durationMs,
+                after: index === 0 ? [] : [index - 1],
+                isLongRunning: work.durationMs === 0,
+            }));
+        void this.sendUntilCommitted({
+            kind: CommandKind.SubmitJob,
+            id: `j${this.jobCount}`,
+            queue: "q-web",
+            account: "team",
+            request: { spec: JSON.stringify(work), steps, times: 0, startAtMs: 0, intervalMs: 0 },
+            atMs: this.clock.readWall(),
+        });
+    }
+
+    /**
+     * Cancels a job, and repeats the request until it is accepted.
+     * @param position - position among the accepted jobs, modulo their number
+     */
+    async stopJob(position: number): Promise<void> {
+        const ids = [...this.state.fleet.jobs.keys()];
+        const id = ids[position % Math.max(1, ids.length)];
+        if (id !== undefined) {
+            await this.sendUntilCommitted({ kind: CommandKind.CancelJob, id, atMs: this.clock.readWall() });
+        }
+    }
+
+    /**
+     * Disturbs the requests to a target.
+     * @param target - the target
+     * @param fault - what happens to which share of the requests
+     * @param forMs - duration, milliseconds
+     */
+    setRequestFault(target: SimulatedTarget, fault: RequestFault, forMs: number): void {
+        const { id } = target.record;
+        this.requestFaults.set(id, fault);
+        this.clock.schedule(forMs, () => {
+            if (this.requestFaults.get(id) === fault) {
+                this.requestFaults.delete(id);
+            }
+        });
+    }
+
+    /**
+     * Delays the heartbeats of a target.
+     * @param target - the target
+     * @param delayMs - delay of each heartbeat, milliseconds
+     */
+    setHeartbeatDelay(target: SimulatedTarget, delayMs: number): void {
+        this.heartbeatDelaysMs.set(target.record.id, delayMs);
+    }
+
+    /**
+     * Crashes a target, which starts again as a new incarnation under the same id.
+     * @param target - the target
+     * @param downMs - time until it starts, milliseconds
+     */
+    stopTarget(target: SimulatedTarget, downMs: number): void {
+        if (target.isDown) {
+            return;
+        }
+        target.stop();
+        this.clock.schedule(downMs, () => {
+            target.start();
+            this.sendHeartbeat(target);
+        });
+    }
+
+    /** Ends all faults, except for requests and heartbeats that are already delayed. */
+    stopFaults(): void {
+        this.requestFaults.clear();
+        this.heartbeatDelaysMs.clear();
+        this.keeper.busyProbability = 0;
+        this.keeper.unknownProbability = 0;
+        this.roundClock.setHold(0);
+        for (const target of this.targets) {
+            target.refusal = undefined;
+            target.failingRuns = 0;
+            target.stallingRuns = 0;
+        }
+    }
+
+    /**
+     * Describes what is left to do.
+     * @returns one line per job that should have ended, task that should be running, and run that should have ended
+     */
+    describeRemainder(): string[] {
+        const alive = this.monitor.listAliveRuns();
+        const placed = [...this.state.fleet.targetLoads].flatMap(([target, { runs }]) =>
+            [...runs].map(([task, run]) => ({ target, task, run }))
+        );
+        const placedTasks = new Set(placed.map(({ task }) => task));
+        return [
+            ...[...this.state.fleet.jobs.values()].flatMap(job => this.describeJob(job)),
+            ...placed.filter(({ target, task, run }) =>
+                alive.get(task)?.target !== target || alive.get(task)?.run !== run
+            ).map(({ target, task, run }) => `run ${run} of ${task} is placed on ${target} and not alive there`),
+            ...[...alive.keys()].filter(task => !placedTasks.has(task)).map(task => `${task} is alive and not placed`),
+        ];
+    }
+
+    private describeJob(job: Job): string[] {
+        const isLongRunning = job.steps.some(step => step.isLongRunning);
+        const tasks = job.occurrences.flat().flatMap(step => step.tasks);
+        if (job.phase === JobPhase.Failed) {
+            return this.isFailureExplained(job) ? [] : [`${job.id} failed without failed runs`];
+        }
+        if (isJobFinished(job)) {
+            return [];
+        }
+        return isLongRunning && tasks.every(({ phase }) => phase === TaskPhase.Placed)
+            ? []
+            : [`${job.id} is ${job.phase}`];
+    }
+
+    private isFailureExplained({ id, maxAttempts }: Job): boolean {
+        return this.monitor.listFailedTasks(maxAttempts).some(task => decodeTaskKey(task)?.job === id);
+    }
+
+    private isRecordedDone(task: string): boolean {
+        const key = decodeTaskKey(task);
+        const job = key === undefined ? undefined : this.state.fleet.jobs.get(key.job);
+        return key === undefined || job === undefined || isJobFinished(job)
+            || findTask(job, key)?.phase === TaskPhase.Done;
+    }
+
+    private startRound(): void {
+        if (!this.roundClock.isHeld()) {
+            this.scheduler.startRound();
+        }
+    }
+
+    private pickFate(id: string): RequestFate {
+        const fault = this.requestFaults.get(id);
+        return fault !== undefined && this.random() * 100 < fault.percent ? fault.fate : RequestFate.Answered;
+    }
+
+    private async sendUntilCommitted(command: Parameters<SimulatedKeeper["sendCommand"]>[0]): Promise<void> {
+        while ((await this.keeper.sendCommand(command)).isErr) {
+            await new Promise<void>(resolve => this.clock.schedule(retryDelayMs, resolve));
+        }
+        this.startRound();
+    }
+
+    private sendHeartbeats(target: SimulatedTarget): void {
+        if (!this.isStopped) {
+            this.sendHeartbeat(target);
+            this.clock.schedule(heartbeatIntervalMs, () => this.sendHeartbeats(target));
+        }
+    }
+
+    /** Sends a heartbeat, and repeats it until the leader accepts it. */
+    private sendHeartbeat(target: SimulatedTarget): void {
+        const { record } = target;
+        if (target.isDown) {
+            return;
+        }
+        this.heartbeatCount += 1;
+        const report = { record, sequence: this.heartbeatCount, clockMs: target.readClock(), remainingMs: undefined };
+        const send = async () => {
+            const isLost = this.requestFaults.get(record.id)?.percent === 100;
+            if (isLost || !(await this.reports.handleReport(report)).isLeader) {
+                this.clock.schedule(retryDelayMs, () => void send());
+            }
+        };
+        this.clock.schedule(this.heartbeatDelaysMs.get(record.id) ?? 0, () => void send());
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
@@ -0,0 +1,122 @@
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import type { Clock } from "../../clock/clock.js";
+import type { LeaseRenewalRequest } from "../targets/lease-renewal-request.js";
+import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
+import type { RunRequest } from "../targets/run-request.js";
+import type { StartTaskRequest } from "../targets/start-task-request.js";
+import { TargetClient } from "../targets/target-client.js";
+import { TargetRequestResult } from "../targets/target-request-result.js";
+import type { TargetResponse } from "../targets/target-response.js";
+import { RequestFate } from "./request-fate.js";
+import type { SimulatedTarget } from "./simulated-target.js";
+
+/** Timeouts of the platform's client, milliseconds. */
+const requestTimeoutMs = 500;
+const checkTimeoutMs = 300;
+/** Bounds of the delay of a request or response, milliseconds. */
+const minDelayMs = 1;
+const maxDelayMs = 12;
+/** Bounds of the delay of a request that is executed late, milliseconds. */
+const minLateMs = 600;
+const maxLateMs = 4_500;
+
+/** Sends requests to simulated targets through a simulated network. */
+export class SimulatedTargetClient extends TargetClient {
+    /** Picks what happens to the next request to a target. */
+    pickFate: (target: string) => RequestFate = () => RequestFate.Answered;
+
+    /**
+     * @param targets - the targets by id
+     * @param clock - clock of the simulation
+     * @param random - returns numbers from 0 to below 1
+     */
+    constructor(
+        private readonly targets: ReadonlyMap<string, SimulatedTarget>,
+        private readonly clock: Clock,
+        private readonly random: () => number,
+    ) {
+        super();
+    }
+
+    override startTask({ id }: TargetRecord, request: StartTaskRequest): Promise<TargetResponse> {
+        return this.sendRequest(id, requestTimeoutMs, async target => target.handleStart(request));
+    }
+
+    override stopTask({ id }: TargetRecord, request: RunRequest): Promise<TargetResponse> {
+        return this.sendRequest(id, requestTimeoutMs, async target => target.handleStop(request));
+    }
+
+    override setPace({ id }: TargetRecord): Promise<TargetResponse> {
+        return this.sendRequest(id, requestTimeoutMs, async target => ({
+            result: TargetRequestResult.Done,
+            clockMs: target.readClock(),
+        }));
+    }
+
+    override async sendLeaseRenewal({ id }: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
+        const timeoutMs = request.waitMs + requestTimeoutMs;
+        const response = await this.sendRequest(id, timeoutMs, target => target.handleRenewal(request));
+        return { incarnation: undefined, running: [], ended: [], ...response };
+    }
+
+    override checkReachable(
+        { id }: TargetRecord,
+        request: Pick<LeaseRenewalRequest, "fencingToken" | "lastSeen">,
+    ): Promise<TargetResponse> {
+        return this.sendRequest(
+            id,
+            checkTimeoutMs,
+            target => target.handleRenewal({ ...request, leaseUntilMs: undefined, waitMs: 0 }),
+        );
+    }
+
+    override close(): void {
+        // There are no connections to close.
+    }
+
+    private async sendRequest<Response extends TargetResponse>(
+        id: string,
+        timeoutMs: number,
+        execute: (target: SimulatedTarget) => Promise<Response>,
+    ): Promise<Response | TargetResponse> {
+        const target = this.targets.get(id);
+        const fate = this.pickFate(id);
+        const requestDelayMs = this.pickDelay(minDelayMs, maxDelayMs);
+        if (target === undefined || fate === RequestFate.Refused || target.isDown) {
+            await this.waitDelay(requestDelayMs);
+            return { result: TargetRequestResult.NotSent, clockMs: undefined };
+        }
+        const { incarnation } = target.record;
+        const isGone = () => target.isDown || target.record.incarnation !== incarnation;
+        if (fate === RequestFate.ResponseLost || fate === RequestFate.Late) {
+            const executionDelayMs = fate === RequestFate.Late ? this.pickDelay(minLateMs, maxLateMs) : requestDelayMs;
+            this.clock.schedule(executionDelayMs, () => {
+                if (!isGone()) {
+                    void execute(target);
+                }
+            });
+        }
+        if (fate !== RequestFate.Answered) {
+            await this.waitDelay(timeoutMs);
+            return { result: TargetRequestResult.Unanswered, clockMs: undefined };
+        }
+        await this.waitDelay(requestDelayMs);
+        const response = isGone() ? undefined : await execute(target);
+        if (response === undefined || isGone()) {
+            return { result: TargetRequestResult.Unanswered, clockMs: undefined };
+        }
+        await this.waitDelay(this.pickDelay(minDelayMs, maxDelayMs));
+        return response;
+    }
+
+    private pickDelay(minMs: number, maxMs: number): number {
+        return minMs + this.random() * (maxMs - minMs);
+    }
+
+    private waitDelay(delayMs: number): Promise<void> {
+        return new Promise(resolve => {
+            this.clock.schedule(delayMs, resolve);
+        });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target.ts
@@ -0,0 +1,285 @@
+import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
+import { addResources } from "@daisylock/core/resources/add-resources.js";
+import { isWithin } from "@daisylock/core/resources/is-within.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import type { Clock } from "../../clock/clock.js";
+import type { EndedRun } from "../targets/ended-run.js";
+import type { LeaseRenewalRequest } from "../targets/lease-renewal-request.js";
+import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
+import type { RunRequest } from "../targets/run-request.js";
+import type { StartTaskRequest } from "../targets/start-task-request.js";
+import { TargetRequestResult } from "../targets/target-request-result.js";
+import type { TargetResponse } from "../targets/target-response.js";
+import type { RunMonitor } from "./run-monitor.js";
+import type { SimulatedWork } from "./simulated-work.js";
+
+/** Longest time for which a stopped task keeps running, milliseconds. */
+const stopGraceMs = 400;
+/** Maximum number of ended runs in one response. */
+const maxListedEnds = 500;
+
+interface ActiveRun {
+    readonly run: number;
+    readonly work: SimulatedWork;
+    readonly startedAt: number;
+    isStopping: boolean;
+    isStalled: boolean;
+}
+
+/** Properties of a simulated target. */
+interface SimulatedTargetOptions {
+    readonly clock: Clock;
+    /** Rate of the target's clock relative to the leader's. */
+    readonly clockRate: number;
+    /** Reading of the target's clock when an incarnation starts, milliseconds. */
+    readonly clockOffsetMs: number;
+    /** Longest lease, milliseconds. */
+    readonly maxLeaseMs: number;
+    /** Whether starts that exceed the capacity are rejected. */
+    readonly isGuarded: boolean;
+    readonly monitor: RunMonitor;
+    /** Returns numbers from 0 to below 1. */
+    readonly random: () => number;
+}
+
+/** A target that runs simulated tasks by the rules of the platform. */
+export class SimulatedTarget {
+    /** Result of all starts; `undefined` while the target accepts them. */
+    refusal: TargetRequestResult | undefined;
+    /** Number of next runs that fail. */
+    failingRuns = 0;
+    /** Number of next runs that make no progress. */
+    stallingRuns = 0;
+    /** Whether the process is down. */
+    isDown = false;
+    private readonly runs = new Map<string, ActiveRun>();
+    private ended: EndedRun[] = [];
+    private endCount = 0;
+    /** Highest run that was stopped or has ended, by encoded task key. */
+    private readonly highestEndedRuns = new Map<string, number>();
+    private fencingToken = 0;
+    private leaseUntilMs = 0;
+    private readonly waiters = new Set<() => void>();
+    private startedAt = 0;
+    private currentRecord: TargetRecord;
+
+    /**
+     * @param record - record of the target
+     * @param options - clock, capacity guard and monitor
+     */
+    constructor(record: TargetRecord, private readonly options: SimulatedTargetOptions) {
+        this.currentRecord = record;
+    }
+
+    /**
+     * The record of this incarnation.
+     * @returns the record
+     */
+    get record(): TargetRecord {
+        return this.currentRecord;
+    }
+
+    /** Ends the process with all its runs. */
+    stop(): void {
+        this.isDown = true;
+        this.runs.clear();
+        this.ended = [];
+        this.options.monitor.noteCrash(this.record.id);
+        [...this.waiters].forEach(settle => settle());
+    }
+
+    /** Starts a new incarnation, which knows nothing of the earlier one. */
+    start(): void {
+        this.isDown = false;
+        this.endCount = 0;
+        this.highestEndedRuns.clear();
+        this.fencingToken = 0;
+        this.leaseUntilMs = 0;
+        this.startedAt = this.options.clock.readMonotonic();
+        this.currentRecord = { ...this.record, incarnation: this.record.incarnation + 1 };
+    }
+
+    /**
+     * Reads the target's clock.
+     * @returns milliseconds
+     */
+    readClock(): number {
+        const { clock, clockRate, clockOffsetMs } = this.options;
+        return Math.floor(clockOffsetMs + (clock.readMonotonic() - this.startedAt) * clockRate);
+    }
+
+    /**
+     * Starts a task.
+     * @param request - the request
+     * @returns the response
+     */
+    handleStart(request: StartTaskRequest): TargetResponse {
+        return { result: this.startRun(request), clockMs: this.readClock() };
+    }
+
+    /**
+     * Stops a run. A start of the same run that arrives later is rejected.
+     * @param request - the request
+     * @returns the response
+     */
+    handleStop({ task, run, fencingToken }: RunRequest): TargetResponse {
+        if (!this.isTokenAccepted(fencingToken)) {
+            return { result: TargetRequestResult.Fenced, clockMs: this.readClock() };
+        }
+        this.noteEndedRun(task, run);
+        const active = this.runs.get(task);
+        if (active?.run === run && !active.isStopping) {
+            active.isStopping = true;
+            this.options.clock.schedule(
+                this.options.random() * stopGraceMs,
+                () => this.stopRun(task, active, RunOutcome.Stopped),
+            );
+        }
+        return { result: TargetRequestResult.Done, clockMs: this.readClock() };
+    }
+
+    /**
+     * Renews the lease, discards ends that are committed and lists the tasks. Waits for an end if none is listed.
+     * @param request - the request
+     * @returns the response
+     */
+    async handleRenewal(request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
+        if (!this.isTokenAccepted(request.fencingToken)) {
+            return this.buildResponse(TargetRequestResult.Fenced);
+        }
+        this.ended = this.ended.filter(({ number }) => number > request.lastSeen);
+        this.options.monitor.noteDiscard(this.record.id, request.lastSeen);
+        this.setLease(request.leaseUntilMs);
+        if (this.ended.length === 0 && request.waitMs > 0) {
+            await this.waitForEnd(request.waitMs);
+        }
+        return this.buildResponse(TargetRequestResult.Done);
+    }
+
+    private startRun(request: StartTaskRequest): TargetRequestResult {
+        const { task, run, leaseUntilMs, fencingToken } = request;
+        if (!this.isTokenAccepted(fencingToken)) {
+            return TargetRequestResult.Fenced;
+        }
+        if (leaseUntilMs <= this.readClock()) {
+            return TargetRequestResult.LeaseExpired;
+        }
+        this.setLease(leaseUntilMs);
+        if (run <= (this.highestEndedRuns.get(task) ?? 0)) {
+            return TargetRequestResult.AlreadyEnded;
+        }
+        if (this.runs.get(task)?.run === run) {
+            return TargetRequestResult.Done;
+        }
+        if (this.refusal !== undefined) {
+            return this.refusal;
+        }
+        const work = JSON.parse(request.spec) as SimulatedWork;
+        const used = [...this.runs.values()].reduce((sum, active) => addResources(sum, active.work.needs), work.needs);
+        const isFit = isWithin(used, this.record.capacity);
+        if (!isFit && this.options.isGuarded) {
+            return TargetRequestResult.InsufficientCapacity;
+        }
+        if (!isFit) {
+            this.options.monitor.noteOverload(this.record.id, task);
+        }
+        this.addRun(task, run, work);
+        return TargetRequestResult.Done;
+    }
+
+    private addRun(task: string, run: number, work: SimulatedWork): void {
+        const { clock, monitor } = this.options;
+        const active: ActiveRun = { run, work, startedAt: clock.readMonotonic(), isStopping: false, isStalled: false };
+        monitor.noteStart(this.record.id, task, run);
+        this.runs.set(task, active);
+        const isFailing = this.failingRuns > 0;
+        this.failingRuns = Math.max(0, this.failingRuns - 1);
+        const isStalling = !isFailing && this.stallingRuns > 0;
+        this.stallingRuns -= isStalling ? 1 : 0;
+        active.isStalled = isStalling;
+        if (isFailing) {
+            clock.schedule(work.durationMs / 2, () => this.stopRun(task, active, RunOutcome.Failed));
+        }
+        else if (work.durationMs > 0 && !isStalling) {
+            clock.schedule(work.durationMs, () => this.stopRun(task, active, RunOutcome.Done));
+        }
+    }
+
+    /** Ends a run that is still active. */
+    private stopRun(task: string, active: ActiveRun, how: RunOutcome): void {
+        if (this.runs.get(task) !== active) {
+            return;
+        }
+        this.runs.delete(task);
+        this.noteEndedRun(task, active.run);
+        this.endCount += 1;
+        this.ended.push({ number: this.endCount, task, run: active.run, how, saved: "" });
+        this.options.monitor.noteEnd(this.record.id, this.endCount, task, how);
+        [...this.waiters].forEach(settle => settle());
+    }
+
+    private noteEndedRun(task: string, run: number): void {
+        this.highestEndedRuns.set(task, Math.max(run, this.highestEndedRuns.get(task) ?? 0));
+    }
+
+    private isTokenAccepted(token: number): boolean {
+        this.fencingToken = Math.max(this.fencingToken, token);
+        return token === this.fencingToken;
+    }
+
+    /** Extends the lease; a lease is never shortened. */
+    private setLease(untilMs: number | undefined): void {
+        const now = this.readClock();
+        const leaseUntilMs = Math.min(untilMs ?? 0, now + this.options.maxLeaseMs);
+        if (leaseUntilMs > this.leaseUntilMs && leaseUntilMs > now) {
+            this.leaseUntilMs = leaseUntilMs;
+            const remainingMs = (leaseUntilMs - now) / this.options.clockRate;
+            this.options.clock.schedule(remainingMs + 1, () => this.stopExpiredRuns(leaseUntilMs));
+        }
+    }
+
+    private stopExpiredRuns(leaseUntilMs: number): void {
+        if (this.leaseUntilMs === leaseUntilMs) {
+            this.options.monitor.noteLapse(this.record.id);
+            [...this.runs].forEach(([task, active]) => this.stopRun(task, active, RunOutcome.LeaseExpired));
+        }
+    }
+
+    private buildResponse(result: TargetRequestResult): LeaseRenewalResponse {
+        const isDone = result === TargetRequestResult.Done;
+        const now = this.options.clock.readMonotonic();
+        return {
+            result,
+            clockMs: this.readClock(),
+            incarnation: this.record.incarnation,
+            running: [...isDone ? this.runs : []].map(([task, active]) => ({
+                task,
+                run: active.run,
+                saved: "",
+                percent: computePercent(active, now),
+                load: active.work.needs.cpu,
+            })),
+            ended: isDone ? this.ended.slice(0, maxListedEnds) : [],
+        };
+    }
+
+    private waitForEnd(waitMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const settle = () => {
+                stopTimer();
+                this.waiters.delete(settle);
+                resolve();
+            };
+            const stopTimer = this.options.clock.schedule(waitMs, settle);
+            this.waiters.add(settle);
+        });
+    }
+}
+
+function computePercent({ work, startedAt, isStalled }: ActiveRun, now: number): number {
+    if (isStalled) {
+        return 0;
+    }
+    return work.durationMs === 0 ? 100 : Math.floor(100 * (now - startedAt) / work.durationMs);
+}
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/testing/simulated-work.ts
@@ -0,0 +1,8 @@
+import type { Resources } from "@daisylock/core/resources/resources.js";
+
+/** What a simulated task does; the spec of its job carries it as JSON. */
+export interface SimulatedWork {
+    readonly needs: Resources;
+    /** Duration of a run, milliseconds; 0 for a run that lasts until it is stopped. */
+    readonly durationMs: number;
+}
