Add a failing test of a start that reaches a restarted target

An idle target restarts under the id that it had. It is not polled while idle, so a start that is sent before its first heartbeat is recorded reaches the new incarnation, which accepts it: requests name the id only. RecordTarget of the new incarnation then ends the run as "target-gone" although it is running, and the scheduler starts the task elsewhere: "run 2 of j1.0.0.1 starts on t3 while run 1 is on t0". The new session stops the first run only afterwards.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -220,5 +220,16 @@
                 { kind: "lapse", ms: 600 },
                 { kind: "wait", ms: 700 },
             ]));
+
+        // The start reaches the new incarnation, whose heartbeat then ends the run in the log while it is running.
+        it.failing("does not repeat a task that was started on a target whose restart was not reported yet", () =>
+            runScenario(0, [
+                { kind: "wait", ms: 700 },
+                { kind: "delay-heartbeats", target: 0, ms: 500 },
+                { kind: "restart", target: 0, downMs: 20 },
+                { kind: "wait", ms: 50 },
+                { kind: "submit", count: 12, stepCount: 1, durationMs: 900, cpu: 1_000 },
+                { kind: "wait", ms: 2_000 },
+            ]));
     });
 });
