Wait for the lease of a start in flight before releasing its task

Callers may see a task run twice at the same time.

Cause: a start carries a lease, but the session recorded it only once the response had arrived. On a target that has been idle, all recorded leases have expired. If a renewal is refused while the start is in flight, handleUnreachable finds every lease expired, ends the run as "lapsed", and the scheduler starts the task elsewhere; 4 ms later the target accepts the start.

The lease is now recorded before the request is sent, so that the computed expiry covers it. A start that certainly was not sent delays only the release of other runs on an unreachable target, by the time since their last renewal at most. Renewals are not affected: the loop computes the expiry only after their own response.

--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -34,7 +34,9 @@
     readonly readRecord: () => TargetRecord;
     /** Computes the end of a lease granted now, on the target's clock; `undefined` while that clock is not known. */
     readonly computeLeaseEnd: () => number | undefined;
-    readonly noteResponse: (response: TargetResponse, leaseUntilMs?: number) => void;
+    /** Records that a request in flight may extend the lease to this time on the target's clock. */
+    readonly noteLease: (leaseUntilMs: number) => void;
+    readonly noteResponse: (response: TargetResponse) => void;
     /** Prevents starts on this target for a time, milliseconds. */
     readonly setStartBackoff: (forMs: number) => void;
     /** Commits ended runs; returns false when they may not have been committed. */
@@ -137,6 +139,8 @@
             return { result: TargetRequestResult.NotSent, clockMs: undefined };
         }
         request.isStartSent = true;
+        // Before the response, because a renewal may fail meanwhile and compute when the lease has expired.
+        this.session.noteLease(leaseUntilMs);
         const response = await client.startTask(this.session.readRecord(), {
             task,
             run: request.run,
@@ -146,7 +150,7 @@
             saved: record.saved,
             ticket: this.dependencies.findTicket(task, this.session.readRecord().id),
         });
-        this.session.noteResponse(response, leaseUntilMs);
+        this.session.noteResponse(response);
         return response;
     }
 
--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -193,18 +193,20 @@
     await fleet.stop();
 }
 
+const scenario = fc.asyncProperty(fc.nat(), fc.array(action, { minLength: 20, maxLength: 80 }), runScenario);
+
 describe("Scheduler", () => {
     describe("under lapses of the leader lease, refused commands, changes of term and unanswered requests", () => {
         it(
             "runs each task once at a time and to its end, within the capacity of the targets",
-            () =>
-                fc.assert(
-                    fc.asyncProperty(fc.nat(), fc.array(action, { minLength: 20, maxLength: 80 }), runScenario),
-                    { numRuns: runs, seed, endOnFailure: true },
-                ),
+            () => fc.assert(scenario, { numRuns: runs, seed, endOnFailure: true }),
             Math.max(60_000, runs * runTimeoutMs),
         );
 
+        // A refused renewal ended runs as expired whose starts, with a new lease, were in flight.
+        it("waits for the lease of a start in flight before it releases the task", () =>
+            fc.assert(scenario, { numRuns: 1, seed: 5, path: "136", endOnFailure: true }));
+
         // A start that was being repeated during the lapse was dropped, and its task stayed placed until the next term.
         it("sends starts that targets left unanswered before a lapse of the leader lease", () =>
             runScenario(0, [
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -133,6 +133,21 @@
     });
 
     describe("ends", () => {
+        it("does not release a task as expired while its start is in flight to a target that was idle", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(leaseExpiryMs + 1_000);
+            fixture.client.startDelayMs = 1_500;
+            fixture.client.isResponding = false;
+            fixture.client.unansweredResult = TargetRequestResult.NotSent;
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(1_300);
+            expect(fixture.client.starts).toHaveLength(1);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            session.close();
+        });
+
         it("tells the target to discard an ended run only once the end is committed", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -81,10 +81,8 @@
             isRunAssigned: (task, run) => this.isRunAssigned(task, run),
             readRecord: () => this.readRecord(),
             computeLeaseEnd: () => this.targetClock.computeLeaseEnd(this.readNow(), this.readLeaseMs()),
-            noteResponse: (response, leaseUntilMs) => {
-                this.noteLease(leaseUntilMs, response);
-                this.noteClock(response);
-            },
+            noteLease: leaseUntilMs => this.targetClock.noteLease(leaseUntilMs),
+            noteResponse: response => this.noteClock(response),
             setStartBackoff: forMs => {
                 this.startBackoffUntil = this.readNow() + forMs;
             },
