Compute the home capacities of pools in one pass

For each VM that was moved between pools, each round of the pool balancer (every 100 ms) searched all targets, copied into an array, twice.

--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -1,6 +1,8 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { computeHomeCapacities } from "@daisylock/core/pools/compute-home-capacities.js";
 import type { PoolStatus } from "@daisylock/core/pools/pool-status.js";
+import { VmCapacityIndex } from "@daisylock/core/pools/vm-capacity-index.js";
 import { VmMovePlanner } from "@daisylock/core/pools/vm-move-planner.js";
 import type { VmMove } from "@daisylock/core/pools/vm-move.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
@@ -120,6 +122,8 @@
         const { estimator, clock } = this.dependencies;
         const candidates = collectCandidates(fleet, clock.readWall(), estimator);
         const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
+        const index = new VmCapacityIndex(fleet.targets.values());
+        const homeCapacities = computeHomeCapacities(fleet, index);
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
             const load = loads.get(name);
             const incoming = [...this.movingVms.values()].filter(({ to }) => to === name);
@@ -130,8 +134,8 @@
                 used: load?.used ?? 0,
                 usedLongRunning: load?.usedLongRunning ?? 0,
                 wanted: load?.wanted ?? 0,
-                homeCapacity: this.computeHomeCapacity(fleet, name),
-                idleVms: isSpare ? this.listSpareVms(fleet, name) : this.listIdleVms(fleet, name),
+                homeCapacity: homeCapacities.get(name) ?? 0,
+                idleVms: isSpare ? this.listSpareVms(fleet, index, name) : this.listIdleVms(fleet, name),
             };
         });
     }
@@ -148,26 +152,17 @@
             .map(({ vm, capacity }) => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: capacity.cpu }));
     }
 
-    private listSpareVms(fleet: FleetState, pool: string): PoolStatus["idleVms"] {
+    private listSpareVms(fleet: FleetState, index: VmCapacityIndex, pool: string): PoolStatus["idleVms"] {
         const { vmLeases, isInMaintenance } = this.dependencies;
-        const recorded = new Set([...fleet.targets.values()].map(({ vm }) => vm));
         const listed = vmLeases.readVms().filter(({ pool: vmPool, state }) => vmPool === pool && state === VmState.Up);
         const poweredOff = [...this.poweredOffVms].filter(([, vmPool]) => vmPool === pool);
         const vms = new Set([...listed.map(({ vm }) => vm), ...poweredOff.map(([vm]) => vm)]);
         return [...vms]
             .filter(vm =>
-                !recorded.has(vm) && !isInMaintenance(vm) && !this.movingVms.has(vm) && vmLeases.isLeaseAvailable(vm)
+                !index.isRecorded(vm) && !isInMaintenance(vm) && !this.movingVms.has(vm)
+                && vmLeases.isLeaseAvailable(vm)
             )
-            .map(vm => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: readVmCpu(fleet, vm) }));
-    }
-
-    private computeHomeCapacity(fleet: FleetState, pool: string): number {
-        const movedAway = [...fleet.vmHomes].filter(([vm, home]) => home === pool && !isVmInPool(fleet, vm, pool));
-        const own = [...fleet.targets.values()].filter(({ vm, pool: targetPool }) =>
-            targetPool === pool && (fleet.vmHomes.get(vm) ?? pool) === pool
-        );
-        return own.reduce((sum, { capacity }) => sum + capacity.cpu, 0)
-            + movedAway.reduce((sum, [vm]) => sum + readVmCpu(fleet, vm), 0);
+            .map(vm => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: index.readCpu(vm) }));
     }
 
     private dropArrived(fleet: FleetState): void {
@@ -187,13 +182,7 @@
     }
 }
 
-function isVmInPool(fleet: FleetState, vm: string, pool: string): boolean {
-    return [...fleet.targets.values()].some(target => target.vm === vm && target.pool === pool);
-}
-
 /** Reads the CPU capacity of a VM, millicores. One that is powered off reports none and counts like the smallest. */
 function readVmCpu(fleet: FleetState, vm: string): number {
-    const targets = [...fleet.targets.values()];
-    const own = targets.find(target => target.vm === vm);
-    return own?.capacity.cpu ?? Math.min(...targets.map(({ capacity }) => capacity.cpu));
+    return new VmCapacityIndex(fleet.targets.values()).readCpu(vm);
 }
