Build append messages and bound appends in flight in one place

sendAppend and sendHeartbeat built the same message, and the follower's bound on held appends repeated the leader's bound on appends in flight, which it has to equal.

--- a/packages/core/src/raft/handle-append.ts
+++ b/packages/core/src/raft/handle-append.ts
@@ -2,6 +2,7 @@
 import { Invariant } from "../invariants/invariant.js";
 import { LogEntryKind } from "./log-entry-kind.js";
 import type { LogEntry } from "./log-entry.js";
+import { maxInFlightAppends } from "./max-in-flight-appends.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
 import { RaftRole } from "./raft-role.js";
@@ -13,9 +14,6 @@
 
 type Append = Extract<RaftMessage, { kind: RaftMessageKind.Append }>;
 
-/** Largest number of appends held; as many as a leader has in flight. */
-const maxHeldAppends = 12;
-
 /**
  * Appends the leader's entries to the log of the follower, drops entries that conflict with them, and replies.
  * @param state - Raft state of the follower
@@ -63,7 +61,7 @@
  */
 function isOvertaking(state: RaftState, message: Append): boolean {
     return state.matchedTerm === message.term && message.entries.length > 0
-        && message.previousIndex > readLastIndex(state) && state.heldAppends.length < maxHeldAppends;
+        && message.previousIndex > readLastIndex(state) && state.heldAppends.length < maxInFlightAppends;
 }
 
 function handleHeldAppends(state: RaftState, now: number): void {
--- a/packages/core/src/raft/send-append.ts
+++ b/packages/core/src/raft/send-append.ts
@@ -1,6 +1,7 @@
+import { addAppendMessage } from "./add-append-message.js";
 import type { LogEntry } from "./log-entry.js";
+import { maxInFlightAppends } from "./max-in-flight-appends.js";
 import type { PeerProgress } from "./peer-progress.js";
-import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftState } from "./raft-state.js";
 import { readTerm } from "./read-term.js";
 import { sendSnapshotChunk } from "./send-snapshot-chunk.js";
@@ -8,9 +9,6 @@
 const maxEntriesPerMessage = 512;
 /** Largest total payload of the entries in a message, characters; a single larger entry is sent on its own. */
 const maxCharactersPerMessage = 256 * 1024;
-
-/** Largest number of appends in flight to one peer; fewer than the batches that the transport accepts. */
-const maxInFlightAppends = 12;
 /**
  * Shortest time between two appends for each append that is in flight, milliseconds. The number of appends in flight
  * then grows with the square root of the response time, and a slow peer gets fewer, larger appends.
@@ -28,8 +26,7 @@
  */
 export function sendAppend(state: RaftState, to: string, peer: PeerProgress, now: number): boolean {
     const previousIndex = peer.nextIndex - 1;
-    const previousTerm = readTerm(state, previousIndex);
-    if (previousTerm === undefined || peer.snapshotOffset !== undefined) {
+    if (readTerm(state, previousIndex) === undefined || peer.snapshotOffset !== undefined) {
         return sendSnapshotChunk(state, to, peer, now);
     }
     const entries = isAppendDue(peer, now) ? takeEntries(state, peer.nextIndex) : [];
@@ -40,17 +37,7 @@
     const append = { previousIndex, lastIndex, knownMatchIndex: peer.matchIndex, sentAt: now };
     peer.inFlightAppends = [...peer.inFlightAppends, append];
     peer.nextIndex = lastIndex + 1;
-    state.outbox.push({
-        kind: RaftMessageKind.Append,
-        from: state.id,
-        to,
-        term: state.hard.term,
-        previousIndex,
-        previousTerm,
-        entries,
-        commitIndex: state.commitIndex,
-        sentAt: now,
-    });
+    addAppendMessage(state, to, previousIndex, entries, now);
     return true;
 }
 
--- a/packages/core/src/raft/send-heartbeat.ts
+++ b/packages/core/src/raft/send-heartbeat.ts
@@ -1,7 +1,6 @@
+import { addAppendMessage } from "./add-append-message.js";
 import type { PeerProgress } from "./peer-progress.js";
-import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftState } from "./raft-state.js";
-import { readTerm } from "./read-term.js";
 
 /**
  * Sends a peer an append without entries at a position that its log is known to match; while probing, at the position
@@ -14,15 +13,5 @@
 export function sendHeartbeat(state: RaftState, to: string, peer: PeerProgress, now: number): void {
     const probedIndex = peer.inFlightAppends[0]?.previousIndex ?? peer.nextIndex - 1;
     const previousIndex = Math.max(peer.isProbing ? probedIndex : peer.matchIndex, state.base.index);
-    state.outbox.push({
-        kind: RaftMessageKind.Append,
-        from: state.id,
-        to,
-        term: state.hard.term,
-        previousIndex,
-        previousTerm: readTerm(state, previousIndex) ?? 0,
-        entries: [],
-        commitIndex: state.commitIndex,
-        sentAt: now,
-    });
+    addAppendMessage(state, to, previousIndex, [], now);
 }
