Pace lease renewals in one place

Each branch of a renewal waited by itself, so that the next branch could forget to, which is how renewals came to be repeated without a delay. A renewal now returns its delay, and the loop waits. A closed session no longer waits before its loop ends; otherwise no change of behaviour. The callback noteResponse is named noteClock, as that is all it does by now.

--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -37,7 +37,8 @@
     readonly computeLeaseEnd: () => number | undefined;
     /** Records that a request in flight may extend the lease to this time on the target's clock. */
     readonly noteLease: (leaseUntilMs: number) => void;
-    readonly noteResponse: (response: TargetResponse) => void;
+    /** Records the target's clock, if the response has it. */
+    readonly noteClock: (response: TargetResponse) => void;
     /** Prevents starts on this target for a time, milliseconds. */
     readonly setStartBackoff: (forMs: number) => void;
     /** Commits ended runs; returns false when they may not have been committed. */
@@ -155,7 +156,7 @@
             saved: record.saved,
             ticket: this.dependencies.findTicket(task, this.session.readRecord().id),
         });
-        this.session.noteResponse(response);
+        this.session.noteClock(response);
         return response;
     }
 
@@ -235,7 +236,7 @@
                 run: request.run,
                 fencingToken: this.token,
             });
-            this.session.noteResponse(response);
+            this.session.noteClock(response);
             if (response.result === TargetRequestResult.Done || response.result === TargetRequestResult.AlreadyEnded) {
                 request.isStopConfirmed = true;
                 request.confirmedAt = this.readNow();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -82,7 +82,7 @@
             readRecord: () => this.readRecord(),
             computeLeaseEnd: () => this.targetClock.computeLeaseEnd(this.readNow(), this.readLeaseMs()),
             noteLease: leaseUntilMs => this.targetClock.noteLease(leaseUntilMs),
-            noteResponse: response => this.noteClock(response),
+            noteClock: response => this.noteClock(response),
             setStartBackoff: forMs => {
                 this.startBackoffUntil = this.readNow() + forMs;
             },
@@ -242,11 +242,18 @@
                 await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
                 continue;
             }
-            await this.sendRenewal(load);
+            const delayMs = await this.sendRenewal(load);
+            if (delayMs > 0) {
+                await this.waitForRenewal(delayMs);
+            }
+            else if (this.readLoad().runs.size === 0) {
+                await this.waitForRenewal(idleIntervalMs);
+            }
         }
     }
 
-    private async sendRenewal(load: Pick<TargetLoad, "runs">): Promise<void> {
+    /** Returns the delay before the next renewal, milliseconds: 0 after one that succeeded. */
+    private async sendRenewal(load: Pick<TargetLoad, "runs">): Promise<number> {
         this.noteReportedClock();
         const sentAt = this.readNow();
         // An unreachable target is only probed: its lease has to expire before its tasks can start elsewhere.
@@ -260,41 +267,37 @@
             waitMs: this.isSynced && load.runs.size > 0 ? longPollTimeoutMs : 0,
         });
         if (this.isClosed) {
-            return;
+            return 0;
         }
         this.noteLease(leaseUntilMs, response);
         this.noteClock(response);
         switch (response.result) {
             case TargetRequestResult.Done:
-                await this.handleRenewal(response, sentAt);
-                break;
+                return await this.handleRenewal(response, sentAt) ? 0 : retryDelayMs;
             case TargetRequestResult.WrongTarget:
                 await this.removeTarget("another target responds at its address");
-                await this.waitForRenewal(retryDelayMs);
-                break;
+                return retryDelayMs;
             case TargetRequestResult.Fenced:
                 this.noteUnreachable(response.result);
-                await this.waitForRenewal(idleIntervalMs);
-                break;
+                return idleIntervalMs;
             default:
                 this.noteUnreachable(response.result);
                 await this.handleUnreachable();
-                await this.waitForRenewal(retryDelayMs);
+                return retryDelayMs;
         }
     }
 
-    private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<void> {
+    /** Returns false when what the target reports could not be committed. */
+    private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<boolean> {
         if (response.incarnation !== undefined && response.incarnation !== this.record.incarnation) {
             await this.removeTarget("another incarnation responds under its id");
-            await this.waitForRenewal(retryDelayMs);
-            return;
+            return false;
         }
         this.noteReachable();
         this.running.clear();
         response.running.forEach(task => this.running.set(task.task, task));
         if (response.ended.length > 0 && !await this.recordListedEnds(response)) {
-            await this.waitForRenewal(retryDelayMs);
-            return;
+            return false;
         }
         this.isSynced = true;
         await this.syncRuns(response, sentAt);
@@ -305,9 +308,7 @@
             { task, run },
         ) => this.stopTask(task, run));
         this.requests.dropEndedRuns(this.readLoad().runs);
-        if (this.readLoad().runs.size === 0) {
-            await this.waitForRenewal(idleIntervalMs);
-        }
+        return true;
     }
 
     /** Commits ended runs; the target is told to discard them only once they are committed. */
@@ -514,7 +515,11 @@
         return this.dependencies.clock.readMonotonic();
     }
 
+    /** Waits for the delay, or until `startRenewal` is called; not at all in a closed session. */
     private waitForRenewal(delayMs: number): Promise<void> {
+        if (this.isClosed) {
+            return Promise.resolve();
+        }
         return new Promise(resolve => {
             const settle = () => {
                 cancel();
