Retry on a new connection

Callers got outcome-unknown for a repeatable request whose deadline was far away, although targets answered on new connections. Cause: each attempt uses a kept-alive connection of its target. When what broke one, such as a lost connection state on the path, broke those to other targets too, each of the three attempts takes 2.5 s and two announcements to find that out, and none is left. An attempt after a failed one now opens a connection, as for unrepeatable requests.

--- a/packages/bench/src/testbed/system.test.ts
+++ b/packages/bench/src/testbed/system.test.ts
@@ -99,6 +99,17 @@
             setFaults(TargetFault.None);
             expect(response.outcome).toBe(RequestOutcome.Answer);
         });
+
+        it("retries on a new connection when its connections to all targets are half-open", async () => {
+            setFaults(TargetFault.Late);
+            const warmUps = Array.from({ length: 24 }, () => send("b1"));
+            const responses = await Promise.all(warmUps);
+            expect(responses.every(response => response.outcome === RequestOutcome.Answer)).toBe(true);
+            setFaults(TargetFault.HalfOpenConnections);
+            const response = await send("b1", { deadlineMs: 20_000 });
+            setFaults(TargetFault.None);
+            expect(response.outcome).toBe(RequestOutcome.Answer);
+        });
     });
 
     describe("with unrepeatable requests", () => {
--- a/packages/daemon/src/request-proxy/entry/callers/request-handler.ts
+++ b/packages/daemon/src/request-proxy/entry/callers/request-handler.ts
@@ -156,6 +156,7 @@
                 body,
                 response: this.response,
                 dispatch,
+                isRetry: attempt > 1,
                 mayRetryOnOtherTarget,
                 telemetry: this.telemetry,
             });
--- a/packages/daemon/src/request-proxy/entry/callers/run-attempt.ts
+++ b/packages/daemon/src/request-proxy/entry/callers/run-attempt.ts
@@ -15,6 +15,8 @@
     readonly body: RequestBody;
     readonly response: ServerResponse;
     readonly dispatch: Dispatch;
+    /** Whether an earlier attempt of the request has failed. */
+    readonly isRetry: boolean;
     /** Whether an error response may be discarded and the request retried on another target. */
     readonly mayRetryOnOtherTarget: boolean;
     readonly telemetry: RequestTelemetry;
@@ -55,8 +57,9 @@
         address,
         dispatchId,
         // An unrepeatable request gets a new connection: if the target closed a kept-alive connection just as the
-        // request was sent, it would be unknown whether the request ran.
-        agent: request.isUnrepeatable ? undefined : connections.findOrCreateAgent(address),
+        // request was sent, it would be unknown whether the request ran. So does a retry, as what broke one kept-alive
+        // connection may have broken those to other targets.
+        agent: request.isUnrepeatable || input.isRetry ? undefined : connections.findOrCreateAgent(address),
         mayRetryOnOtherTarget: input.mayRetryOnOtherTarget,
         connectTimeoutMs: limits.connect_timeout_ms,
         bodyStallMs: limits.body_stall_ms,
