Log and count what a process spends its time on

New: leader-load, one line a second with the processor time, share of busy time, rounds and requests of the leading process; the field late of task-placed; the metrics daisylock_cpu_seconds_total, daisylock_event_loop_busy_ratio, daisylock_requests_total, daisylock_scheduling_round_seconds and daisylock_placed_tasks_total. No decision depends on them. The test that counters of other components are ignored compares all metrics but the two that change from one reading to the next.

--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -4,6 +4,7 @@
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 
 import type { Clock } from "../../clock/clock.js";
+import type { Metrics } from "../../metrics/metrics.js";
 import type { ChildSpec } from "../../supervision/child-spec.js";
 import type { AdviceService } from "../advice/advice-service.js";
 import { DecisionKind } from "../logging/decision-kind.js";
@@ -16,6 +17,7 @@
 import { ConfigurationHandler } from "./configuration-handler.js";
 import { JobCallHandler } from "./job-call-handler.js";
 import type { Leadership } from "./leadership.js";
+import type { LoadMeter } from "./load-meter.js";
 import { MaintenanceRunner } from "./maintenance-runner.js";
 import { MaintenanceWaveHandler } from "./maintenance-wave-handler.js";
 import { PaceController } from "./pace-controller.js";
@@ -40,6 +42,8 @@
     readonly advice: AdviceService;
     readonly clock: Clock;
     readonly log: DecisionLog;
+    readonly metrics: Pick<Metrics, "recordTime">;
+    readonly load: LoadMeter;
 }
 
 /** Components that a keeper (control-plane replica) runs while it leads. */
@@ -116,6 +120,8 @@
                 this.maintenance.isDraining(target)
                 || this.balancer.isMoving(leadership.readFleet().targets.get(target)?.vm ?? ""),
             log,
+            metrics: dependencies.metrics,
+            load: dependencies.load,
             clock,
             keepStateMs: settings.tasks.keep_state_s * msPerSecond,
         });
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -0,0 +1,67 @@
+import { type EventLoopUtilization, performance } from "node:perf_hooks";
+
+const microsecondsPerMs = 1_000;
+const percent = 100;
+
+/** What this process did in one interval, as logged by the leader. */
+interface LoadInterval {
+    /** Processor time of the process, milliseconds. */
+    readonly cpuMs: number;
+    /** Share of the time in which the event loop was busy. */
+    readonly busyPercent: number;
+    readonly rounds: number;
+    /** Time spent in scheduling rounds without the wait for their commits, milliseconds. */
+    readonly roundMs: number;
+    readonly longestRoundMs: number;
+    /** Requests that were sent to and received from other processes. */
+    readonly requests: number;
+}
+
+/** Measures what a process spends its time on, from one reading to the next. */
+export class LoadMeter {
+    private cpu = process.cpuUsage();
+    private utilization: EventLoopUtilization = performance.eventLoopUtilization();
+    private rounds = 0;
+    private roundMs = 0;
+    private longestRoundMs = 0;
+    private requests = 0;
+
+    /**
+     * Records a scheduling round.
+     * @param durationMs - its duration, milliseconds
+     */
+    noteRound(durationMs: number): void {
+        this.rounds += 1;
+        this.roundMs += durationMs;
+        this.longestRoundMs = Math.max(this.longestRoundMs, durationMs);
+    }
+
+    /** Records a request that was sent to or received from another process. */
+    noteRequest(): void {
+        this.requests += 1;
+    }
+
+    /**
+     * Ends the interval and begins the next one.
+     * @returns the figures of the interval that ends
+     */
+    takeInterval(): LoadInterval {
+        const cpu = process.cpuUsage(this.cpu);
+        const utilization = performance.eventLoopUtilization(this.utilization);
+        const interval = {
+            cpuMs: Math.round((cpu.user + cpu.system) / microsecondsPerMs),
+            busyPercent: Math.round(utilization.utilization * percent),
+            rounds: this.rounds,
+            roundMs: Math.round(this.roundMs),
+            longestRoundMs: Math.round(this.longestRoundMs),
+            requests: this.requests,
+        };
+        this.cpu = process.cpuUsage();
+        this.utilization = performance.eventLoopUtilization();
+        this.rounds = 0;
+        this.roundMs = 0;
+        this.longestRoundMs = 0;
+        this.requests = 0;
+        return interval;
+    }
+}
--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -12,6 +12,7 @@
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { Leadership } from "./leadership.js";
+import { LoadMeter } from "./load-meter.js";
 import type { PlacementTicketFetcher } from "./placement-ticket-fetcher.js";
 import { Scheduler } from "./scheduler.js";
 import type { TargetSessions } from "./target-sessions.js";
@@ -37,6 +38,8 @@
         const lines: { readonly kind: DecisionKind; readonly fields: Line }[] = [];
         const leadership = { isActive: true, term: 7 };
         const scheduler = new Scheduler({
+            metrics: { recordTime: () => undefined },
+            load: new LoadMeter(),
             leadership: {
                 isActive: () => leadership.isActive,
                 readFencingToken: () => leadership.term,
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -3,7 +3,9 @@
 import { collectRunsOfFinishedJobs } from "@daisylock/core/jobs/collect-runs-of-finished-jobs.js";
 import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
 import { isJobFinished } from "@daisylock/core/jobs/is-job-finished.js";
+import type { TaskStart } from "@daisylock/core/jobs/task-start.js";
 import { buildPlacementTargets } from "@daisylock/core/placement/build-placement-targets.js";
+import { encodeStepKey } from "@daisylock/core/placement/encode-step-key.js";
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
@@ -14,10 +16,13 @@
 
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
+import { MetricName } from "../../metrics/metric-name.js";
+import type { Metrics } from "../../metrics/metrics.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { Leadership } from "./leadership.js";
+import type { LoadMeter } from "./load-meter.js";
 import type { PlacementTicketFetcher } from "./placement-ticket-fetcher.js";
 import type { TargetSessions } from "./target-sessions.js";
 
@@ -39,6 +44,8 @@
     /** Whether a target is cordoned because its VM is being drained or moved. */
     readonly isCordoned: (target: string) => boolean;
     readonly log: DecisionLog;
+    readonly metrics: Pick<Metrics, "recordTime">;
+    readonly load: LoadMeter;
     readonly clock: Clock;
     /** Time for which the state of an ended job is kept, milliseconds. */
     readonly keepStateMs: number;
@@ -110,21 +117,12 @@
     }
 
     private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
-        const { leadership, sessions, estimator, tickets, isCordoned, log } = this.dependencies;
-        const candidates = collectCandidates(fleet, this.dependencies.clock.readWall(), estimator);
-        if (candidates.length === 0) {
-            return;
-        }
-        const neededPools = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
-        const pools = buildPlacementTargets(
-            fleet,
-            id => isCordoned(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0,
-            pool => neededPools.has(pool),
-        );
-        tickets.updateTickets(candidates, pools);
-        const starts = planStarts(fleet, candidates, pools, {
-            isAdvised: (step, target) => tickets.findTicket(step, target) !== undefined,
-        });
+        const { leadership, sessions, log, clock, load, metrics } = this.dependencies;
+        const startedAt = clock.readMonotonic();
+        const { starts, lateSteps } = this.planRound(fleet);
+        const durationMs = clock.readMonotonic() - startedAt;
+        load.noteRound(durationMs);
+        metrics.recordTime(MetricName.RoundTime, durationMs);
         if (starts.length === 0) {
             return;
         }
@@ -135,11 +133,36 @@
                 run,
                 target,
                 waitMs: this.computeStartWaitMs(fleet, task, run),
+                late: lateSteps.has(task.slice(0, task.lastIndexOf("."))),
             });
             sessions.find(target)?.startTask(task, run);
         }
     }
 
+    /** Plans the starts of a round; also returns the steps whose jobs cannot be on time any more. */
+    private planRound(fleet: FleetState): { starts: readonly TaskStart[]; lateSteps: ReadonlySet<string> } {
+        const { sessions, estimator, tickets, isCordoned, clock } = this.dependencies;
+        const candidates = collectCandidates(fleet, clock.readWall(), estimator);
+        if (candidates.length === 0) {
+            return { starts: [], lateSteps: new Set() };
+        }
+        const neededPools = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
+        const pools = buildPlacementTargets(
+            fleet,
+            id => isCordoned(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0,
+            pool => neededPools.has(pool),
+        );
+        tickets.updateTickets(candidates, pools);
+        const starts = planStarts(fleet, candidates, pools, {
+            isAdvised: (step, target) => tickets.findTicket(step, target) !== undefined,
+        });
+        const lateSteps = new Set(
+            candidates.filter(({ slackMs, definition }) => slackMs < 0 && !definition.isLongRunning)
+                .map(({ job, occurrence, step }) => encodeStepKey(job.id, occurrence, step)),
+        );
+        return { starts, lateSteps };
+    }
+
     /**
      * Computes how long a task of a job has waited since the job was accepted, milliseconds. Returns `undefined` for
      * restarts, jobs with scheduled occurrences and steps that wait for others, as these do not start on acceptance.
@@ -151,14 +174,15 @@
         return isFirst ? this.dependencies.clock.readWall() - job.acceptedAtMs : undefined;
     }
 
-    /** Logs one line per pool and second, which later tells why a job started late or ran slowly. */
+    /** Logs one line per second about this process and one per pool, which later tells why a job started late or ran slowly. */
     private writePoolLoads(fleet: FleetState): void {
-        const { clock, estimator, log } = this.dependencies;
+        const { clock, estimator, log, load } = this.dependencies;
         const now = clock.readMonotonic();
         if (now < this.nextLoadLogAt) {
             return;
         }
         this.nextLoadLogAt = now + loadLogIntervalMs;
+        log.record(DecisionKind.LeaderLoad, { ...load.takeInterval() });
         const candidates = collectCandidates(fleet, clock.readWall(), estimator);
         for (const load of collectPoolLoads(fleet, candidates)) {
             const { excluded, ...summary } = computePoolTargetSummary(
--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -31,6 +31,7 @@
     CallUnanswered = "call-unanswered",
     CallRefused = "call-refused",
     PoolLoad = "pool-load",
+    LeaderLoad = "leader-load",
     TaskPlaced = "task-placed",
     TaskStarted = "task-started",
     TaskEnded = "task-ended",
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
@@ -6,6 +6,11 @@
 import { DecisionKind } from "../logging/decision-kind.js";
 import { FleetMetrics } from "./fleet-metrics.js";
 
+/** Leaves out the metrics that change between two readings without an event. */
+function dropProcessMetrics(text: string): string {
+    return text.replace(/^daisylock_(cpu_seconds_total|event_loop_busy_ratio) .*$/gm, "");
+}
+
 describe("FleetMetrics", () => {
     it("counts decisions by kind", async () => {
         const metrics = new FleetMetrics();
@@ -92,9 +97,25 @@
 
     it("ignores counters of other components", async () => {
         const metrics = new FleetMetrics();
-        const before = await metrics.describeAll();
+        const before = dropProcessMetrics(await metrics.describeAll());
         metrics.addCount(MetricName.RequestsRefused, { reason: "queue-full" });
-        expect(await metrics.describeAll()).toBe(before);
+        expect(dropProcessMetrics(await metrics.describeAll())).toBe(before);
+    });
+
+    it("counts placed tasks by whether their job could still be on time", async () => {
+        const metrics = new FleetMetrics();
+        [true, false, false].forEach(late => metrics.noteDecision(DecisionKind.TaskPlaced, { task: "a.0.0.0", late }));
+        const text = await metrics.describeAll();
+        expect(text).toContain("daisylock_placed_tasks_total{urgency=\"late\"} 1");
+        expect(text).toContain("daisylock_placed_tasks_total{urgency=\"on-time\"} 2");
+    });
+
+    it("shows the processor time of the process and the requests to and from others", async () => {
+        const metrics = new FleetMetrics();
+        metrics.addCount(MetricName.PeerRequests, { direction: "sent", kind: "start" });
+        const text = await metrics.describeAll();
+        expect(Number(/^daisylock_cpu_seconds_total (\S+)$/m.exec(text)?.[1])).toBeGreaterThan(0);
+        expect(text).toContain("daisylock_requests_total{direction=\"sent\",kind=\"start\"} 1");
     });
 
     it("shows whether the process is the leader", async () => {
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -1,4 +1,5 @@
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
+import { performance } from "node:perf_hooks";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 import { MessageDropReason } from "../../metrics/message-drop-reason.js";
@@ -8,6 +9,7 @@
 import { FleetMetricName } from "./fleet-metric-name.js";
 
 const msPerSecond = 1_000;
+const microsecondsPerSecond = 1_000_000;
 const millicoresPerCore = 1_000;
 /** Upper bounds of the histogram buckets, seconds: from the delay of one message to the longest objective of a job. */
 const histogramBucketsS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16];
@@ -67,9 +69,24 @@
         "Age of the oldest unconfirmed run",
         ["pool"],
     );
+    private readonly roundTime = this.createHistogram(
+        FleetMetricName.RoundTime,
+        "Scheduling rounds without the wait for their commits",
+        [],
+    );
+    private readonly placedTasks = this.createCounter(
+        FleetMetricName.PlacedTasks,
+        "Tasks placed, by whether their job could still be on time",
+        ["urgency"],
+    );
     private readonly leading = this.createGauge(FleetMetricName.Leading, "1 while this process leads", []);
+    private readProcessMetrics: () => void = () => undefined;
     private readonly term = this.createGauge(FleetMetricName.Term, "Term of the replicated log", []);
 
+    constructor() {
+        this.addProcessMetrics();
+    }
+
     /**
      * Updates the metrics that a decision affects.
      * @param kind - what was decided
@@ -80,6 +97,7 @@
         switch (kind) {
             case DecisionKind.TaskPlaced:
                 recordDuration(this.startWait, fields["waitMs"]);
+                this.placedTasks.inc({ urgency: fields["late"] === true ? "late" : "on-time" });
                 break;
             case DecisionKind.TaskStarted:
                 recordDuration(this.startRequest, fields["tookMs"]);
@@ -118,6 +136,9 @@
         if (name === MetricName.LogSync) {
             this.logSync.observe(milliseconds / msPerSecond);
         }
+        if (name === MetricName.RoundTime) {
+            this.roundTime.observe(milliseconds / msPerSecond);
+        }
         if (name === MetricName.TickDelay) {
             this.tickDelay.observe(milliseconds / msPerSecond);
         }
@@ -149,6 +170,7 @@
      * @returns the metrics in the Prometheus text exposition format
      */
     describeAll(): Promise<string> {
+        this.readProcessMetrics();
         return this.registry.metrics();
     }
 
@@ -167,6 +189,20 @@
         this.oldestUnconfirmed.set(labels, Number(fields["oldestUnconfirmedMs"]) / msPerSecond);
     }
 
+    /** Adds metrics of the process itself, which are read when they are asked for. */
+    private addProcessMetrics(): void {
+        const cpu = this.createCounter(FleetMetricName.CpuTime, "Processor time of the process", []);
+        const busy = this.createGauge(FleetMetricName.LoopBusy, "Share of time in which the event loop was busy", []);
+        let utilization = performance.eventLoopUtilization();
+        this.readProcessMetrics = () => {
+            const { user, system } = process.cpuUsage();
+            cpu.reset();
+            cpu.inc((user + system) / microsecondsPerSecond);
+            busy.set(performance.eventLoopUtilization(utilization).utilization);
+            utilization = performance.eventLoopUtilization();
+        };
+    }
+
     private createLogCounters(): ReadonlyMap<MetricName, Counter> {
         const dropped = this.createCounter(
             FleetMetricName.MessagesDropped,
@@ -190,6 +226,13 @@
                 MetricName.BytesSent,
                 this.createCounter(FleetMetricName.BytesSent, "Bytes of log messages sent to other keepers", []),
             ],
+            [
+                MetricName.PeerRequests,
+                this.createCounter(FleetMetricName.PeerRequests, "Requests between this process and others", [
+                    "direction",
+                    "kind",
+                ]),
+            ],
             [MetricName.MessagesDropped, dropped],
             [MetricName.CommandsRefused, refused],
             [
--- a/packages/daemon/src/job-scheduler/peers/peer-server.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-server.ts
@@ -23,11 +23,13 @@
      * @param address - address to listen on
      * @param receive - called with messages of the replicated log and the sender's address
      * @param handlers - handlers by name of the call
+     * @param noteRequest - called for each request with its kind: the name of the call, or `log`
      */
     constructor(
         address: string,
         private readonly receive: (messages: readonly RaftMessage[], from: string) => void,
         private readonly handlers: FleetHandlers,
+        private readonly noteRequest: (kind: string) => void,
     ) {
         super(address, limits);
     }
@@ -40,6 +42,7 @@
             return;
         }
         if (path === peerPaths.raft) {
+            this.noteRequest("log");
             this.receiveBatch(body.value, response);
             return;
         }
@@ -48,6 +51,7 @@
             response.writeHead(404).end();
             return;
         }
+        this.noteRequest(name);
         const handler = this.handlers[name] as (request: unknown) => Promise<LeaderReply<unknown>>;
         sendJson(response, 200, await handler(JSON.parse(body.value.toString()) as unknown));
     }
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -4,6 +4,7 @@
 import { runGoroutine } from "../concurrency/run-goroutine.js";
 import { EventLog } from "../events/event-log.js";
 import { HttpClient } from "../http-client/http-client.js";
+import { MetricName } from "../metrics/metric-name.js";
 import { Keeper } from "../request-proxy/keeper/keeper.js";
 import { FileKeeperStorage } from "../request-proxy/keeper/storage/file-keeper-storage.js";
 import { parseAddress } from "../settings/parse-address.js";
@@ -18,16 +19,19 @@
 import { MemberManager } from "./keeper/member-manager.js";
 import { LeaderComponents } from "./leader/leader-components.js";
 import { Leadership } from "./leader/leadership.js";
+import { LoadMeter } from "./leader/load-meter.js";
 import { DecisionKind } from "./logging/decision-kind.js";
 import { DecisionLog } from "./logging/decision-log.js";
 import { FleetMetrics } from "./metrics/fleet-metrics.js";
 import { MetricsListener } from "./metrics/metrics-listener.js";
+import { RequestDirection } from "./metrics/request-direction.js";
 import { buildListenerAddress } from "./peers/build-listener-address.js";
 import { LeaderClient } from "./peers/leader-client.js";
 import { PeerServer } from "./peers/peer-server.js";
 import { RaftSender } from "./peers/raft-sender.js";
 import type { FleetSettings } from "./settings/fleet-settings.js";
 import { SettingsWatcher } from "./settings/settings-watcher.js";
+import { CountedTargetClient } from "./targets/counted-target-client.js";
 
 /** A failed component ends the process; after the restart, all state that it acknowledged is loaded from disk. */
 const restartPolicy = { maxRestarts: 0, periodMs: 1, delayMs: 0 };
@@ -55,6 +59,7 @@
     private readonly leaderClient: LeaderClient;
     private readonly settingsWatcher: SettingsWatcher;
     private readonly rootSupervisor: Supervisor;
+    private readonly load = new LoadMeter();
     private keeper: Keeper | undefined;
 
     /**
@@ -136,6 +141,11 @@
         this.settingsWatcher.startRound();
     }
 
+    private noteRequest(direction: RequestDirection, kind: string): void {
+        this.load.noteRequest();
+        this.metrics.addCount(MetricName.PeerRequests, { direction, kind });
+    }
+
     private applySettings(settings: FleetSettings): void {
         this.log.setLevel(settings.log.level);
         this.leaderClient.setSeeds(listSeeds(settings));
@@ -164,6 +174,8 @@
     private listKeeperChildren(): ChildSpec[] {
         const { settings, clock, log } = this;
         const { node, listen, cluster, limits } = settings;
+        const noteSent = (kind: string) => this.noteRequest(RequestDirection.Sent, kind);
+        const noteReceived = (kind: string) => this.noteRequest(RequestDirection.Received, kind);
         const sender = new RaftSender(this.peerHttp, listen.peers, this.metrics);
         const keeper = new Keeper({
             storage: new FileKeeperStorage(node.data, node.name),
@@ -173,7 +185,10 @@
             events: this.events,
             metrics: this.metrics,
             snapshotEntries: limits.snapshot_entries,
-            send: (address, messages) => sender.sendMessages(address, messages),
+            send: (address, messages) => {
+                noteSent("log");
+                sender.sendMessages(address, messages);
+            },
             handleApplied: () => leader.startScheduling(),
         });
         this.keeper = keeper;
@@ -182,11 +197,13 @@
         const leader = new LeaderComponents({
             settings,
             leadership,
-            client: this.adapter.createTargetClient(),
+            client: new CountedTargetClient(this.adapter.createTargetClient(), noteSent),
             vms: this.adapter.createVmService(settings),
             advice: this.adapter.createAdviceService(settings),
             clock,
             log,
+            metrics: this.metrics,
+            load: this.load,
         });
         const membership = { address: listen.peers, seeds: this.seeds, isBootstrapping: cluster.found, voterCount };
         const memberManager = new MemberManager(keeper, this.leaderClient, membership, log, clock);
@@ -206,7 +223,12 @@
             {
                 name: "peer-server",
                 create: () =>
-                    new PeerServer(listen.peers, (messages, from) => keeper.receive(messages, from), handlers),
+                    new PeerServer(
+                        listen.peers,
+                        (messages, from) => keeper.receive(messages, from),
+                        handlers,
+                        noteReceived,
+                    ),
             },
             { name: "member-manager", create: () => memberManager },
             ...leader.listChildren(),
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -12,6 +12,7 @@
 
 import { runGoroutine } from "../../concurrency/run-goroutine.js";
 import { Leadership } from "../leader/leadership.js";
+import { LoadMeter } from "../leader/load-meter.js";
 import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
 import { Scheduler } from "../leader/scheduler.js";
 import { TargetReportHandler } from "../leader/target-report-handler.js";
@@ -109,6 +110,8 @@
             handleRunEnd: () => undefined,
         });
         this.scheduler = new Scheduler({
+            metrics: { recordTime: () => undefined },
+            load: new LoadMeter(),
             leadership,
             sessions,
             estimator: new TaskDurationEstimator(),
--- a/packages/daemon/src/metrics/metric-name.ts
+++ b/packages/daemon/src/metrics/metric-name.ts
@@ -19,6 +19,8 @@
     CommandsRefused = "keeper.commands_refused",
     TickDelay = "keeper.tick_delay",
     LeaseLapses = "keeper.lease_lapses",
+    PeerRequests = "process.requests",
+    RoundTime = "scheduler.round",
     InvariantsBroken = "invariants.broken",
     ChildRestarts = "supervisor.restarts",
 }
