Keep the runs of a target that restarts under its id until its list is known

A start was sent to an idle target that had restarted under its id and reached the new incarnation before its first heartbeat did; recording the new incarnation then ended the run in the log, and the task was started elsewhere while it ran.

Cause: the leader concluded from the new incarnation that all runs recorded on the target were lost. Only the target's own list tells that.

Change: recording a newer incarnation under the same id and in the same pool keeps the runs. The session of the new incarnation confirms those that it lists; the others are stopped, so that a start in flight can't begin, and then released. A session that meets another incarnation waits for its heartbeat as for a target that does not respond, with its lease, instead of removing it.

--- a/packages/core/src/targets/apply-record-target.ts
+++ b/packages/core/src/targets/apply-record-target.ts
@@ -4,7 +4,9 @@
 import { ReportedTargetState } from "./reported-target-state.js";
 
 /**
- * Records a target. An older incarnation under the same id or at the same address is removed, and its runs are ended.
+ * Records a target. An older incarnation at the same address is removed, and its runs are ended. So is one under the same
+ * id, except that its runs are kept while it serves the same pool: their starts may have reached the new incarnation
+ * before its first report did, and only its own list tells which of them it runs.
  * @param state - the replicated state
  * @param command - the command
  * @returns whether it was recorded; false for a report of an older incarnation
@@ -19,7 +21,7 @@
     if (others.some(other => other.incarnation > record.incarnation)) {
         return false;
     }
-    if (current !== undefined && current.incarnation < record.incarnation) {
+    if (current !== undefined && current.incarnation < record.incarnation && current.pool !== record.pool) {
         removeTarget(state, current);
     }
     others.forEach(other => removeTarget(state, other));
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -51,6 +51,8 @@
     private readonly healthMonitor: TargetHealthMonitor;
     /** Monotonic milliseconds. */
     private readonly openedAt: number;
+    /** Runs that were recorded on an earlier incarnation: lost, unless this one lists them. */
+    private readonly inheritedRuns: ReadonlyMap<string, number>;
     /** Number of the last ended run that is committed; 0 for none. */
     private lastCommittedEnd = 0;
     /** Whether a renewal has succeeded and the ended runs that it listed are committed. */
@@ -67,12 +69,15 @@
      * @param record - the target incarnation
      * @param fencingToken - fencing token of this leadership
      * @param dependencies - services and callbacks of the leader
+     * @param isRestarted - whether this leadership had a session with an earlier incarnation under the same id
      */
     constructor(
         readonly record: TargetRecord,
         private readonly fencingToken: number,
         private readonly dependencies: SessionDependencies,
+        isRestarted = false,
     ) {
+        this.inheritedRuns = new Map(isRestarted ? this.readLoad().runs : []);
         this.openedAt = dependencies.clock.readMonotonic();
         this.requests = new RunRequestTracker(dependencies.clock);
         this.requestSender = new RunRequestSender(fencingToken, this.requests, {
@@ -290,7 +295,9 @@
     /** Returns false when what the target reports could not be committed. */
     private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<boolean> {
         if (response.incarnation !== undefined && response.incarnation !== this.record.incarnation) {
-            await this.removeTarget("another incarnation responds under its id");
+            // Which recorded runs the new incarnation runs is told by its session, which its heartbeat begins.
+            this.noteUnreachable(TargetRequestResult.WrongTarget);
+            await this.handleUnreachable();
             return false;
         }
         this.noteReachable();
@@ -338,7 +345,7 @@
             else if (request?.confirmedAt === undefined) {
                 // Either an earlier leader committed the start, and its request has a lower fencing token and can no
                 // longer be accepted, or the request of this leader ended unsettled. One in flight is not repeated.
-                this.startTask(task, run);
+                this.startOrStopRun(task, run);
             }
             else if (request.confirmedAt < sentAt) {
                 if (request.isStopConfirmed) {
@@ -359,6 +366,16 @@
         }
     }
 
+    /** A run that was lost with an earlier incarnation is stopped first, as its start may still be in flight. */
+    private startOrStopRun(task: string, run: number): void {
+        if (this.inheritedRuns.get(task) === run) {
+            this.stopTask(task, run);
+        }
+        else {
+            this.startTask(task, run);
+        }
+    }
+
     private confirmRun(task: string, run: number): void {
         const request = this.requests.findOrCreate(task, run);
         request.confirmedAt ??= this.readNow();
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -20,15 +20,17 @@
      */
     update(targets: ReadonlyMap<string, TargetRecord>, token: number): void {
         this.closeEarlier(token);
+        const restarted = new Set<string>();
         for (const [id, session] of this.sessions) {
             if (!session.isOpen() || targets.get(id)?.incarnation !== session.record.incarnation) {
                 session.close();
                 this.sessions.delete(id);
+                restarted.add(id);
             }
         }
         for (const [id, record] of targets) {
             if (!this.sessions.has(id)) {
-                this.sessions.set(id, new TargetSession(record, token, this.dependencies));
+                this.sessions.set(id, new TargetSession(record, token, this.dependencies, restarted.has(id)));
             }
         }
     }
