Exchange messages between processes on one connection to each

Change: the processes of a cluster exchange the messages of the replicated log and calls as frames on one upgraded connection, several in one write. A peer that is silent while messages are under way is pinged; without an answer for 350 ms its connection is replaced. Messages of the log need no response. A peer of an earlier release, which offers no channel, is called by HTTP as before. The term and the number of voters are read without building a view of the keeper.

--- /dev/null
+++ b/packages/daemon/src/channel/channel-client.test.ts
@@ -0,0 +1,164 @@
+import { afterEach, describe, expect, it } from "@jest/globals";
+import { createServer, type Server } from "node:http";
+import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
+import Result from "true-myth/result";
+
+import { SystemClock } from "../clock/system-clock.js";
+import { CallFailureKind } from "../http-client/call-failure-kind.js";
+import type { HttpCall } from "../http-client/http-call.js";
+import type { HttpResponse } from "../http-client/http-response.js";
+import { ChannelClient } from "./channel-client.js";
+import { channelProtocol } from "./channel-protocol.js";
+import { ChannelServer } from "./channel-server.js";
+
+type Handler = (path: string, body: Buffer) => Promise<HttpResponse>;
+
+const cleanups: (() => void)[] = [];
+
+async function startListening(server: Server | TcpServer): Promise<string> {
+    const sockets = new Set<Socket>();
+    server.on("connection", (socket: Socket) => sockets.add(socket));
+    cleanups.push(() => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function startServer(handler: Handler) {
+    const connections = { count: 0 };
+    const channels = new ChannelServer(handler);
+    const server = createServer();
+    server.on("connection", () => connections.count++);
+    server.on("upgrade", (request, socket, head) => channels.serveUpgrade(request, socket, head));
+    return { address: await startListening(server), connections, channels };
+}
+
+function createClient(sendByHttp: (call: HttpCall) => Promise<HttpResponse> = () => Promise.reject(new TypeError())) {
+    const http = { send: async (call: HttpCall) => Result.ok(await sendByHttp(call)) as never, close: () => undefined };
+    const client = new ChannelClient(http, new SystemClock());
+    cleanups.push(() => client.close());
+    const send = (address: string, path: string, timeoutMs = 2_000) =>
+        client.send({ address, method: "POST", path, headers: {}, body: Buffer.from(path), timeoutMs });
+    return { client, send };
+}
+
+const echo: Handler = async (path, body) => ({ status: 200, body: Buffer.concat([Buffer.from(path), body]) });
+
+afterEach(() => {
+    cleanups.splice(0).forEach(clean => clean());
+});
+
+describe("ChannelClient", () => {
+    it("returns each response to its own request, also when they overtake each other, over one connection", async () => {
+        const { address, connections } = await startServer(async (path, body) => {
+            await new Promise(resolve => setTimeout(resolve, path === "/slow" ? 150 : 0));
+            return echo(path, body);
+        });
+        const { send } = createClient();
+        const order: string[] = [];
+        const results = await Promise.all(["/slow", "/a", "/b"].map(async path => {
+            const result = await send(address, path);
+            order.push(path);
+            return result.isOk ? result.value.body.toString() : result.error.detail;
+        }));
+        expect(results).toEqual(["/slow/slow", "/a/a", "/b/b"]);
+        expect(order.at(-1)).toBe("/slow");
+        expect(connections.count).toBe(1);
+    });
+
+    it("reports that a request was not sent when nothing listens", async () => {
+        const server = createTcpServer();
+        const address = await startListening(server);
+        await new Promise(resolve => server.close(resolve));
+        const result = await createClient().send(address, "/a");
+        expect(result.isErr && result.error.kind).toBe(CallFailureKind.NotSent);
+    });
+
+    it("reports that a request may have arrived when the connection is lost, and connects again", async () => {
+        const { address, channels, connections } = await startServer(async (path, body) => {
+            if (path === "/lost") {
+                await channels.stop(0);
+                await new Promise(resolve => setTimeout(resolve, 50));
+            }
+            return echo(path, body);
+        });
+        const { send } = createClient();
+        const lost = await send(address, "/lost");
+        expect(lost.isErr && lost.error.kind).toBe(CallFailureKind.Unanswered);
+        expect((await send(address, "/a")).isOk).toBe(true);
+        expect(connections.count).toBe(2);
+    });
+
+    it("reports a request that is not answered in time without closing a connection that responds", async () => {
+        const { address, connections } = await startServer((path, body) =>
+            path === "/never" ? new Promise(() => undefined) : echo(path, body)
+        );
+        const { send } = createClient();
+        const late = await send(address, "/never", 1_200);
+        expect(late.isErr && late.error).toMatchObject({ kind: CallFailureKind.Unanswered, isTimeout: true });
+        expect((await send(address, "/a")).isOk).toBe(true);
+        expect(connections.count).toBe(1);
+    });
+
+    it("replaces a connection that has gone silent, well before its requests time out", async () => {
+        const sockets: Socket[] = [];
+        const silent = createTcpServer(socket => {
+            sockets.push(socket);
+            socket.once("data", () =>
+                socket.write(
+                    `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`,
+                ));
+            socket.on("error", () => undefined);
+        });
+        const address = await startListening(silent);
+        const { send } = createClient();
+        const startedAt = performance.now();
+        const result = await send(address, "/a", 10_000);
+        expect(result.isErr && result.error).toMatchObject({ kind: CallFailureKind.Unanswered, isTimeout: true });
+        expect(performance.now() - startedAt).toBeLessThan(2_000);
+        void send(address, "/a", 300);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        expect(sockets).toHaveLength(2);
+    });
+
+    it("delivers a message without a response, and finds out when the connection goes silent", async () => {
+        const received: string[] = [];
+        const { address } = await startServer(async (path, body) => {
+            received.push(path);
+            return echo(path, body);
+        });
+        const { client } = createClient();
+        const notice = { address, method: "POST", path: "/n", headers: {}, body: undefined, timeoutMs: 500 };
+        expect((await client.send({ ...notice, isOneWay: true })).isOk).toBe(true);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(received).toEqual(["/n"]);
+        const sockets: Socket[] = [];
+        const silent = await startListening(createTcpServer(socket => {
+            sockets.push(socket);
+            socket.once("data", () =>
+                socket.write(
+                    `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`,
+                ));
+            socket.on("error", () => undefined);
+        }));
+        for (let message = 0; message < 15; message++) {
+            await client.send({ ...notice, address: silent, isOneWay: true });
+            await new Promise(resolve => setTimeout(resolve, 75));
+        }
+        expect(sockets.length).toBeGreaterThan(1);
+    });
+
+    it("calls a peer that offers no channel by HTTP", async () => {
+        const address = await startListening(createServer((_, response) => response.writeHead(404).end()));
+        const { send } = createClient(async ({ path }) => ({ status: 200, body: Buffer.from(`http ${path}`) }));
+        const results = await Promise.all([send(address, "/a"), send(address, "/b")]);
+        const third = await send(address, "/c");
+        expect([...results, third].map(result => result.isOk && result.value.body.toString())).toEqual([
+            "http /a",
+            "http /b",
+            "http /c",
+        ]);
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/channel/channel-client.ts
@@ -0,0 +1,249 @@
+import { Agent, request } from "node:http";
+import type { Socket } from "node:net";
+import Result from "true-myth/result";
+
+import type { Clock } from "../clock/clock.js";
+import { CallFailureKind } from "../http-client/call-failure-kind.js";
+import type { CallFailure } from "../http-client/call-failure.js";
+import type { HttpCall } from "../http-client/http-call.js";
+import type { HttpClient } from "../http-client/http-client.js";
+import type { HttpResponse } from "../http-client/http-response.js";
+import { parseAddress } from "../settings/parse-address.js";
+import { ChannelConnection } from "./channel-connection.js";
+import { channelProtocol } from "./channel-protocol.js";
+import { FrameKind } from "./frame-kind.js";
+import type { Frame } from "./frame.js";
+
+/** Time limit for establishing a channel, milliseconds; a lost packet is retransmitted only after a second. */
+const connectTimeoutMs = 300;
+/** Interval at which channels with open requests are checked, milliseconds. */
+const checkIntervalMs = 100;
+/** Silence of the peer after which it is asked to show that it responds, milliseconds. */
+const pingAfterMs = 150;
+/** Time without an answer to a ping after which a connection counts as half-open and is closed, milliseconds. */
+const maxSilenceMs = 350;
+/** Time for which a peer that offers no channel is called by HTTP, milliseconds. */
+const withoutChannelMs = 5_000;
+/** Time after the last message for which a channel is checked, milliseconds: a message may need no response. */
+const checkedAfterSendMs = 1_000;
+const noContent = 204;
+const emptyBody = Buffer.alloc(0);
+
+type SendResult = Result<HttpResponse, CallFailure>;
+
+/** A request whose response has not arrived. */
+interface OpenRequest {
+    readonly call: HttpCall;
+    readonly resolve: (result: SendResult) => void;
+    readonly stopTimer: () => void;
+}
+
+/** The channel to one address. */
+interface Channel {
+    readonly address: string;
+    /** `undefined` until it is established. */
+    connection: ChannelConnection | undefined;
+    readonly openRequests: Map<number, OpenRequest>;
+    /** Monotonic milliseconds. */
+    lastSentAt: number;
+    /** Frames to send once the connection is established. */
+    readonly waiting: Frame[];
+}
+
+/**
+ * Sends requests to other processes of the cluster over one connection to each, on which requests and responses overtake
+ * each other. A message costs a small part of an HTTP request of its own. A connection on which the peer is silent
+ * while requests are open is closed, because it may be half-open; the next request opens a new one. A peer that offers
+ * no channel, as those of earlier releases, is called by HTTP.
+ */
+export class ChannelClient {
+    private readonly channels = new Map<string, Channel>();
+    private readonly agent = new Agent({ keepAlive: false });
+    /** When to try again to open a channel, by address, monotonic milliseconds. */
+    private readonly withoutChannelUntil = new Map<string, number>();
+    private nextId = 0;
+    private stopCheck: () => void = () => undefined;
+    private isChecking = false;
+
+    /**
+     * @param http - client for peers that offer no channel
+     * @param clock - clock for timeouts
+     */
+    constructor(private readonly http: Pick<HttpClient, "send" | "close">, private readonly clock: Clock) {}
+
+    /**
+     * Sends a request and waits for its response.
+     * @param call - the request; method and headers do not apply to channels
+     * @returns the response, or a failure that says whether the peer may have received the request
+     */
+    send(call: HttpCall): Promise<SendResult> {
+        const { address, path, body = emptyBody, timeoutMs } = call;
+        if ((this.withoutChannelUntil.get(address) ?? 0) > this.clock.readMonotonic()) {
+            return this.http.send(call);
+        }
+        return new Promise(resolve => {
+            const channel = this.channels.get(address) ?? this.openChannel(address);
+            this.nextId = (this.nextId + 1) % 2 ** 32;
+            const id = this.nextId;
+            const stopTimer = this.clock.schedule(timeoutMs, () => {
+                const isSent = channel.connection !== undefined;
+                dropWaiting(channel, id);
+                settleRequest(channel, id, buildFailure(isSent, "timeout", true));
+            });
+            channel.openRequests.set(id, { call, resolve, stopTimer });
+            const kind = call.isOneWay === true ? FrameKind.Notice : FrameKind.Request;
+            const frame: Frame = { kind, id, status: 0, path, body };
+            if (channel.connection === undefined) {
+                channel.waiting.push(frame);
+            }
+            else {
+                this.sendFrame(channel, channel.connection, frame);
+            }
+        });
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        this.stopCheck();
+        this.agent.destroy();
+        this.http.close();
+        [...this.channels.values()].forEach(channel => this.closeChannel(channel, "closed", false));
+    }
+
+    private openChannel(address: string): Channel {
+        const channel: Channel = {
+            address,
+            connection: undefined,
+            openRequests: new Map(),
+            lastSentAt: 0,
+            waiting: [],
+        };
+        this.channels.set(address, channel);
+        const { host, port } = parseAddress(address);
+        const upgrade = request({
+            agent: this.agent,
+            host,
+            port,
+            headers: { connection: "upgrade", upgrade: channelProtocol },
+        });
+        const fail = (detail: string, isTimeout = false): void => {
+            stopTimer();
+            upgrade.destroy();
+            this.closeChannel(channel, detail, isTimeout);
+        };
+        const stopTimer = this.clock.schedule(connectTimeoutMs, () => fail("no connection in time", true));
+        upgrade.on("upgrade", (_response, socket: Socket, head: Buffer) => {
+            stopTimer();
+            if (this.channels.get(address) === channel) {
+                this.connectChannel(channel, socket, head);
+            }
+            else {
+                socket.destroy();
+            }
+        });
+        upgrade.on("response", () => {
+            stopTimer();
+            upgrade.destroy();
+            this.sendByHttp(channel);
+        });
+        upgrade.on("error", error => fail(error.message));
+        upgrade.end();
+        return channel;
+    }
+
+    private connectChannel(channel: Channel, socket: Socket, head: Buffer): void {
+        const connection = new ChannelConnection(socket, {
+            handleFrame: ({ id, status, body }) => settleRequest(channel, id, Result.ok({ status, body })),
+            handleClose: () => this.closeChannel(channel, "connection lost", false),
+        }, () => this.clock.readMonotonic());
+        channel.connection = connection;
+        channel.waiting.splice(0).forEach(frame => this.sendFrame(channel, connection, frame));
+        if (head.length > 0) {
+            connection.receiveChunk(head);
+        }
+        this.startChecks();
+    }
+
+    private sendByHttp(channel: Channel): void {
+        this.withoutChannelUntil.set(channel.address, this.clock.readMonotonic() + withoutChannelMs);
+        this.channels.delete(channel.address);
+        for (const { call, resolve, stopTimer } of channel.openRequests.values()) {
+            stopTimer();
+            void this.http.send(call).then(resolve);
+        }
+        channel.openRequests.clear();
+    }
+
+    private sendFrame(channel: Channel, connection: ChannelConnection, frame: Frame): void {
+        const handleWritten = frame.kind === FrameKind.Notice
+            ? () => settleRequest(channel, frame.id, Result.ok({ status: noContent, body: emptyBody }))
+            : undefined;
+        connection.sendFrame(frame, handleWritten);
+        channel.lastSentAt = this.clock.readMonotonic();
+        this.startChecks();
+    }
+
+    private closeChannel(channel: Channel, detail: string, isTimeout: boolean): void {
+        if (this.channels.get(channel.address) === channel) {
+            this.channels.delete(channel.address);
+        }
+        const { connection } = channel;
+        [...channel.openRequests.keys()].forEach(id =>
+            settleRequest(channel, id, buildFailure(connection !== undefined, detail, isTimeout))
+        );
+        connection?.close();
+    }
+
+    private startChecks(): void {
+        if (!this.isChecking) {
+            this.isChecking = true;
+            const dueAt = this.clock.readMonotonic() + checkIntervalMs;
+            this.stopCheck = this.clock.schedule(checkIntervalMs, () => this.checkChannels(dueAt));
+        }
+    }
+
+    /** Closes the connections whose peers are silent; checks go on while requests are open. */
+    private checkChannels(dueAt: number): void {
+        this.isChecking = false;
+        // A process that was busy or suspended has not yet read what its peers have sent meanwhile.
+        const now = this.clock.readMonotonic();
+        const isLate = now - dueAt > checkIntervalMs;
+        for (const channel of [...this.channels.values()]) {
+            const { connection } = channel;
+            const isInUse = channel.openRequests.size > 0 || now - channel.lastSentAt < checkedAfterSendMs;
+            if (connection === undefined || !isInUse) {
+                continue;
+            }
+            if (isLate) {
+                connection.restoreSilence();
+            }
+            const silentMs = connection.checkSilence(pingAfterMs);
+            if (silentMs > maxSilenceMs) {
+                this.closeChannel(channel, `no response to a ping for ${Math.round(silentMs)} ms`, true);
+                continue;
+            }
+            this.startChecks();
+        }
+    }
+}
+
+function settleRequest(channel: Channel, id: number, result: SendResult): void {
+    const open = channel.openRequests.get(id);
+    if (open !== undefined) {
+        channel.openRequests.delete(id);
+        open.stopTimer();
+        open.resolve(result);
+    }
+}
+
+function dropWaiting(channel: Channel, id: number): void {
+    const position = channel.waiting.findIndex(frame => frame.id === id);
+    if (position >= 0) {
+        channel.waiting.splice(position, 1);
+    }
+}
+
+function buildFailure(isSent: boolean, detail: string, isTimeout: boolean): SendResult {
+    const kind = isSent ? CallFailureKind.Unanswered : CallFailureKind.NotSent;
+    return Result.err({ kind, detail, isTimeout });
+}
--- /dev/null
+++ b/packages/daemon/src/channel/channel-connection.ts
@@ -0,0 +1,166 @@
+import type { Socket } from "node:net";
+
+import { encodeFrame } from "./encode-frame.js";
+import { FrameDecoder } from "./frame-decoder.js";
+import { FrameKind } from "./frame-kind.js";
+import type { Frame } from "./frame.js";
+
+/** Largest frame, bytes. A chunk of a snapshot or a whole configuration is much smaller. */
+const maxFrameBytes = 16 * 1024 * 1024;
+/** Bytes that may wait for a peer that does not read; beyond it, the connection is closed. */
+const maxQueuedBytes = 32 * 1024 * 1024;
+/** Shortest time between two writes, milliseconds; less than a write to disk takes. */
+const minWriteIntervalMs = 3;
+/** Idle time after which the kernel probes whether the peer still exists, milliseconds. */
+const keepAliveDelayMs = 5_000;
+const emptyBody = Buffer.alloc(0);
+
+/** Callbacks of a connection. */
+interface ConnectionHandlers {
+    /** Called for each request and response. */
+    readonly handleFrame: (frame: Frame) => void;
+    /** Called once, when the connection has ended. */
+    readonly handleClose: () => void;
+}
+
+/**
+ * One end of a channel: frames in both directions over one connection. Under load, the frames of some milliseconds are
+ * written together, which costs far less than a write for each.
+ */
+export class ChannelConnection {
+    private readonly decoder = new FrameDecoder(maxFrameBytes);
+    private queued: Buffer[] = [];
+    /** Called when the queued frames are handed to the network. */
+    private writtenHandlers: (() => void)[] = [];
+    private lastReceivedAt: number;
+    private lastWrittenAt = Number.NEGATIVE_INFINITY;
+    /** When the oldest ping without an answer was sent, monotonic milliseconds. */
+    private pingedAt: number | undefined;
+    private isClosed = false;
+
+    /**
+     * @param socket - the connection
+     * @param handlers - callbacks
+     * @param readNow - reads monotonic milliseconds
+     */
+    constructor(
+        private readonly socket: Socket,
+        private readonly handlers: ConnectionHandlers,
+        private readonly readNow: () => number,
+    ) {
+        this.lastReceivedAt = readNow();
+        socket.setNoDelay(true);
+        socket.setTimeout(0);
+        socket.setKeepAlive(true, keepAliveDelayMs);
+        socket.on("data", (chunk: Buffer) => this.receiveChunk(chunk));
+        // An error is followed by the close of the connection.
+        socket.on("error", () => undefined);
+        socket.on("end", () => socket.end());
+        socket.on("close", () => this.handleClose());
+    }
+
+    /**
+     * Sends a frame. On a connection that has ended it is dropped.
+     * @param frame - the frame
+     * @param handleWritten - called when the frame is handed to the network
+     */
+    sendFrame(frame: Frame, handleWritten?: () => void): void {
+        if (this.isClosed) {
+            return;
+        }
+        if (handleWritten !== undefined) {
+            this.writtenHandlers.push(handleWritten);
+        }
+        if (this.queued.length === 0) {
+            this.scheduleWrite();
+        }
+        this.queued.push(...encodeFrame(frame));
+    }
+
+    /**
+     * Computes for how long the peer has left a ping unanswered, and sends one when it has been silent for a while.
+     * @param pingAfterMs - silence after which the peer is asked to show that it responds, milliseconds
+     * @returns milliseconds; 0 while no ping is unanswered
+     */
+    checkSilence(pingAfterMs: number): number {
+        const now = this.readNow();
+        if (this.pingedAt === undefined && now - this.lastReceivedAt > pingAfterMs) {
+            this.pingedAt = now;
+            this.sendFrame({ kind: FrameKind.Ping, id: 0, status: 0, path: "", body: emptyBody });
+        }
+        return this.pingedAt === undefined ? 0 : now - this.pingedAt;
+    }
+
+    /** Counts the silence anew, after this process itself was unable to receive. */
+    restoreSilence(): void {
+        this.lastReceivedAt = this.readNow();
+        this.pingedAt = undefined;
+    }
+
+    /**
+     * Receives bytes that arrived before the connection became a channel.
+     * @param chunk - the bytes
+     */
+    receiveChunk(chunk: Buffer): void {
+        this.restoreSilence();
+        const frames = this.decoder.decodeChunk(chunk);
+        if (frames === undefined) {
+            this.close();
+            return;
+        }
+        for (const frame of frames) {
+            if (frame.kind === FrameKind.Ping) {
+                this.sendFrame({ ...frame, kind: FrameKind.Pong });
+            }
+            else if (frame.kind !== FrameKind.Pong) {
+                this.handlers.handleFrame(frame);
+            }
+        }
+    }
+
+    /** Closes the connection; frames that are not written yet are dropped. */
+    close(): void {
+        this.socket.destroy();
+        this.handleClose();
+    }
+
+    /** Closes the connection once the queued frames are written. */
+    closeAfterWriting(): void {
+        this.writeQueued();
+        this.socket.end();
+    }
+
+    /** The first frame after a pause is written at once; under load, frames wait for a common write. */
+    private scheduleWrite(): void {
+        const delayMs = this.lastWrittenAt + minWriteIntervalMs - this.readNow();
+        if (delayMs > 0) {
+            setTimeout(() => this.writeQueued(), delayMs);
+        }
+        else {
+            setImmediate(() => this.writeQueued());
+        }
+    }
+
+    private writeQueued(): void {
+        this.lastWrittenAt = this.readNow();
+        const queued = this.queued;
+        const writtenHandlers = this.writtenHandlers;
+        this.queued = [];
+        this.writtenHandlers = [];
+        if (this.isClosed || queued.length === 0) {
+            return;
+        }
+        this.socket.write(Buffer.concat(queued), () => writtenHandlers.forEach(handle => handle()));
+        if (this.socket.writableLength > maxQueuedBytes) {
+            this.close();
+        }
+    }
+
+    private handleClose(): void {
+        if (!this.isClosed) {
+            this.isClosed = true;
+            this.queued = [];
+            this.handlers.handleClose();
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/channel/frame-kind.ts
@@ -0,0 +1,10 @@
+/** Kind of a frame on a channel between two processes. */
+export enum FrameKind {
+    Request = 1,
+    Response = 2,
+    /** Asks the other process to show that it responds. */
+    Ping = 3,
+    Pong = 4,
+    /** A request without a response. */
+    Notice = 5,
+}
--- a/packages/daemon/src/http-client/http-call.ts
+++ b/packages/daemon/src/http-client/http-call.ts
@@ -6,6 +6,8 @@
     readonly path: string;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Buffer | undefined;
+    /** Whether no response is needed: on a channel, the call then succeeds once it is handed to the network. */
+    readonly isOneWay?: boolean;
     /** Time limit for the complete response, milliseconds. */
     readonly timeoutMs: number;
 }
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
 
 import { ListenFailure } from "../peer/listen-failure.js";
 import { parseAddress } from "../settings/parse-address.js";
@@ -22,11 +23,13 @@
      * @param address - IP address and port to listen on
      * @param limits - size, connection and time limits
      * @param handle - called for each request; must write and end the response
+     * @param handleUpgrade - called for each request to upgrade the connection; by default, these are plain requests
      */
     constructor(
         private readonly address: string,
         limits: HttpLimits,
         private readonly handle: (request: IncomingMessage, response: ServerResponse) => void,
+        handleUpgrade?: (request: IncomingMessage, socket: Duplex, head: Buffer) => void,
     ) {
         const options: ServerOptions = {
             maxHeaderSize: limits.maxHeaderBytes,
@@ -39,6 +42,9 @@
         };
         this.server = createServer(options, (request, response) => this.serve(request, response));
         this.server.maxConnections = limits.maxConnections;
+        if (handleUpgrade !== undefined) {
+            this.server.on("upgrade", handleUpgrade);
+        }
         this.server.on("clientError", (_error, socket) => socket.destroy());
     }
 
--- a/packages/daemon/src/http/http-worker.ts
+++ b/packages/daemon/src/http/http-worker.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
+import type { ChannelServer } from "../channel/channel-server.js";
 import { Mailbox } from "../concurrency/mailbox.js";
 import { waitFor } from "../concurrency/wait-for.js";
 import type { Settings } from "../settings/settings.js";
@@ -24,8 +25,14 @@
      * @param address - IP address and port to listen on
      * @param limits - limits that all listeners of the process share
      * @param stopMs - time limit for requests in flight when the worker stops, milliseconds
+     * @param upgrades - serves the connections that are upgraded; without it, requests for an upgrade are plain requests
      */
-    constructor(address: string, limits: ListenerLimits, private readonly stopMs = defaultStopMs) {
+    constructor(
+        address: string,
+        limits: ListenerLimits,
+        private readonly stopMs = defaultStopMs,
+        private readonly upgrades?: Pick<ChannelServer, "serveUpgrade" | "stop">,
+    ) {
         super();
         this.listener = new HttpListener(address, {
             maxHeaderBytes: limits.max_header_bytes,
@@ -34,13 +41,13 @@
             idleTimeoutMs: limits.idle_timeout_ms,
         }, (request, response) => {
             this.serve(request, response).catch(() => response.destroy());
-        });
+        }, upgrades === undefined ? undefined : (...args) => upgrades.serveUpgrade(...args));
     }
 
     override *run(): Generator<unknown, void, unknown> {
         yield* waitFor(this.listener.start());
         yield* this.mailbox.take();
-        yield* waitFor(this.listener.stop(this.stopMs));
+        yield* waitFor(Promise.all([this.listener.stop(this.stopMs), this.upgrades?.stop(this.stopMs)]));
     }
 
     override stop(): void {
--- a/packages/daemon/src/job-scheduler/leader/leadership.ts
+++ b/packages/daemon/src/job-scheduler/leader/leadership.ts
@@ -15,7 +15,10 @@
      *     stored on one disk only
      */
     constructor(
-        private readonly keeper: Pick<Keeper, "isActiveLeader" | "readControl" | "readView" | "sendCommand">,
+        private readonly keeper: Pick<
+            Keeper,
+            "isActiveLeader" | "readControl" | "readView" | "readTerm" | "countVoters" | "sendCommand"
+        >,
         private readonly minVoters: number,
     ) {}
 
@@ -24,7 +27,7 @@
      * @returns true while it holds a valid leader lease and the cluster has enough voters
      */
     isActive(): boolean {
-        return this.keeper.isActiveLeader() && this.listVoters().length >= this.minVoters;
+        return this.keeper.isActiveLeader() && this.keeper.countVoters() >= this.minVoters;
     }
 
     /**
@@ -40,7 +43,7 @@
      * @returns the term of the replicated log, which increases with each leader; 0 until the keeper has loaded its disk
      */
     readFencingToken(): number {
-        return this.keeper.readView()?.term ?? 0;
+        return this.keeper.readTerm();
     }
 
     /**
--- a/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
@@ -57,7 +57,7 @@
 function createFixture() {
     const clock = new ManualClock();
     const keepers = new FakeKeepers(clock);
-    const client = new LeaderClient(keepers as unknown as HttpClient, seeds, clock);
+    const client = new LeaderClient(keepers, seeds, clock);
     const start = (timeoutMs = 2_500) => {
         const call: { repliedAt?: number; isOk?: boolean; kind?: CallFailureKind | undefined } = {};
         void client.send("ping", {}, timeoutMs).then(reply => {
--- a/packages/daemon/src/job-scheduler/peers/leader-client.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.ts
@@ -32,12 +32,12 @@
     private voters: readonly string[];
 
     /**
-     * @param http - HTTP client for other processes
+     * @param http - client for other processes
      * @param seeds - peer addresses of some keepers
      * @param clock - clock for timeouts and delays
      */
     constructor(
-        private readonly http: HttpClient,
+        private readonly http: Pick<HttpClient, "send">,
         private seeds: readonly string[],
         private readonly clock: Clock,
     ) {
--- a/packages/daemon/src/job-scheduler/peers/peer-server.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-server.ts
@@ -5,9 +5,10 @@
 import { decodeRaftMessages } from "@daisylock/protocol/peer/decode-raft-messages.js";
 import type { IncomingMessage, ServerResponse } from "node:http";
 
+import { ChannelServer } from "../../channel/channel-server.js";
+import type { HttpResponse } from "../../http-client/http-response.js";
 import { HttpWorker } from "../../http/http-worker.js";
 import { readBytes } from "../../http/read-bytes.js";
-import { sendJson } from "../../http/send-json.js";
 import type { FleetHandlers } from "./fleet-handlers.js";
 import { peerPaths } from "./peer-paths.js";
 
@@ -15,7 +16,9 @@
 const maxBodyBytes = 16 * 1024 * 1024;
 const limits = { max_header_bytes: 8_192, max_connections: 1_024, header_timeout_ms: 5_000, idle_timeout_ms: 60_000 };
 
-/** Serves requests from the other processes of the cluster. */
+const emptyBody = Buffer.alloc(0);
+
+/** Serves requests from the other processes of the cluster, on channels and by HTTP. */
 export class PeerServer extends HttpWorker {
     override readonly name = "peer-server";
 
@@ -31,34 +34,33 @@
         private readonly handlers: FleetHandlers,
         private readonly noteRequest: (kind: string) => void,
     ) {
-        super(address, limits);
+        super(address, limits, undefined, new ChannelServer((path, body) => this.handleRequest(path, body)));
     }
 
     protected override async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const path = request.url ?? "";
         const body = await readBytes(request, maxBodyBytes);
         if (body.isErr) {
             response.writeHead(400).end();
             return;
         }
+        const reply = await this.handleRequest(request.url ?? "", body.value);
+        response.writeHead(reply.status, { "content-type": "application/json" }).end(reply.body);
+    }
+
+    private async handleRequest(path: string, body: Buffer): Promise<HttpResponse> {
         if (path === peerPaths.raft) {
             this.noteRequest("log");
-            this.receiveBatch(body.value, response);
-            return;
+            const batch = RaftBatch.decode(body);
+            this.receive(decodeRaftMessages(batch), batch.fromAddress);
+            return { status: 204, body: emptyBody };
         }
         const name = path.slice(peerPaths.call.length) as keyof LeaderCalls;
         if (!path.startsWith(peerPaths.call) || !Object.hasOwn(this.handlers, name)) {
-            response.writeHead(404).end();
-            return;
+            return { status: 404, body: emptyBody };
         }
         this.noteRequest(name);
         const handler = this.handlers[name] as (request: unknown) => Promise<LeaderReply<unknown>>;
-        sendJson(response, 200, await handler(JSON.parse(body.value.toString()) as unknown));
-    }
-
-    private receiveBatch(body: Buffer, response: ServerResponse): void {
-        const batch = RaftBatch.decode(body);
-        this.receive(decodeRaftMessages(batch), batch.fromAddress);
-        response.writeHead(204).end();
+        const reply = await handler(JSON.parse(body.toString()) as unknown);
+        return { status: 200, body: Buffer.from(JSON.stringify(reply)) };
     }
 }
--- a/packages/daemon/src/job-scheduler/peers/raft-sender.ts
+++ b/packages/daemon/src/job-scheduler/peers/raft-sender.ts
@@ -20,7 +20,7 @@
     private readonly inFlightBatches = new Map<string, number>();
 
     /**
-     * @param http - HTTP client for other processes
+     * @param http - client for other processes
      * @param ownAddress - peer address of this process, to which replies go
      * @param metrics - counters of sent entries and bytes and of dropped messages
      */
@@ -49,7 +49,8 @@
         const body = Buffer.from(RaftBatch.encode(encodeRaftMessages(messages, this.ownAddress)).finish());
         this.metrics.addCount(MetricName.EntriesSent, {}, countEntries(messages));
         this.metrics.addCount(MetricName.BytesSent, {}, body.length);
-        void this.http.send({ address, method: "POST", path: peerPaths.raft, headers, body, timeoutMs: sendTimeoutMs })
+        const call = { address, method: "POST", path: peerPaths.raft, headers, body, timeoutMs: sendTimeoutMs };
+        void this.http.send({ ...call, isOneWay: true })
             .then(() => this.inFlightBatches.set(address, (this.inFlightBatches.get(address) ?? 1) - 1));
     }
 }
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -1,5 +1,6 @@
 import type { RaftTiming } from "@daisylock/core/raft/raft-timing.js";
 
+import { ChannelClient } from "../channel/channel-client.js";
 import type { Clock } from "../clock/clock.js";
 import { runGoroutine } from "../concurrency/run-goroutine.js";
 import { EventLog } from "../events/event-log.js";
@@ -54,7 +55,7 @@
     private readonly log: DecisionLog;
     private readonly metrics = new FleetMetrics();
     private readonly events: EventLog;
-    private readonly peerHttp = new HttpClient(maxPeerConnections);
+    private readonly peerClient: ChannelClient;
     private readonly seeds: readonly string[];
     private readonly leaderClient: LeaderClient;
     private readonly settingsWatcher: SettingsWatcher;
@@ -82,7 +83,8 @@
         });
         this.events = new EventLog(node.name, node.zone, clock, eventCapacity);
         this.seeds = listSeeds(settings);
-        this.leaderClient = new LeaderClient(this.peerHttp, this.seeds, clock);
+        this.peerClient = new ChannelClient(new HttpClient(maxPeerConnections), clock);
+        this.leaderClient = new LeaderClient(this.peerClient, this.seeds, clock);
         this.settingsWatcher = new SettingsWatcher(file, settings, next => this.applySettings(next), this.log, clock);
         const children = [
             { name: "settings-watch", create: () => this.settingsWatcher },
@@ -111,7 +113,7 @@
         });
         return new Promise((resolve, reject) => {
             runGoroutine(() => this.rootSupervisor.run(), error => {
-                this.peerHttp.close();
+                this.peerClient.close();
                 if (error === undefined) {
                     resolve();
                 }
@@ -176,7 +178,7 @@
         const { node, listen, cluster, limits } = settings;
         const noteSent = (kind: string) => this.noteRequest(RequestDirection.Sent, kind);
         const noteReceived = (kind: string) => this.noteRequest(RequestDirection.Received, kind);
-        const sender = new RaftSender(this.peerHttp, listen.peers, this.metrics);
+        const sender = new RaftSender(this.peerClient, listen.peers, this.metrics);
         const keeper = new Keeper({
             storage: new FileKeeperStorage(node.data, node.name),
             clock,
--- a/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
@@ -11,7 +11,9 @@
 import type { ProposeFailure } from "../../request-proxy/keeper/propose-failure.js";
 
 /** A leading keeper that applies commands at once, and whose lease and commits a test controls. */
-export class FakeKeeper implements Pick<Keeper, "isActiveLeader" | "readControl" | "readView" | "sendCommand"> {
+export class FakeKeeper
+    implements Pick<Keeper, "isActiveLeader" | "readControl" | "readView" | "readTerm" | "countVoters" | "sendCommand">
+{
     isLeaseValid = true;
     term = 1;
     /** When this leadership began, monotonic milliseconds. */
@@ -20,6 +22,22 @@
     refuseCommand: (command: ControlCommand) => ProposeFailureKind | undefined = () => undefined;
     readonly commands: ControlCommand[] = [];
 
+    /**
+     * Reads the term of the replicated log.
+     * @returns the term
+     */
+    readTerm(): number {
+        return this.readView().term;
+    }
+
+    /**
+     * Counts the voting keepers.
+     * @returns the number of voters
+     */
+    countVoters(): number {
+        return Object.keys(this.readView().members.voters).length;
+    }
+
     /**
      * @param state - the replicated state, which commands change
      */
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -236,6 +236,22 @@
         return this.control;
     }
 
+    /**
+     * Reads the term of the replicated log.
+     * @returns the term; 0 before the storage is loaded and after the keeper has stopped
+     */
+    readTerm(): number {
+        return this.raft?.hard.term ?? 0;
+    }
+
+    /**
+     * Counts the voting keepers.
+     * @returns number of voters, as far as this keeper knows
+     */
+    countVoters(): number {
+        return Object.keys(this.raft?.members.voters ?? {}).length;
+    }
+
     /**
      * Reads the keeper's role, members and log progress.
      * @returns the view, or `undefined` before the storage is loaded and after the keeper has stopped
