Let the other keepers send the leader's requests to targets

Cause: one process sent every start, stop and renewal to every target. Its work grew with the fleet and with the starts, and nothing that it did in a burst could be taken over by the four or five keepers that stand idle.

Relays hold no state; sessions, fencing, run numbers and leases are as before, so that a request that a relay sends late has the effect of one that the network delays. When a relay fails, the leader sends the request itself.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -110,7 +110,20 @@
     },
 );
 
-type Action = typeof actionOrRestart extends fc.Arbitrary<infer Value> ? Value : never;
+const actionOrRelayFault = fc.oneof(
+    { weight: 12, arbitrary: actionOrRestart },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("relay-fault" as const),
+            relay: fc.nat(1),
+            fate: fc.oneof(fate, fc.constant<RequestFate>(RequestFate.Late)),
+            ms: fc.integer({ min: 100, max: 5_000 }),
+        }),
+    },
+);
+
+type Action = typeof actionOrRelayFault extends fc.Arbitrary<infer Value> ? Value : never;
 
 async function runAction(fleet: SimulatedFleet, step: Action): Promise<void> {
     const { keeper } = fleet;
@@ -144,6 +157,9 @@
         case "hold-rounds":
             fleet.roundClock.setHold(step.ms);
             break;
+        case "relay-fault":
+            fleet.relays.setFault(step.relay, step.fate, step.ms);
+            break;
         case "wait":
             await fleet.clock.runFor(step.ms);
             break;
@@ -184,8 +200,8 @@
 }
 
 /** Runs the actions, then waits without faults until all jobs have ended, and fails when they do not end in time. */
-async function runScenario(random: number, steps: readonly Action[]): Promise<void> {
-    const fleet = new SimulatedFleet(createRandom(random));
+async function runScenario(random: number, steps: readonly Action[], isRelayed = false): Promise<void> {
+    const fleet = new SimulatedFleet(createRandom(random), isRelayed);
     fleet.start();
     for (const step of steps) {
         await runAction(fleet, step);
@@ -204,8 +220,14 @@
 }
 
 const length = { minLength: 20, maxLength: 80 };
-const scenario = fc.asyncProperty(fc.nat(), fc.array(action, length), runScenario);
-const scenarioWithRestarts = fc.asyncProperty(fc.nat(), fc.array(actionOrRestart, length), runScenario);
+const runDirectly = (random: number, steps: readonly Action[]) => runScenario(random, steps, false);
+const scenario = fc.asyncProperty(fc.nat(), fc.array(action, length), runDirectly);
+const scenarioWithRestarts = fc.asyncProperty(fc.nat(), fc.array(actionOrRestart, length), runDirectly);
+const scenarioWithRelays = fc.asyncProperty(
+    fc.nat(),
+    fc.array(actionOrRelayFault, length),
+    (random, steps) => runScenario(random, steps, true),
+);
 
 describe("Scheduler", () => {
     describe("under lapses of the leader lease, refused commands, changes of term and unanswered requests", () => {
@@ -221,6 +243,12 @@
             Math.max(60_000, runs * runTimeoutMs),
         );
 
+        it(
+            "runs each task once while relays of the leader's requests fail, are suspended and send them late",
+            () => fc.assert(scenarioWithRelays, { numRuns: runs, seed, endOnFailure: true }),
+            Math.max(60_000, runs * runTimeoutMs),
+        );
+
         // A refused renewal ended runs as expired whose starts, with a new lease, were in flight.
         it("waits for the lease of a start in flight before it releases the task", () =>
             fc.assert(scenario, { numRuns: 1, seed: 5, path: "136", endOnFailure: true }));
--- a/packages/daemon/src/job-scheduler/peers/peer-paths.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-paths.ts
@@ -1,2 +1,2 @@
 /** URL paths that the peer server serves. */
-export const peerPaths = { raft: "/raft", call: "/call/" } as const;
+export const peerPaths = { raft: "/raft", call: "/call/", relay: "/relay/" } as const;
--- a/packages/daemon/src/job-scheduler/peers/peer-server.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-server.ts
@@ -9,6 +9,7 @@
 import type { HttpResponse } from "../../http-client/http-response.js";
 import { HttpWorker } from "../../http/http-worker.js";
 import { readBytes } from "../../http/read-bytes.js";
+import type { TargetRequestRelay } from "../relay/target-request-relay.js";
 import type { FleetHandlers } from "./fleet-handlers.js";
 import { peerPaths } from "./peer-paths.js";
 
@@ -26,12 +27,14 @@
      * @param address - address to listen on
      * @param receive - called with messages of the replicated log and the sender's address
      * @param handlers - handlers by name of the call
+     * @param relay - handles requests to targets that the leader asks this process to send
      * @param noteRequest - called for each request with its kind: the name of the call, or `log`
      */
     constructor(
         address: string,
         private readonly receive: (messages: readonly RaftMessage[], from: string) => void,
         private readonly handlers: FleetHandlers,
+        private readonly relay: Pick<TargetRequestRelay, "handleRequest">,
         private readonly noteRequest: (kind: string) => void,
     ) {
         super(address, limits, undefined, new ChannelServer((path, body) => this.handleRequest(path, body)));
@@ -54,6 +57,10 @@
             this.receive(decodeRaftMessages(batch), batch.fromAddress);
             return { status: 204, body: emptyBody };
         }
+        if (path.startsWith(peerPaths.relay)) {
+            this.noteRequest("relay");
+            return this.relay.handleRequest(path.slice(peerPaths.relay.length), body);
+        }
         const name = path.slice(peerPaths.call.length) as keyof LeaderCalls;
         if (!path.startsWith(peerPaths.call) || !Object.hasOwn(this.handlers, name)) {
             return { status: 404, body: emptyBody };
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -0,0 +1,129 @@
+import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+import { describe, expect, it } from "@jest/globals";
+import Result from "true-myth/result";
+
+import { CallFailureKind } from "../../http-client/call-failure-kind.js";
+import type { HttpCall } from "../../http-client/http-call.js";
+import type { TargetClient } from "../targets/target-client.js";
+import { TargetRequestKind } from "../targets/target-request-kind.js";
+import { TargetRequestResult } from "../targets/target-request-result.js";
+import type { TargetResponse } from "../targets/target-response.js";
+import { ManualClock } from "../testing/manual-clock.js";
+import { RelayedTargetClient } from "./relayed-target-client.js";
+import { TargetRequestRelay } from "./target-request-relay.js";
+
+const target: TargetRecord = {
+    id: "t1",
+    incarnation: 1,
+    pool: "web",
+    address: "10.0.0.9:80",
+    zone: "a",
+    vm: "m1",
+    rack: "r1",
+    labels: [],
+    capacity: { cpu: 1, memory: 1, gpu: 0 },
+    state: ReportedTargetState.Ready,
+};
+const start = { task: "j.0.0.0", run: 1, spec: "s", leaseUntilMs: 9, fencingToken: 3, saved: "", ticket: "" };
+const stop = { task: "j.0.0.0", run: 1, fencingToken: 3 };
+const renewal = { leaseUntilMs: 9, fencingToken: 3, lastSeen: 2, waitMs: 1_000 };
+
+/** A target client that records which requests it sends. */
+function createSender(response: TargetResponse = { result: TargetRequestResult.Done, clockMs: 5 }) {
+    const sent: string[] = [];
+    const send = (kind: string) => async (record: Pick<TargetRecord, "id">, request: object, percent?: number) => {
+        sent.push([kind, record.id, JSON.stringify(request), percent].filter(part => part !== undefined).join(" "));
+        return { running: [], ended: [], incarnation: 1, ...response };
+    };
+    const client = {
+        startTask: send("start"),
+        stopTask: send("stop"),
+        setPace: send("pace"),
+        sendLeaseRenewal: send("renew"),
+        checkReachable: send("check"),
+        close: () => undefined,
+    };
+    return { sent, client: client as unknown as TargetClient };
+}
+
+function createFixture(relayResponse?: TargetResponse) {
+    const clock = new ManualClock();
+    const own = createSender();
+    const other = createSender(relayResponse);
+    const relay = new TargetRequestRelay(other.client, clock);
+    const failures: string[] = [];
+    const state = { isDown: false, clockStepMs: 0 };
+    const peers = {
+        send: async ({ path, body }: HttpCall) => {
+            if (state.isDown) {
+                return Result.err({ kind: CallFailureKind.Unanswered, detail: "connection lost", isTimeout: false });
+            }
+            await clock.runFor(state.clockStepMs);
+            return Result.ok(await relay.handleRequest(path.slice("/relay/".length), body ?? Buffer.alloc(0)));
+        },
+    };
+    const relays = { pickRelay: () => "k1:70", noteFailure: (name: string) => failures.push(name) };
+    const client = new RelayedTargetClient(own.client, peers, relays, clock);
+    return { clock, own, other, client, failures, state };
+}
+
+describe("RelayedTargetClient", () => {
+    it("sends no request for a run from the leader's process while another keeper responds", async () => {
+        const { own, other, client } = createFixture();
+        expect(await client.startTask(target, start)).toMatchObject({ result: TargetRequestResult.Done, clockMs: 5 });
+        await client.stopTask(target, stop);
+        await client.setPace(target, stop, 40);
+        expect(await client.sendLeaseRenewal(target, renewal)).toMatchObject({ incarnation: 1, running: [] });
+        expect(own.sent).toEqual([]);
+        expect(other.sent).toEqual([
+            `start t1 ${JSON.stringify(start)}`,
+            `stop t1 ${JSON.stringify(stop)}`,
+            `pace t1 ${JSON.stringify(stop)} 40`,
+            `renew t1 ${JSON.stringify(renewal)}`,
+        ]);
+    });
+
+    it("sends a request itself when the relay fails, with the same run number", async () => {
+        const { own, client, failures, state } = createFixture();
+        state.isDown = true;
+        expect(await client.startTask(target, start)).toMatchObject({ result: TargetRequestResult.Done });
+        expect(own.sent).toEqual([`start t1 ${JSON.stringify(start)}`]);
+        expect(failures).toEqual(["k1:70"]);
+    });
+
+    it("does not let a relay that was suspended send a request that the leader has given up", async () => {
+        const { own, other, client, state } = createFixture();
+        state.clockStepMs = 1_500;
+        await client.startTask(target, start);
+        expect(other.sent).toEqual([]);
+        expect(own.sent).toHaveLength(1);
+    });
+
+    it("sends the next requests to a target itself that the relay did not reach", async () => {
+        const { clock, own, client } = createFixture({ result: TargetRequestResult.Unanswered, clockMs: undefined });
+        expect(await client.sendLeaseRenewal(target, renewal)).toMatchObject({
+            result: TargetRequestResult.Unanswered,
+        });
+        expect(await client.sendLeaseRenewal(target, renewal)).toMatchObject({ result: TargetRequestResult.Done });
+        expect(own.sent).toHaveLength(1);
+        await clock.runFor(6_000);
+        await client.sendLeaseRenewal(target, renewal);
+        expect(own.sent).toHaveLength(1);
+    });
+
+    it("checks from the leader's process whether a target is reachable", async () => {
+        const { own, client } = createFixture();
+        await client.checkReachable(target, renewal);
+        expect(own.sent).toHaveLength(1);
+    });
+});
+
+describe("TargetRequestRelay", () => {
+    it("refuses kinds of requests that it does not know", async () => {
+        const relay = new TargetRequestRelay(createSender().client, new ManualClock());
+        expect((await relay.handleRequest("format", Buffer.from("{}"))).status).toBe(404);
+        expect((await relay.handleRequest("constructor", Buffer.from("{}"))).status).toBe(404);
+        expect(Object.values(TargetRequestKind)).not.toContain("format");
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -0,0 +1,142 @@
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import type { Clock } from "../../clock/clock.js";
+import type { HttpClient } from "../../http-client/http-client.js";
+import { peerPaths } from "../peers/peer-paths.js";
+import type { LeaseRenewalRequest } from "../targets/lease-renewal-request.js";
+import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
+import type { RunRequest } from "../targets/run-request.js";
+import type { StartTaskRequest } from "../targets/start-task-request.js";
+import { TargetClient } from "../targets/target-client.js";
+import { TargetRequestKind } from "../targets/target-request-kind.js";
+import { TargetRequestResult } from "../targets/target-request-result.js";
+import type { TargetResponse } from "../targets/target-response.js";
+import type { RelayDirectory } from "./relay-directory.js";
+import type { RelayedRequest } from "./relayed-request.js";
+
+/** Time limit of a request through a relay, milliseconds; above the time limits of its own requests to targets. */
+const relayTimeoutMs = 650;
+/** Time for which a target that a relay did not reach is sent its requests directly, milliseconds. */
+const directMs = 5_000;
+
+/**
+ * Lets the other keepers send the leader's requests to targets, which takes most of the work of a start off the leader.
+ * The leader decides and commits as before; a relay keeps no state. When a relay does not carry out a request, the leader
+ * sends it itself: all requests are idempotent, and one that a relay still sends late has the same effect as one that
+ * the network delays.
+ */
+export class RelayedTargetClient extends TargetClient {
+    private readonly directUntil = new Map<string, number>();
+
+    /**
+     * @param direct - sends requests from this process
+     * @param peers - client for the other keepers
+     * @param relays - picks the relay of each target
+     * @param clock - monotonic and wall clock
+     */
+    constructor(
+        private readonly direct: TargetClient,
+        private readonly peers: Pick<HttpClient, "send">,
+        private readonly relays: Pick<RelayDirectory, "pickRelay" | "noteFailure">,
+        private readonly clock: Clock,
+    ) {
+        super();
+    }
+
+    override startTask(target: TargetRecord, request: StartTaskRequest): Promise<TargetResponse> {
+        return this.sendRequest(
+            target,
+            TargetRequestKind.Start,
+            { request },
+            relayTimeoutMs,
+            client => client.startTask(target, request),
+        );
+    }
+
+    override stopTask(target: TargetRecord, request: RunRequest): Promise<TargetResponse> {
+        return this.sendRequest(
+            target,
+            TargetRequestKind.Stop,
+            { request },
+            relayTimeoutMs,
+            client => client.stopTask(target, request),
+        );
+    }
+
+    override setPace(target: TargetRecord, request: RunRequest, percent: number): Promise<TargetResponse> {
+        return this.sendRequest(
+            target,
+            TargetRequestKind.Pace,
+            { request, percent },
+            relayTimeoutMs,
+            client => client.setPace(target, request, percent),
+        );
+    }
+
+    override sendLeaseRenewal(target: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
+        const timeoutMs = request.waitMs + relayTimeoutMs;
+        return this.sendRequest(
+            target,
+            TargetRequestKind.Renew,
+            { request },
+            timeoutMs,
+            client => client.sendLeaseRenewal(target, request),
+        );
+    }
+
+    override checkReachable(
+        target: TargetRecord,
+        request: Pick<LeaseRenewalRequest, "fencingToken" | "lastSeen">,
+    ): Promise<TargetResponse> {
+        // Only a check of the leader's own tells whether it reaches a target that a relay does not reach.
+        return this.direct.checkReachable(target, request);
+    }
+
+    override close(): void {
+        this.direct.close();
+    }
+
+    private async sendRequest<Response extends TargetResponse>(
+        target: TargetRecord,
+        kind: TargetRequestKind,
+        content: Pick<RelayedRequest, "request" | "percent">,
+        timeoutMs: number,
+        sendBy: (client: TargetClient) => Promise<Response>,
+    ): Promise<Response> {
+        const relay = this.isDirect(target.id) ? undefined : this.relays.pickRelay(target.id);
+        if (relay === undefined) {
+            return sendBy(this.direct);
+        }
+        const { id, address } = target;
+        const body: RelayedRequest = { target: { id, address }, sentAtMs: this.clock.readWall(), ...content };
+        const reply = await this.peers.send({
+            address: relay,
+            method: "POST",
+            path: `${peerPaths.relay}${kind}`,
+            headers: {},
+            body: Buffer.from(JSON.stringify(body)),
+            timeoutMs,
+        });
+        if (reply.isErr || reply.value.status !== 200) {
+            this.relays.noteFailure(relay);
+            return sendBy(this.direct);
+        }
+        const response = JSON.parse(reply.value.body.toString()) as Response;
+        if (response.result === TargetRequestResult.Unanswered || response.result === TargetRequestResult.NotSent) {
+            this.directUntil.set(id, this.clock.readMonotonic() + directMs);
+        }
+        return response;
+    }
+
+    private isDirect(target: string): boolean {
+        const until = this.directUntil.get(target);
+        if (until === undefined) {
+            return false;
+        }
+        if (until > this.clock.readMonotonic()) {
+            return true;
+        }
+        this.directUntil.delete(target);
+        return false;
+    }
+}
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -30,6 +30,9 @@
 import { LeaderClient } from "./peers/leader-client.js";
 import { PeerServer } from "./peers/peer-server.js";
 import { RaftSender } from "./peers/raft-sender.js";
+import { RelayDirectory } from "./relay/relay-directory.js";
+import { RelayedTargetClient } from "./relay/relayed-target-client.js";
+import { TargetRequestRelay } from "./relay/target-request-relay.js";
 import type { FleetSettings } from "./settings/fleet-settings.js";
 import { SettingsWatcher } from "./settings/settings-watcher.js";
 import { CountedTargetClient } from "./targets/counted-target-client.js";
@@ -194,12 +197,14 @@
             handleApplied: () => leader.startScheduling(),
         });
         this.keeper = keeper;
+        const targetClient = new CountedTargetClient(this.adapter.createTargetClient(), noteSent);
+        const relays = new RelayDirectory(() => keeper.readView(), clock);
         const voterCount = 2 * cluster.tolerated_losses + 1;
         const leadership = new Leadership(keeper, Math.min(this.seeds.length, cluster.tolerated_losses + 1));
         const leader = new LeaderComponents({
             settings,
             leadership,
-            client: new CountedTargetClient(this.adapter.createTargetClient(), noteSent),
+            client: new RelayedTargetClient(targetClient, this.peerClient, relays, clock),
             vms: this.adapter.createVmService(settings),
             advice: this.adapter.createAdviceService(settings),
             clock,
@@ -229,6 +234,7 @@
                         listen.peers,
                         (messages, from) => keeper.receive(messages, from),
                         handlers,
+                        new TargetRequestRelay(targetClient, clock),
                         noteReceived,
                     ),
             },
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -19,11 +19,13 @@
 import { TargetSessions } from "../leader/target-sessions.js";
 import { TaskDurationEstimator } from "../leader/task-duration-estimator.js";
 import type { DecisionLog } from "../logging/decision-log.js";
+import { RelayedTargetClient } from "../relay/relayed-target-client.js";
 import { HeldClock } from "./held-clock.js";
 import { ManualClock } from "./manual-clock.js";
 import { RequestFate } from "./request-fate.js";
 import { RunMonitor } from "./run-monitor.js";
 import { SimulatedKeeper } from "./simulated-keeper.js";
+import { SimulatedRelays } from "./simulated-relays.js";
 import { SimulatedTargetClient } from "./simulated-target-client.js";
 import { SimulatedTarget } from "./simulated-target.js";
 import type { SimulatedWork } from "./simulated-work.js";
@@ -56,6 +58,7 @@
     readonly keeper: SimulatedKeeper;
     readonly monitor: RunMonitor;
     readonly targets: readonly SimulatedTarget[];
+    readonly relays: SimulatedRelays;
     private readonly state: ControlState;
     private readonly scheduler: Scheduler;
     private readonly reports: TargetReportHandler;
@@ -67,8 +70,9 @@
 
     /**
      * @param random - returns numbers from 0 to below 1
+     * @param isRelayed - whether other keepers send the leader's requests to targets
      */
-    constructor(private readonly random: () => number) {
+    constructor(private readonly random: () => number, isRelayed = false) {
         this.state = buildTestFleet(targetCount, targetCapacity);
         this.keeper = new SimulatedKeeper(this.state, this.clock, random);
         this.monitor = new RunMonitor(task => this.isRecordedDone(task));
@@ -93,9 +97,14 @@
             random,
         );
         client.pickFate = id => this.pickFate(id);
+        this.relays = new SimulatedRelays(client, this.clock, random);
+        const directory = {
+            pickRelay: (target: string) => this.relays.names[target.charCodeAt(1) % this.relays.names.length],
+            noteFailure: () => undefined,
+        };
         const sessions: TargetSessions = new TargetSessions({
             leadership,
-            client,
+            client: isRelayed ? new RelayedTargetClient(client, this.relays, directory, this.clock) : client,
             reports: this.reports,
             clock: this.clock,
             log,
@@ -223,6 +232,7 @@
 
     /** Ends all faults, except for requests and heartbeats that are already delayed. */
     stopFaults(): void {
+        this.relays.stopFaults();
         this.requestFaults.clear();
         this.heartbeatDelaysMs.clear();
         this.keeper.busyProbability = 0;
