Do not take a request for refused that a failed relay may still send

A suspended relay held its start; the leader's own attempt found the connection refused, and the start counted as not sent, so that the task was released and started elsewhere, while the relay's attempt arrived.

Cause: the client returned the result of its last attempt although an earlier one was uncertain. Change: after a relay has failed without saying that it did not send a request, only results that hold for both attempts are returned; any other counts as unanswered, so that the session stops the run before it releases it.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -253,6 +253,10 @@
         it("waits for the lease of a start in flight before it releases the task", () =>
             fc.assert(scenario, { numRuns: 1, seed: 5, path: "136", endOnFailure: true }));
 
+        // The leader's own attempt was refused, so the start counted as not sent while a relay still held it.
+        it("does not release a task whose start a suspended relay may still send", () =>
+            fc.assert(scenarioWithRelays, { numRuns: 1, seed: 20_261_204, path: "276", endOnFailure: true }));
+
         // A start that was being repeated during the lapse was dropped, and its task stayed placed until the next term.
         it("sends starts that targets left unanswered before a lapse of the leader lease", () =>
             runScenario(0, [
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -47,9 +47,9 @@
     return { sent, client: client as unknown as TargetClient };
 }
 
-function createFixture(relayResponse?: TargetResponse) {
+function createFixture(relayResponse?: TargetResponse, ownResponse?: TargetResponse) {
     const clock = new ManualClock();
-    const own = createSender();
+    const own = createSender(ownResponse);
     const other = createSender(relayResponse);
     const relay = new TargetRequestRelay(other.client, clock);
     const failures: string[] = [];
@@ -92,6 +92,20 @@
         expect(failures).toEqual(["k1:70"]);
     });
 
+    // A start counted as not sent while a relay still held it, so that its task was started twice.
+    it("does not take a request for refused or not sent that a failed relay may still send", async () => {
+        const refusals = [TargetRequestResult.NotSent, TargetRequestResult.InsufficientCapacity];
+        for (const result of refusals) {
+            const { client, state } = createFixture(undefined, { result, clockMs: 5 });
+            state.isDown = true;
+            expect((await client.startTask(target, start)).result).toBe(TargetRequestResult.Unanswered);
+            expect((await client.sendLeaseRenewal(target, renewal)).result).toBe(TargetRequestResult.Unanswered);
+            state.isDown = false;
+            state.clockStepMs = 1_500;
+            expect((await client.startTask(target, start)).result).toBe(result);
+        }
+    });
+
     it("does not let a relay that was suspended send a request that the leader has given up", async () => {
         const { own, other, client, state } = createFixture();
         state.clockStepMs = 1_500;
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -1,7 +1,12 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
+import type Result from "true-myth/result";
+
 import type { Clock } from "../../clock/clock.js";
+import { CallFailureKind } from "../../http-client/call-failure-kind.js";
+import type { CallFailure } from "../../http-client/call-failure.js";
 import type { HttpClient } from "../../http-client/http-client.js";
+import type { HttpResponse } from "../../http-client/http-response.js";
 import { peerPaths } from "../peers/peer-paths.js";
 import type { LeaseRenewalRequest } from "../targets/lease-renewal-request.js";
 import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
@@ -19,6 +24,20 @@
 /** Time for which a target that a relay did not reach is sent its requests directly, milliseconds. */
 const directMs = 5_000;
 
+const successStatus = 200;
+/** Statuses with which a relay says that it has not sent the request. */
+const notSentStatuses: ReadonlySet<number> = new Set([404, 503]);
+/**
+ * Results of the leader's own attempt that hold although a relay may still send the same request. After any other, the
+ * request must not count as refused or as not sent.
+ */
+const conclusiveResults: ReadonlySet<TargetRequestResult> = new Set([
+    TargetRequestResult.Done,
+    TargetRequestResult.AlreadyEnded,
+    TargetRequestResult.Fenced,
+    TargetRequestResult.WrongTarget,
+]);
+
 /**
  * Lets the other keepers send the leader's requests to targets, which takes most of the work of a start off the leader.
  * The leader decides and commits as before; a relay keeps no state. When a relay does not carry out a request, the leader
@@ -117,9 +136,12 @@
             body: Buffer.from(JSON.stringify(body)),
             timeoutMs,
         });
-        if (reply.isErr || reply.value.status !== 200) {
+        if (reply.isErr || reply.value.status !== successStatus) {
             this.relays.noteFailure(relay);
-            return sendBy(this.direct);
+            const response = await sendBy(this.direct);
+            return mayStillBeSent(reply) && !conclusiveResults.has(response.result)
+                ? { ...response, result: TargetRequestResult.Unanswered }
+                : response;
         }
         const response = JSON.parse(reply.value.body.toString()) as Response;
         if (response.result === TargetRequestResult.Unanswered || response.result === TargetRequestResult.NotSent) {
@@ -140,3 +162,7 @@
         return false;
     }
 }
+
+function mayStillBeSent(reply: Result<HttpResponse, CallFailure>): boolean {
+    return reply.isErr ? reply.error.kind === CallFailureKind.Unanswered : !notSentStatuses.has(reply.value.status);
+}
