--- a/packages/daemon/src/job-scheduler/adapter/control-api.ts
+++ b/packages/daemon/src/job-scheduler/adapter/control-api.ts
@@ -15,10 +15,4 @@
         name: Name,
         request: LeaderCalls[Name]["request"],
     ): Promise<Result<LeaderCalls[Name]["reply"], CallFailure>>;
-
-    /**
-     * Finds the address to which targets should send their heartbeats.
-     * @returns IP address and control port of the leader; `undefined` if this process leads or the leader is unknown
-     */
-    abstract findLeaderAddress(): string | undefined;
 }
--- a/packages/daemon/src/job-scheduler/keeper/forwarding-control-api.ts
+++ b/packages/daemon/src/job-scheduler/keeper/forwarding-control-api.ts
@@ -15,13 +15,10 @@
     /**
      * @param handlers - handlers of this process, which reply only while it leads
      * @param leaderClient - client for calls to the leader
-     * @param findLeaderControlAddress - finds the leader's control address; `undefined` if this process leads or it is
-     * unknown
      */
     constructor(
         private readonly handlers: FleetHandlers,
         private readonly leaderClient: LeaderClient,
-        private readonly findLeaderControlAddress: () => string | undefined,
     ) {
         super();
     }
@@ -36,8 +33,4 @@
             ? Result.ok(localReply.value)
             : this.leaderClient.send(name, request, forwardTimeoutMs);
     }
-
-    override findLeaderAddress(): string | undefined {
-        return this.findLeaderControlAddress();
-    }
 }
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -8,7 +8,6 @@
 import { MetricName } from "../metrics/metric-name.js";
 import { Keeper } from "../request-proxy/keeper/keeper.js";
 import { FileKeeperStorage } from "../request-proxy/keeper/storage/file-keeper-storage.js";
-import { parseAddress } from "../settings/parse-address.js";
 import { Role } from "../settings/role.js";
 import type { ChildSpec } from "../supervision/child-spec.js";
 import { ChildStopped } from "../supervision/child-stopped.js";
@@ -218,13 +217,7 @@
             join: request => memberManager.handleJoin(request),
             findLeader: () => memberManager.handleFindLeader(),
         });
-        const controlPort = parseAddress(listen.control).port;
-        const controlApi = new ForwardingControlApi(handlers, this.leaderClient, () => {
-            const address = keeper.readView()?.leaderAddress;
-            return address === undefined || address === listen.peers
-                ? undefined
-                : buildListenerAddress(address, controlPort);
-        });
+        const controlApi = new ForwardingControlApi(handlers, this.leaderClient);
         return [
             { name: "keeper", create: () => keeper },
             {
