Send checks of reachability through relays, and by the leader only when these fail

A check through a relay tells as much when it succeeds; when it fails, the leader's own check decides as before.

--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -126,10 +126,13 @@
         expect(own.sent).toHaveLength(1);
     });
 
-    it("checks from the leader's process whether a target is reachable", async () => {
-        const { own, client } = createFixture();
-        await client.checkReachable(target, renewal);
-        expect(own.sent).toHaveLength(1);
+    it("checks a target itself only when the relay does not reach it", async () => {
+        const reached = createFixture();
+        await reached.client.checkReachable(target, renewal);
+        expect([reached.own.sent.length, reached.other.sent.length]).toEqual([0, 1]);
+        const unreached = createFixture({ result: TargetRequestResult.Unanswered, clockMs: undefined });
+        expect((await unreached.client.checkReachable(target, renewal)).result).toBe(TargetRequestResult.Done);
+        expect([unreached.own.sent.length, unreached.other.sent.length]).toEqual([1, 1]);
     });
 });
 
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -21,9 +21,16 @@
 
 /** Time limit of a request through a relay, milliseconds; above the time limits of its own requests to targets. */
 const relayTimeoutMs = 650;
+/** The same for a check of reachability, milliseconds. */
+const checkTimeoutMs = 400;
 /** Time for which a target that a relay did not reach is sent its requests directly, milliseconds. */
 const directMs = 5_000;
 
+/** Results of a target that did not respond. */
+const failedResults: ReadonlySet<TargetRequestResult> = new Set([
+    TargetRequestResult.Unanswered,
+    TargetRequestResult.NotSent,
+]);
 const successStatus = 200;
 /** Statuses with which a relay says that it has not sent the request. */
 const notSentStatuses: ReadonlySet<number> = new Set([404, 503]);
@@ -103,12 +110,21 @@
         );
     }
 
-    override checkReachable(
+    override async checkReachable(
         target: TargetRecord,
         request: Pick<LeaseRenewalRequest, "fencingToken" | "lastSeen">,
     ): Promise<TargetResponse> {
-        // Only a check of the leader's own tells whether it reaches a target that a relay does not reach.
-        return this.direct.checkReachable(target, request);
+        const response = await this.sendRequest(
+            target,
+            TargetRequestKind.Check,
+            { request },
+            checkTimeoutMs,
+            client => client.checkReachable(target, request),
+        );
+        // A target that the relay does not reach may be reachable from here.
+        return this.isDirect(target.id) && failedResults.has(response.result)
+            ? this.direct.checkReachable(target, request)
+            : response;
     }
 
     override close(): void {
@@ -144,7 +160,7 @@
                 : response;
         }
         const response = JSON.parse(reply.value.body.toString()) as Response;
-        if (response.result === TargetRequestResult.Unanswered || response.result === TargetRequestResult.NotSent) {
+        if (failedResults.has(response.result)) {
             this.directUntil.set(id, this.clock.readMonotonic() + directMs);
         }
         return response;
