Check the progress of a target's tasks at most ten times a second

A target with short tasks answers tens of renewals a second, and each had the progress of all its tasks judged: 5 % of the leader's time.

--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -31,6 +31,8 @@
 const reportTimeoutMs = 3_500;
 /** Delay after a failed request, milliseconds. */
 const retryDelayMs = 120;
+/** Shortest time between two checks of the progress of a target's tasks, milliseconds. */
+const healthCheckIntervalMs = 100;
 /** Margin added to the lease expiry for the time between two readings of a clock, milliseconds. */
 const leaseExpiryMarginMs = 50;
 /** Time after which a target that neither responds nor sends heartbeats is removed, milliseconds. */
@@ -58,6 +60,8 @@
     /** Whether a renewal has succeeded and the ended runs that it listed are committed. */
     private isSynced = false;
     private isClosed = false;
+    /** Monotonic milliseconds. */
+    private nextHealthCheckAt = 0;
     /** Monotonic milliseconds; `undefined` while the target responds. */
     private unreachableSince: number | undefined;
     /** Whether a reachability check is in flight; no task is started on the target meanwhile. */
@@ -308,16 +312,25 @@
         }
         this.isSynced = true;
         await this.syncRuns(response, sentAt);
-        this.healthMonitor.collectStalledTasks(response.running, (task, run) => this.isStopping(task, run)).forEach((
-            { task, run },
-        ) => this.stopTask(task, run));
-        this.healthMonitor.collectTasksToMove(response.running, (task, run) => this.readElapsedMs(task, run)).forEach((
-            { task, run },
-        ) => this.stopTask(task, run));
+        this.checkHealth(response.running);
         this.requests.dropEndedRuns(this.readLoad().runs);
         return true;
     }
 
+    /** A busy target answers many renewals a second, which differ little in the progress of its tasks. */
+    private checkHealth(running: readonly RunningTask[]): void {
+        const now = this.readNow();
+        if (now < this.nextHealthCheckAt) {
+            return;
+        }
+        this.nextHealthCheckAt = now + healthCheckIntervalMs;
+        const tasks = [
+            ...this.healthMonitor.collectStalledTasks(running, (task, run) => this.isStopping(task, run)),
+            ...this.healthMonitor.collectTasksToMove(running, (task, run) => this.readElapsedMs(task, run)),
+        ];
+        tasks.forEach(({ task, run }) => this.stopTask(task, run));
+    }
+
     /** Commits ended runs; the target is told to discard them only once they are committed. */
     private async recordListedEnds({ ended }: LeaseRenewalResponse): Promise<boolean> {
         const { runs } = this.readLoad();
--- a/packages/daemon/src/job-scheduler/logging/decision-log.test.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.test.ts
@@ -4,9 +4,11 @@
 import { DecisionKind } from "./decision-kind.js";
 import { DecisionLog } from "./decision-log.js";
 
+const batching = { cork: () => undefined, uncork: () => undefined };
+
 function createOutput(writableLength = 0) {
     const lines: string[] = [];
-    const stream = { writableLength, write: (line: string) => lines.push(line) };
+    const stream = { ...batching, writableLength, write: (line: string) => lines.push(line) };
     return { lines, stream: stream as unknown as WriteStream };
 }
 
@@ -14,6 +16,7 @@
 function createBlockedOutput() {
     const lines: string[] = [];
     const stream = {
+        ...batching,
         writableLength: 0,
         write: (line: string) => {
             lines.push(line);
--- a/packages/daemon/src/job-scheduler/logging/decision-log.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.ts
@@ -10,6 +10,7 @@
 const maxBufferedBytes = 262_144;
 /** Part of these bytes that is left to kinds whose number of lines does not grow with the load. */
 const reservedBytes = 65_536;
+const batchMs = 10;
 const rateWindowMs = 1_000;
 const standardOutputFd = 1;
 
@@ -33,6 +34,7 @@
     private readonly listeners: DecisionListener[] = [];
     private windowEndsAt = 0;
     private droppedLineCount = 0;
+    private isBatching = false;
 
     /**
      * @param process - name of this process
@@ -117,6 +119,19 @@
             this.dropLine();
             return;
         }
+        this.startBatch();
         this.output.write(`${line}\n`);
     }
+
+    /** Lets the lines of a short time share one write. */
+    private startBatch(): void {
+        if (!this.isBatching) {
+            this.isBatching = true;
+            this.output.cork();
+            setTimeout(() => {
+                this.isBatching = false;
+                this.output.uncork();
+            }, batchMs);
+        }
+    }
 }
