--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -114,6 +114,7 @@
         target: TargetRecord,
         request: Pick<LeaseRenewalRequest, "fencingToken" | "lastSeen">,
     ): Promise<TargetResponse> {
+        const wasDirect = this.isDirect(target.id);
         const response = await this.sendRequest(
             target,
             TargetRequestKind.Check,
@@ -122,9 +123,7 @@
             client => client.checkReachable(target, request),
         );
         // A target that the relay does not reach may be reachable from here.
-        return this.isDirect(target.id) && failedResults.has(response.result)
-            ? this.direct.checkReachable(target, request)
-            : response;
+        return !wasDirect && this.isDirect(target.id) ? this.direct.checkReachable(target, request) : response;
     }
 
     override close(): void {
@@ -155,7 +154,7 @@
         if (reply.isErr || reply.value.status !== successStatus) {
             this.relays.noteFailure(relay);
             const response = await sendBy(this.direct);
-            return mayStillBeSent(reply) && !conclusiveResults.has(response.result)
+            return isPossiblySent(reply) && !conclusiveResults.has(response.result)
                 ? { ...response, result: TargetRequestResult.Unanswered }
                 : response;
         }
@@ -179,6 +178,6 @@
     }
 }
 
-function mayStillBeSent(reply: Result<HttpResponse, CallFailure>): boolean {
+function isPossiblySent(reply: Result<HttpResponse, CallFailure>): boolean {
     return reply.isErr ? reply.error.kind === CallFailureKind.Unanswered : !notSentStatuses.has(reply.value.status);
 }
