--- a/packages/daemon/src/channel/channel-server.ts
+++ b/packages/daemon/src/channel/channel-server.ts
@@ -66,9 +66,9 @@
             return;
         }
         this.inFlightCount += 1;
-        const response = await this.handleRequest(path, body).catch(() => ({
+        const response = await this.handleRequest(path, body).catch((error: unknown) => ({
             status: internalError,
-            body: Buffer.alloc(0),
+            body: Buffer.from(String(error)),
         }));
         if (kind === FrameKind.Request) {
             const { status } = response;
--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -37,6 +37,7 @@
     TaskEnded = "task-ended",
     AdviceAnswered = "advice-answered",
     OrderFailed = "order-failed",
+    RelayFailed = "relay-failed",
     LeaseLost = "lease-lost",
     PaceChanged = "pace-changed",
     WaveStarted = "wave-started",
--- a/packages/daemon/src/job-scheduler/logging/high-volume-kinds.ts
+++ b/packages/daemon/src/job-scheduler/logging/high-volume-kinds.ts
@@ -15,5 +15,6 @@
     DecisionKind.TaskEnded,
     DecisionKind.AdviceAnswered,
     DecisionKind.OrderFailed,
+    DecisionKind.RelayFailed,
     DecisionKind.PaceChanged,
 ]);
--- a/packages/daemon/src/job-scheduler/peers/leader-client.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.ts
@@ -229,7 +229,11 @@
         return reply.andThen(({ status, body }) =>
             status === 200
                 ? Result.ok(JSON.parse(body.toString()) as Reply<Name>)
-                : Result.err({ kind: CallFailureKind.Unanswered, detail: `status ${status}`, isTimeout: false })
+                : Result.err({
+                    kind: CallFailureKind.Unanswered,
+                    detail: `status ${status} ${body.toString()}`.trim(),
+                    isTimeout: false,
+                })
         );
     }
 }
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -5,6 +5,7 @@
 
 import { CallFailureKind } from "../../http-client/call-failure-kind.js";
 import type { HttpCall } from "../../http-client/http-call.js";
+import type { DecisionKind } from "../logging/decision-kind.js";
 import type { TargetClient } from "../targets/target-client.js";
 import { TargetRequestKind } from "../targets/target-request-kind.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
@@ -63,9 +64,11 @@
             return Result.ok(await relay.handleRequest(path.slice("/relay/".length), body ?? Buffer.alloc(0)));
         },
     };
+    const lines: object[] = [];
+    const log = { record: (kind: DecisionKind, fields: object) => lines.push({ kind, ...fields }) };
     const relays = { pickRelay: () => "k1:70", noteFailure: (name: string) => failures.push(name) };
-    const client = new RelayedTargetClient(own.client, peers, relays, clock);
-    return { clock, own, other, client, failures, state };
+    const client = new RelayedTargetClient(own.client, peers, relays, log, clock);
+    return { clock, own, other, client, failures, state, lines };
 }
 
 describe("RelayedTargetClient", () => {
@@ -85,11 +88,12 @@
     });
 
     it("sends a request itself when the relay fails, with the same run number", async () => {
-        const { own, client, failures, state } = createFixture();
+        const { own, client, failures, state, lines } = createFixture();
         state.isDown = true;
         expect(await client.startTask(target, start)).toMatchObject({ result: TargetRequestResult.Done });
         expect(own.sent).toEqual([`start t1 ${JSON.stringify(start)}`]);
         expect(failures).toEqual(["k1:70"]);
+        expect(lines).toMatchObject([{ kind: "relay-failed", relay: "k1:70", target: "t1", uncertain: true }]);
     });
 
     // A start counted as not sent while a relay still held it, so that its task was started twice.
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -7,6 +7,8 @@
 import type { CallFailure } from "../../http-client/call-failure.js";
 import type { HttpClient } from "../../http-client/http-client.js";
 import type { HttpResponse } from "../../http-client/http-response.js";
+import { DecisionKind } from "../logging/decision-kind.js";
+import type { DecisionLog } from "../logging/decision-log.js";
 import { peerPaths } from "../peers/peer-paths.js";
 import type { LeaseRenewalRequest } from "../targets/lease-renewal-request.js";
 import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
@@ -25,6 +27,8 @@
 const checkTimeoutMs = 400;
 /** Time for which a target that a relay did not reach is sent its requests directly, milliseconds. */
 const directMs = 5_000;
+/** Number of such targets from which those whose time is over are dropped. */
+const maxDirectTargets = 1_024;
 
 /** Results of a target that did not respond. */
 const failedResults: ReadonlySet<TargetRequestResult> = new Set([
@@ -58,12 +62,14 @@
      * @param direct - sends requests from this process
      * @param peers - client for the other keepers
      * @param relays - picks the relay of each target
+     * @param log - decision log
      * @param clock - monotonic and wall clock
      */
     constructor(
         private readonly direct: TargetClient,
         private readonly peers: Pick<HttpClient, "send">,
         private readonly relays: Pick<RelayDirectory, "pickRelay" | "noteFailure">,
+        private readonly log: Pick<DecisionLog, "record">,
         private readonly clock: Clock,
     ) {
         super();
@@ -153,18 +159,35 @@
         });
         if (reply.isErr || reply.value.status !== successStatus) {
             this.relays.noteFailure(relay);
+            const isUncertain = isPossiblySent(reply);
+            const detail = reply.isErr ? reply.error.detail : `status ${reply.value.status}`;
+            this.log.record(DecisionKind.RelayFailed, {
+                relay,
+                request: kind,
+                target: id,
+                detail,
+                uncertain: isUncertain,
+            });
             const response = await sendBy(this.direct);
-            return isPossiblySent(reply) && !conclusiveResults.has(response.result)
+            return isUncertain && !conclusiveResults.has(response.result)
                 ? { ...response, result: TargetRequestResult.Unanswered }
                 : response;
         }
         const response = JSON.parse(reply.value.body.toString()) as Response;
         if (failedResults.has(response.result)) {
-            this.directUntil.set(id, this.clock.readMonotonic() + directMs);
+            this.noteUnreached(id);
         }
         return response;
     }
 
+    private noteUnreached(target: string): void {
+        const now = this.clock.readMonotonic();
+        if (this.directUntil.size >= maxDirectTargets) {
+            [...this.directUntil].filter(([, until]) => until <= now).forEach(([id]) => this.directUntil.delete(id));
+        }
+        this.directUntil.set(target, now + directMs);
+    }
+
     private isDirect(target: string): boolean {
         const until = this.directUntil.get(target);
         if (until === undefined) {
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -203,7 +203,7 @@
         const leader = new LeaderComponents({
             settings,
             leadership,
-            client: new RelayedTargetClient(targetClient, this.peerClient, relays, clock),
+            client: new RelayedTargetClient(targetClient, this.peerClient, relays, log, clock),
             vms: this.adapter.createVmService(settings),
             advice: this.adapter.createAdviceService(settings),
             clock,
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -104,7 +104,7 @@
         };
         const sessions: TargetSessions = new TargetSessions({
             leadership,
-            client: isRelayed ? new RelayedTargetClient(client, this.relays, directory, this.clock) : client,
+            client: isRelayed ? new RelayedTargetClient(client, this.relays, directory, log, this.clock) : client,
             reports: this.reports,
             clock: this.clock,
             log,
