--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -25,8 +25,12 @@
 const relayTimeoutMs = 650;
 /** The same for a check of reachability, milliseconds. */
 const checkTimeoutMs = 400;
-/** Time for which a target that a relay did not reach is sent its requests directly, milliseconds. */
-const directMs = 5_000;
+/**
+ * Time for which a target that a relay did not reach is sent its requests directly, milliseconds. It doubles with each
+ * further time in a row, because a target may leave single requests unanswered while a relay reaches it well.
+ */
+const minDirectMs = 300;
+const maxDirectMs = 10_000;
 /** Number of such targets from which those whose time is over are dropped. */
 const maxDirectTargets = 1_024;
 
@@ -49,6 +53,13 @@
     TargetRequestResult.WrongTarget,
 ]);
 
+/** A target that its relay did not reach the last time. */
+interface UnreachedTarget {
+    readonly directMs: number;
+    /** Until when its requests are sent directly, monotonic milliseconds. */
+    readonly until: number;
+}
+
 /**
  * Lets the other keepers send the leader's requests to targets, which takes most of the work of a start off the leader.
  * The leader decides and commits as before; a relay keeps no state. When a relay does not carry out a request, the leader
@@ -56,7 +67,7 @@
  * the network delays.
  */
 export class RelayedTargetClient extends TargetClient {
-    private readonly directUntil = new Map<string, number>();
+    private readonly unreachedTargets = new Map<string, UnreachedTarget>();
 
     /**
      * @param direct - sends requests from this process
@@ -177,27 +188,25 @@
         if (failedResults.has(response.result)) {
             this.noteUnreached(id);
         }
+        else {
+            this.unreachedTargets.delete(id);
+        }
         return response;
     }
 
     private noteUnreached(target: string): void {
         const now = this.clock.readMonotonic();
-        if (this.directUntil.size >= maxDirectTargets) {
-            [...this.directUntil].filter(([, until]) => until <= now).forEach(([id]) => this.directUntil.delete(id));
+        if (this.unreachedTargets.size >= maxDirectTargets) {
+            [...this.unreachedTargets].filter(([, { until }]) => until <= now)
+                .forEach(([id]) => this.unreachedTargets.delete(id));
         }
-        this.directUntil.set(target, now + directMs);
+        const lastMs = this.unreachedTargets.get(target)?.directMs ?? minDirectMs / 2;
+        const directMs = Math.min(maxDirectMs, 2 * lastMs);
+        this.unreachedTargets.set(target, { directMs, until: now + directMs });
     }
 
     private isDirect(target: string): boolean {
-        const until = this.directUntil.get(target);
-        if (until === undefined) {
-            return false;
-        }
-        if (until > this.clock.readMonotonic()) {
-            return true;
-        }
-        this.directUntil.delete(target);
-        return false;
+        return (this.unreachedTargets.get(target)?.until ?? 0) > this.clock.readMonotonic();
     }
 }
 
