Do not discard the ends of a target that restarted under its id

After a restart that was not reported yet, renewals of the earlier session carried the number of its newest committed end, and the new incarnation discarded its own ends up to that number: tasks that were done were started again. Once a renewal shows another incarnation, no end counts as committed. The test failed before (four ends discarded that were not recorded).

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -283,5 +283,18 @@
                 { kind: "submit", count: 12, stepCount: 1, durationMs: 900, cpu: 1_000 },
                 { kind: "wait", ms: 2_000 },
             ]));
+
+        // The session of the earlier incarnation told the new one to discard ends by its own numbers.
+        it("does not discard the ends of a target whose restart was not reported yet", () =>
+            runScenario(0, [
+                { kind: "wait", ms: 700 },
+                { kind: "submit", count: 12, stepCount: 1, durationMs: 100, cpu: 1_000 },
+                { kind: "wait", ms: 1_500 },
+                { kind: "delay-heartbeats", target: 0, ms: 1_500 },
+                { kind: "restart", target: 0, downMs: 20 },
+                { kind: "wait", ms: 50 },
+                { kind: "submit", count: 12, stepCount: 1, durationMs: 150, cpu: 1_000 },
+                { kind: "wait", ms: 3_000 },
+            ]));
     });
 });
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -299,7 +299,9 @@
     /** Returns false when what the target reports could not be committed. */
     private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<boolean> {
         if (response.incarnation !== undefined && response.incarnation !== this.record.incarnation) {
-            // Which recorded runs the new incarnation runs is told by its session, which its heartbeat begins.
+            // Which recorded runs the new incarnation runs is told by its session, which its heartbeat begins. Its ends
+            // have numbers of their own, none of which is committed.
+            this.lastCommittedEnd = 0;
             this.noteUnreachable(TargetRequestResult.WrongTarget);
             await this.handleUnreachable();
             return false;
