--- a/packages/daemon/src/channel/channel-connection.ts
+++ b/packages/daemon/src/channel/channel-connection.ts
@@ -98,7 +98,7 @@
     }
 
     /**
-     * Receives bytes that arrived before the connection became a channel.
+     * Handles received bytes. Called from outside only with those that arrived together with the upgrade.
      * @param chunk - the bytes
      */
     receiveChunk(chunk: Buffer): void {
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -1,5 +1,4 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
-
 import type Result from "true-myth/result";
 
 import type { Clock } from "../../clock/clock.js";
