Wait for leases that the session of an earlier incarnation granted

It counted none, so that the runs of a target cut off at that moment were released at once, while they might run. Their end was meant for another clock, so the longest lease from the opening of the session bounds them. The test failed before.

--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -82,8 +82,8 @@
         durations,
         recordStart,
         cancelJob: () => applyCommand(state, { kind: CommandKind.CancelJob, id: "a", atMs: 0 }),
-        openSession: (fencingToken = 3) => {
-            const session = new TargetSession(record, fencingToken, dependencies);
+        openSession: (fencingToken = 3, isRestarted = false) => {
+            const session = new TargetSession(record, fencingToken, dependencies, isRestarted);
             sessions.push(session);
             return session;
         },
@@ -139,6 +139,20 @@
     });
 
     describe("ends", () => {
+        it("waits for a lease that the session of an earlier incarnation may have granted to the new one", async () => {
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.client.isResponding = false;
+            await fixture.clock.runFor(10_000);
+            fixture.stopReports();
+            const session = fixture.openSession(3, true);
+            await fixture.clock.runFor(maxLeaseMs);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            await fixture.clock.runFor(3_000);
+            expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+            session.close();
+        });
+
         it("does not release a task as expired while its start is in flight to a target that was idle", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -428,14 +428,12 @@
 
     private async handleUnreachable(): Promise<void> {
         const now = this.readNow();
-        const { leadership, log, isTargetGone } = this.dependencies;
+        const { log, isTargetGone } = this.dependencies;
         if (this.unreachableSince !== undefined && isTargetGone(this.record, this.unreachableSince)) {
             await this.removeTarget("the VM service reports it as ended");
             return;
         }
-        // An earlier leader may have renewed the lease until this leadership began.
-        const earlierLeaseExpiry = leadership.readStartedAt() + this.readLeaseMs() / minClockRate;
-        const leaseExpiry = Math.max(earlierLeaseExpiry, this.targetClock.computeLeaseExpiry() ?? 0);
+        const leaseExpiry = Math.max(this.computeEarlierLeaseExpiry(), this.targetClock.computeLeaseExpiry() ?? 0);
         const { runs } = this.readLoad();
         if (now > leaseExpiry + leaseExpiryMarginMs && runs.size > 0) {
             log.record(DecisionKind.LeaseLost, {
@@ -459,6 +457,19 @@
         }
     }
 
+    /**
+     * Computes when leases that this session has not granted have expired for certain, monotonic milliseconds. An earlier
+     * leader may have renewed the lease until this leadership began. The session of an earlier incarnation may have
+     * granted one until this session was opened; its end was meant for another clock, so only the longest lease bounds it.
+     */
+    private computeEarlierLeaseExpiry(): number {
+        const { leadership, maxLeaseMs } = this.dependencies;
+        const leaderLeaseExpiry = leadership.readStartedAt() + this.readLeaseMs() / minClockRate;
+        return this.inheritedRuns.size > 0
+            ? Math.max(leaderLeaseExpiry, this.openedAt + maxLeaseMs / minClockRate)
+            : leaderLeaseExpiry;
+    }
+
     private async removeTarget(reason: string): Promise<void> {
         const { leadership, log, startScheduling } = this.dependencies;
         const { id, incarnation, vm } = this.record;
