--- a/packages/daemon/src/channel/channel-client.test.ts
+++ b/packages/daemon/src/channel/channel-client.test.ts
@@ -35,6 +35,20 @@
     return { address: await startListening(server), connections, channels };
 }
 
+/** Starts a server that accepts channels and then never sends anything. */
+async function startSilentServer() {
+    const sockets: Socket[] = [];
+    const address = await startListening(createTcpServer(socket => {
+        sockets.push(socket);
+        socket.once("data", () =>
+            socket.write(
+                `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`,
+            ));
+        socket.on("error", () => undefined);
+    }));
+    return { address, sockets };
+}
+
 function createClient(sendByHttp: (call: HttpCall) => Promise<HttpResponse> = () => Promise.reject(new TypeError())) {
     const http = { send: async (call: HttpCall) => Result.ok(await sendByHttp(call)) as never, close: () => undefined };
     const client = new ChannelClient(http, new SystemClock());
@@ -103,16 +117,7 @@
     });
 
     it("replaces a connection that has gone silent, well before its requests time out", async () => {
-        const sockets: Socket[] = [];
-        const silent = createTcpServer(socket => {
-            sockets.push(socket);
-            socket.once("data", () =>
-                socket.write(
-                    `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`,
-                ));
-            socket.on("error", () => undefined);
-        });
-        const address = await startListening(silent);
+        const { address, sockets } = await startSilentServer();
         const { send } = createClient();
         const startedAt = performance.now();
         const result = await send(address, "/a", 10_000);
@@ -134,20 +139,12 @@
         expect((await client.send({ ...notice, isOneWay: true })).isOk).toBe(true);
         await new Promise(resolve => setTimeout(resolve, 50));
         expect(received).toEqual(["/n"]);
-        const sockets: Socket[] = [];
-        const silent = await startListening(createTcpServer(socket => {
-            sockets.push(socket);
-            socket.once("data", () =>
-                socket.write(
-                    `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`,
-                ));
-            socket.on("error", () => undefined);
-        }));
+        const silent = await startSilentServer();
         for (let message = 0; message < 15; message++) {
-            await client.send({ ...notice, address: silent, isOneWay: true });
+            await client.send({ ...notice, address: silent.address, isOneWay: true });
             await new Promise(resolve => setTimeout(resolve, 75));
         }
-        expect(sockets.length).toBeGreaterThan(1);
+        expect(silent.sockets.length).toBeGreaterThan(1);
     });
 
     it("calls a peer that offers no channel by HTTP", async () => {
