--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -79,7 +79,7 @@
         sessions.update(fleet.targets, leadership.readFencingToken());
         this.stopEndedJobs(fleet);
         yield* this.startTasks(fleet);
-        this.writePoolLoads(fleet);
+        this.writeLoadLines(fleet);
         yield* this.dropEndedJobs();
         return intervalMs;
     }
@@ -175,7 +175,7 @@
     }
 
     /** Logs one line per second about this process and one per pool, which later tells why a job started late or ran slowly. */
-    private writePoolLoads(fleet: FleetState): void {
+    private writeLoadLines(fleet: FleetState): void {
         const { clock, estimator, log, load } = this.dependencies;
         const now = clock.readMonotonic();
         if (now < this.nextLoadLogAt) {
@@ -184,13 +184,13 @@
         this.nextLoadLogAt = now + loadLogIntervalMs;
         log.record(DecisionKind.LeaderLoad, { ...load.takeInterval() });
         const candidates = collectCandidates(fleet, clock.readWall(), estimator);
-        for (const load of collectPoolLoads(fleet, candidates)) {
+        for (const poolLoad of collectPoolLoads(fleet, candidates)) {
             const { excluded, ...summary } = computePoolTargetSummary(
                 fleet,
-                load.pool,
+                poolLoad.pool,
                 target => this.readTargetStatus(target),
             );
-            log.record(DecisionKind.PoolLoad, { ...load, ...summary, ...excluded });
+            log.record(DecisionKind.PoolLoad, { ...poolLoad, ...summary, ...excluded });
         }
     }
 
