Map kinds of target requests to the client's methods in one place

The mapping stood three times: in the client that counts requests, in the relay, and as a callback at each method of the relayed client. TargetRequestSender has it once, and counts. No change of behaviour or of what is sent; tests construct the sender and keep their assertions.

--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -9,6 +9,7 @@
 import type { TargetClient } from "../targets/target-client.js";
 import { TargetRequestKind } from "../targets/target-request-kind.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
+import { TargetRequestSender } from "../targets/target-request-sender.js";
 import type { TargetResponse } from "../targets/target-response.js";
 import { ManualClock } from "../testing/manual-clock.js";
 import { RelayedTargetClient } from "./relayed-target-client.js";
@@ -48,11 +49,15 @@
     return { sent, client: client as unknown as TargetClient };
 }
 
+function createRequestSender(client: TargetClient): TargetRequestSender {
+    return new TargetRequestSender(client, () => undefined);
+}
+
 function createFixture(relayResponse?: TargetResponse, ownResponse?: TargetResponse) {
     const clock = new ManualClock();
     const own = createSender(ownResponse);
     const other = createSender(relayResponse);
-    const relay = new TargetRequestRelay(other.client, clock);
+    const relay = new TargetRequestRelay(createRequestSender(other.client), clock);
     const failures: string[] = [];
     const state = { isDown: false, clockStepMs: 0 };
     const peers = {
@@ -67,7 +72,7 @@
     const lines: object[] = [];
     const log = { record: (kind: DecisionKind, fields: object) => lines.push({ kind, ...fields }) };
     const relays = { pickRelay: () => "k1:70", noteFailure: (name: string) => failures.push(name) };
-    const client = new RelayedTargetClient(own.client, peers, relays, log, clock);
+    const client = new RelayedTargetClient(createRequestSender(own.client), peers, relays, log, clock);
     return { clock, own, other, client, failures, state, lines };
 }
 
@@ -158,7 +163,7 @@
 
 describe("TargetRequestRelay", () => {
     it("refuses kinds of requests that it does not know", async () => {
-        const relay = new TargetRequestRelay(createSender().client, new ManualClock());
+        const relay = new TargetRequestRelay(createRequestSender(createSender().client), new ManualClock());
         expect((await relay.handleRequest("format", Buffer.from("{}"))).status).toBe(404);
         expect((await relay.handleRequest("constructor", Buffer.from("{}"))).status).toBe(404);
         expect(Object.values(TargetRequestKind)).not.toContain("format");
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -14,8 +14,10 @@
 import type { RunRequest } from "../targets/run-request.js";
 import type { StartTaskRequest } from "../targets/start-task-request.js";
 import { TargetClient } from "../targets/target-client.js";
+import type { TargetRequestContent } from "../targets/target-request-content.js";
 import { TargetRequestKind } from "../targets/target-request-kind.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
+import type { TargetRequestSender } from "../targets/target-request-sender.js";
 import type { TargetResponse } from "../targets/target-response.js";
 import type { RelayDirectory } from "./relay-directory.js";
 import type { RelayedRequest } from "./relayed-request.js";
@@ -76,7 +78,7 @@
      * @param clock - monotonic and wall clock
      */
     constructor(
-        private readonly direct: TargetClient,
+        private readonly direct: Pick<TargetRequestSender, "send" | "close">,
         private readonly peers: Pick<HttpClient, "send">,
         private readonly relays: Pick<RelayDirectory, "pickRelay" | "noteFailure">,
         private readonly log: Pick<DecisionLog, "record">,
@@ -86,44 +88,20 @@
     }
 
     override startTask(target: TargetRecord, request: StartTaskRequest): Promise<TargetResponse> {
-        return this.sendRequest(
-            target,
-            TargetRequestKind.Start,
-            { request },
-            relayTimeoutMs,
-            client => client.startTask(target, request),
-        );
+        return this.sendRequest(TargetRequestKind.Start, target, { request }, relayTimeoutMs);
     }
 
     override stopTask(target: TargetRecord, request: RunRequest): Promise<TargetResponse> {
-        return this.sendRequest(
-            target,
-            TargetRequestKind.Stop,
-            { request },
-            relayTimeoutMs,
-            client => client.stopTask(target, request),
-        );
+        return this.sendRequest(TargetRequestKind.Stop, target, { request }, relayTimeoutMs);
     }
 
     override setPace(target: TargetRecord, request: RunRequest, percent: number): Promise<TargetResponse> {
-        return this.sendRequest(
-            target,
-            TargetRequestKind.Pace,
-            { request, percent },
-            relayTimeoutMs,
-            client => client.setPace(target, request, percent),
-        );
+        return this.sendRequest(TargetRequestKind.Pace, target, { request, percent }, relayTimeoutMs);
     }
 
-    override sendLeaseRenewal(target: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
+    override async sendLeaseRenewal(target: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
         const timeoutMs = request.waitMs + relayTimeoutMs;
-        return this.sendRequest(
-            target,
-            TargetRequestKind.Renew,
-            { request },
-            timeoutMs,
-            client => client.sendLeaseRenewal(target, request),
-        );
+        return await this.sendRequest(TargetRequestKind.Renew, target, { request }, timeoutMs) as LeaseRenewalResponse;
     }
 
     override async checkReachable(
@@ -131,31 +109,26 @@
         request: Pick<LeaseRenewalRequest, "fencingToken" | "lastSeen">,
     ): Promise<TargetResponse> {
         const wasDirect = this.isDirect(target.id);
-        const response = await this.sendRequest(
-            target,
-            TargetRequestKind.Check,
-            { request },
-            checkTimeoutMs,
-            client => client.checkReachable(target, request),
-        );
+        const response = await this.sendRequest(TargetRequestKind.Check, target, { request }, checkTimeoutMs);
         // A target that the relay does not reach may be reachable from here.
-        return !wasDirect && this.isDirect(target.id) ? this.direct.checkReachable(target, request) : response;
+        return !wasDirect && this.isDirect(target.id)
+            ? this.direct.send(TargetRequestKind.Check, target, { request })
+            : response;
     }
 
     override close(): void {
         this.direct.close();
     }
 
-    private async sendRequest<Response extends TargetResponse>(
-        target: TargetRecord,
+    private async sendRequest(
         kind: TargetRequestKind,
-        content: Pick<RelayedRequest, "request" | "percent">,
+        target: TargetRecord,
+        content: TargetRequestContent,
         timeoutMs: number,
-        sendBy: (client: TargetClient) => Promise<Response>,
-    ): Promise<Response> {
+    ): Promise<TargetResponse> {
         const relay = this.isDirect(target.id) ? undefined : this.relays.pickRelay(target.id);
         if (relay === undefined) {
-            return sendBy(this.direct);
+            return this.direct.send(kind, target, content);
         }
         const { id, address } = target;
         const body: RelayedRequest = { target: { id, address }, sentAtMs: this.clock.readWall(), ...content };
@@ -178,12 +151,12 @@
                 detail,
                 uncertain: isUncertain,
             });
-            const response = await sendBy(this.direct);
+            const response = await this.direct.send(kind, target, content);
             return isUncertain && !conclusiveResults.has(response.result)
                 ? { ...response, result: TargetRequestResult.Unanswered }
                 : response;
         }
-        const response = JSON.parse(reply.value.body.toString()) as Response;
+        const response = JSON.parse(reply.value.body.toString()) as TargetResponse;
         if (failedResults.has(response.result)) {
             this.noteUnreached(id);
         }
--- a/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
+++ b/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
@@ -2,12 +2,8 @@
 
 import type { Clock } from "../../clock/clock.js";
 import type { HttpResponse } from "../../http-client/http-response.js";
-import type { LeaseRenewalRequest } from "../targets/lease-renewal-request.js";
-import type { RunRequest } from "../targets/run-request.js";
-import type { StartTaskRequest } from "../targets/start-task-request.js";
-import type { TargetClient } from "../targets/target-client.js";
 import { TargetRequestKind } from "../targets/target-request-kind.js";
-import type { TargetResponse } from "../targets/target-response.js";
+import type { TargetRequestSender } from "../targets/target-request-sender.js";
 import type { RelayedRequest } from "./relayed-request.js";
 
 /**
@@ -15,28 +11,17 @@
  * suspended, or the clocks differ, and in both cases the leader sends it itself.
  */
 const maxAgeMs = 1_000;
+const unknownKind: HttpResponse = { status: 404, body: Buffer.alloc(0) };
 const expired: HttpResponse = { status: 503, body: Buffer.alloc(0) };
+const kinds: readonly string[] = Object.values(TargetRequestKind);
 
 /** Sends requests to targets for the leader and returns their responses. */
 export class TargetRequestRelay {
-    private readonly senders: Readonly<
-        Record<TargetRequestKind, (target: TargetRecord, call: RelayedRequest) => Promise<TargetResponse>>
-    > = {
-        [TargetRequestKind.Start]: (target, { request }) => this.client.startTask(target, request as StartTaskRequest),
-        [TargetRequestKind.Stop]: (target, { request }) => this.client.stopTask(target, request as RunRequest),
-        [TargetRequestKind.Pace]: (target, { request, percent }) =>
-            this.client.setPace(target, request as RunRequest, percent ?? 0),
-        [TargetRequestKind.Renew]: (target, { request }) =>
-            this.client.sendLeaseRenewal(target, request as LeaseRenewalRequest),
-        [TargetRequestKind.Check]: (target, { request }) =>
-            this.client.checkReachable(target, request as LeaseRenewalRequest),
-    };
-
     /**
-     * @param client - sends the requests
+     * @param sender - sends the requests
      * @param clock - wall clock
      */
-    constructor(private readonly client: TargetClient, private readonly clock: Clock) {}
+    constructor(private readonly sender: Pick<TargetRequestSender, "send">, private readonly clock: Clock) {}
 
     /**
      * Sends one request.
@@ -45,15 +30,14 @@
      * @returns the response of the target; status 404 for an unknown kind, 503 when the request is too old to be sent
      */
     async handleRequest(kind: string, body: Buffer): Promise<HttpResponse> {
-        const send = Object.hasOwn(this.senders, kind) ? this.senders[kind as TargetRequestKind] : undefined;
-        if (send === undefined) {
-            return { status: 404, body: Buffer.alloc(0) };
+        if (!kinds.includes(kind)) {
+            return unknownKind;
         }
         const call = JSON.parse(body.toString()) as RelayedRequest;
         if (Math.abs(this.clock.readWall() - call.sentAtMs) > maxAgeMs) {
             return expired;
         }
-        const response = await send(call.target as TargetRecord, call);
+        const response = await this.sender.send(kind as TargetRequestKind, call.target as TargetRecord, call);
         return { status: 200, body: Buffer.from(JSON.stringify(response)) };
     }
 }
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -34,7 +34,7 @@
 import { TargetRequestRelay } from "./relay/target-request-relay.js";
 import type { FleetSettings } from "./settings/fleet-settings.js";
 import { SettingsWatcher } from "./settings/settings-watcher.js";
-import { CountedTargetClient } from "./targets/counted-target-client.js";
+import { TargetRequestSender } from "./targets/target-request-sender.js";
 
 /** A failed component ends the process; after the restart, all state that it acknowledged is loaded from disk. */
 const restartPolicy = { maxRestarts: 0, periodMs: 1, delayMs: 0 };
@@ -196,14 +196,14 @@
             handleApplied: () => leader.startScheduling(),
         });
         this.keeper = keeper;
-        const targetClient = new CountedTargetClient(this.adapter.createTargetClient(), noteSent);
+        const targetSender = new TargetRequestSender(this.adapter.createTargetClient(), noteSent);
         const relays = new RelayDirectory(() => keeper.readView(), clock);
         const voterCount = 2 * cluster.tolerated_losses + 1;
         const leadership = new Leadership(keeper, Math.min(this.seeds.length, cluster.tolerated_losses + 1));
         const leader = new LeaderComponents({
             settings,
             leadership,
-            client: new RelayedTargetClient(targetClient, this.peerClient, relays, log, clock),
+            client: new RelayedTargetClient(targetSender, this.peerClient, relays, log, clock),
             vms: this.adapter.createVmService(settings),
             advice: this.adapter.createAdviceService(settings),
             clock,
@@ -227,7 +227,7 @@
                         listen.peers,
                         (messages, from) => keeper.receive(messages, from),
                         handlers,
-                        new TargetRequestRelay(targetClient, clock),
+                        new TargetRequestRelay(targetSender, clock),
                         noteReceived,
                     ),
             },
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -20,6 +20,7 @@
 import { TaskDurationEstimator } from "../leader/task-duration-estimator.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { RelayedTargetClient } from "../relay/relayed-target-client.js";
+import { TargetRequestSender } from "../targets/target-request-sender.js";
 import { HeldClock } from "./held-clock.js";
 import { ManualClock } from "./manual-clock.js";
 import { RequestFate } from "./request-fate.js";
@@ -97,14 +98,15 @@
             random,
         );
         client.pickFate = id => this.pickFate(id);
-        this.relays = new SimulatedRelays(client, this.clock, random);
+        const sender = new TargetRequestSender(client, () => undefined);
+        this.relays = new SimulatedRelays(sender, this.clock, random);
         const directory = {
             pickRelay: (target: string) => this.relays.names[target.charCodeAt(1) % this.relays.names.length],
             noteFailure: () => undefined,
         };
         const sessions: TargetSessions = new TargetSessions({
             leadership,
-            client: isRelayed ? new RelayedTargetClient(client, this.relays, directory, log, this.clock) : client,
+            client: isRelayed ? new RelayedTargetClient(sender, this.relays, directory, log, this.clock) : client,
             reports: this.reports,
             clock: this.clock,
             log,
--- a/packages/daemon/src/job-scheduler/testing/simulated-relays.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-relays.ts
@@ -7,7 +7,7 @@
 import type { HttpResponse } from "../../http-client/http-response.js";
 import { peerPaths } from "../peers/peer-paths.js";
 import { TargetRequestRelay } from "../relay/target-request-relay.js";
-import type { TargetClient } from "../targets/target-client.js";
+import type { TargetRequestSender } from "../targets/target-request-sender.js";
 import { RequestFate } from "./request-fate.js";
 
 /** Bounds of the delay of a message between keepers, milliseconds. */
@@ -25,12 +25,12 @@
     private readonly relay: TargetRequestRelay;
 
     /**
-     * @param client - sends the requests of the relays to targets
+     * @param sender - sends the requests of the relays to targets
      * @param clock - clock of the simulation
      * @param random - returns numbers from 0 to below 1
      */
-    constructor(client: TargetClient, private readonly clock: Clock, private readonly random: () => number) {
-        this.relay = new TargetRequestRelay(client, clock);
+    constructor(sender: TargetRequestSender, private readonly clock: Clock, private readonly random: () => number) {
+        this.relay = new TargetRequestRelay(sender, clock);
     }
 
     /**
