Parse step keys in one place, and collect late steps only when tasks start

The key of a task's step was cut out of the task's key in three places. The steps that are late were collected in each scheduling round, also in the rounds that start nothing, which are most. No change of behaviour.

--- a/packages/core/src/fleet/count-step-task.ts
+++ b/packages/core/src/fleet/count-step-task.ts
@@ -1,4 +1,5 @@
 import type { JobStep } from "../jobs/job-step.js";
+import { parseStepKey } from "../placement/parse-step-key.js";
 import { addResources } from "../resources/add-resources.js";
 import { computeReservedResources } from "./compute-reserved-resources.js";
 import type { TargetLoad } from "./target-load.js";
@@ -19,7 +20,7 @@
         load.servingCount += change;
         load.servingCpu += change * step.needs.cpu;
     }
-    const stepKey = taskKey.slice(0, taskKey.lastIndexOf("."));
+    const stepKey = parseStepKey(taskKey);
     const count = (load.stepCounts.get(stepKey) ?? 0) + change;
     if (count > 0) {
         load.stepCounts.set(stepKey, count);
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -2,6 +2,7 @@
 import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
 import { isJobFinished } from "@daisylock/core/jobs/is-job-finished.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
+import { parseStepKey } from "@daisylock/core/placement/parse-step-key.js";
 
 import type { Clock } from "../../clock/clock.js";
 import type { Metrics } from "../../metrics/metrics.js";
@@ -214,8 +215,3 @@
         }
     }
 }
-
-/** Returns the encoded key of a task's step, with which the encoded key of the task begins. */
-function parseStepKey(task: string): string {
-    return task.slice(0, task.lastIndexOf("."));
-}
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -6,10 +6,12 @@
 import type { TaskStart } from "@daisylock/core/jobs/task-start.js";
 import { buildPlacementTargets } from "@daisylock/core/placement/build-placement-targets.js";
 import { encodeStepKey } from "@daisylock/core/placement/encode-step-key.js";
+import { parseStepKey } from "@daisylock/core/placement/parse-step-key.js";
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
 import { computePoolTargetSummary } from "@daisylock/core/queueing/compute-pool-target-summary.js";
+import type { StepCandidate } from "@daisylock/core/queueing/step-candidate.js";
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
@@ -119,13 +121,15 @@
     private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
         const { leadership, sessions, log, clock, load, metrics } = this.dependencies;
         const startedAt = clock.readMonotonic();
-        const { starts, lateSteps } = this.planRound(fleet);
+        const candidates = collectCandidates(fleet, clock.readWall(), this.dependencies.estimator);
+        const starts = candidates.length === 0 ? [] : this.planRound(fleet, candidates);
         const durationMs = clock.readMonotonic() - startedAt;
         load.noteRound(durationMs);
         metrics.recordTime(MetricName.RoundTime, durationMs);
         if (starts.length === 0) {
             return;
         }
+        const lateSteps = collectLateSteps(candidates);
         const recorded = yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordStarts, starts }));
         for (const { task, run, target } of recorded ?? []) {
             log.record(DecisionKind.TaskPlaced, {
@@ -133,19 +137,14 @@
                 run,
                 target,
                 waitMs: this.computeStartWaitMs(fleet, task, run),
-                late: lateSteps.has(task.slice(0, task.lastIndexOf("."))),
+                late: lateSteps.has(parseStepKey(task)),
             });
             sessions.find(target)?.startTask(task, run);
         }
     }
 
-    /** Plans the starts of a round; also returns the steps whose jobs cannot be on time any more. */
-    private planRound(fleet: FleetState): { starts: readonly TaskStart[]; lateSteps: ReadonlySet<string> } {
-        const { sessions, estimator, tickets, isCordoned, clock } = this.dependencies;
-        const candidates = collectCandidates(fleet, clock.readWall(), estimator);
-        if (candidates.length === 0) {
-            return { starts: [], lateSteps: new Set() };
-        }
+    private planRound(fleet: FleetState, candidates: readonly StepCandidate[]): readonly TaskStart[] {
+        const { sessions, tickets, isCordoned } = this.dependencies;
         const neededPools = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
         const pools = buildPlacementTargets(
             fleet,
@@ -153,14 +152,9 @@
             pool => neededPools.has(pool),
         );
         tickets.updateTickets(candidates, pools);
-        const starts = planStarts(fleet, candidates, pools, {
+        return planStarts(fleet, candidates, pools, {
             isAdvised: (step, target) => tickets.findTicket(step, target) !== undefined,
         });
-        const lateSteps = new Set(
-            candidates.filter(({ slackMs, definition }) => slackMs < 0 && !definition.isLongRunning)
-                .map(({ job, occurrence, step }) => encodeStepKey(job.id, occurrence, step)),
-        );
-        return { starts, lateSteps };
     }
 
     /**
@@ -220,3 +214,11 @@
         }
     }
 }
+
+/** Collects the keys of the steps whose jobs cannot be on time any more. */
+function collectLateSteps(candidates: readonly StepCandidate[]): ReadonlySet<string> {
+    return new Set(
+        candidates.filter(({ slackMs, definition }) => slackMs < 0 && !definition.isLongRunning)
+            .map(({ job, occurrence, step }) => encodeStepKey(job.id, occurrence, step)),
+    );
+}
