--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -80,7 +80,6 @@
         ["urgency"],
     );
     private readonly leading = this.createGauge(FleetMetricName.Leading, "1 while this process leads", []);
-    private readProcessMetrics: () => void = () => undefined;
     private readonly term = this.createGauge(FleetMetricName.Term, "Term of the replicated log", []);
 
     constructor() {
@@ -170,7 +169,6 @@
      * @returns the metrics in the Prometheus text exposition format
      */
     describeAll(): Promise<string> {
-        this.readProcessMetrics();
         return this.registry.metrics();
     }
 
@@ -191,16 +189,27 @@
 
     /** Adds metrics of the process itself, which are read when they are asked for. */
     private addProcessMetrics(): void {
-        const cpu = this.createCounter(FleetMetricName.CpuTime, "Processor time of the process", []);
-        const busy = this.createGauge(FleetMetricName.LoopBusy, "Share of time in which the event loop was busy", []);
+        const registers = [this.registry];
+        new Counter({
+            name: FleetMetricName.CpuTime,
+            help: "Processor time of the process",
+            registers,
+            collect() {
+                const { user, system } = process.cpuUsage();
+                this.reset();
+                this.inc((user + system) / microsecondsPerSecond);
+            },
+        });
         let utilization = performance.eventLoopUtilization();
-        this.readProcessMetrics = () => {
-            const { user, system } = process.cpuUsage();
-            cpu.reset();
-            cpu.inc((user + system) / microsecondsPerSecond);
-            busy.set(performance.eventLoopUtilization(utilization).utilization);
-            utilization = performance.eventLoopUtilization();
-        };
+        new Gauge({
+            name: FleetMetricName.LoopBusy,
+            help: "Share of time in which the event loop was busy",
+            registers,
+            collect() {
+                this.set(performance.eventLoopUtilization(utilization).utilization);
+                utilization = performance.eventLoopUtilization();
+            },
+        });
     }
 
     private createLogCounters(): ReadonlyMap<MetricName, Counter> {
