--- a/packages/daemon/src/job-scheduler/testing/simulated-relays.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-relays.ts
@@ -8,6 +8,7 @@
 import { peerPaths } from "../peers/peer-paths.js";
 import { TargetRequestRelay } from "../relay/target-request-relay.js";
 import type { TargetRequestSender } from "../targets/target-request-sender.js";
+import { RandomDelays } from "./random-delays.js";
 import { RequestFate } from "./request-fate.js";
 
 /** Bounds of the delay of a message between keepers, milliseconds. */
@@ -23,14 +24,16 @@
     readonly names = ["k1", "k2"];
     private readonly faults = new Map<string, RequestFate>();
     private readonly relay: TargetRequestRelay;
+    private readonly delays: RandomDelays;
 
     /**
      * @param sender - sends the requests of the relays to targets
      * @param clock - clock of the simulation
      * @param random - returns numbers from 0 to below 1
      */
-    constructor(sender: TargetRequestSender, private readonly clock: Clock, private readonly random: () => number) {
+    constructor(sender: TargetRequestSender, private readonly clock: Clock, random: () => number) {
         this.relay = new TargetRequestRelay(sender, clock);
+        this.delays = new RandomDelays(clock, random);
     }
 
     /**
@@ -59,17 +62,17 @@
         const fate = this.faults.get(address) ?? RequestFate.Answered;
         const kind = path.slice(peerPaths.relay.length);
         const run = () => this.relay.handleRequest(kind, body ?? Buffer.alloc(0));
-        await this.waitDelay(this.pickDelay(minDelayMs, maxDelayMs));
+        await this.delays.waitDelay(this.delays.pickDelay(minDelayMs, maxDelayMs));
         switch (fate) {
             case RequestFate.Refused:
                 return Result.err({ kind: CallFailureKind.NotSent, detail: "refused", isTimeout: false });
             case RequestFate.Answered: {
                 const response = await run();
-                await this.waitDelay(this.pickDelay(minDelayMs, maxDelayMs));
+                await this.delays.waitDelay(this.delays.pickDelay(minDelayMs, maxDelayMs));
                 return Result.ok(response);
             }
             case RequestFate.Late:
-                this.clock.schedule(this.pickDelay(minHeldMs, maxHeldMs), () => void run());
+                this.clock.schedule(this.delays.pickDelay(minHeldMs, maxHeldMs), () => void run());
                 break;
             case RequestFate.ResponseLost:
                 void run();
@@ -77,17 +80,7 @@
             case RequestFate.Lost:
                 break;
         }
-        await this.waitDelay(timeoutMs);
+        await this.delays.waitDelay(timeoutMs);
         return Result.err({ kind: CallFailureKind.Unanswered, detail: "timeout", isTimeout: true });
     }
-
-    private pickDelay(minMs: number, maxMs: number): number {
-        return minMs + this.random() * (maxMs - minMs);
-    }
-
-    private waitDelay(delayMs: number): Promise<void> {
-        return new Promise(resolve => {
-            this.clock.schedule(delayMs, resolve);
-        });
-    }
 }
--- a/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
@@ -8,6 +8,7 @@
 import { TargetClient } from "../targets/target-client.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
+import { RandomDelays } from "./random-delays.js";
 import { RequestFate } from "./request-fate.js";
 import type { SimulatedTarget } from "./simulated-target.js";
 
@@ -23,6 +24,7 @@
 
 /** Sends requests to simulated targets through a simulated network. */
 export class SimulatedTargetClient extends TargetClient {
+    private readonly delays: RandomDelays;
     /** Picks what happens to the next request to a target. */
     pickFate: (target: string) => RequestFate = () => RequestFate.Answered;
 
@@ -34,9 +36,10 @@
     constructor(
         private readonly targets: ReadonlyMap<string, SimulatedTarget>,
         private readonly clock: Clock,
-        private readonly random: () => number,
+        random: () => number,
     ) {
         super();
+        this.delays = new RandomDelays(clock, random);
     }
 
     override startTask({ id }: TargetRecord, request: StartTaskRequest): Promise<TargetResponse> {
@@ -82,15 +85,17 @@
     ): Promise<Response | TargetResponse> {
         const target = this.targets.get(id);
         const fate = this.pickFate(id);
-        const requestDelayMs = this.pickDelay(minDelayMs, maxDelayMs);
+        const requestDelayMs = this.delays.pickDelay(minDelayMs, maxDelayMs);
         if (target === undefined || fate === RequestFate.Refused || target.isDown) {
-            await this.waitDelay(requestDelayMs);
+            await this.delays.waitDelay(requestDelayMs);
             return { result: TargetRequestResult.NotSent, clockMs: undefined };
         }
         const { incarnation } = target.record;
         const isGone = () => target.isDown || target.record.incarnation !== incarnation;
         if (fate === RequestFate.ResponseLost || fate === RequestFate.Late) {
-            const executionDelayMs = fate === RequestFate.Late ? this.pickDelay(minLateMs, maxLateMs) : requestDelayMs;
+            const executionDelayMs = fate === RequestFate.Late
+                ? this.delays.pickDelay(minLateMs, maxLateMs)
+                : requestDelayMs;
             this.clock.schedule(executionDelayMs, () => {
                 if (!isGone()) {
                     void execute(target);
@@ -98,25 +103,15 @@
             });
         }
         if (fate !== RequestFate.Answered) {
-            await this.waitDelay(timeoutMs);
+            await this.delays.waitDelay(timeoutMs);
             return { result: TargetRequestResult.Unanswered, clockMs: undefined };
         }
-        await this.waitDelay(requestDelayMs);
+        await this.delays.waitDelay(requestDelayMs);
         const response = isGone() ? undefined : await execute(target);
         if (response === undefined || isGone()) {
             return { result: TargetRequestResult.Unanswered, clockMs: undefined };
         }
-        await this.waitDelay(this.pickDelay(minDelayMs, maxDelayMs));
+        await this.delays.waitDelay(this.delays.pickDelay(minDelayMs, maxDelayMs));
         return response;
     }
-
-    private pickDelay(minMs: number, maxMs: number): number {
-        return minMs + this.random() * (maxMs - minMs);
-    }
-
-    private waitDelay(delayMs: number): Promise<void> {
-        return new Promise(resolve => {
-            this.clock.schedule(delayMs, resolve);
-        });
-    }
 }
