--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -21,6 +21,8 @@
 import type { VmLeaseTracker } from "./vm-lease-tracker.js";
 
 const intervalMs = 100;
+/** Time between two records of the demand by a process that does not lead, milliseconds. */
+const demandRecordIntervalMs = 500;
 /** Time after the end of a move for which a VM that has not reported yet still counts as moving, milliseconds. */
 const arrivalTimeoutMs = 2_000;
 
@@ -52,13 +54,18 @@
     readonly since: number;
 }
 
-/** Moves idle VMs to pools that lack capacity and back to their home pools, while this process is the active leader. */
+/**
+ * Moves idle VMs to pools that lack capacity and back to their home pools, while this process is the active leader. The
+ * other keepers only record the demand, so that a successor knows which pools have had their bursts.
+ */
 export class PoolBalancer extends PeriodicWorker {
     override readonly name = "pool-balancer";
     private readonly movingVms = new Map<string, MovingVm>();
     /** Spare pool of each VM that this leader has powered off by moving it there; the cached VM list may be older. */
     private readonly poweredOffVms = new Map<string, string>();
     private readonly planner: VmMovePlanner;
+    /** Monotonic milliseconds. */
+    private nextDemandRecordAt = 0;
 
     /**
      * @param dependencies - leadership, VM service, estimator, clock and log
@@ -78,19 +85,28 @@
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
-        const { leadership, vmLeases } = this.dependencies;
+        const { leadership, vmLeases, clock } = this.dependencies;
         vmLeases.noteRequests();
+        const fleet = leadership.readFleet();
+        const now = clock.readMonotonic();
         if (vmLeases.readLease() === undefined) {
+            this.recordDemands(fleet, now);
             return intervalMs;
         }
-        const fleet = leadership.readFleet();
         this.dropArrived(fleet);
-        const moves = this.planner.planRound(this.collectPools(fleet), this.dependencies.clock.readMonotonic());
+        const moves = this.planner.planRound(this.collectPools(fleet), now);
         // Moves are not awaited, so that a slow VM service does not delay the next round.
         moves.forEach(move => void this.runMove(move));
         return intervalMs;
     }
 
+    private recordDemands(fleet: FleetState, now: number): void {
+        if (now >= this.nextDemandRecordAt) {
+            this.nextDemandRecordAt = now + demandRecordIntervalMs;
+            this.planner.recordDemands(this.collectPools(fleet), now);
+        }
+    }
+
     private async runMove({ vm, from, to }: VmMove): Promise<void> {
         const { leadership, vmLeases, vms, log, clock } = this.dependencies;
         const cpu = readVmCpu(leadership.readFleet(), vm);
