Write log lines whole, and thin them by job instead of by kind

Ruled out: the limit by kind and the buffer, as lines-dropped, which shares both, came through.

Change: a write holds at most 4,096 bytes, which a pipe takes whole, and ends with a line.

--- a/packages/daemon/src/job-scheduler/logging/decision-log.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.ts
@@ -3,14 +3,17 @@
 
 import { DecisionKind } from "./decision-kind.js";
 import { highVolumeKinds } from "./high-volume-kinds.js";
+import { JobSampler } from "./job-sampler.js";
+import { LineBatcher } from "./line-batcher.js";
 
-/** Limit of lines of each kind per second; further lines are dropped and counted. */
+/** Limit of lines per second of each kind whose lines do not belong to a job; further lines are dropped and counted. */
 const maxLinesPerSecond = 500;
+/** The same for all kinds of lines of jobs together; only jobs much larger than those before them reach it. */
+const maxJobLinesPerSecond = 4_000;
 /** Bytes that may be buffered for a slow reader of standard output; further lines are dropped and counted. */
 const maxBufferedBytes = 262_144;
 /** Part of these bytes that is left to kinds whose number of lines does not grow with the load. */
 const reservedBytes = 65_536;
-const batchMs = 10;
 const rateWindowMs = 1_000;
 const standardOutputFd = 1;
 
@@ -20,21 +23,25 @@
     readonly noteDroppedLine: () => void;
 }
 
+/** Counter of the lines of jobs in the rate window. */
+const jobLines = "job-lines";
+
 type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /**
  * Writes one JSON line for each decision, with a limited rate and buffer. Lines that exceed the limits, for example
- * because of a slow reader, are dropped and counted, so that logging never blocks the process. A part of the buffer is
- * reserved for rare kinds, such as changes of leadership, which lines of jobs and tasks would otherwise push out.
+ * because of a slow reader, are dropped and counted by kind, so that logging never blocks the process. Of jobs that are
+ * too many, some have all their lines written and the others none. A part of the buffer is reserved for rare kinds, such
+ * as changes of leadership, which lines of jobs and tasks would otherwise push out.
  */
 export class DecisionLog {
     private readonly logger: loglevel.Logger;
-    private readonly output: WriteStream;
-    private readonly lineCounts = new Map<DecisionKind, number>();
+    private readonly batcher: LineBatcher;
+    private readonly sampler = new JobSampler();
+    private readonly lineCounts = new Map<DecisionKind | typeof jobLines, number>();
+    private readonly droppedCounts = new Map<DecisionKind, number>();
     private readonly listeners: DecisionListener[] = [];
     private windowEndsAt = 0;
-    private droppedLineCount = 0;
-    private isBatching = false;
 
     /**
      * @param process - name of this process
@@ -46,7 +53,7 @@
         level: loglevel.LogLevelDesc,
         output: WriteStream = createWriteStream("", { fd: standardOutputFd, autoClose: false }),
     ) {
-        this.output = output;
+        this.batcher = new LineBatcher(output);
         this.logger = loglevel.getLogger(`daisylock/decisions/${process}`);
         this.logger.methodFactory = methodName => (kind: unknown, fields?: unknown) =>
             this.writeLine(
@@ -89,49 +96,52 @@
         if (now >= this.windowEndsAt) {
             this.startWindow(now);
         }
-        const count = (this.lineCounts.get(kind) ?? 0) + 1;
-        this.lineCounts.set(kind, count);
-        if (count > maxLinesPerSecond) {
-            this.dropLine();
+        if (!this.isWithinRate(kind, fields, now)) {
+            this.dropLine(kind);
             return;
         }
         this.logger.info(kind, fields);
     }
 
-    private dropLine(): void {
-        this.droppedLineCount += 1;
+    private isWithinRate(kind: DecisionKind, fields: Fields, now: number): boolean {
+        const job = findJob(fields);
+        if (job !== undefined && !this.sampler.isLineKept(job, now)) {
+            return false;
+        }
+        const counted = job === undefined ? kind : jobLines;
+        const count = (this.lineCounts.get(counted) ?? 0) + 1;
+        this.lineCounts.set(counted, count);
+        return count <= (job === undefined ? maxLinesPerSecond : maxJobLinesPerSecond);
+    }
+
+    private dropLine(kind: DecisionKind): void {
+        this.droppedCounts.set(kind, (this.droppedCounts.get(kind) ?? 0) + 1);
         this.listeners.forEach(({ noteDroppedLine }) => noteDroppedLine());
     }
 
     private startWindow(now: number): void {
         this.windowEndsAt = now + rateWindowMs;
         this.lineCounts.clear();
-        if (this.droppedLineCount > 0) {
-            const count = this.droppedLineCount;
-            this.droppedLineCount = 0;
-            this.logger.warn(DecisionKind.LinesDropped, { count });
+        if (this.droppedCounts.size > 0) {
+            const counts = Object.fromEntries(this.droppedCounts);
+            const count = [...this.droppedCounts.values()].reduce((sum, value) => sum + value, 0);
+            this.droppedCounts.clear();
+            this.logger.warn(DecisionKind.LinesDropped, { count, ...counts });
         }
     }
 
     private writeLine(kind: DecisionKind, line: string): void {
         const maxBytes = highVolumeKinds.has(kind) ? maxBufferedBytes - reservedBytes : maxBufferedBytes;
-        if (this.output.writableLength > maxBytes) {
-            this.dropLine();
+        if (this.batcher.countPendingBytes() > maxBytes) {
+            this.dropLine(kind);
             return;
         }
-        this.startBatch();
-        this.output.write(`${line}\n`);
+        this.batcher.addLine(line);
     }
+}
 
-    /** Lets the lines of a short time share one write. */
-    private startBatch(): void {
-        if (!this.isBatching) {
-            this.isBatching = true;
-            this.output.cork();
-            setTimeout(() => {
-                this.isBatching = false;
-                this.output.uncork();
-            }, batchMs);
-        }
-    }
+/** Finds the job that a line is about; the keys of its tasks and steps begin with its id. */
+function findJob({ job, task, step }: Fields): string | undefined {
+    const key = job ?? task ?? step;
+    return typeof key === "string" ? key.split(".", 1)[0] : undefined;
 }
