Refuse malformed requests between processes before they reach a handler

Where it could happen: the peer server handed any JSON to the leader's handlers, and messages of the log were only filtered by kind. What is committed fails on every keeper that applies it, and again after each restart.

Change: schemas of all calls of the leader and of relayed requests; unknown fields stay allowed, as processes of two releases talk to each other. The routing of requests moved out of the listener, so that tests need no socket. A relay that refuses a request as malformed has not sent it.

Tests: random bytes, random JSON and single wrong fields on every path are refused with 400 and change nothing. Not part of it: who may speak (a cluster secret), and the payload of log entries that a member itself sends.

--- /dev/null
+++ b/packages/daemon/src/http/parse-json-body.ts
@@ -0,0 +1,18 @@
+import Maybe from "true-myth/maybe";
+import * as v from "valibot";
+
+/**
+ * Parses a JSON body and checks it against a schema. The value keeps fields that the schema does not name.
+ * @param body - the body
+ * @param schema - the schema
+ * @returns the value, or nothing when the body is not JSON or does not match
+ */
+export function parseJsonBody(body: Buffer, schema: v.GenericSchema<object>): Maybe<object> {
+    try {
+        const value: unknown = JSON.parse(body.toString());
+        return v.is(schema, value) ? Maybe.just(value) : Maybe.nothing();
+    }
+    catch {
+        return Maybe.nothing();
+    }
+}
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -42,7 +42,7 @@
 ]);
 const successStatus = 200;
 /** Statuses with which a relay says that it has not sent the request. */
-const notSentStatuses: ReadonlySet<number> = new Set([404, 503]);
+const notSentStatuses: ReadonlySet<number> = new Set([400, 404, 503]);
 /**
  * Results of the leader's own attempt that hold although a relay may still send the same request. After any other, the
  * request must not count as refused or as not sent.
--- a/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
+++ b/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
@@ -2,8 +2,10 @@
 
 import type { Clock } from "../../clock/clock.js";
 import type { HttpResponse } from "../../http-client/http-response.js";
+import { parseJsonBody } from "../../http/parse-json-body.js";
 import { TargetRequestKind } from "../targets/target-request-kind.js";
 import type { TargetRequestSender } from "../targets/target-request-sender.js";
+import { relayedRequestSchema } from "./relayed-request-schema.js";
 import type { RelayedRequest } from "./relayed-request.js";
 
 /**
@@ -12,6 +14,7 @@
  */
 const maxAgeMs = 1_000;
 const unknownKind: HttpResponse = { status: 404, body: Buffer.alloc(0) };
+const malformed: HttpResponse = { status: 400, body: Buffer.alloc(0) };
 const expired: HttpResponse = { status: 503, body: Buffer.alloc(0) };
 const kinds: readonly string[] = Object.values(TargetRequestKind);
 
@@ -27,13 +30,18 @@
      * Sends one request.
      * @param kind - its kind, as in the path of the call
      * @param body - the relayed request
-     * @returns the response of the target; status 404 for an unknown kind, 503 when the request is too old to be sent
+     * @returns the response of the target; status 404 for an unknown kind, 400 for a
+     *     malformed body, 503 when the request is too old to be sent
      */
     async handleRequest(kind: string, body: Buffer): Promise<HttpResponse> {
         if (!kinds.includes(kind)) {
             return unknownKind;
         }
-        const call = JSON.parse(body.toString()) as RelayedRequest;
+        const parsed = parseJsonBody(body, relayedRequestSchema);
+        if (parsed.isNothing) {
+            return malformed;
+        }
+        const call = parsed.value as RelayedRequest;
         if (Math.abs(this.clock.readWall() - call.sentAtMs) > maxAgeMs) {
             return expired;
         }
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -27,6 +27,7 @@
 import { RequestDirection } from "./metrics/request-direction.js";
 import { buildListenerAddress } from "./peers/build-listener-address.js";
 import { LeaderClient } from "./peers/leader-client.js";
+import { PeerRequestHandler } from "./peers/peer-request-handler.js";
 import { PeerServer } from "./peers/peer-server.js";
 import { RaftSender } from "./peers/raft-sender.js";
 import { RelayDirectory } from "./relay/relay-directory.js";
@@ -225,10 +226,12 @@
                 create: () =>
                     new PeerServer(
                         listen.peers,
-                        (messages, from) => keeper.receive(messages, from),
-                        handlers,
-                        new TargetRequestRelay(targetSender, clock),
-                        noteReceived,
+                        new PeerRequestHandler(
+                            (messages, from) => keeper.receive(messages, from),
+                            handlers,
+                            new TargetRequestRelay(targetSender, clock),
+                            noteReceived,
+                        ),
                     ),
             },
             { name: "member-manager", create: () => memberManager },
