Take malformed answers for unanswered requests instead of ending the process

Callers would have seen: one target, relay or leader that answers with something unreadable ends the process that asked.

Cause: answers were parsed without a check; the exception became a rejection that nobody handles (renewal loops run on their own), and Node ends a process then.

Change: schemas of what targets, relays and leaders answer; what does not match counts as unanswered.

The same cause elsewhere: what the VM service and the advice service answer is checked already.

--- a/packages/daemon/src/http/parse-json-body.ts
+++ b/packages/daemon/src/http/parse-json-body.ts
@@ -1,18 +1,17 @@
-import Maybe from "true-myth/maybe";
 import * as v from "valibot";
 
 /**
  * Parses a JSON body and checks it against a schema. The value keeps fields that the schema does not name.
  * @param body - the body
  * @param schema - the schema
- * @returns the value, or nothing when the body is not JSON or does not match
+ * @returns the value, or `undefined` when the body is not JSON or does not match
  */
-export function parseJsonBody(body: Buffer, schema: v.GenericSchema<object>): Maybe<object> {
+export function parseJsonBody(body: Buffer, schema: v.GenericSchema<object>): object | undefined {
     try {
         const value: unknown = JSON.parse(body.toString());
-        return v.is(schema, value) ? Maybe.just(value) : Maybe.nothing();
+        return v.is(schema, value) ? value : undefined;
     }
     catch {
-        return Maybe.nothing();
+        return undefined;
     }
 }
--- a/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
@@ -13,6 +13,8 @@
 enum Behavior {
     Leading,
     Following,
+    /** Replies with something that is no reply of a leader. */
+    Malformed,
     /** Refuses connections, as during a restart of its process. */
     Refusing,
     /** Does not respond, as when its availability zone is partitioned or its power is off. */
@@ -36,6 +38,9 @@
                 case Behavior.Following:
                     resolve(buildReply({ isLeader: false, leader: undefined, mayHaveRun: false }));
                     break;
+                case Behavior.Malformed:
+                    resolve(Result.ok({ status: 200, body: Buffer.from("{\"isLeader\":1}") }));
+                    break;
                 case Behavior.Refusing:
                     resolve(Result.err({ kind: CallFailureKind.NotSent, detail: "refused", isTimeout: false }));
                     break;
@@ -71,6 +76,17 @@
 }
 
 describe("LeaderClient", () => {
+    it("takes a malformed reply for none, and calls the next leader", async () => {
+        const { clock, keepers, start } = createFixture();
+        seeds.forEach(seed => keepers.behaviors.set(seed, Behavior.Malformed));
+        const call = start();
+        await clock.runFor(200);
+        expect(call.repliedAt).toBeUndefined();
+        keepers.behaviors.set("10.0.0.3:70", Behavior.Leading);
+        await clock.runFor(300);
+        expect(call.isOk).toBe(true);
+    });
+
     it("waits for the end of an election instead of failing a call", async () => {
         const { clock, keepers, start } = createFixture();
         const call = start();
--- a/packages/daemon/src/job-scheduler/peers/leader-client.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.ts
@@ -1,5 +1,6 @@
 import { KeeperReachability } from "@daisylock/core/reachability/keeper-reachability.js";
 import type { LeaderCalls } from "@daisylock/protocol/fleet/leader-calls.js";
+import { leaderReplySchema } from "@daisylock/protocol/fleet/leader-reply-schema.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 import Result from "true-myth/result";
 
@@ -7,6 +8,7 @@
 import { CallFailureKind } from "../../http-client/call-failure-kind.js";
 import type { CallFailure } from "../../http-client/call-failure.js";
 import type { HttpClient } from "../../http-client/http-client.js";
+import { parseJsonBody } from "../../http/parse-json-body.js";
 import { peerPaths } from "./peer-paths.js";
 
 /** Timeout of one attempt at one process, milliseconds; a commit takes a few tens of milliseconds. */
@@ -17,6 +19,8 @@
 const discoveryTimeoutMs = 300;
 /** Delay before the keepers are asked again when none of them leads, milliseconds. */
 const retryDelayMs = 70;
+/** Part of an unexpected reply that is logged, bytes. */
+const maxDetailBytes = 200;
 
 type Reply<Name extends keyof LeaderCalls> = LeaderReply<LeaderCalls[Name]["reply"]>;
 
@@ -226,14 +230,15 @@
             timeoutMs,
         });
         this.noteReachability(address, reply);
-        return reply.andThen(({ status, body }) =>
-            status === 200
-                ? Result.ok(JSON.parse(body.toString()) as Reply<Name>)
+        return reply.andThen(({ status, body }) => {
+            const value = status === 200 ? parseJsonBody(body, leaderReplySchema) : undefined;
+            return value !== undefined
+                ? Result.ok(value as Reply<Name>)
                 : Result.err({
                     kind: CallFailureKind.Unanswered,
-                    detail: `status ${status} ${body.toString()}`.trim(),
+                    detail: `status ${status} ${body.toString("utf8", 0, maxDetailBytes)}`.trim(),
                     isTimeout: false,
-                })
-        );
+                });
+        });
     }
 }
--- a/packages/daemon/src/job-scheduler/peers/peer-request-handler.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-request-handler.ts
@@ -68,11 +68,11 @@
 
     private async handleCall(name: keyof LeaderCalls, body: Buffer): Promise<HttpResponse> {
         const request = parseJsonBody(body, leaderCallSchemas[name]);
-        if (request.isNothing) {
+        if (request === undefined) {
             return malformed;
         }
         const handler = this.handlers[name] as (request: unknown) => Promise<LeaderReply<unknown>>;
-        const reply = await handler(request.value);
+        const reply = await handler(request);
         return { status: 200, body: Buffer.from(JSON.stringify(reply)) };
     }
 }
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -59,12 +59,15 @@
     const other = createSender(relayResponse);
     const relay = new TargetRequestRelay(createRequestSender(other.client), clock);
     const failures: string[] = [];
-    const state = { isDown: false, clockStepMs: 0 };
+    const state = { isDown: false, clockStepMs: 0, malformedReply: "" };
     const peers = {
         send: async ({ path, body }: HttpCall) => {
             if (state.isDown) {
                 return Result.err({ kind: CallFailureKind.Unanswered, detail: "connection lost", isTimeout: false });
             }
+            if (state.malformedReply !== "") {
+                return Result.ok({ status: 200, body: Buffer.from(state.malformedReply) });
+            }
             await clock.runFor(state.clockStepMs);
             return Result.ok(await relay.handleRequest(path.slice("/relay/".length), body ?? Buffer.alloc(0)));
         },
@@ -92,6 +95,17 @@
         ]);
     });
 
+    // A reply that could not be read ended the process of the leader.
+    it.each(["nonsense", "{}", "{\"result\":\"done\"}", "{\"result\":\"done\",\"running\":{},\"ended\":[]}"])(
+        "sends a renewal itself when the relay replies %s",
+        async reply => {
+            const { own, client, failures, state } = createFixture();
+            state.malformedReply = reply;
+            expect(await client.sendLeaseRenewal(target, renewal)).toMatchObject({ incarnation: 1, running: [] });
+            expect([own.sent.length, failures]).toEqual([1, ["k1:70"]]);
+        },
+    );
+
     it("sends a request itself when the relay fails, with the same run number", async () => {
         const { own, client, failures, state, lines } = createFixture();
         state.isDown = true;
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -6,6 +6,7 @@
 import type { CallFailure } from "../../http-client/call-failure.js";
 import type { HttpClient } from "../../http-client/http-client.js";
 import type { HttpResponse } from "../../http-client/http-response.js";
+import { parseJsonBody } from "../../http/parse-json-body.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { peerPaths } from "../peers/peer-paths.js";
@@ -21,6 +22,7 @@
 import type { TargetResponse } from "../targets/target-response.js";
 import type { RelayDirectory } from "./relay-directory.js";
 import type { RelayedRequest } from "./relayed-request.js";
+import { relayedResponseSchemas } from "./relayed-response-schemas.js";
 
 /** Time limit of a request through a relay, milliseconds; above the time limits of its own requests to targets. */
 const relayTimeoutMs = 650;
@@ -140,23 +142,10 @@
             body: Buffer.from(JSON.stringify(body)),
             timeoutMs,
         });
-        if (reply.isErr || reply.value.status !== successStatus) {
-            this.relays.noteFailure(relay);
-            const isUncertain = isPossiblySent(reply);
-            const detail = reply.isErr ? reply.error.detail : `status ${reply.value.status}`;
-            this.log.record(DecisionKind.RelayFailed, {
-                relay,
-                request: kind,
-                target: id,
-                detail,
-                uncertain: isUncertain,
-            });
-            const response = await this.direct.send(kind, target, content);
-            return isUncertain && !conclusiveResults.has(response.result)
-                ? { ...response, result: TargetRequestResult.Unanswered }
-                : response;
+        const response = parseResponse(kind, reply);
+        if (response === undefined) {
+            return this.sendDirectly(kind, target, content, relay, reply);
         }
-        const response = JSON.parse(reply.value.body.toString()) as TargetResponse;
         if (failedResults.has(response.result)) {
             this.noteUnreached(id);
         }
@@ -166,6 +155,30 @@
         return response;
     }
 
+    /** Sends a request that the relay has not carried out, or of which that is not certain. */
+    private async sendDirectly(
+        kind: TargetRequestKind,
+        target: TargetRecord,
+        content: TargetRequestContent,
+        relay: string,
+        reply: Result<HttpResponse, CallFailure>,
+    ): Promise<TargetResponse> {
+        this.relays.noteFailure(relay);
+        const isUncertain = isPossiblySent(reply);
+        const detail = reply.isErr ? reply.error.detail : `status ${reply.value.status}`;
+        this.log.record(DecisionKind.RelayFailed, {
+            relay,
+            request: kind,
+            target: target.id,
+            detail,
+            uncertain: isUncertain,
+        });
+        const response = await this.direct.send(kind, target, content);
+        return isUncertain && !conclusiveResults.has(response.result)
+            ? { ...response, result: TargetRequestResult.Unanswered }
+            : response;
+    }
+
     private noteUnreached(target: string): void {
         const now = this.clock.readMonotonic();
         if (this.unreachedTargets.size >= maxDirectTargets) {
@@ -182,6 +195,16 @@
     }
 }
 
+/** Returns `undefined` when the relay has not answered with a response of the target. */
+function parseResponse(
+    kind: TargetRequestKind,
+    reply: Result<HttpResponse, CallFailure>,
+): TargetResponse | undefined {
+    return reply.isOk && reply.value.status === successStatus
+        ? parseJsonBody(reply.value.body, relayedResponseSchemas[kind]) as TargetResponse | undefined
+        : undefined;
+}
+
 function isPossiblySent(reply: Result<HttpResponse, CallFailure>): boolean {
     return reply.isErr ? reply.error.kind === CallFailureKind.Unanswered : !notSentStatuses.has(reply.value.status);
 }
--- a/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
+++ b/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
@@ -37,11 +37,10 @@
         if (!kinds.includes(kind)) {
             return unknownKind;
         }
-        const parsed = parseJsonBody(body, relayedRequestSchema);
-        if (parsed.isNothing) {
+        const call = parseJsonBody(body, relayedRequestSchema) as RelayedRequest | undefined;
+        if (call === undefined) {
             return malformed;
         }
-        const call = parsed.value as RelayedRequest;
         if (Math.abs(this.clock.readWall() - call.sentAtMs) > maxAgeMs) {
             return expired;
         }
--- /dev/null
+++ b/packages/protocol/src/fleet/leader-reply-schema.ts
@@ -0,0 +1,7 @@
+import * as v from "valibot";
+
+/** Schema of the reply to any call that only the leader serves; the value depends on the call. */
+export const leaderReplySchema = v.variant("isLeader", [
+    v.object({ isLeader: v.literal(true), value: v.looseObject({}) }),
+    v.object({ isLeader: v.literal(false), leader: v.optional(v.string()), mayHaveRun: v.boolean() }),
+]);
