Learn of ends and use a target again soon after it left a renewal unanswered

Cause: the end of a task is learned by a renewal that waits for it. One that is lost counted as unanswered after 1,650 ms (1,000 of waiting, 650 of margin), so that the ends meanwhile were that late; a job of 13 tasks meets one in every second case. Then the target was probed by a renewal that waited for an end again, a second at most, and took no starts until it came: 184 targets became unreachable from 0.5 to 6 s (target-unreachable lines).

A target with tasks that do not end is asked twice a second instead of once.

The fake target's lost renewals take as long as real ones, since its heartbeats are always fresh; 'stops an earlier run' plays one renewal of 500 ms where it played one of 1,000.

--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -23,8 +23,11 @@
  * renewal in full.
  */
 const requestedLeaseFraction = 0.75;
-/** Longest wait of a renewal for a run to end, milliseconds; three renewals may fail before a lease expires. */
-const longPollTimeoutMs = 1_000;
+/**
+ * Longest wait of a renewal for a run to end, milliseconds. The ends of a target that leaves a renewal unanswered are
+ * learned only with the next one, so that the wait bounds by how much their jobs are late.
+ */
+const longPollTimeoutMs = 500;
 /** Interval at which the renewal loop checks an idle target for new runs and overdue heartbeats, milliseconds. */
 const idleIntervalMs = 500;
 /** Time without heartbeats after which an idle target is probed, milliseconds. */
@@ -277,7 +280,7 @@
             leaseUntilMs,
             fencingToken: this.fencingToken,
             lastSeen: this.lastCommittedEnd,
-            waitMs: this.isSynced && load.runs.size > 0 ? longPollTimeoutMs : 0,
+            waitMs: this.isSynced && this.unreachableSince === undefined && load.runs.size > 0 ? longPollTimeoutMs : 0,
         });
         if (this.isClosed) {
             return 0;
--- a/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
@@ -12,6 +12,8 @@
 import type { TargetResponse } from "../targets/target-response.js";
 
 const roundTripMs = 2;
+/** Time beyond its wait for an end after which a renewal counts as unanswered, milliseconds. */
+const renewalTimeoutMs = 250;
 
 /** A target client whose responses a test controls. */
 export class FakeTargetClient extends TargetClient {
@@ -74,7 +76,8 @@
         this.renewals.push(request);
         // A target responds at once while it lists runs whose end the leader has not committed.
         const hasEnded = this.isResponding && this.ended.some(({ number }) => number > request.lastSeen);
-        await this.waitFor(Math.max(roundTripMs, hasEnded ? 0 : request.waitMs));
+        const isLost = !this.isResponding && this.unansweredResult === TargetRequestResult.Unanswered;
+        await this.waitFor(Math.max(roundTripMs, hasEnded ? 0 : request.waitMs) + (isLost ? renewalTimeoutMs : 0));
         return this.isResponding
             ? {
                 result: TargetRequestResult.Done,
