--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -89,7 +89,7 @@
         this.requests = new RunRequestTracker(dependencies.clock);
         this.requestSender = new RunRequestSender(fencingToken, this.requests, {
             isClosed: () => this.isClosed,
-            isUnreachable: () => this.unreachableSince !== undefined,
+            isUnreachable: () => !this.isResponding(),
             isRunAssigned: (task, run) => this.isRunAssigned(task, run),
             readRecord: () => this.readRecord(),
             computeLeaseEnd: () => this.targetClock.computeLeaseEnd(this.readNow(), this.readLeaseMs()),
@@ -142,6 +142,14 @@
         };
     }
 
+    /**
+     * Tells whether the target responds, as far as this process knows.
+     * @returns false from an unanswered renewal or check until the target responds again
+     */
+    isResponding(): boolean {
+        return this.unreachableSince === undefined;
+    }
+
     /**
      * Tells whether the target is ejected because it is slow.
      * @returns true while its tasks take several times as long as expected
@@ -153,15 +161,13 @@
     /**
      * Checks whether the target still responds. Called on the first sign that it does not, because a start that is sent
      * to a partitioned target blocks its task until the lease there expires.
-     * @returns whether it responded, or `undefined` when it is closed or another check is in flight
+     * @returns whether it responded, or `undefined` when it was not checked: it is closed, known to be unreachable, or
+     *     being checked already
      */
     async checkReachable(): Promise<boolean | undefined> {
-        if (this.isBeingChecked || this.isClosed) {
+        if (this.isBeingChecked || this.isClosed || !this.isResponding()) {
             return undefined;
         }
-        if (this.unreachableSince !== undefined) {
-            return false;
-        }
         this.isBeingChecked = true;
         const { client } = this.dependencies;
         const response = await client.checkReachable(this.readRecord(), {
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -82,6 +82,14 @@
             sessions.closeAll();
         });
 
+        it("check the zone once for targets that are lost, and not again while these are known", async () => {
+            const { client, others, checkZone, sessions } = createZone();
+            others.filter((_, position) => position % 2 === 0).forEach(({ id }) => client.unreachableTargets.add(id));
+            await checkZone();
+            expect(client.checkCount).toBeLessThan(targetCount + 20 * targetCount / 4);
+            sessions.closeAll();
+        });
+
         it("find every target of a zone that is cut off at once", async () => {
             const { client, sessions, suspect, others } = createZone();
             others.forEach(({ id }) => client.unreachableTargets.add(id));
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -83,7 +83,9 @@
             return;
         }
         this.checkedZones.add(zone);
-        const others = [...this.sessions.values()].filter(({ record }) => record.zone === zone && record.id !== id);
+        const others = [...this.sessions.values()].filter(session =>
+            session.record.zone === zone && session.record.id !== id && session.isResponding()
+        );
         const sample = this.pickSample(others);
         const responses = await Promise.all(sample.map(session => session.checkReachable()));
         if (responses.filter(isReachable => isReachable === false).length >= zoneFailureCount) {
