Let the leader itself refuse jobs and configurations whose numbers are out of range

The schemas of jobs, configurations and waves check shapes only; the ranges are checked where they were before. The new test fails with the schemas before (run on them).

--- a/packages/daemon/src/job-scheduler/logging/job-sampler.ts
+++ b/packages/daemon/src/job-scheduler/logging/job-sampler.ts
@@ -1,6 +1,6 @@
 /** Lines of jobs that are written a second, on average. */
 const linesPerSecond = 1_500;
-/** Jobs whose decision is remembered; more than end while a job runs under the heaviest load. */
+/** Jobs whose decision is remembered; far fewer begin in the seconds for which a job runs. */
 const maxRememberedJobs = 8_192;
 /** Number of kept jobs after which the mean number of lines is computed anew. */
 const meanJobCount = 256;
--- a/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
@@ -112,6 +112,29 @@
         expect([status, effects]).toEqual([400, []]);
     });
 
+    it("pass a job on whose numbers are out of range, as its caller is told so by the leader", async () => {
+        const step = {
+            count: 1e300,
+            needs: { cpu: -1, memory: null, gpu: 0.5 },
+            estimateMs: null,
+            after: [-1],
+            hasCheckpoints: false,
+            isGang: false,
+            isSameRack: false,
+            maxPerTarget: 0,
+            isSpeculative: false,
+            isLongRunning: false,
+            image: "",
+            tailBoundMs: 0,
+            isFiller: false,
+        };
+        const job = { spec: "x".repeat(5_000), steps: [step], times: 0, startAtMs: -1, intervalMs: 0 };
+        const { handler, effects } = createFixture();
+        const call = { verb: "submit", host: "h", path: `/q/${"x".repeat(6_000)}`, key: "", job };
+        const { status } = await handler.handleRequest(`${peerPaths.call}job`, encode(call));
+        expect([status, effects.length]).toEqual([200, 1]);
+    });
+
     it("do not pass on messages of the log that the receiver cannot apply", async () => {
         const { handler, messages } = createFixture();
         const base = { from: "k1", to: "k0", term: 3, sentAt: 1 };
--- a/packages/protocol/src/fleet/leader-call-schemas.ts
+++ b/packages/protocol/src/fleet/leader-call-schemas.ts
@@ -4,61 +4,70 @@
 import { JobAction } from "./job-action.js";
 import type { LeaderCalls } from "./leader-calls.js";
 
-/** Longest name, id, host, key or path in a call, characters. */
+/** Longest name, id or address in a heartbeat, characters. */
 const maxNameLength = 4_096;
 
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
-const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
-const resources = v.object({ cpu: amount, memory: amount, gpu: amount });
+/**
+ * A number whose range the leader checks itself, so that whoever sent it is told the fault. JSON has no infinite numbers:
+ * one that was too large to be decoded arrives as null.
+ */
+const unchecked = v.nullable(v.number());
+const uncheckedResources = v.object({ cpu: unchecked, memory: unchecked, gpu: unchecked });
 const empty = v.object({});
 
 const jobStep = v.object({
-    count,
-    needs: resources,
-    estimateMs: amount,
-    after: v.array(count),
+    count: unchecked,
+    needs: uncheckedResources,
+    estimateMs: unchecked,
+    after: v.array(unchecked),
     hasCheckpoints: v.boolean(),
     isGang: v.boolean(),
     isSameRack: v.boolean(),
-    requiredLabel: v.optional(name),
-    dataRack: v.optional(name),
-    maxPerTarget: count,
+    requiredLabel: v.optional(v.string()),
+    dataRack: v.optional(v.string()),
+    maxPerTarget: unchecked,
     isSpeculative: v.boolean(),
     isLongRunning: v.boolean(),
-    image: name,
-    tailBoundMs: amount,
+    image: v.string(),
+    tailBoundMs: unchecked,
     isFiller: v.boolean(),
-    mayMiss: v.optional(count),
+    mayMiss: v.optional(unchecked),
 });
 
 const jobRequest = v.object({
     spec: v.string(),
     steps: v.array(jobStep),
-    times: count,
-    startAtMs: amount,
-    intervalMs: amount,
+    times: unchecked,
+    startAtMs: unchecked,
+    intervalMs: unchecked,
 });
 
 const queue = v.object({
-    name,
-    host: name,
-    pathPrefix: name,
-    pool: name,
-    priority: v.number(),
-    maxAttempts: v.number(),
-    stretch: v.number(),
-    objectiveMs: v.number(),
-    timeoutMs: v.number(),
+    name: v.string(),
+    host: v.string(),
+    pathPrefix: v.string(),
+    pool: v.string(),
+    priority: unchecked,
+    maxAttempts: unchecked,
+    stretch: unchecked,
+    objectiveMs: unchecked,
+    timeoutMs: unchecked,
     isPublic: v.boolean(),
-    advice: v.optional(v.object({ decideMs: v.number(), perTargetMs: v.number(), validityMs: v.number() })),
+    advice: v.optional(v.object({ decideMs: unchecked, perTargetMs: unchecked, validityMs: unchecked })),
 });
 
 const configuration = v.object({
-    version: v.number(),
+    version: unchecked,
     queues: v.array(queue),
-    pools: v.array(v.object({ name, isGuarded: v.boolean(), isSpare: v.boolean() })),
-    accounts: v.array(v.object({ name, keys: v.array(name), weight: v.number(), cap: resources })),
+    pools: v.array(v.object({ name: v.string(), isGuarded: v.boolean(), isSpare: v.boolean() })),
+    accounts: v.array(v.object({
+        name: v.string(),
+        keys: v.array(v.string()),
+        weight: unchecked,
+        cap: uncheckedResources,
+    })),
     source: v.string(),
 });
 
@@ -71,16 +80,23 @@
     vm: name,
     rack: name,
     labels: v.array(name),
-    capacity: resources,
+    capacity: v.object({ cpu: amount, memory: amount, gpu: amount }),
     state: v.enum(ReportedTargetState),
 });
 
 /**
- * Schemas of the requests of the calls that only the leader serves. Requests come from processes of other releases too, so
- * that unknown fields are allowed; what the schemas refuse could otherwise be committed and fail on every keeper.
+ * Schemas of the requests of the calls that only the leader serves: the shapes without which a handler or, once they are
+ * committed, every keeper would fail. Requests come from processes of other releases too, so that unknown fields are
+ * allowed.
  */
 export const leaderCallSchemas: { readonly [Name in keyof LeaderCalls]: v.GenericSchema<object> } = {
-    job: v.object({ verb: v.enum(JobAction), host: name, path: name, key: name, job: v.optional(jobRequest) }),
+    job: v.object({
+        verb: v.enum(JobAction),
+        host: v.string(),
+        path: v.string(),
+        key: v.string(),
+        job: v.optional(jobRequest),
+    }),
     putConfiguration: configuration,
     readConfiguration: empty,
     report: v.object({
@@ -90,8 +106,8 @@
         remainingMs: v.optional(v.pipe(v.number(), v.finite())),
     }),
     leave: v.object({ id: name, incarnation: v.optional(v.pipe(v.number(), v.finite())) }),
-    startUpkeep: v.object({ number: v.number(), vms: v.array(name), deadlineS: v.number(), cap: v.number() }),
-    readUpkeep: v.object({ number: v.number() }),
+    startUpkeep: v.object({ number: unchecked, vms: v.array(v.string()), deadlineS: unchecked, cap: unchecked }),
+    readUpkeep: v.object({ number: unchecked }),
     ping: empty,
     findLeader: empty,
     join: v.object({ id: name, address: name }),
