Go on without the reader of the log instead of ending the process

Callers would have seen: when whatever reads the standard output of keepers and entries goes away, every process ends with EPIPE at its next line. Played with a process whose reader closes the pipe: exit code 1 at once; it goes on now.

Cause: the stream's error had no handler. Change: it has one; the stream keeps what is written, and beyond the limit of the buffer lines are dropped and counted on the metrics address as before. The test fails without the handler (EBADF).

--- a/packages/daemon/src/job-scheduler/logging/decision-log.test.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.test.ts
@@ -1,8 +1,10 @@
 import { describe, expect, it } from "@jest/globals";
-import type { WriteStream } from "node:fs";
+import { closeSync, openSync, type WriteStream } from "node:fs";
+import { devNull } from "node:os";
 
 import { DecisionKind } from "./decision-kind.js";
 import { DecisionLog } from "./decision-log.js";
+import { openLogOutput } from "./open-log-output.js";
 
 /** Longer than lines wait for a common write. */
 const batchWaitMs = 50;
@@ -121,4 +123,20 @@
         expect(readBufferedBytes()).toBeGreaterThan(maxBufferedBytes / 2);
         expect(readBufferedBytes()).toBeLessThan(maxBufferedBytes + 2 * longDetail.length);
     });
+
+    // The process ended with EPIPE when the reader of its standard output did.
+    it("goes on when its output can't be written, and counts the lines that are lost", async () => {
+        const fd = openSync(devNull, "r");
+        const log = new DecisionLog("p8", "info", openLogOutput(fd));
+        let droppedCount = 0;
+        log.addListener({ noteDecision: () => undefined, noteDroppedLine: () => droppedCount++ });
+        for (let round = 0; round < 4; round++) {
+            for (let index = 0; index < 100; index++) {
+                log.record(DecisionKind.TargetUnreachable, { index, detail: longDetail });
+            }
+            await new Promise(resolve => setTimeout(resolve, batchWaitMs));
+        }
+        expect(droppedCount).toBeGreaterThan(100);
+        closeSync(fd);
+    });
 });
--- a/packages/daemon/src/job-scheduler/logging/decision-log.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.ts
@@ -1,10 +1,11 @@
 import loglevel from "loglevel";
-import { createWriteStream, type WriteStream } from "node:fs";
+import type { WriteStream } from "node:fs";
 
 import { DecisionKind } from "./decision-kind.js";
 import { highVolumeKinds } from "./high-volume-kinds.js";
 import { JobSampler } from "./job-sampler.js";
 import { LineBatcher } from "./line-batcher.js";
+import { openLogOutput } from "./open-log-output.js";
 
 /** Limit of lines per second of each kind whose lines do not belong to a job; further lines are dropped and counted. */
 const maxLinesPerSecond = 500;
@@ -51,7 +52,7 @@
     constructor(
         process: string,
         level: loglevel.LogLevelDesc,
-        output: WriteStream = createWriteStream("", { fd: standardOutputFd, autoClose: false }),
+        output: WriteStream = openLogOutput(standardOutputFd),
     ) {
         this.batcher = new LineBatcher(output);
         this.logger = loglevel.getLogger(`daisylock/decisions/${process}`);
