--- a/packages/core/src/placement/plan-starts.ts
+++ b/packages/core/src/placement/plan-starts.ts
@@ -13,11 +13,8 @@
 import { pickTaskTarget } from "./pick-task-target.js";
 import type { PlacementTarget } from "./placement-target.js";
 
-/**
- * Number of starts from which a round plans no further step; keeps each entry of the replicated log small. Rounds of a
- * busy leader are up to 150 ms apart, and a burst of a large pool asks for some 2,000 starts a second.
- */
-const maxStartsPerRound = 500;
+/** Number of starts from which a round plans no further step; keeps each entry of the replicated log small. */
+const maxStartsPerRound = 200;
 
 /** State of one placement round. */
 interface PlacementRound {
