--- a/packages/core/src/pools/vm-move-planner.test.ts
+++ b/packages/core/src/pools/vm-move-planner.test.ts
@@ -113,3 +113,26 @@
         expect(worstWindowsShare).toBeGreaterThan(0.9);
     });
 });
+
+describe("a planner that has only recorded the demand, as that of a successor", () => {
+    const vmCpu = 32_000;
+    const buildStatus = (name: string, wanted = 0) => ({
+        name,
+        isSpare: false,
+        capacity: 10 * vmCpu,
+        used: 0,
+        usedLongRunning: 0,
+        wanted,
+        homeCapacity: 10 * vmCpu,
+        idleVms: Array.from({ length: 10 }, (_, index) => ({ vm: `${name}-${index}`, home: name, cpu: vmCpu })),
+    });
+    const spare = { ...buildStatus("off"), isSpare: true, capacity: 0, homeCapacity: 0, idleVms: [] };
+
+    it("keeps a reserve only in pools that have not had their burst", () => {
+        const planner = new VmMovePlanner(moveMs);
+        planner.recordDemands([buildStatus("past", 10 * vmCpu), buildStatus("next"), spare], 0);
+        const moves = planner.planRound([buildStatus("past"), buildStatus("next"), spare], 5_000);
+        const countFrom = (pool: string) => moves.filter(({ from, to }) => from === pool && to === "off").length;
+        expect([countFrom("past"), countFrom("next")]).toEqual([9, 2]);
+    });
+});
