--- a/packages/core/src/pools/burst-history.ts
+++ b/packages/core/src/pools/burst-history.ts
@@ -3,10 +3,13 @@
 /** Time without such demand after which a burst is over, milliseconds. */
 const burstEndDelayMs = 1_500;
 
+/** Reserve of a pool that may have the next burst, as a share of its own capacity. */
+const reserveShare = 0.4;
+
 /**
- * Records when each pool last had a burst, and predicts which pools may have the next one. Demand rises to several times
- * its mean in one queue after another: a pool that has just had its burst stays calm for a while, and the pool whose
- * burst is longest ago is the likeliest to be next. Where bursts do not rotate, the prediction only decides in which
+ * Records when each pool last had a burst. Demand rises to several times its mean in one queue after another: a pool
+ * that has just had its burst stays calm for a while and needs no reserve beyond its long-running tasks, and the pool
+ * whose burst is longest ago is the likeliest to be next. Where bursts do not rotate, the reserves only decide in which
  * pools idle VMs wait.
  */
 export class BurstHistory {
@@ -26,13 +29,18 @@
     }
 
     /**
-     * Lists the pools that may have the next burst: those that have had none; once all have had one, the pool whose
-     * burst is longest ago, if it is over.
+     * Computes the capacity that a pool keeps beyond its long-running tasks while other pools are short of VMs.
+     * @param pool - the pool
      * @param pools - all pools
      * @param now - monotonic milliseconds
-     * @returns the pools
+     * @returns a share of the pool's own capacity
      */
-    listNextBurstPools(pools: readonly string[], now: number): readonly string[] {
+    computeReserve(pool: string, pools: readonly string[], now: number): number {
+        return this.listNextBurstPools(pools, now).includes(pool) ? reserveShare : 0;
+    }
+
+    /** Lists the pools that have had no burst; once all have had one, the pool whose burst is longest ago and over. */
+    private listNextBurstPools(pools: readonly string[], now: number): readonly string[] {
         const withoutBurst = pools.filter(name => !this.lastBurstTimes.has(name));
         if (withoutBurst.length > 0) {
             return withoutBurst;
--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -17,50 +17,30 @@
     readonly idle: PoolForecast["idleVms"][number][];
 }
 
-/** Part of its reserve that a pool keeps when it lends a VM. */
-enum KeptReserve {
-    Whole,
-    Protected,
-}
-
 /**
  * Plans which VMs change their pool. Demand exceeds the capacity of one pool after another, so idle VMs of the spare
  * pool and of calm pools move to the pool that is short. A pool lends VMs as long as it keeps enough capacity for its
- * own demand and its reserve, and of its reserve only a part while tasks of another pool have no capacity left. VMs that
- * the spare pool has left fill up the reserves. A pool returns its idle VMs except those that its recent peak, its
+ * own demand and its reserve. It returns the idle VMs that are left then, except those that its recent peak, its
  * forecast demand or its reserve needs. Only VMs on which nothing runs move, so that no task is aborted.
  * @param pools - all pools
  * @returns the moves
  */
 export function planMoves(pools: readonly PoolForecast[]): VmMove[] {
     const planned = pools.map(pool => ({ pool, capacity: pool.capacity, idle: [...pool.idleVms] }));
-    return [
-        ...planLoans(planned, KeptReserve.Whole, computeShortage),
-        ...planLoans(planned, KeptReserve.Protected, computeUncoveredDemand),
-        ...planReserves(planned),
-        ...planReturns(planned),
-    ];
-}
-
-function planLoans(
-    planned: readonly PlannedPool[],
-    kept: KeptReserve,
-    computeNeed: (item: PlannedPool) => number,
-): VmMove[] {
-    const byNeed = planned.filter(item => !item.pool.isSpare && computeNeed(item) > 0)
-        .sort((a, b) => computeNeed(b) - computeNeed(a));
+    const byShortage = planned.filter(item => !item.pool.isSpare && computeShortage(item) > 0)
+        .sort((a, b) => computeShortage(b) - computeShortage(a));
     const moves: VmMove[] = [];
     for (let hasLent = true; hasLent;) {
         hasLent = false;
-        for (const borrower of byNeed) {
-            const move = computeNeed(borrower) > 0 ? takeVm(planned, borrower, kept) : undefined;
+        for (const borrower of byShortage) {
+            const move = computeShortage(borrower) > 0 ? takeVm(planned, borrower) : undefined;
             if (move !== undefined) {
                 moves.push(move);
                 hasLent = true;
             }
         }
     }
-    return moves;
+    return [...moves, ...planReturns(planned)];
 }
 
 function computeShortage({ pool, capacity }: PlannedPool): number {
@@ -68,74 +48,44 @@
         - capacity;
 }
 
-/** Computes by how much the tasks of a pool, running and waiting, exceed its capacity. */
-function computeUncoveredDemand({ pool, capacity }: PlannedPool): number {
-    return pool.used + pool.wanted - capacity;
-}
-
-function takeVm(planned: readonly PlannedPool[], borrower: PlannedPool, kept: KeptReserve): VmMove | undefined {
-    const lenders = planned.filter(item => item !== borrower && isLender(item, kept)).sort(compareLenders);
+function takeVm(planned: readonly PlannedPool[], borrower: PlannedPool): VmMove | undefined {
+    const lenders = planned.filter(item => item !== borrower && isLender(item)).sort(compareLenders);
     for (const lender of lenders) {
-        const move = takeIdleVm(lender, borrower);
-        if (move !== undefined) {
-            return move;
+        const position = pickIdleVm(lender, borrower.pool.name);
+        const [idle] = position < 0 ? [] : lender.idle.splice(position, 1);
+        if (idle !== undefined) {
+            lender.capacity -= idle.cpu;
+            borrower.capacity += idle.cpu;
+            return { vm: idle.vm, from: lender.pool.name, to: borrower.pool.name };
         }
     }
     return undefined;
 }
 
-/** Moves one idle VM, preferably one whose home is the borrowing pool; returns `undefined` when there is none. */
-function takeIdleVm(lender: PlannedPool, borrower: PlannedPool): VmMove | undefined {
-    const own = lender.idle.findIndex(({ home }) => home === borrower.pool.name);
-    const position = own >= 0 ? own : lender.idle.length - 1;
-    const [idle] = position < 0 ? [] : lender.idle.splice(position, 1);
-    if (idle === undefined) {
-        return undefined;
-    }
-    lender.capacity -= idle.cpu;
-    borrower.capacity += idle.cpu;
-    return { vm: idle.vm, from: lender.pool.name, to: borrower.pool.name };
+/** Prefers the VMs whose home is the borrowing pool. */
+function pickIdleVm({ idle }: PlannedPool, borrower: string): number {
+    const own = idle.findIndex(vm => vm.home === borrower);
+    return own >= 0 ? own : idle.length - 1;
 }
 
 /**
  * Tells whether a pool may lend a VM. A spare pool may while it has an idle VM; another pool only while no task waits
  * in it and the capacity left covers its reserve and its current and forecast demand.
  */
-function isLender({ pool, capacity, idle }: PlannedPool, kept: KeptReserve): boolean {
+function isLender({ pool, capacity, idle }: PlannedPool): boolean {
     const left = capacity - (idle[0]?.cpu ?? 0);
     const needed = Math.max(
-        computeMinCapacity(pool, kept),
+        computeMinCapacity(pool),
         pool.used / maxLenderUtilization,
         pool.expected / maxLenderUtilization,
     );
     return idle.length > 0 && (pool.isSpare || (pool.wanted === 0 && left >= needed));
 }
 
-/** Computes the capacity that a pool keeps: its reserve, and at least one VM when it is the home of any. */
-function computeMinCapacity(
-    { reserve, protectedReserve, homeCapacity, idleVms }: PoolForecast,
-    kept: KeptReserve,
-): number {
+/** Computes the capacity that a pool always keeps: its reserve, and at least one VM when it is the home of any. */
+function computeMinCapacity({ reserve, homeCapacity, idleVms }: PoolForecast): number {
     const oneVm = homeCapacity > 0 ? idleVms[0]?.cpu ?? 0 : 0;
-    return Math.max(kept === KeptReserve.Whole ? reserve : protectedReserve, oneVm);
-}
-
-/** Fills up the reserves with the VMs that the spare pools have left. */
-function planReserves(planned: readonly PlannedPool[]): VmMove[] {
-    const spares = planned.filter(({ pool }) => pool.isSpare);
-    return planned.filter(({ pool }) => !pool.isSpare).flatMap(item => {
-        const moves: VmMove[] = [];
-        for (const spare of spares) {
-            while (item.capacity < item.pool.reserve) {
-                const move = takeIdleVm(spare, item);
-                if (move === undefined) {
-                    break;
-                }
-                moves.push(move);
-            }
-        }
-        return moves;
-    });
+    return Math.max(reserve, oneVm);
 }
 
 /** Orders spare pools first, then pools by their number of idle VMs, most first. */
@@ -152,7 +102,7 @@
             const to = spare ?? home;
             const left = item.capacity - cpu;
             const needed = Math.max(
-                computeMinCapacity(item.pool, KeptReserve.Whole),
+                computeMinCapacity(item.pool),
                 Math.max(item.pool.peak, item.pool.expected) / surplusUtilization,
             );
             if (left < needed || to === item.pool.name) {
--- a/packages/core/src/pools/pool-forecast.ts
+++ b/packages/core/src/pools/pool-forecast.ts
@@ -6,11 +6,6 @@
     readonly expected: number;
     /** Highest recent demand, which the pool still needs when demand has only paused. */
     readonly peak: number;
-    /**
-     * Capacity with which the pool waits for the beginning of its own burst, which comes faster than VMs can be moved.
-     * Spare VMs fill it up; it is lent only to a pool whose tasks have no capacity left.
-     */
+    /** Capacity that the pool does not lend, so that it can serve the beginning of its own burst. */
     readonly reserve: number;
-    /** Part of the reserve that is never lent. */
-    readonly protectedReserve: number;
 }
--- a/packages/core/src/pools/vm-move-planner.ts
+++ b/packages/core/src/pools/vm-move-planner.ts
@@ -5,11 +5,6 @@
 import type { PoolStatus } from "./pool-status.js";
 import type { VmMove } from "./vm-move.js";
 
-/** Reserve of a pool that may have the next burst, as a share of its own capacity. */
-const reserveShare = 0.8;
-/** Part of the reserve that is never lent, as a share of the pool's own capacity. */
-const protectedReserveShare = 0.2;
-
 /** Plans moves of VMs between pools from the demand of each pool, its growth, and which pool may burst next. */
 export class VmMovePlanner {
     private readonly trends = new Map<string, DemandTrend>();
@@ -42,22 +37,17 @@
     planRound(statuses: readonly PoolStatus[], now: number): VmMove[] {
         this.recordDemands(statuses, now);
         const names = statuses.filter(({ isSpare }) => !isSpare).map(({ name }) => name);
-        const nextBurstPools = new Set(this.bursts.listNextBurstPools(names, now));
-        return planMoves(statuses.map(status => this.buildForecast(status, nextBurstPools.has(status.name), now)));
+        return planMoves(statuses.map(status => this.buildForecast(status, names, now)));
     }
 
-    private buildForecast(status: PoolStatus, mayBurstNext: boolean, now: number): PoolForecast {
+    private buildForecast(status: PoolStatus, names: readonly string[], now: number): PoolForecast {
         const { name, isSpare, used, wanted, usedLongRunning, homeCapacity } = status;
         const trend = this.trends.get(name) ?? new DemandTrend();
         this.trends.set(name, trend);
         const { expected, peak } = trend.addSample(now, used + wanted, this.moveMs);
-        const burstCapacity = mayBurstNext ? homeCapacity : 0;
-        return {
-            ...status,
-            expected,
-            peak,
-            reserve: isSpare ? 0 : usedLongRunning + reserveShare * burstCapacity,
-            protectedReserve: isSpare ? 0 : usedLongRunning + protectedReserveShare * burstCapacity,
-        };
+        const reserve = isSpare
+            ? 0
+            : usedLongRunning + this.bursts.computeReserve(name, names, now) * homeCapacity;
+        return { ...status, expected, peak, reserve };
     }
 }
--- a/packages/core/src/testing/build-rotating-bursts.ts
+++ b/packages/core/src/testing/build-rotating-bursts.ts
@@ -1,6 +1,5 @@
 import type { JobStep } from "../jobs/job-step.js";
 import { buildTestStep } from "./build-test-step.js";
-import { BurstShape } from "./burst-shape.js";
 import { createRandom } from "./create-random.js";
 import type { SimulatedJob } from "./simulated-job.js";
 import type { SimulatedQueue } from "./simulated-queue.js";
@@ -18,7 +17,6 @@
  * @param burstMs - duration of one burst, milliseconds
  * @param lengthMs - duration of the load, milliseconds
  * @param seed - seed of the random numbers
- * @param shape - how the demand of a burst rises and falls
  * @returns the jobs, in the order of their submission
  */
 export function buildRotatingBursts(
@@ -26,37 +24,30 @@
     burstMs: number,
     lengthMs: number,
     seed: number,
-    shape = BurstShape.Gradual,
 ): SimulatedJob[] {
     const random = createRandom(seed);
     const jobs: SimulatedJob[] = [];
     const stepMs = 10;
     for (let now = 0; now < lengthMs; now += stepMs) {
         queues.forEach((queue, position) => {
-            const rate = queue.jobsPerSecond * computeDemandFactor(now, position, queues.length, burstMs, shape)
-                * stepMs / 1_000;
-            for (let due = rate; due > 0; due -= 1) {
-                if (random() < due) {
-                    jobs.push(buildJob(queue, `${jobs.length}`, now, random));
-                }
+            const rate = queue.jobsPerSecond * computeDemandFactor(now, position, queues.length, burstMs) * stepMs
+                / 1_000;
+            if (random() < rate) {
+                jobs.push(buildJob(queue, `${jobs.length}`, now, random));
             }
         });
     }
     return jobs;
 }
 
-/** Computes a queue's demand relative to its mean; the mean over a rotation of all queues is 1. */
-function computeDemandFactor(
-    now: number,
-    position: number,
-    queueCount: number,
-    burstMs: number,
-    shape: BurstShape,
-): number {
+/**
+ * Computes a queue's demand relative to its mean. It follows a squared half sine during the queue's own burst; the mean
+ * over a rotation of all queues is 1.
+ */
+function computeDemandFactor(now: number, position: number, queueCount: number, burstMs: number): number {
     const phase = now / burstMs % queueCount - position;
-    const meanFactor = (1 - baselineFraction) * queueCount;
-    const height = shape === BurstShape.Sudden ? 1 : 2 * Math.sin(Math.PI * phase) ** 2;
-    return baselineFraction + (phase >= 0 && phase < 1 ? meanFactor * height : 0);
+    const peak = (1 - baselineFraction) * queueCount * 2;
+    return baselineFraction + (phase >= 0 && phase < 1 ? peak * Math.sin(Math.PI * phase) ** 2 : 0);
 }
 
 function buildJob(queue: SimulatedQueue, id: string, atMs: number, random: () => number): SimulatedJob {
--- a/packages/core/src/testing/run-pool-simulation.ts
+++ b/packages/core/src/testing/run-pool-simulation.ts
@@ -39,8 +39,6 @@
 const lateCredit = 0.07;
 /** Multiple of its time objective after which a late job counts nothing. */
 const maxLateFactor = 3;
-/** Time within which the first task of a job is to start, milliseconds. */
-const firstStartAimMs = 600;
 /** Resources of a long-running task. */
 const longRunningNeeds = { cpu: 3_000, memory: 100, gpu: 0 };
 
@@ -74,7 +72,6 @@
     /** Pool of each VM that is powered off. */
     private readonly poweredOff = new Map<string, string>();
     private readonly endedAt = new Map<string, number>();
-    private readonly firstStartedAt = new Map<string, number>();
     private readonly jobsById: Map<string, SimulatedJob>;
     private targetCount = 0;
     private vmSeconds = 0;
@@ -213,9 +210,7 @@
         const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), targets);
         for (const start of applyRecordStarts(this.state, { kind: CommandKind.RecordStarts, starts })) {
             const key = decodeTaskKey(start.task);
-            const job = key?.job ?? "";
-            this.firstStartedAt.set(job, this.firstStartedAt.get(job) ?? now);
-            const durationMs = this.jobsById.get(job)?.durationsMs[key?.step ?? 0];
+            const durationMs = this.jobsById.get(key?.job ?? "")?.durationsMs[key?.step ?? 0];
             if (durationMs !== undefined) {
                 this.running.push({ ...start, endsAt: now + durationMs });
             }
@@ -268,23 +263,16 @@
             const total = jobs.reduce((sum, { weight }) => sum + weight, 0);
             return total === 0 ? 1 : jobs.reduce((sum, job) => sum + this.computeCredit(job), 0) / total;
         };
-        const computePromptShare = (jobs: readonly SimulatedJob[]): number =>
-            jobs.filter(job => this.isStartedPromptly(job)).length / Math.max(1, jobs.length);
         const windows = new Map<number, SimulatedJob[]>();
         for (const job of this.jobs) {
             const window = Math.floor(job.atMs / windowMs);
             windows.set(window, [...windows.get(window) ?? [], job]);
         }
-        const computeWorstShare = (computeShare: (jobs: readonly SimulatedJob[]) => number): number => {
-            const worst = [...windows.values()].map(computeShare).sort((a, b) => a - b).slice(0, 2);
-            return worst.reduce((sum, value) => sum + value, 0) / Math.max(1, worst.length);
-        };
+        const worst = [...windows.values()].map(computeOnTimeShare).sort((a, b) => a - b).slice(0, 2);
         const names = [...new Set(this.jobs.map(({ pool }) => pool))];
         return {
             onTimeShare: computeOnTimeShare(this.jobs),
-            worstWindowsShare: computeWorstShare(computeOnTimeShare),
-            promptStartShare: computePromptShare(this.jobs),
-            worstPromptStartShare: computeWorstShare(computePromptShare),
+            worstWindowsShare: worst.reduce((sum, value) => sum + value, 0) / Math.max(1, worst.length),
             worstPoolShare: Math.min(
                 ...names.map(name => computeOnTimeShare(this.jobs.filter(({ pool }) => pool === name))),
             ),
@@ -293,10 +281,6 @@
         };
     }
 
-    private isStartedPromptly({ id, atMs }: SimulatedJob): boolean {
-        return (this.firstStartedAt.get(id) ?? Number.POSITIVE_INFINITY) - atMs <= firstStartAimMs;
-    }
-
     private computeCredit({ id, atMs, durationsMs, weight }: SimulatedJob): number {
         const tookMs = (this.endedAt.get(id) ?? Number.POSITIVE_INFINITY) - atMs;
         const objectiveMs = 1.6 * durationsMs.reduce((sum, value) => sum + value, 0) + 600;
--- a/packages/core/src/testing/simulation-result.ts
+++ b/packages/core/src/testing/simulation-result.ts
@@ -4,11 +4,7 @@
     readonly onTimeShare: number;
     /** Mean of the same share over the two worst windows of two seconds, by time of submission. */
     readonly worstWindowsShare: number;
-    /** Share of the jobs whose first task started within its aim. */
-    readonly promptStartShare: number;
-    /** Mean of that share over the two worst windows of two seconds, by time of submission. */
-    readonly worstPromptStartShare: number;
-    /** The same as `onTimeShare` over the jobs of the worst pool. */
+    /** The same share over the jobs of the worst pool. */
     readonly worstPoolShare: number;
     /** VM-seconds of powered-on VMs, including VMs on their way to a pool that is not spare. */
     readonly vmSeconds: number;
