--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -286,7 +286,7 @@
             leaseUntilMs,
             fencingToken: this.fencingToken,
             lastSeen: this.lastCommittedEnd,
-            waitMs: this.isSynced && this.unreachableSince === undefined && load.runs.size > 0 ? longPollTimeoutMs : 0,
+            waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 ? longPollTimeoutMs : 0,
         });
         if (this.isClosed) {
             return 0;
--- a/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
@@ -1,4 +1,5 @@
 import type { RaftMessage } from "@daisylock/core/raft/raft-message.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 import { leaderCallSchemas } from "@daisylock/protocol/fleet/leader-call-schemas.js";
 import { RaftBatch } from "@daisylock/protocol/generated/raft.js";
 import { describe, expect, it } from "@jest/globals";
@@ -113,21 +114,8 @@
     });
 
     it("pass a job on whose numbers are out of range, as its caller is told so by the leader", async () => {
-        const step = {
-            count: 1e300,
-            needs: { cpu: -1, memory: null, gpu: 0.5 },
-            estimateMs: null,
-            after: [-1],
-            hasCheckpoints: false,
-            isGang: false,
-            isSameRack: false,
-            maxPerTarget: 0,
-            isSpeculative: false,
-            isLongRunning: false,
-            image: "",
-            tailBoundMs: 0,
-            isFiller: false,
-        };
+        const needs = { cpu: -1, memory: null, gpu: 0.5 };
+        const step = { ...buildTestStep(), count: 1e300, needs, estimateMs: null, after: [-1] };
         const job = { spec: "x".repeat(5_000), steps: [step], times: 0, startAtMs: -1, intervalMs: 0 };
         const { handler, effects } = createFixture();
         const call = { verb: "submit", host: "h", path: `/q/${"x".repeat(6_000)}`, key: "", job };
