Log crashes of targets and the runs that are lost with them

Callers saw jobs that never end while their tasks crash target after target.

An end is a crash when the VM service reports the process as stopped on a VM that stayed in its pool, and neither the target nor a request for its VM had announced it. Two counters. Commands that remove or replace a target return the ends, which the leader logs. No decision changes.

--- a/packages/core/src/control/command-results.ts
+++ b/packages/core/src/control/command-results.ts
@@ -2,6 +2,8 @@
 import type { TaskEnd } from "../jobs/task-end.js";
 import type { TaskStart } from "../jobs/task-start.js";
 import type { WaveTransition } from "../reboot-waves/wave-transition.js";
+import type { TargetRecording } from "../targets/target-recording.js";
+import type { TargetRemoval } from "../targets/target-removal.js";
 import type { ChangeResult } from "./change-result.js";
 import type { ClaimResult } from "./claim-result.js";
 import type { CommandKind } from "./command-kind.js";
@@ -28,10 +30,8 @@
     [CommandKind.RecordStarts]: readonly TaskStart[];
     /** The ends that were recorded; ends of outdated runs are ignored. */
     [CommandKind.RecordEnds]: readonly TaskEnd[];
-    /** False when the report is of an older incarnation of the target. */
-    [CommandKind.RecordTarget]: boolean;
-    /** False when this incarnation of the target was not recorded. */
-    [CommandKind.RemoveTarget]: boolean;
+    [CommandKind.RecordTarget]: TargetRecording;
+    [CommandKind.RemoveTarget]: TargetRemoval;
     /** False when a wave with this number exists already. */
     [CommandKind.StartMaintenance]: boolean;
     /** False when the maintenance wave does not exist. */
--- a/packages/core/src/control/record-target-command.ts
+++ b/packages/core/src/control/record-target-command.ts
@@ -1,3 +1,4 @@
+import type { TargetCrash } from "../crashes/target-crash.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import type { CommandKind } from "./command-kind.js";
 
@@ -5,4 +6,8 @@
 export interface RecordTargetCommand {
     readonly kind: CommandKind.RecordTarget;
     readonly record: TargetRecord;
+    /** What the leader knows of runs on incarnations that this one replaces and that have crashed. */
+    readonly crashes?: readonly TargetCrash[];
+    /** Wall clock of the leader, milliseconds. */
+    readonly atMs?: number;
 }
--- a/packages/core/src/jobs/run-outcome.ts
+++ b/packages/core/src/jobs/run-outcome.ts
@@ -13,6 +13,8 @@
     GangIncomplete = "alone",
     /** Its target is confirmed to be gone. */
     TargetGone = "target-gone",
+    /** Its target is confirmed to have crashed. */
+    TargetCrashed = "target-crashed",
     /** The target rejected the start request, so nothing has run. */
     Rejected = "rejected",
 }
--- a/packages/core/src/targets/apply-remove-target.ts
+++ b/packages/core/src/targets/apply-remove-target.ts
@@ -1,18 +1,21 @@
 import type { ControlState } from "../control/control-state.js";
 import type { RemoveTargetCommand } from "../control/remove-target-command.js";
 import { removeTarget } from "./remove-target.js";
+import type { TargetRemoval } from "./target-removal.js";
 
 /**
  * Removes a target incarnation that has ended.
  * @param state - the replicated state
  * @param command - the command
- * @returns false when that incarnation was not recorded
+ * @returns whether that incarnation was recorded, and the ends of its runs
  */
-export function applyRemoveTarget(state: ControlState, { id, incarnation }: RemoveTargetCommand): boolean {
+export function applyRemoveTarget(
+    state: ControlState,
+    { id, incarnation, atMs, crash }: RemoveTargetCommand,
+): TargetRemoval {
     const current = state.fleet.targets.get(id);
     if (current === undefined || current.incarnation !== incarnation) {
-        return false;
+        return { isKnown: false, ends: [] };
     }
-    removeTarget(state, current);
-    return true;
+    return { isKnown: true, ends: removeTarget(state, current, atMs, crash !== undefined) };
 }
--- /dev/null
+++ b/packages/core/src/targets/target-removal.ts
@@ -0,0 +1,9 @@
+import type { TaskEnd } from "../jobs/task-end.js";
+
+/** Result of the removal of a target incarnation. */
+export interface TargetRemoval {
+    /** False when this incarnation of the target was not recorded. */
+    readonly isKnown: boolean;
+    /** The ends of the runs on it. */
+    readonly ends: readonly TaskEnd[];
+}
--- a/packages/core/src/targets/targets.test.ts
+++ b/packages/core/src/targets/targets.test.ts
@@ -29,7 +29,7 @@
     if (current === undefined) {
         throw new TypeError("the fleet has no target t0");
     }
-    return applyRecordTarget(state, { kind: CommandKind.RecordTarget, record: { ...current, ...fields } });
+    return applyRecordTarget(state, { kind: CommandKind.RecordTarget, record: { ...current, ...fields } }).isNewest;
 }
 
 function readPhase(state: ControlState): TaskPhase | undefined {
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -14,8 +14,8 @@
 import type { FleetSettings } from "../settings/fleet-settings.js";
 import type { TargetClient } from "../targets/target-client.js";
 import type { VmService } from "../vms/vm-service.js";
-import { VmState } from "../vms/vm-state.js";
 import { ConfigurationHandler } from "./configuration-handler.js";
+import { findTargetEnding } from "./find-target-ending.js";
 import { JobCallHandler } from "./job-call-handler.js";
 import type { Leadership } from "./leadership.js";
 import type { LoadMeter } from "./load-meter.js";
@@ -63,7 +63,10 @@
     constructor(private readonly dependencies: LeaderDependencies) {
         const { settings, leadership, client, vms, advice, clock, log } = dependencies;
         const startScheduling = () => this.scheduler.startRound();
-        this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling);
+        this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
+            collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
+            noteRunEnds: ends => this.sessions.noteRunEnds(ends),
+        });
         const vmLeases = new VmLeaseTracker({
             leadership,
             vms,
@@ -78,10 +81,8 @@
             clock,
             log,
             maxLeaseMs: settings.tasks.max_lease_ms,
-            isTargetGone: ({ id, vm }, since) => {
-                const view = vm === "" ? "unknown" : vmLeases.findVm(vm, since);
-                return view !== "unknown" && (view === undefined || view.state === VmState.Down || view.target !== id);
-            },
+            findTargetEnding: (target, since) =>
+                target.vm === "" ? undefined : findTargetEnding(target, vmLeases.findVm(target.vm, since)),
             mayEjectSlow: ({ pool }) => this.sessions.countSlow(pool) < this.sessions.countTargets(pool) * maxSlowShare,
             estimateTask: task => this.computeTaskMs(leadership.readFleet(), task),
             findTicket: (task, target) => this.tickets.findTicket(parseStepKey(task), target) ?? "",
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -31,7 +31,8 @@
         const vms = new FakeVmService();
         records.forEach(({ vm, pool, id }) => vms.addVm(vm, pool, id));
         const log = { record: () => undefined };
-        const reports = new TargetReportHandler(leadership, clock, log, () => undefined);
+        const sessions = { collectCrashedRuns: () => [], noteRunEnds: () => undefined };
+        const reports = new TargetReportHandler(leadership, clock, log, () => undefined, sessions);
         balancer = new PoolBalancer({
             leadership,
             vmLeases: new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 }),
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -43,7 +43,7 @@
     readonly setStartBackoff: (forMs: number) => void;
     /** Commits ended runs; returns false when they may not have been committed. */
     readonly recordRunEnds: (ends: readonly Omit<TaskEnd, "target">[]) => Promise<boolean>;
-    readonly removeTarget: (reason: string) => Promise<void>;
+    readonly removeTarget: (reason: string, isCrashed: boolean) => Promise<void>;
     /** Wakes the renewal loop, which fetches the target's lists of running tasks and ended runs. */
     readonly startRenewal: () => void;
 }
@@ -170,6 +170,9 @@
         if (response.result === TargetRequestResult.Done || response.result === TargetRequestResult.AlreadyEnded) {
             request.confirmedAt = this.readNow();
             request.isStartUnanswered = false;
+            if (response.result === TargetRequestResult.Done) {
+                request.confirmedClockMs ??= response.clockMs;
+            }
             log.record(DecisionKind.TaskStarted, {
                 task,
                 run: request.run,
@@ -187,7 +190,7 @@
             uncertain: request.isStartUnanswered,
         });
         if (response.result === TargetRequestResult.WrongTarget) {
-            await this.session.removeTarget("another target responds at its address");
+            await this.session.removeTarget("another target responds at its address", true);
             return true;
         }
         if (response.result === TargetRequestResult.Unanswered) {
--- a/packages/daemon/src/job-scheduler/leader/run-request-state.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-state.ts
@@ -13,6 +13,10 @@
     isStopRequested: boolean;
     /** When the target last confirmed a request, monotonic milliseconds; a list requested later reflects it. */
     confirmedAt: number | undefined;
+    /** Clock of the target when it confirmed the start, milliseconds; `undefined` before that. */
+    confirmedClockMs: number | undefined;
+    /** Whether the target was seen to run it for the time of its probation. */
+    isSettled: boolean;
     /** Whether a request for this run is in flight. */
     isInFlight: boolean;
 }
--- a/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
@@ -1,3 +1,4 @@
+import { RunProgress } from "@daisylock/core/crashes/run-progress.js";
 import type { UnconfirmedRun } from "@daisylock/core/queueing/unconfirmed-run.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -48,6 +49,8 @@
             isStopConfirmed: false,
             isStopRequested: false,
             confirmedAt: undefined,
+            confirmedClockMs: undefined,
+            isSettled: false,
             isInFlight: false,
         };
         this.requests.set(buildKey(task, run), { task, state });
@@ -74,6 +77,25 @@
         return unconfirmedRuns;
     }
 
+    /**
+     * Reads how far a run that is recorded on the target has come.
+     * @param task - encoded task key
+     * @param run - run number
+     * @returns its progress; unconfirmed for a run that an earlier leader recorded and the target has not listed yet
+     */
+    readProgress(task: string, run: number): RunProgress {
+        const request = this.find(task, run);
+        if (request?.isSettled === true) {
+            return RunProgress.Settled;
+        }
+        if (request?.confirmedClockMs !== undefined) {
+            return RunProgress.OnProbation;
+        }
+        return request?.isStartSent === false && !request.isStopRequested
+            ? RunProgress.Unsent
+            : RunProgress.Unconfirmed;
+    }
+
     /**
      * Deletes requests for runs that have ended.
      * @param runs - numbers of the runs that may still be running, by encoded task key
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { TargetClient } from "../targets/target-client.js";
 import type { Leadership } from "./leadership.js";
+import type { TargetEnding } from "./target-ending.js";
 import type { TargetReportHandler } from "./target-report-handler.js";
 
 /** Dependencies of a target session. */
@@ -18,11 +19,12 @@
     /** Longest lease that a target accepts, milliseconds. */
     readonly maxLeaseMs: number;
     /**
-     * Tells whether the VM service reports a target incarnation as ended.
+     * Finds out by the VM service how a target incarnation has ended.
      * @param target - the target incarnation
      * @param since - monotonic milliseconds; only lists of VMs requested after this time count
+     * @returns `undefined` when it has not ended, or that is not known
      */
-    readonly isTargetGone: (target: TargetRecord, since: number) => boolean;
+    readonly findTargetEnding: (target: TargetRecord, since: number) => TargetEnding | undefined;
     /** Called when a target left a request unanswered: other targets of its zone may be affected too. */
     readonly handleUnansweredRequest: (target: TargetRecord) => void;
     /** Whether a target may be ejected as slow; false while many targets of its pool already are. */
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -23,6 +23,7 @@
         new ManualClock(),
         { record: () => undefined },
         () => undefined,
+        { collectCrashedRuns: () => [], noteRunEnds: () => undefined },
     );
     const report = (sequence: number, fields: Partial<typeof record> = {}) =>
         handler.handleReport({
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -1,6 +1,9 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { isEndUnplanned } from "@daisylock/core/crashes/is-end-unplanned.js";
+import type { TargetCrash } from "@daisylock/core/crashes/target-crash.js";
 import { isTargetChanged } from "@daisylock/core/targets/is-target-changed.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import type { TargetReport } from "@daisylock/core/targets/target-report.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 import type { TargetLeave } from "@daisylock/protocol/fleet/target-leave.js";
@@ -9,6 +12,7 @@
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { Leadership } from "./leadership.js";
+import type { TargetSessions } from "./target-sessions.js";
 
 /** Latest heartbeat of one target incarnation. */
 interface LatestReport {
@@ -32,12 +36,14 @@
      * @param clock - clock for the arrival of heartbeats
      * @param log - decision log
      * @param startScheduling - called when a target has changed
+     * @param sessions - sessions of the targets, which know the runs on an incarnation that is replaced or leaves
      */
     constructor(
         private readonly leadership: Leadership,
         private readonly clock: Clock,
         private readonly log: Pick<DecisionLog, "record">,
         private readonly startScheduling: () => void,
+        private readonly sessions: Pick<TargetSessions, "collectCrashedRuns" | "noteRunEnds">,
     ) {}
 
     /**
@@ -65,17 +71,32 @@
             if (!isChanged) {
                 return { isNewest: true };
             }
-            const isNewest = await this.leadership.recordCommand({ kind: CommandKind.RecordTarget, record });
-            if (isNewest === undefined) {
+            const crashes = this.collectCrashes(record);
+            const recording = await this.leadership.recordCommand({
+                kind: CommandKind.RecordTarget,
+                record,
+                crashes,
+                atMs: Date.now(),
+            });
+            if (recording === undefined) {
                 return undefined;
             }
+            const { isNewest, ends } = recording;
+            this.sessions.noteRunEnds(ends);
             if (this.latestReports.get(record.id) === latest) {
                 this.latestReports.set(record.id, { ...latest, isRecorded: true });
             }
             const kind = record.state === ReportedTargetState.Draining
                 ? DecisionKind.TargetDraining
                 : DecisionKind.TargetRecorded;
-            this.log.record(kind, { target: record.id, vm: record.vm, pool: record.pool, sequence, newest: isNewest });
+            this.log.record(kind, {
+                target: record.id,
+                vm: record.vm,
+                pool: record.pool,
+                sequence,
+                newest: isNewest,
+                crashes: isNewest && crashes.length > 0 ? crashes.length : undefined,
+            });
             this.startScheduling();
             return { isNewest };
         });
@@ -97,13 +118,13 @@
             if (known === undefined || !isLeaving) {
                 return { isKnown: false };
             }
-            const isKnown = await this.leadership.recordCommand({
+            const removal = await this.leadership.recordCommand({
                 kind: CommandKind.RemoveTarget,
                 id,
                 incarnation: known.incarnation,
                 atMs: Date.now(),
             });
-            if (isKnown === undefined) {
+            if (removal === undefined) {
                 return undefined;
             }
             this.log.record(DecisionKind.TargetGone, {
@@ -111,9 +132,10 @@
                 vm: known.vm,
                 reason: "it announced that it is leaving",
             });
+            this.sessions.noteRunEnds(removal.ends);
             this.latestReports.delete(id);
             this.startScheduling();
-            return { isKnown };
+            return { isKnown: removal.isKnown };
         });
     }
 
@@ -128,6 +150,17 @@
         return latest?.incarnation === incarnation ? latest : undefined;
     }
 
+    /** Collects the crashes of the incarnations that a new one replaces: those under its id and at its address. */
+    private collectCrashes(record: TargetRecord): TargetCrash[] {
+        const fleet = this.leadership.readFleet();
+        return [...fleet.targets.values()].filter(other =>
+            other.id === record.id ? other.incarnation < record.incarnation : other.address === record.address
+        ).filter(other => isEndUnplanned(fleet, other)).map(({ id }) => ({
+            target: id,
+            runs: this.sessions.collectCrashedRuns(id),
+        }));
+    }
+
     private isOutdated({ record, sequence }: TargetReport, knownIncarnation: number | undefined): boolean {
         const latest = this.latestReports.get(record.id);
         const newest = Math.max(latest?.incarnation ?? 0, knownIncarnation ?? 0);
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -1,6 +1,7 @@
 import { applyCommand } from "@daisylock/core/control/apply-command.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { ControlCommand } from "@daisylock/core/control/control-command.js";
+import { RunProgress } from "@daisylock/core/crashes/run-progress.js";
 import { JobPhase } from "@daisylock/core/jobs/job-phase.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
@@ -15,8 +16,11 @@
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
 import type { SessionDependencies } from "./session-dependencies.js";
+import { TargetEnding } from "./target-ending.js";
 import { TargetSession } from "./target-session.js";
 
+type LineFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
 const task = "a.0.0.0";
 const clockOffsetMs = 500_000;
 const maxLeaseMs = 6_000;
@@ -32,7 +36,8 @@
     let isCommitting = true;
     let isActive = true;
     let lastReportAt: number | undefined;
-    let handleLogLine: (kind: DecisionKind) => void = () => undefined;
+    let ending: TargetEnding | undefined;
+    let handleLogLine: (kind: DecisionKind, fields: LineFields) => void = () => undefined;
     const record = state.fleet.targets.get("t0");
     if (record === undefined) {
         throw new TypeError("the test fleet has no target");
@@ -62,9 +67,9 @@
                     : { incarnation: 1, sequence: 1, at: 0, clockMs: options.oldReportClockMs },
         },
         clock,
-        log: { record: kind => handleLogLine(kind) },
+        log: { record: (kind, fields) => handleLogLine(kind, fields) },
         maxLeaseMs,
-        isTargetGone: () => false,
+        findTargetEnding: () => ending,
         mayEjectSlow: () => true,
         estimateTask: () => 500,
         findTicket: () => "",
@@ -93,9 +98,14 @@
         setActive: (value: boolean) => {
             isActive = value;
         },
-        onLogLine: (handle: (kind: DecisionKind) => void) => {
+        onLogLine: (handle: (kind: DecisionKind, fields: LineFields) => void) => {
             handleLogLine = handle;
         },
+        endTarget: (how: TargetEnding) => {
+            ending = how;
+            client.isResponding = false;
+        },
+        requestVm: (atMs: number) => state.fleet.vmOrders.set("vm0", { token: 1, holder: "core-1", atMs }),
         stopReports: () => {
             lastReportAt = clock.readMonotonic();
         },
@@ -595,6 +605,46 @@
         });
     });
 
+    describe("the end of a target", () => {
+        async function runToEnd(runMs: number, how = TargetEnding.Stopped, requestedAtMs?: number) {
+            const fixture = createFixture();
+            const lines: LineFields[] = [];
+            fixture.onLogLine((kind, fields) => void lines.push({ kind, ...fields }));
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(runMs);
+            if (requestedAtMs !== undefined) {
+                fixture.requestVm(requestedAtMs);
+            }
+            fixture.endTarget(how);
+            await fixture.clock.runFor(1_500);
+            const findLine = (kind: DecisionKind) => lines.find(line => line["kind"] === kind);
+            return { gone: findLine(DecisionKind.TargetGone), ended: findLine(DecisionKind.TaskEnded) };
+        }
+
+        it("is logged as a crash, with a line for each run that tells how far it had come", async () => {
+            const early = await runToEnd(20);
+            expect(early.gone).toMatchObject({ crashed: true, runs: 1, recent: 1 });
+            expect(early.ended).toMatchObject({
+                task,
+                how: RunOutcome.TargetCrashed,
+                progress: RunProgress.OnProbation,
+            });
+            const late = await runToEnd(900);
+            expect(late.gone).toMatchObject({ crashed: true, runs: 1, recent: 0 });
+            expect(late.ended).toMatchObject({ task, how: RunOutcome.TargetCrashed, progress: RunProgress.Settled });
+        });
+
+        it("is not logged as a crash when the VM was taken away, or a request for it was recorded", async () => {
+            const taken = await runToEnd(20, TargetEnding.VmTaken);
+            expect(taken.gone).toMatchObject({ crashed: false });
+            expect(taken.ended).toMatchObject({ task, how: RunOutcome.TargetGone, progress: undefined });
+            expect((await runToEnd(20, TargetEnding.Stopped, 5)).gone).toMatchObject({ crashed: false });
+        });
+    });
+
     describe("status", () => {
         it("tells why no task may be started on the target", async () => {
             const fixture = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -1,4 +1,8 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { CrashedRun } from "@daisylock/core/crashes/crashed-run.js";
+import { isEndUnplanned } from "@daisylock/core/crashes/is-end-unplanned.js";
+import { probationMs } from "@daisylock/core/crashes/probation-ms.js";
+import { RunProgress } from "@daisylock/core/crashes/run-progress.js";
 import type { TargetLoad } from "@daisylock/core/fleet/target-load.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
@@ -12,10 +16,12 @@
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
 import { minClockRate } from "./min-clock-rate.js";
+import { noteRunning } from "./note-running.js";
 import { RunRequestSender } from "./run-request-sender.js";
 import { RunRequestTracker } from "./run-request-tracker.js";
 import type { SessionDependencies } from "./session-dependencies.js";
 import { TargetClock } from "./target-clock.js";
+import { TargetEnding } from "./target-ending.js";
 import { TargetHealthMonitor } from "./target-health-monitor.js";
 
 /**
@@ -99,7 +105,7 @@
                 this.startBackoffUntil = this.readNow() + forMs;
             },
             recordRunEnds: ends => this.recordRunEnds(ends),
-            removeTarget: reason => this.removeTarget(reason),
+            removeTarget: (reason, isCrashed) => this.removeTarget(reason, isCrashed),
             startRenewal: () => this.startRenewal(),
         }, dependencies);
         this.healthMonitor = new TargetHealthMonitor(record, dependencies);
@@ -237,6 +243,41 @@
         return response.result === TargetRequestResult.Done;
     }
 
+    /**
+     * Tells what the leader knows of the runs that are recorded on the target, for the case that it has crashed.
+     * @returns the runs
+     */
+    collectCrashedRuns(): CrashedRun[] {
+        return [...this.readLoad().runs].map(([task, run]) => ({
+            task,
+            run,
+            progress: this.requests.readProgress(task, run),
+        }));
+    }
+
+    /**
+     * Takes note of ends of runs that are recorded.
+     * @param ends - the ends, all of runs on this target
+     */
+    noteRunEnds(ends: readonly TaskEnd[]): void {
+        const { handleRunEnd, log } = this.dependencies;
+        for (const { task, run, how } of ends) {
+            const request = this.requests.find(task, run);
+            // The duration of runs that an earlier leader started is not known.
+            const durationMs = request?.isStartSent === true ? this.readNow() - request.createdAt : undefined;
+            handleRunEnd(task, how, durationMs);
+            this.healthMonitor.noteRunEnd(task, how);
+            log.record(DecisionKind.TaskEnded, {
+                task,
+                run,
+                how,
+                target: this.record.id,
+                afterMs: durationMs === undefined ? undefined : Math.round(durationMs),
+                progress: how === RunOutcome.TargetCrashed ? this.requests.readProgress(task, run) : undefined,
+            });
+        }
+    }
+
     private findExclusion(): TargetExclusion | undefined {
         const now = this.readNow();
         if (!this.isSynced) {
@@ -297,7 +338,7 @@
             case TargetRequestResult.Done:
                 return await this.handleRenewal(response, sentAt) ? 0 : retryDelayMs;
             case TargetRequestResult.WrongTarget:
-                await this.removeTarget("another target responds at its address");
+                await this.removeTarget("another target responds at its address", true);
                 return retryDelayMs;
             case TargetRequestResult.Fenced:
                 this.noteUnreachable(response.result);
@@ -358,14 +399,14 @@
     }
 
     /** Reconciles the runs that the target reports with the committed ones. */
-    private async syncRuns({ running, ended }: LeaseRenewalResponse, sentAt: number): Promise<void> {
+    private async syncRuns({ running, ended, clockMs }: LeaseRenewalResponse, sentAt: number): Promise<void> {
         const { runs } = this.readLoad();
         const reportedRuns = new Map([...running, ...ended].map(({ task, run }) => [task, run]));
         const stopped: Omit<TaskEnd, "target">[] = [];
         for (const [task, run] of runs) {
             const request = this.requests.find(task, run);
             if (reportedRuns.get(task) === run) {
-                this.confirmRun(task, run);
+                this.confirmRun(task, run, clockMs);
                 if (this.isStopping(task, run)) {
                     this.stopTask(task, run);
                 }
@@ -404,10 +445,13 @@
         }
     }
 
-    private confirmRun(task: string, run: number): void {
+    private confirmRun(task: string, run: number, clockMs: number | undefined): void {
         const request = this.requests.findOrCreate(task, run);
         request.confirmedAt ??= this.readNow();
         request.isStartUnanswered = false;
+        if (clockMs !== undefined) {
+            noteRunning(request, clockMs, probationMs);
+        }
     }
 
     private async recordRunEnds(ends: readonly Omit<TaskEnd, "target">[]): Promise<boolean> {
@@ -415,35 +459,25 @@
             // The next session may have started the runs again.
             return false;
         }
-        const { leadership, handleRunEnd, startScheduling, log } = this.dependencies;
+        const { leadership, startScheduling } = this.dependencies;
         const recorded = await leadership.recordCommand({
             kind: CommandKind.RecordEnds,
             ends: ends.map(({ task, run, how, saved }) => ({ task, run, how, saved, target: this.record.id })),
             atMs: Date.now(),
         });
-        for (const { task, run, how } of recorded ?? []) {
-            const request = this.requests.find(task, run);
-            // The duration of runs that an earlier leader started is not known.
-            const durationMs = request?.isStartSent === true ? this.readNow() - request.createdAt : undefined;
-            handleRunEnd(task, how, durationMs);
-            this.healthMonitor.noteRunEnd(task, how);
-            log.record(DecisionKind.TaskEnded, {
-                task,
-                run,
-                how,
-                target: this.record.id,
-                afterMs: durationMs === undefined ? undefined : Math.round(durationMs),
-            });
-        }
+        this.noteRunEnds(recorded ?? []);
         startScheduling();
         return recorded !== undefined;
     }
 
     private async handleUnreachable(): Promise<void> {
         const now = this.readNow();
-        const { log, isTargetGone } = this.dependencies;
-        if (this.unreachableSince !== undefined && isTargetGone(this.record, this.unreachableSince)) {
-            await this.removeTarget("the VM service reports it as ended");
+        const { log, findTargetEnding } = this.dependencies;
+        const ending = this.unreachableSince === undefined
+            ? undefined
+            : findTargetEnding(this.record, this.unreachableSince);
+        if (ending !== undefined) {
+            await this.removeTarget("the VM service reports it as ended", ending === TargetEnding.Stopped);
             return;
         }
         const leaseExpiry = Math.max(this.computeEarlierLeaseExpiry(), this.targetClock.computeLeaseExpiry() ?? 0);
@@ -466,7 +500,7 @@
             this.unreachableSince !== undefined && now - this.unreachableSince > removalTimeoutMs
             && this.isReportOverdue(now)
         ) {
-            await this.removeTarget("it neither responds nor sends heartbeats");
+            await this.removeTarget("it neither responds nor sends heartbeats", false);
         }
     }
 
@@ -483,17 +517,21 @@
             : leaderLeaseExpiry;
     }
 
-    private async removeTarget(reason: string): Promise<void> {
+    private async removeTarget(reason: string, isStopped: boolean): Promise<void> {
         const { leadership, log, startScheduling } = this.dependencies;
         const { id, incarnation, vm } = this.record;
-        const isKnown = await leadership.recordCommand({
+        const isCrash = isStopped && isEndUnplanned(leadership.readFleet(), this.readRecord());
+        const runs = this.collectCrashedRuns();
+        const removal = await leadership.recordCommand({
             kind: CommandKind.RemoveTarget,
             id,
             incarnation,
             atMs: Date.now(),
+            crash: isCrash ? { target: id, runs } : undefined,
         });
-        if (isKnown === true) {
-            log.record(DecisionKind.TargetGone, { target: id, vm, reason });
+        if (removal?.isKnown === true) {
+            log.record(DecisionKind.TargetGone, { target: id, vm, reason, crashed: isCrash, ...countRuns(runs) });
+            this.noteRunEnds(removal.ends);
             this.close();
         }
         startScheduling();
@@ -591,3 +629,10 @@
         [...this.wakeups].forEach(settle => settle());
     }
 }
+
+/** Counts the runs on a target that has ended, and those that were too young to rule out that they crashed it. */
+function countRuns(runs: readonly CrashedRun[]): { readonly runs: number; readonly recent: number } {
+    const isRecent = ({ progress }: CrashedRun): boolean =>
+        progress === RunProgress.OnProbation || progress === RunProgress.Unconfirmed;
+    return { runs: runs.length, recent: runs.filter(isRecent).length };
+}
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -21,7 +21,7 @@
         clock,
         log: { record: () => undefined },
         maxLeaseMs: 6_000,
-        isTargetGone: () => false,
+        findTargetEnding: () => undefined,
         mayEjectSlow: () => true,
         estimateTask: () => undefined,
         findTicket: () => "",
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -1,3 +1,5 @@
+import type { CrashedRun } from "@daisylock/core/crashes/crashed-run.js";
+import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { SessionDependencies } from "./session-dependencies.js";
@@ -100,6 +102,25 @@
         return sessions.filter((_, position) => (position + this.sampleStart) % stride === 0).slice(0, zoneSampleSize);
     }
 
+    /**
+     * Tells what is known of the runs that are recorded on a target, for the case that it has crashed.
+     * @param id - id of the target
+     * @returns the runs; none when the target has no session
+     */
+    collectCrashedRuns(id: string): CrashedRun[] {
+        return this.sessions.get(id)?.collectCrashedRuns() ?? [];
+    }
+
+    /**
+     * Takes note of ends of runs that are recorded.
+     * @param ends - the ends
+     */
+    noteRunEnds(ends: readonly TaskEnd[]): void {
+        for (const end of ends) {
+            this.sessions.get(end.target)?.noteRunEnds([end]);
+        }
+    }
+
     /**
      * Counts the targets of a pool that are ejected as slow.
      * @param pool - name of the pool
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
@@ -18,6 +18,8 @@
     StartWait = "daisylock_start_wait_seconds",
     StartOrder = "daisylock_start_order_seconds",
     RunTime = "daisylock_run_seconds",
+    TargetCrashes = "daisylock_target_crashes_total",
+    CrashedRuns = "daisylock_crashed_runs_total",
     JobTime = "daisylock_job_seconds",
     PoolCapacity = "daisylock_pool_capacity_cores",
     PoolUsed = "daisylock_pool_used_cores",
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -1,3 +1,4 @@
+import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import { performance } from "node:perf_hooks";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
@@ -37,6 +38,16 @@
     private readonly runTime = this.createHistogram(FleetMetricName.RunTime, "From the order to the end of a run", [
         "how",
     ]);
+    private readonly targetCrashes = this.createCounter(
+        FleetMetricName.TargetCrashes,
+        "Targets that ended without an announcement",
+        [],
+    );
+    private readonly crashedRuns = this.createCounter(
+        FleetMetricName.CrashedRuns,
+        "Runs on targets that crashed, by how far they had come",
+        ["progress"],
+    );
     private readonly jobTime = this.createHistogram(FleetMetricName.JobTime, "From acceptance to the end", ["phase"]);
     private readonly capacity = this.createGauge(FleetMetricName.PoolCapacity, "Cores of the pool's targets", ["pool"]);
     private readonly used = this.createGauge(FleetMetricName.PoolUsed, "Cores that may be in use", ["pool"]);
@@ -103,6 +114,17 @@
                 break;
             case DecisionKind.TaskEnded:
                 recordDuration(this.runTime, fields["afterMs"], { how: String(fields["how"]) });
+                if (fields["how"] === RunOutcome.TargetCrashed) {
+                    this.crashedRuns.inc({ progress: String(fields["progress"]) });
+                }
+                break;
+            case DecisionKind.TargetRecorded:
+                this.targetCrashes.inc(Number(fields["crashes"] ?? 0));
+                break;
+            case DecisionKind.TargetGone:
+                if (fields["crashed"] === true) {
+                    this.targetCrashes.inc();
+                }
                 break;
             case DecisionKind.JobEnded:
                 recordDuration(this.jobTime, fields["afterMs"], { phase: String(fields["phase"]) });
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -91,7 +91,10 @@
         const leadership = new Leadership(this.keeper, 1);
         const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
         const startScheduling = () => this.startRound();
-        this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling);
+        this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
+            collectCrashedRuns: id => sessions.collectCrashedRuns(id),
+            noteRunEnds: ends => sessions.noteRunEnds(ends),
+        });
         const client = new SimulatedTargetClient(
             new Map(this.targets.map(target => [target.record.id, target])),
             this.clock,
@@ -111,7 +114,7 @@
             clock: this.clock,
             log,
             maxLeaseMs: this.maxLeaseMs,
-            isTargetGone: () => false,
+            findTargetEnding: () => undefined,
             mayEjectSlow: () => true,
             estimateTask: () => undefined,
             findTicket: () => "",
