Reproduce crash loops in the simulated fleet: a task is started 64 times, and its job never ends

The simulated targets crash under a task, and the VM service or the restarted targets tell so. Three cases fail: with one leader (64 starts in 25 s; the platform allows five), with a change of leader every other second (64), and with crashes that are known only from targets that start again under their ids (10). The job is never shown as failed.

--- a/packages/daemon/src/job-scheduler/testing/run-monitor.ts
+++ b/packages/daemon/src/job-scheduler/testing/run-monitor.ts
@@ -19,6 +19,8 @@
     private readonly aliveRuns = new Map<string, { readonly target: string; readonly run: number }>();
     private readonly doneRuns: DoneRun[] = [];
     private readonly failedRuns = new Map<string, number>();
+    private readonly crashCounts = new Map<string, number>();
+    private readonly startCounts = new Map<string, number>();
 
     /**
      * @param isRecordedDone - whether the replicated state no longer needs the result of a task
@@ -33,6 +35,7 @@
      */
     noteStart(target: string, task: string, run: number): void {
         this.startCount += 1;
+        this.startCounts.set(task, this.countStarts(task) + 1);
         const other = this.aliveRuns.get(task);
         if (other !== undefined) {
             this.violations.push(
@@ -84,9 +87,28 @@
         this.doneRuns.filter(done => done.target === target).forEach(done => {
             done.isDiscarded = true;
         });
-        [...this.aliveRuns].filter(([, alive]) => alive.target === target).forEach(([task]) =>
-            this.aliveRuns.delete(task)
-        );
+        [...this.aliveRuns].filter(([, alive]) => alive.target === target).forEach(([task]) => {
+            this.aliveRuns.delete(task);
+            this.crashCounts.set(task, this.countCrashes(task) + 1);
+        });
+    }
+
+    /**
+     * Counts the crashes of targets under a task.
+     * @param task - encoded task key
+     * @returns the number of targets
+     */
+    countCrashes(task: string): number {
+        return this.crashCounts.get(task) ?? 0;
+    }
+
+    /**
+     * Counts the starts of a task.
+     * @param task - encoded task key
+     * @returns the number of starts that targets have carried out
+     */
+    countStarts(task: string): number {
+        return this.startCounts.get(task) ?? 0;
     }
 
     /**
@@ -127,6 +149,14 @@
         return [...this.failedRuns].filter(([, count]) => count >= minCount).map(([task]) => task);
     }
 
+    /**
+     * Lists the tasks under which so many targets have crashed that they may be given up.
+     * @returns encoded task keys
+     */
+    listCrashingTasks(): readonly string[] {
+        return [...this.crashCounts].filter(([, count]) => count >= 2).map(([task]) => task);
+    }
+
     /**
      * Lists the runs that are alive.
      * @returns target and run number by encoded task key
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -15,6 +15,7 @@
 import { LoadMeter } from "../leader/load-meter.js";
 import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
 import { Scheduler } from "../leader/scheduler.js";
+import { TargetEnding } from "../leader/target-ending.js";
 import { TargetReportHandler } from "../leader/target-report-handler.js";
 import { TargetSessions } from "../leader/target-sessions.js";
 import { TaskDurationEstimator } from "../leader/task-duration-estimator.js";
@@ -40,6 +41,8 @@
 /** Delay before a request or heartbeat that the leader has not accepted is sent again, milliseconds. */
 const retryDelayMs = 100;
 const keepStateMs = 120_000;
+/** Time for which a target that a task has crashed is down, milliseconds. */
+const crashDownMs = 1_500;
 /** Number of macrotask rounds within which all goroutines that can proceed have done so. */
 const macrotaskRounds = 5;
 
@@ -60,6 +63,8 @@
     readonly monitor: RunMonitor;
     readonly targets: readonly SimulatedTarget[];
     readonly relays: SimulatedRelays;
+    /** Whether the VM service tells which targets have ended. */
+    isVmServiceUp = false;
     private readonly state: ControlState;
     private readonly scheduler: Scheduler;
     private readonly reports: TargetReportHandler;
@@ -88,6 +93,9 @@
                 random,
             })
         );
+        this.targets.forEach(target => {
+            target.handleCrash = () => this.stopTarget(target, crashDownMs);
+        });
         const leadership = new Leadership(this.keeper, 1);
         const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
         const startScheduling = () => this.startRound();
@@ -114,7 +122,7 @@
             clock: this.clock,
             log,
             maxLeaseMs: this.maxLeaseMs,
-            findTargetEnding: () => undefined,
+            findTargetEnding: ({ id, incarnation }) => this.findTargetEnding(id, incarnation),
             mayEjectSlow: () => true,
             estimateTask: () => undefined,
             findTicket: () => "",
@@ -161,8 +169,9 @@
      * @param work - what its tasks do
      * @param count - number of tasks of each step
      * @param stepCount - number of steps, each of which waits for the one before
+     * @returns id of the job
      */
-    addJob(work: SimulatedWork, count: number, stepCount: number): void {
+    addJob(work: SimulatedWork, count: number, stepCount: number): string {
         this.jobCount += 1;
         const steps: JobStep[] = Array.from({ length: stepCount }, (_, index) =>
             buildTestStep({
@@ -180,6 +189,7 @@
             request: { spec: JSON.stringify(work), steps, times: 0, startAtMs: 0, intervalMs: 0 },
             atMs: this.clock.readWall(),
         });
+        return `j${this.jobCount}`;
     }
 
     /**
@@ -284,7 +294,8 @@
     }
 
     private isFailureExplained({ id, maxAttempts }: Job): boolean {
-        return this.monitor.listFailedTasks(maxAttempts).some(task => decodeTaskKey(task)?.job === id);
+        return this.monitor.listFailedTasks(maxAttempts).some(task => decodeTaskKey(task)?.job === id)
+            || this.monitor.listCrashingTasks().some(task => decodeTaskKey(task)?.job === id);
     }
 
     private isRecordedDone(task: string): boolean {
@@ -294,6 +305,21 @@
             || findTask(job, key)?.phase === TaskPhase.Done;
     }
 
+    /**
+     * Reads the phase of a job.
+     * @param id - id of the job
+     * @returns the phase; `undefined` for an unknown job
+     */
+    readJobPhase(id: string): JobPhase | undefined {
+        return this.state.fleet.jobs.get(id)?.phase;
+    }
+
+    private findTargetEnding(id: string, incarnation: number): TargetEnding | undefined {
+        const target = this.targets.find(({ record }) => record.id === id);
+        const isRunning = target?.isDown === false && target.record.incarnation === incarnation;
+        return this.isVmServiceUp && !isRunning ? TargetEnding.Stopped : undefined;
+    }
+
     private startRound(): void {
         if (!this.roundClock.isHeld()) {
             this.scheduler.startRound();
--- a/packages/daemon/src/job-scheduler/testing/simulated-target.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target.ts
@@ -53,6 +53,8 @@
     stallingRuns = 0;
     /** Whether the process is down. */
     isDown = false;
+    /** Called when a task crashes the target. */
+    handleCrash: () => void = () => undefined;
     private readonly runs = new Map<string, ActiveRun>();
     private ended: EndedRun[] = [];
     private endCount = 0;
@@ -198,6 +200,9 @@
         const isStalling = !isFailing && this.stallingRuns > 0;
         this.stallingRuns -= isStalling ? 1 : 0;
         active.isStalled = isStalling;
+        if (work.crashAfterMs !== undefined) {
+            clock.schedule(work.crashAfterMs, () => this.runs.get(task) === active && this.handleCrash());
+        }
         if (isFailing) {
             clock.schedule(work.durationMs / 2, () => this.stopRun(task, active, RunOutcome.Failed));
         }
