Give up a task that crashes the targets that start it, and run suspects apart from others

A lost run left no trace in the task, so nothing could tell such a task from its neighbours.

The replicated state now keeps the crashes of targets under a task. Of the runs on the target only those are suspected that were confirmed less than 100 ms before the target's last sign of life, on its own clock, or not yet: a run that has lasted longer did not crash it by its start. A suspect runs next on a target in quarantine, where no other run is on probation, and where nothing else starts until it has passed it or not. If the second target, on another VM, crashes under it as the only recent run, it is given up and its job fails; it takes a third crash while the VM may be the cause or a start was not confirmed. The other tasks of its step wait. A quarter of a pool's targets is kept for suspects, up to half where nothing else starts. A task under which three targets crashed later than at its start has to run apart for its whole run.

--- /dev/null
+++ b/packages/core/src/crashes/record-crash.ts
@@ -0,0 +1,68 @@
+import type { FleetState } from "../fleet/fleet-state.js";
+import { decodeTaskKey } from "../jobs/decode-task-key.js";
+import { findTask } from "../jobs/find-task.js";
+import { parseStepKey } from "../placement/parse-step-key.js";
+import type { TargetRecord } from "../targets/target-record.js";
+import type { CrashedRun } from "./crashed-run.js";
+import { RunProgress } from "./run-progress.js";
+import { updateCrashHistory } from "./update-crash-history.js";
+
+/**
+ * Records the crash of a target incarnation in the histories of the tasks that were running there. Has to be called
+ * before their runs are ended.
+ * @param fleet - the fleet state
+ * @param target - the target incarnation
+ * @param known - what the leader knows of the runs; others count as unconfirmed
+ * @param atMs - wall clock of the leader, milliseconds
+ * @returns encoded keys of the tasks that are given up
+ */
+export function recordCrash(
+    fleet: FleetState,
+    target: TargetRecord,
+    known: readonly CrashedRun[],
+    atMs: number,
+): readonly string[] {
+    const runs = [...fleet.targetLoads.get(target.id)?.runs ?? []].map(([task, run]) => ({
+        task,
+        progress: known.find(other => other.task === task && other.run === run)?.progress ?? RunProgress.Unconfirmed,
+    }));
+    const recentRuns = runs.filter(({ progress }) =>
+        progress === RunProgress.OnProbation || progress === RunProgress.Unconfirmed
+    );
+    const isOnlyRecentRun = countStartUnits(fleet, recentRuns.map(({ task }) => task)) === 1;
+    return runs.filter(({ task, progress }) =>
+        recordCrashOfTask(fleet, task, { progress, vm: target.vm, isOnlyRecentRun, atMs })
+    ).map(({ task }) => task);
+}
+
+/** Counts tasks; those of a gang count once, as they can only start together. */
+function countStartUnits(fleet: FleetState, tasks: readonly string[]): number {
+    return new Set(tasks.map(task => {
+        const key = decodeTaskKey(task);
+        const step = key === undefined ? undefined : fleet.jobs.get(key.job)?.steps[key.step];
+        return step?.isGang === true ? parseStepKey(task) : task;
+    })).size;
+}
+
+/** Returns whether the task is given up. */
+function recordCrashOfTask(
+    fleet: FleetState,
+    encodedKey: string,
+    crash: Parameters<typeof updateCrashHistory>[1],
+): boolean {
+    const key = decodeTaskKey(encodedKey);
+    const job = key === undefined ? undefined : fleet.jobs.get(key.job);
+    const task = key === undefined || job === undefined ? undefined : findTask(job, key);
+    if (task === undefined) {
+        return false;
+    }
+    const wasPoison = task.crashes?.isPoison === true;
+    task.crashes = updateCrashHistory(task.crashes, crash);
+    if (task.crashes?.isSuspect === true) {
+        fleet.suspectTasks.add(encodedKey);
+    }
+    else {
+        fleet.suspectTasks.delete(encodedKey);
+    }
+    return task.crashes?.isPoison === true && !wasPoison;
+}
--- a/packages/core/src/fleet/create-fleet-state.ts
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -13,6 +13,7 @@
         vmOrders: new Map(),
         maintenanceWaves: new Map(),
         activeJobs: new Set(),
+        suspectTasks: new Set(),
         targetLoads: new Map(),
         accountLoads: new Map(),
         jobCpus: new Map(),
--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -35,17 +35,22 @@
         if (!isJobFinished(job) || job.placedCount > 0) {
             state.activeJobs.add(job.id);
         }
-        addPlacedTasks(state, job);
+        addTasks(state, job);
     }
     return state;
 }
 
-function addPlacedTasks(state: FleetState, job: Job): void {
+/** Adds the load of the placed tasks of a job, and the tasks that are suspected. */
+function addTasks(state: FleetState, job: Job): void {
     job.occurrences.forEach((steps, occurrence) =>
         steps.forEach((progress, step) =>
             progress.tasks.forEach((task, index) => {
+                const key = encodeTaskKey({ job: job.id, occurrence, step, index });
                 if (task.phase === TaskPhase.Placed) {
-                    addLoad(state, job, step, encodeTaskKey({ job: job.id, occurrence, step, index }), task);
+                    addLoad(state, job, step, key, task);
+                }
+                if (task.crashes?.isSuspect === true && task.phase !== TaskPhase.Done) {
+                    state.suspectTasks.add(key);
                 }
             })
         )
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -22,6 +22,8 @@
     readonly maintenanceWaves: Map<number, MaintenanceWave>;
     /** Ids of jobs with tasks that may start or may be running; derived from the jobs. */
     readonly activeJobs: Set<string>;
+    /** Encoded keys of unfinished tasks that may have crashed their targets; derived from the jobs. */
+    readonly suspectTasks: Set<string>;
     /** Load of tasks that may be running, by target id; derived from the jobs. */
     readonly targetLoads: Map<string, TargetLoad>;
     /** Resources of tasks that may be running, by client account; derived from the jobs. */
--- a/packages/core/src/jobs/apply-record-ends.ts
+++ b/packages/core/src/jobs/apply-record-ends.ts
@@ -58,6 +58,9 @@
     removeLoad(fleet, job, key.step, end.task, end.target);
     job.placedCount -= 1;
     updateTask(job, step, key, task, end);
+    if (task.phase === TaskPhase.Done) {
+        fleet.suspectTasks.delete(end.task);
+    }
 }
 
 /** Records the members of a gang as done: the successful end of one member completes the whole gang. */
@@ -90,6 +93,9 @@
     if (step.isGang) {
         setGangCheckpoint(job, key, task.saved);
     }
+    if (task.crashes?.isPoison === true) {
+        task.phase = TaskPhase.Failed;
+    }
 }
 
 function setTaskDone(job: Job, key: TaskKey, task: TaskRecord): void {
--- a/packages/core/src/jobs/release-job-data.ts
+++ b/packages/core/src/jobs/release-job-data.ts
@@ -1,3 +1,4 @@
+import { dropSuspects } from "../crashes/drop-suspects.js";
 import type { FleetState } from "../fleet/fleet-state.js";
 import { isJobFinished } from "./is-job-finished.js";
 import type { Job } from "./job.js";
@@ -12,6 +13,7 @@
         return;
     }
     fleet.activeJobs.delete(job.id);
+    dropSuspects(fleet, job.id);
     job.spec = "";
     job.steps = [];
     job.occurrences = [];
--- a/packages/core/src/jobs/task-record.ts
+++ b/packages/core/src/jobs/task-record.ts
@@ -1,3 +1,4 @@
+import type { CrashHistory } from "../crashes/crash-history.js";
 import type { TaskPhase } from "./task-phase.js";
 
 /** Recorded state of one task of a step. */
@@ -11,4 +12,6 @@
     saved: string;
     /** Id of the target of the newest run; empty before the first start. */
     target: string;
+    /** Crashes of targets under its runs; `undefined` if there are none. */
+    crashes?: CrashHistory | undefined;
 }
--- a/packages/core/src/placement/build-placement-targets.ts
+++ b/packages/core/src/placement/build-placement-targets.ts
@@ -31,6 +31,8 @@
             stepCounts: new Map(load?.stepCounts),
             hasServingTasks: (load?.servingCount ?? 0) > 0,
             hasFillers: (load?.fillerCount ?? 0) > 0,
+            recentRuns: 0,
+            isQuarantined: false,
         };
         const views = pools.get(record.pool);
         if (views === undefined) {
--- a/packages/core/src/placement/pick-task-target.ts
+++ b/packages/core/src/placement/pick-task-target.ts
@@ -1,5 +1,6 @@
 import type { JobStep } from "../jobs/job-step.js";
 import type { TaskRecord } from "../jobs/task-record.js";
+import { compareScores } from "./compare-scores.js";
 import { isAntiAffinityMet } from "./filters/is-anti-affinity-met.js";
 import { isCapacityLeft } from "./filters/is-capacity-left.js";
 import { isLabelMatching } from "./filters/is-label-matching.js";
@@ -46,8 +47,3 @@
     }
     return best;
 }
-
-function compareScores(a: readonly number[], b: readonly number[]): number {
-    const position = a.findIndex((score, index) => score !== b[index]);
-    return position < 0 ? 0 : (a[position] ?? 0) - (b[position] ?? 0);
-}
--- a/packages/core/src/placement/placement-target.ts
+++ b/packages/core/src/placement/placement-target.ts
@@ -14,4 +14,8 @@
     hasServingTasks: boolean;
     /** Whether fillers, that is best-effort tasks, may be running there. */
     hasFillers: boolean;
+    /** Number of runs there that are on probation. */
+    recentRuns: number;
+    /** Whether it is kept for a task that may crash it, so that no other task is started there. */
+    isQuarantined: boolean;
 }
--- a/packages/core/src/targets/apply-remove-target.ts
+++ b/packages/core/src/targets/apply-remove-target.ts
@@ -7,7 +7,7 @@
  * Removes a target incarnation that has ended.
  * @param state - the replicated state
  * @param command - the command
- * @returns whether that incarnation was recorded, and the ends of its runs
+ * @returns whether that incarnation was recorded, the ends of its runs and the tasks that are given up
  */
 export function applyRemoveTarget(
     state: ControlState,
@@ -15,7 +15,7 @@
 ): TargetRemoval {
     const current = state.fleet.targets.get(id);
     if (current === undefined || current.incarnation !== incarnation) {
-        return { isKnown: false, ends: [] };
+        return { isKnown: false, ends: [], poisonTasks: [] };
     }
-    return { isKnown: true, ends: removeTarget(state, current, atMs, crash !== undefined) };
+    return { isKnown: true, ...removeTarget(state, current, atMs, crash) };
 }
--- a/packages/core/src/targets/target-recording.ts
+++ b/packages/core/src/targets/target-recording.ts
@@ -6,4 +6,6 @@
     readonly isNewest: boolean;
     /** The ends of runs on incarnations that were replaced. */
     readonly ends: readonly TaskEnd[];
+    /** Encoded keys of the tasks that are given up because targets crash under them. */
+    readonly poisonTasks: readonly string[];
 }
--- a/packages/core/src/targets/target-removal.ts
+++ b/packages/core/src/targets/target-removal.ts
@@ -6,4 +6,6 @@
     readonly isKnown: boolean;
     /** The ends of the runs on it. */
     readonly ends: readonly TaskEnd[];
+    /** Encoded keys of the tasks that are given up because targets crash under them. */
+    readonly poisonTasks: readonly string[];
 }
--- a/packages/core/src/testing/run-random-fleet.ts
+++ b/packages/core/src/testing/run-random-fleet.ts
@@ -121,6 +121,6 @@
     }
     const removed = [...targets.values()][draw(20 * targets.size)];
     if (removed !== undefined && targets.size > 1) {
-        removeTarget(state, removed, atMs, draw(2) === 0);
+        removeTarget(state, removed, atMs, draw(2) === 0 ? { target: removed.id, runs: [] } : undefined);
     }
 }
--- a/packages/daemon/src/job-scheduler/leader/run-request-state.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-state.ts
@@ -15,8 +15,6 @@
     confirmedAt: number | undefined;
     /** Clock of the target when it confirmed the start, milliseconds; `undefined` before that. */
     confirmedClockMs: number | undefined;
-    /** Whether the target was seen to run it for the time of its probation. */
-    isSettled: boolean;
     /** Whether a request for this run is in flight. */
     isInFlight: boolean;
 }
--- a/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-tracker.ts
@@ -14,6 +14,8 @@
 /** Tracks the leader's requests to one target, by task and run. */
 export class RunRequestTracker {
     private readonly requests = new Map<string, TrackedRequest>();
+    /** Latest known reading of the target's clock, milliseconds. */
+    private latestClockMs = 0;
 
     /**
      * @param clock - clock for the creation time of requests
@@ -50,7 +52,6 @@
             isStopRequested: false,
             confirmedAt: undefined,
             confirmedClockMs: undefined,
-            isSettled: false,
             isInFlight: false,
         };
         this.requests.set(buildKey(task, run), { task, state });
@@ -78,18 +79,26 @@
     }
 
     /**
-     * Reads how far a run that is recorded on the target has come.
+     * Records that the target was alive at a reading of its clock.
+     * @param clockMs - the reading, milliseconds
+     */
+    noteAlive(clockMs: number): void {
+        this.latestClockMs = Math.max(this.latestClockMs, clockMs);
+    }
+
+    /**
+     * Reads how far a run that is recorded on the target has come. The time that it has run is measured on the clock of the
+     * target, so that a response that is handled late does not count as time without a crash.
      * @param task - encoded task key
      * @param run - run number
+     * @param probationMs - time after its start for which the run is on probation, milliseconds
      * @returns its progress; unconfirmed for a run that an earlier leader recorded and the target has not listed yet
      */
-    readProgress(task: string, run: number): RunProgress {
+    readProgress(task: string, run: number, probationMs: number): RunProgress {
         const request = this.find(task, run);
-        if (request?.isSettled === true) {
-            return RunProgress.Settled;
-        }
         if (request?.confirmedClockMs !== undefined) {
-            return RunProgress.OnProbation;
+            const isSettled = this.latestClockMs - request.confirmedClockMs >= probationMs;
+            return isSettled ? RunProgress.Settled : RunProgress.OnProbation;
         }
         return request?.isStartSent === false && !request.isStopRequested
             ? RunProgress.Unsent
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -154,6 +154,10 @@
         tickets.updateTickets(candidates, pools);
         return planStarts(fleet, candidates, pools, {
             isAdvised: (step, target) => tickets.findTicket(step, target) !== undefined,
+            probation: {
+                isOnProbation: (task, run, target) => sessions.find(target)?.isOnProbation(task, run) !== false,
+                countOnProbation: target => sessions.find(target)?.countOnProbation() ?? 0,
+            },
         });
     }
 
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -12,6 +12,7 @@
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { Leadership } from "./leadership.js";
+import { recordPoisonTasks } from "./record-poison-tasks.js";
 import type { TargetSessions } from "./target-sessions.js";
 
 /** Latest heartbeat of one target incarnation. */
@@ -76,13 +77,14 @@
                 kind: CommandKind.RecordTarget,
                 record,
                 crashes,
-                atMs: Date.now(),
+                atMs: this.clock.readWall(),
             });
             if (recording === undefined) {
                 return undefined;
             }
-            const { isNewest, ends } = recording;
+            const { isNewest, ends, poisonTasks } = recording;
             this.sessions.noteRunEnds(ends);
+            recordPoisonTasks(this.log, poisonTasks, record.id);
             if (this.latestReports.get(record.id) === latest) {
                 this.latestReports.set(record.id, { ...latest, isRecorded: true });
             }
@@ -122,7 +124,7 @@
                 kind: CommandKind.RemoveTarget,
                 id,
                 incarnation: known.incarnation,
-                atMs: Date.now(),
+                atMs: this.clock.readWall(),
             });
             if (removal === undefined) {
                 return undefined;
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -1,7 +1,7 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { computeProbationMs } from "@daisylock/core/crashes/compute-probation-ms.js";
 import type { CrashedRun } from "@daisylock/core/crashes/crashed-run.js";
 import { isEndUnplanned } from "@daisylock/core/crashes/is-end-unplanned.js";
-import { probationMs } from "@daisylock/core/crashes/probation-ms.js";
 import { RunProgress } from "@daisylock/core/crashes/run-progress.js";
 import type { TargetLoad } from "@daisylock/core/fleet/target-load.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
@@ -16,7 +16,7 @@
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
 import { minClockRate } from "./min-clock-rate.js";
-import { noteRunning } from "./note-running.js";
+import { recordPoisonTasks } from "./record-poison-tasks.js";
 import { RunRequestSender } from "./run-request-sender.js";
 import { RunRequestTracker } from "./run-request-tracker.js";
 import type { SessionDependencies } from "./session-dependencies.js";
@@ -34,6 +34,8 @@
  * learned only with the next one, so that the wait bounds by how much their jobs are late.
  */
 const longPollTimeoutMs = 500;
+/** The same while a suspect is on probation, milliseconds. */
+const probationPollMs = 100;
 /** Interval at which the renewal loop checks an idle target for new runs and overdue heartbeats, milliseconds. */
 const idleIntervalMs = 500;
 /** Time without heartbeats after which an idle target is probed, milliseconds. */
@@ -251,10 +253,28 @@
         return [...this.readLoad().runs].map(([task, run]) => ({
             task,
             run,
-            progress: this.requests.readProgress(task, run),
+            progress: this.readProgress(task, run),
         }));
     }
 
+    /**
+     * Tells whether a run that is recorded on the target is on probation.
+     * @param task - encoded task key
+     * @param run - run number
+     * @returns false once the target was seen to run it for some time after its start
+     */
+    isOnProbation(task: string, run: number): boolean {
+        return this.readProgress(task, run) !== RunProgress.Settled;
+    }
+
+    /**
+     * Counts the runs that are recorded on the target and on probation.
+     * @returns the number of runs
+     */
+    countOnProbation(): number {
+        return [...this.readLoad().runs].filter(([task, run]) => this.isOnProbation(task, run)).length;
+    }
+
     /**
      * Takes note of ends of runs that are recorded.
      * @param ends - the ends, all of runs on this target
@@ -273,7 +293,7 @@
                 how,
                 target: this.record.id,
                 afterMs: durationMs === undefined ? undefined : Math.round(durationMs),
-                progress: how === RunOutcome.TargetCrashed ? this.requests.readProgress(task, run) : undefined,
+                progress: how === RunOutcome.TargetCrashed ? this.readProgress(task, run) : undefined,
             });
         }
     }
@@ -327,7 +347,7 @@
             leaseUntilMs,
             fencingToken: this.fencingToken,
             lastSeen: this.lastCommittedEnd,
-            waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 ? longPollTimeoutMs : 0,
+            waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 ? this.computeWaitMs(load) : 0,
         });
         if (this.isClosed) {
             return 0;
@@ -350,6 +370,14 @@
         }
     }
 
+    /** A suspect on probation keeps others from the target, so the end of its probation is to be seen soon. */
+    private computeWaitMs({ runs }: Pick<TargetLoad, "runs">): number {
+        const { suspectTasks } = this.dependencies.leadership.readFleet();
+        const hasSuspect = suspectTasks.size > 0
+            && [...runs].some(([task, run]) => suspectTasks.has(task) && this.isOnProbation(task, run));
+        return hasSuspect ? probationPollMs : longPollTimeoutMs;
+    }
+
     /** Returns false when what the target reports could not be committed. */
     private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<boolean> {
         if (response.incarnation !== undefined && response.incarnation !== this.record.incarnation) {
@@ -449,9 +477,7 @@
         const request = this.requests.findOrCreate(task, run);
         request.confirmedAt ??= this.readNow();
         request.isStartUnanswered = false;
-        if (clockMs !== undefined) {
-            noteRunning(request, clockMs, probationMs);
-        }
+        request.confirmedClockMs ??= clockMs;
     }
 
     private async recordRunEnds(ends: readonly Omit<TaskEnd, "target">[]): Promise<boolean> {
@@ -463,7 +489,7 @@
         const recorded = await leadership.recordCommand({
             kind: CommandKind.RecordEnds,
             ends: ends.map(({ task, run, how, saved }) => ({ task, run, how, saved, target: this.record.id })),
-            atMs: Date.now(),
+            atMs: this.dependencies.clock.readWall(),
         });
         this.noteRunEnds(recorded ?? []);
         startScheduling();
@@ -526,12 +552,13 @@
             kind: CommandKind.RemoveTarget,
             id,
             incarnation,
-            atMs: Date.now(),
+            atMs: this.dependencies.clock.readWall(),
             crash: isCrash ? { target: id, runs } : undefined,
         });
         if (removal?.isKnown === true) {
             log.record(DecisionKind.TargetGone, { target: id, vm, reason, crashed: isCrash, ...countRuns(runs) });
             this.noteRunEnds(removal.ends);
+            recordPoisonTasks(log, removal.poisonTasks, id);
             this.close();
         }
         startScheduling();
@@ -560,10 +587,18 @@
         }
     }
 
-    private noteClock({ clockMs }: TargetResponse): void {
+    private noteClock({ result, clockMs }: TargetResponse): void {
         if (clockMs !== undefined) {
             this.targetClock.noteReading(clockMs, this.readNow());
         }
+        if (clockMs !== undefined && result !== TargetRequestResult.WrongTarget) {
+            this.requests.noteAlive(clockMs);
+        }
+    }
+
+    private readProgress(task: string, run: number): RunProgress {
+        const probationMs = computeProbationMs(this.dependencies.leadership.readFleet(), task);
+        return this.requests.readProgress(task, run, probationMs);
     }
 
     private noteReportedClock(): void {
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -41,6 +41,8 @@
 /** Delay before a request or heartbeat that the leader has not accepted is sent again, milliseconds. */
 const retryDelayMs = 100;
 const keepStateMs = 120_000;
+/** Time until the VM service has answered a request for its list, milliseconds. */
+const vmListMs = 50;
 /** Time for which a target that a task has crashed is down, milliseconds. */
 const crashDownMs = 1_500;
 /** Number of macrotask rounds within which all goroutines that can proceed have done so. */
@@ -122,7 +124,7 @@
             clock: this.clock,
             log,
             maxLeaseMs: this.maxLeaseMs,
-            findTargetEnding: ({ id, incarnation }) => this.findTargetEnding(id, incarnation),
+            findTargetEnding: ({ id, incarnation }, since) => this.findTargetEnding(id, incarnation, since),
             mayEjectSlow: () => true,
             estimateTask: () => undefined,
             findTicket: () => "",
@@ -314,10 +316,11 @@
         return this.state.fleet.jobs.get(id)?.phase;
     }
 
-    private findTargetEnding(id: string, incarnation: number): TargetEnding | undefined {
+    private findTargetEnding(id: string, incarnation: number, since: number): TargetEnding | undefined {
         const target = this.targets.find(({ record }) => record.id === id);
         const isRunning = target?.isDown === false && target.record.incarnation === incarnation;
-        return this.isVmServiceUp && !isRunning ? TargetEnding.Stopped : undefined;
+        const isListed = this.isVmServiceUp && this.clock.readMonotonic() - since >= vmListMs;
+        return isListed && !isRunning ? TargetEnding.Stopped : undefined;
     }
 
     private startRound(): void {
