Count crashes that are known only after the leases of their targets have run out

Callers of a pool whose VM service does not answer: a target that crashed is silent, its runs end with its lease and start elsewhere. When the end of the target is known at last, no run is recorded there any more, so the crash is charged to no task, and a task that crashes its targets goes on: 13 starts in 60 s of the simulated fleet, where five are allowed.

Runs that end with a lease are kept by target, with how far they had come, until the target takes starts again or its end is known. A crash is then recorded for them too. A task that waits when it is given up fails at once.

crash-loop.test.ts, 'is given up when its runs were released by their leases before the crashes were known': 13 starts before, passes.

--- a/packages/core/src/crashes/crashes.test.ts
+++ b/packages/core/src/crashes/crashes.test.ts
@@ -126,6 +126,28 @@
             expect(state.fleet.jobs.get("a")?.phase).toBe(JobPhase.Failed);
         });
 
+        it("count when they are known only after the run has ended with the lease of its target", () => {
+            const state = buildFleet();
+            applyCrash(state, "t0", { "a.0.0.0": OnProbation });
+            const run = start(state, "a.0.0.0", "t1");
+            const lapse = { task: "a.0.0.0", run, target: "t1", how: RunOutcome.LeaseExpired, saved: "" };
+            const ends = [{ ...lapse, progress: OnProbation }];
+            applyRecordEnds(state, { kind: CommandKind.RecordEnds, ends, atMs: 0 });
+            const restored = decodeControlState(encodeControlState(state));
+            expect(applyCrash(restored, "t1", {}, 9_000).poisonTasks).toEqual(["a.0.0.0"]);
+            expect(restored.fleet.jobs.get("a")).toMatchObject({ phase: JobPhase.Failed, endedAtMs: 9_000 });
+        });
+
+        it("do not count for runs that had ended with a lease before the target took starts again", () => {
+            const state = buildFleet();
+            const run = start(state, "a.0.0.0", "t0");
+            const lapse = { task: "a.0.0.0", run, target: "t0", how: RunOutcome.LeaseExpired, saved: "" };
+            const ends = [{ ...lapse, progress: OnProbation }];
+            applyRecordEnds(state, { kind: CommandKind.RecordEnds, ends, atMs: 0 });
+            applyCrash(state, "t0", { "a.0.0.1": Settled });
+            expect(readCrashes(state)).toBeUndefined();
+        });
+
         it("are known to a keeper that starts from a snapshot", () => {
             const state = buildFleet();
             applyCrash(state, "t0", { "a.0.0.0": OnProbation, "a.0.0.1": OnProbation });
--- a/packages/core/src/crashes/record-crash.ts
+++ b/packages/core/src/crashes/record-crash.ts
@@ -1,6 +1,9 @@
 import type { FleetState } from "../fleet/fleet-state.js";
 import { decodeTaskKey } from "../jobs/decode-task-key.js";
 import { findTask } from "../jobs/find-task.js";
+import { releaseJobData } from "../jobs/release-job-data.js";
+import { TaskPhase } from "../jobs/task-phase.js";
+import { updateJobPhase } from "../jobs/update-job-phase.js";
 import { parseStepKey } from "../placement/parse-step-key.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import type { CrashedRun } from "./crashed-run.js";
@@ -25,7 +28,8 @@
     const runs = [...fleet.targetLoads.get(target.id)?.runs ?? []].map(([task, run]) => ({
         task,
         progress: known.find(other => other.task === task && other.run === run)?.progress ?? RunProgress.Unconfirmed,
-    }));
+    })).concat(fleet.lapsedRuns.get(target.id) ?? []);
+    fleet.lapsedRuns.delete(target.id);
     const recentRuns = runs.filter(({ progress }) =>
         progress === RunProgress.OnProbation || progress === RunProgress.Unconfirmed
     );
@@ -53,7 +57,7 @@
     const key = decodeTaskKey(encodedKey);
     const job = key === undefined ? undefined : fleet.jobs.get(key.job);
     const task = key === undefined || job === undefined ? undefined : findTask(job, key);
-    if (task === undefined) {
+    if (task === undefined || task.phase === TaskPhase.Done) {
         return false;
     }
     const wasPoison = task.crashes?.isPoison === true;
@@ -64,5 +68,11 @@
     else {
         fleet.suspectTasks.delete(encodedKey);
     }
-    return task.crashes?.isPoison === true && !wasPoison;
+    const isPoison = task.crashes?.isPoison === true;
+    if (isPoison && job !== undefined && task.phase === TaskPhase.Waiting) {
+        task.phase = TaskPhase.Failed;
+        updateJobPhase(job, crash.atMs);
+        releaseJobData(fleet, job);
+    }
+    return isPoison && !wasPoison;
 }
--- a/packages/core/src/fleet/create-fleet-state.ts
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -12,6 +12,7 @@
         vmHomes: new Map(),
         vmOrders: new Map(),
         maintenanceWaves: new Map(),
+        lapsedRuns: new Map(),
         activeJobs: new Set(),
         suspectTasks: new Set(),
         targetLoads: new Map(),
--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -1,4 +1,5 @@
 import type { FleetConfiguration } from "../configuration/fleet-configuration.js";
+import type { CrashedRun } from "../crashes/crashed-run.js";
 import { encodeTaskKey } from "../jobs/encode-task-key.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
 import type { Job } from "../jobs/job.js";
@@ -23,6 +24,8 @@
         vmHomes: [string, string][];
         vmOrders: [string, VmRequestRecord][];
         upkeep: MaintenanceWave[];
+        /** Absent in snapshots of versions that did not record crashes. */
+        lapsedRuns?: [string, CrashedRun[]][];
     };
     const state = createFleetState();
     state.configuration = content.configuration;
@@ -30,6 +33,7 @@
     content.vmHomes.forEach(([vm, home]) => state.vmHomes.set(vm, home));
     content.vmOrders.forEach(([vm, request]) => state.vmOrders.set(vm, request));
     content.upkeep.forEach(wave => state.maintenanceWaves.set(wave.number, wave));
+    content.lapsedRuns?.forEach(([target, runs]) => state.lapsedRuns.set(target, runs));
     for (const job of content.jobs) {
         state.jobs.set(job.id, job);
         if (!isJobFinished(job) || job.placedCount > 0) {
--- a/packages/core/src/fleet/encode-fleet-state.ts
+++ b/packages/core/src/fleet/encode-fleet-state.ts
@@ -13,5 +13,6 @@
         vmHomes: [...state.vmHomes],
         vmOrders: [...state.vmOrders],
         upkeep: [...state.maintenanceWaves.values()],
+        lapsedRuns: [...state.lapsedRuns],
     };
 }
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -1,4 +1,5 @@
 import type { FleetConfiguration } from "../configuration/fleet-configuration.js";
+import type { CrashedRun } from "../crashes/crashed-run.js";
 import type { Job } from "../jobs/job.js";
 import type { VmRequestRecord } from "../pools/vm-request-record.js";
 import type { Resources } from "../resources/resources.js";
@@ -20,6 +21,11 @@
     readonly vmOrders: Map<string, VmRequestRecord>;
     /** Maintenance waves by number. */
     readonly maintenanceWaves: Map<number, MaintenanceWave>;
+    /**
+     * Runs that ended with the leases of targets on which nothing was started since, by target id: if the target turns out
+     * to have crashed, it may have crashed under them.
+     */
+    readonly lapsedRuns: Map<string, CrashedRun[]>;
     /** Ids of jobs with tasks that may start or may be running; derived from the jobs. */
     readonly activeJobs: Set<string>;
     /** Encoded keys of unfinished tasks that may have crashed their targets; derived from the jobs. */
--- a/packages/core/src/jobs/apply-record-ends.ts
+++ b/packages/core/src/jobs/apply-record-ends.ts
@@ -5,8 +5,6 @@
 import { decodeTaskKey } from "./decode-task-key.js";
 import { encodeTaskKey } from "./encode-task-key.js";
 import { findTask } from "./find-task.js";
-import { isJobFinished } from "./is-job-finished.js";
-import { JobPhase } from "./job-phase.js";
 import type { JobStep } from "./job-step.js";
 import type { Job } from "./job.js";
 import { releaseJobData } from "./release-job-data.js";
@@ -15,6 +13,7 @@
 import type { TaskKey } from "./task-key.js";
 import { TaskPhase } from "./task-phase.js";
 import type { TaskRecord } from "./task-record.js";
+import { updateJobPhase } from "./update-job-phase.js";
 
 /**
  * Records ends of runs. An end that does not belong to the newest run of its task is ignored.
@@ -61,6 +60,10 @@
     if (task.phase === TaskPhase.Done) {
         fleet.suspectTasks.delete(end.task);
     }
+    if (end.how === RunOutcome.LeaseExpired && end.progress !== undefined) {
+        const lapsedRun = { task: end.task, run: end.run, progress: end.progress };
+        fleet.lapsedRuns.set(end.target, [...fleet.lapsedRuns.get(end.target) ?? [], lapsedRun]);
+    }
 }
 
 /** Records the members of a gang as done: the successful end of one member completes the whole gang. */
@@ -125,18 +128,3 @@
         member.saved = saved;
     }
 }
-
-function updateJobPhase(job: Job, atMs: number): void {
-    if (isJobFinished(job)) {
-        return;
-    }
-    const steps = job.occurrences.flat();
-    if (steps.some(step => step.tasks.some(task => task.phase === TaskPhase.Failed))) {
-        job.phase = JobPhase.Failed;
-        job.endedAtMs = atMs;
-    }
-    else if (steps.every(step => step.doneCount === step.tasks.length)) {
-        job.phase = JobPhase.Completed;
-        job.endedAtMs = atMs;
-    }
-}
--- a/packages/core/src/jobs/apply-record-starts.ts
+++ b/packages/core/src/jobs/apply-record-starts.ts
@@ -46,5 +46,7 @@
     job.phase = JobPhase.Running;
     job.placedCount += 1;
     addLoad(fleet, job, key.step, start.task, task);
+    // A target that takes starts again has not crashed under runs that ended with its lease.
+    fleet.lapsedRuns.delete(start.target);
     return true;
 }
--- a/packages/core/src/jobs/task-end.ts
+++ b/packages/core/src/jobs/task-end.ts
@@ -1,3 +1,4 @@
+import type { RunProgress } from "../crashes/run-progress.js";
 import type { RunOutcome } from "./run-outcome.js";
 
 /** The end of a run, recorded before the target may delete its own record of it. */
@@ -9,4 +10,6 @@
     readonly how: RunOutcome;
     /** Newest checkpoint; empty if there is none. */
     readonly saved: string;
+    /** How far the run had come, of one that ended with the lease of its target. */
+    readonly progress?: RunProgress | undefined;
 }
--- a/packages/core/src/targets/remove-target.ts
+++ b/packages/core/src/targets/remove-target.ts
@@ -26,5 +26,6 @@
     const runs = [...state.fleet.targetLoads.get(target.id)?.runs ?? []];
     const ends = runs.map(([task, run]) => ({ task, run, target: target.id, how, saved: "" }));
     state.fleet.targets.delete(target.id);
+    state.fleet.lapsedRuns.delete(target.id);
     return { ends: applyRecordEnds(state, { kind: CommandKind.RecordEnds, ends, atMs }), poisonTasks };
 }
--- a/packages/daemon/src/job-scheduler/leader/crash-loop.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/crash-loop.test.ts
@@ -6,6 +6,7 @@
 
 /** Number of starts that the platform allows of a task that crashes each target: two more after the third crash. */
 const maxStarts = 5;
+const runSeconds = 60;
 const needs = { cpu: 500, memory: 10, gpu: 0 };
 const innocent = { needs, durationMs: 600 };
 const crashing = { needs, durationMs: 600, crashAfterMs: 5 };
@@ -13,17 +14,19 @@
 interface CrashLoopOptions {
     readonly isVmServiceUp: boolean;
     readonly isLeaderReplaced: boolean;
+    readonly crashDownMs?: number;
 }
 
 /** Plays one task that crashes its targets among innocent ones. */
-async function runCrashLoop(seed: number, { isVmServiceUp, isLeaderReplaced }: CrashLoopOptions) {
+async function runCrashLoop(seed: number, { isVmServiceUp, isLeaderReplaced, crashDownMs }: CrashLoopOptions) {
     const fleet = new SimulatedFleet(createRandom(seed));
     fleet.isVmServiceUp = isVmServiceUp;
+    fleet.crashDownMs = crashDownMs ?? fleet.crashDownMs;
     fleet.start();
     await fleet.clock.runFor(700);
     const jobs = [fleet.addJob(innocent, 6, 1)];
     const crashingJob = fleet.addJob(crashing, 1, 1);
-    for (let second = 0; second < 25; second++) {
+    for (let second = 0; second < runSeconds; second++) {
         if (second < 6) {
             jobs.push(fleet.addJob(innocent, 3, 1));
         }
@@ -62,4 +65,7 @@
 
     it("is given up when crashes are known only from the targets that start again under their ids", () =>
         checkCrashLoop({ isVmServiceUp: false, isLeaderReplaced: false }));
+
+    it("is given up when its runs were released by their leases before the crashes were known", () =>
+        checkCrashLoop({ isVmServiceUp: false, isLeaderReplaced: false, crashDownMs: 8_000 }));
 });
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -488,7 +488,14 @@
         const { leadership, startScheduling } = this.dependencies;
         const recorded = await leadership.recordCommand({
             kind: CommandKind.RecordEnds,
-            ends: ends.map(({ task, run, how, saved }) => ({ task, run, how, saved, target: this.record.id })),
+            ends: ends.map(({ task, run, how, saved, progress }) => ({
+                task,
+                run,
+                how,
+                saved,
+                target: this.record.id,
+                progress,
+            })),
             atMs: this.dependencies.clock.readWall(),
         });
         this.noteRunEnds(recorded ?? []);
@@ -519,6 +526,7 @@
                 run,
                 how: RunOutcome.LeaseExpired,
                 saved: this.readCheckpoint(task),
+                progress: this.readProgress(task, run),
             }));
             await this.recordRunEnds(ends);
         }
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -43,8 +43,6 @@
 const keepStateMs = 120_000;
 /** Time until the VM service has answered a request for its list, milliseconds. */
 const vmListMs = 50;
-/** Time for which a target that a task has crashed is down, milliseconds. */
-const crashDownMs = 1_500;
 /** Number of macrotask rounds within which all goroutines that can proceed have done so. */
 const macrotaskRounds = 5;
 
@@ -65,6 +63,8 @@
     readonly monitor: RunMonitor;
     readonly targets: readonly SimulatedTarget[];
     readonly relays: SimulatedRelays;
+    /** Time for which a target that a task has crashed is down, milliseconds. */
+    crashDownMs = 1_500;
     /** Whether the VM service tells which targets have ended. */
     isVmServiceUp = false;
     private readonly state: ControlState;
@@ -96,7 +96,7 @@
             })
         );
         this.targets.forEach(target => {
-            target.handleCrash = () => this.stopTarget(target, crashDownMs);
+            target.handleCrash = () => this.stopTarget(target, this.crashDownMs);
         });
         const leadership = new Leadership(this.keeper, 1);
         const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
