Charge no task with the crash of a whole rack or availability zone

When a rack loses power, every run that was just starting on its targets would become a suspect, and a suspect that was on probation there would be given up: its caller loses a job that could be done.

--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -3,6 +3,7 @@
 import { isJobFinished } from "@daisylock/core/jobs/is-job-finished.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { parseStepKey } from "@daisylock/core/placement/parse-step-key.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { Clock } from "../../clock/clock.js";
 import type { Metrics } from "../../metrics/metrics.js";
@@ -25,6 +26,8 @@
 import { PlacementTicketFetcher } from "./placement-ticket-fetcher.js";
 import { PoolBalancer } from "./pool-balancer.js";
 import { Scheduler } from "./scheduler.js";
+import { SharedFailureDetector } from "./shared-failure-detector.js";
+import { TargetEnding } from "./target-ending.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 import { TargetSessions } from "./target-sessions.js";
 import { TaskDurationEstimator } from "./task-duration-estimator.js";
@@ -50,6 +53,7 @@
 /** Components that a keeper (control-plane replica) runs while it leads. */
 export class LeaderComponents {
     private readonly estimator = new TaskDurationEstimator();
+    private readonly sharedFailures = new SharedFailureDetector();
     private readonly sessions: TargetSessions;
     private readonly maintenance: MaintenanceRunner;
     private readonly balancer: PoolBalancer;
@@ -81,8 +85,7 @@
             clock,
             log,
             maxLeaseMs: settings.tasks.max_lease_ms,
-            findTargetEnding: (target, since) =>
-                target.vm === "" ? undefined : findTargetEnding(target, vmLeases.findVm(target.vm, since)),
+            findTargetEnding: (target, since) => this.findTargetEnding(target, vmLeases, since),
             mayEjectSlow: ({ pool }) => this.sessions.countSlow(pool) < this.sessions.countTargets(pool) * maxSlowShare,
             estimateTask: task => this.computeTaskMs(leadership.readFleet(), task),
             findTicket: (task, target) => this.tickets.findTicket(parseStepKey(task), target) ?? "",
@@ -180,6 +183,26 @@
         this.scheduler.startRound();
     }
 
+    private findTargetEnding(
+        target: TargetRecord,
+        vmLeases: VmLeaseTracker,
+        since: number,
+    ): TargetEnding | undefined {
+        const ending = target.vm === "" ? undefined : findTargetEnding(target, vmLeases.findVm(target.vm, since));
+        if (ending !== TargetEnding.Stopped) {
+            return ending;
+        }
+        const { targets } = this.dependencies.leadership.readFleet();
+        const views = new Map(vmLeases.readVms().map(view => [view.vm, view]));
+        this.sharedFailures.dropRemoved(id => targets.has(id));
+        const isShared = this.sharedFailures.isShared(target, [...targets.values()], id => {
+            const peer = targets.get(id);
+            const view = views.get(peer?.vm ?? "");
+            return peer !== undefined && view !== undefined && findTargetEnding(peer, view) !== undefined;
+        });
+        return isShared ? TargetEnding.SharedFailure : ending;
+    }
+
     /**
      * Estimates the duration of a task, milliseconds. Returns `undefined` while too few runs have been measured, or
      * when durations differ between healthy targets, for example because tasks are slower far from their data.
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -642,6 +642,7 @@
             expect(taken.gone).toMatchObject({ crashed: false });
             expect(taken.ended).toMatchObject({ task, how: RunOutcome.TargetGone, progress: undefined });
             expect((await runToEnd(20, TargetEnding.Stopped, 5)).gone).toMatchObject({ crashed: false });
+            expect((await runToEnd(20, TargetEnding.SharedFailure)).gone).toMatchObject({ crashed: false });
         });
     });
 
