Keep to a capacity that shrinks while starts are under way, and to the newest report of it

Two ways to bring a target that does not guard its capacity over it (LIMIT): a start that was recorded, or left without an answer, before the smaller capacity was reported was sent or repeated afterwards; and a delayed heartbeat with the earlier, larger capacity was accepted by a new leader, which knew no heartbeat of that incarnation yet.

Before each attempt the sender compares the recorded runs with the capacity: a start that was not sent counts as rejected, one without an answer is stopped, so that it cannot begin any more. The number of the report is kept in the record of the target, and an earlier one of that incarnation is refused whoever leads. Placement already starts nothing on a target whose runs need more than its capacity; that has a test now.

Seen failing before: target-session.test.ts ('holds back starts ...' and 'lets a start without an answer ...'), target-report-handler.test.ts ('is not undone by a delayed heartbeat ...').

--- a/packages/core/src/control/record-target-command.ts
+++ b/packages/core/src/control/record-target-command.ts
@@ -6,6 +6,8 @@
 export interface RecordTargetCommand {
     readonly kind: CommandKind.RecordTarget;
     readonly record: TargetRecord;
+    /** Number of the report, which increases within an incarnation. */
+    readonly sequence?: number;
     /** What the leader knows of runs on incarnations that this one replaces and that have crashed. */
     readonly crashes?: readonly TargetCrash[];
     /** Wall clock of the leader, milliseconds. */
--- a/packages/core/src/placement/plan-starts.test.ts
+++ b/packages/core/src/placement/plan-starts.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 
+import { CommandKind } from "../control/command-kind.js";
 import type { ControlState } from "../control/control-state.js";
+import { applyRecordStarts } from "../jobs/apply-record-starts.js";
 import type { JobStep } from "../jobs/job-step.js";
 import { collectCandidates } from "../queueing/collect-candidates.js";
 import { addTestJob } from "../testing/add-test-job.js";
@@ -29,6 +31,21 @@
         expect(targets.filter(target => target === "t0")).toHaveLength(4);
     });
 
+    it("starts nothing on a target whose capacity has shrunk below its tasks, and goes on when it grows again", () => {
+        const state = buildTestFleet(1, capacity);
+        addTestJob(state, "a", [buildTestStep({ count: 8 })]);
+        const record = state.fleet.targets.get("t0");
+        const setCpu = (cpu: number) =>
+            record !== undefined
+            && state.fleet.targets.set("t0", { ...record, capacity: { ...capacity, cpu } });
+        const starts = [0, 1].map(index => ({ task: `a.0.0.${index}`, run: 1, target: "t0" }));
+        applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts });
+        setCpu(1_000);
+        expect(planTargets(state)).toEqual([]);
+        setCpu(3_000);
+        expect(planTargets(state)).toHaveLength(1);
+    });
+
     it("respects the maximum per target, the required label and the data rack", () => {
         const state = buildTestFleet(4, capacity);
         addTestJob(state, "a", [buildTestStep({ count: 4, maxPerTarget: 1 })]);
--- a/packages/core/src/targets/apply-record-target.ts
+++ b/packages/core/src/targets/apply-record-target.ts
@@ -13,18 +13,21 @@
  * Records a target. An older incarnation at the same address is removed, and its runs are ended. So is one under the same
  * id, except that its runs are kept while it serves the same pool: their starts may have reached the new incarnation
  * before its first report did, and only its own list tells which of them it runs.
- * @param state - the replicated state
+ * @param control - the replicated state
  * @param command - the command
  * @returns whether it was recorded, which it is not for a report of an older incarnation, and what became of runs on
  *     incarnations that it replaces
  */
 export function applyRecordTarget(
-    state: ControlState,
-    { record, crashes = [], atMs = 0 }: RecordTargetCommand,
+    control: ControlState,
+    { record, sequence, crashes = [], atMs = 0 }: RecordTargetCommand,
 ): TargetRecording {
-    const { fleet } = state;
+    const { fleet } = control;
     const current = fleet.targets.get(record.id);
-    if (current !== undefined && current.incarnation > record.incarnation) {
+    const isOutdated = current !== undefined
+        && (current.incarnation > record.incarnation
+            || (current.incarnation === record.incarnation && (sequence ?? Infinity) < (current.reportSequence ?? 0)));
+    if (isOutdated) {
         return notRecorded;
     }
     const others = [...fleet.targets.values()].filter(other => isSameAddress(other, record));
@@ -40,10 +43,11 @@
     else if (replaced !== undefined) {
         others.push(replaced);
     }
-    const removals = others.map(other => removeTarget(state, other, atMs, findCrash(other, crashes)));
+    const removals = others.map(other => removeTarget(control, other, atMs, findCrash(other, crashes)));
     const isDraining = current?.incarnation === record.incarnation && current.state === ReportedTargetState.Draining;
     // A draining incarnation never becomes ready again, so a report with that state is outdated.
-    fleet.targets.set(record.id, isDraining ? { ...record, state: ReportedTargetState.Draining } : record);
+    const state = isDraining ? ReportedTargetState.Draining : record.state;
+    fleet.targets.set(record.id, { ...record, state, reportSequence: sequence });
     return {
         isNewest: true,
         ends: removals.flatMap(({ ends }) => ends),
--- a/packages/core/src/targets/is-target-changed.ts
+++ b/packages/core/src/targets/is-target-changed.ts
@@ -7,5 +7,6 @@
  * @returns true when the record has to be replaced
  */
 export function isTargetChanged(recorded: TargetRecord | undefined, reported: TargetRecord): boolean {
-    return recorded === undefined || JSON.stringify(recorded) !== JSON.stringify(reported);
+    return recorded === undefined
+        || JSON.stringify({ ...recorded, reportSequence: undefined }) !== JSON.stringify(reported);
 }
--- a/packages/core/src/targets/target-record.ts
+++ b/packages/core/src/targets/target-record.ts
@@ -16,4 +16,6 @@
     readonly labels: readonly string[];
     readonly capacity: Resources;
     readonly state: ReportedTargetState;
+    /** Number of the report with which it was recorded; `undefined` in the reports themselves. */
+    readonly reportSequence?: number | undefined;
 }
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -30,6 +30,8 @@
     readonly isClosed: () => boolean;
     /** Whether the target does not respond. */
     readonly isUnreachable: () => boolean;
+    /** Whether the recorded runs need more than the capacity, as it has shrunk since they were planned. */
+    readonly isOverCapacity: () => boolean;
     /** Whether the run is committed to this target and the session is open. */
     readonly isRunAssigned: (task: string, run: number) => boolean;
     readonly readRecord: () => TargetRecord;
@@ -111,6 +113,13 @@
             if (request.confirmedAt !== undefined && !request.isStopRequested) {
                 return;
             }
+            if (this.session.isOverCapacity() && !request.isStopRequested) {
+                if (await this.recordRejection(task, request)) {
+                    return;
+                }
+                await this.waitDelay(retryDelayMs);
+                continue;
+            }
             const isDraining = this.session.readRecord().state !== ReportedTargetState.Ready;
             if (request.isStopRequested || isDraining || this.isJobFinished(task)) {
                 await this.sendStopUntilConfirmed(task, request);
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -18,21 +18,31 @@
         throw new TypeError("the test fleet has no target");
     }
     const keeper = new FakeKeeper(state);
-    const handler = new TargetReportHandler(
-        new Leadership(keeper, 1),
-        new ManualClock(),
-        { record: () => undefined },
-        () => undefined,
-        { collectCrashedRuns: () => [], noteRunEnds: () => undefined },
-    );
-    const report = (sequence: number, fields: Partial<typeof record> = {}) =>
+    const createHandler = () =>
+        new TargetReportHandler(
+            new Leadership(keeper, 1),
+            new ManualClock(),
+            { record: () => undefined },
+            () => undefined,
+            { collectCrashedRuns: () => [], noteRunEnds: () => undefined },
+        );
+    const buildReport = (handler: TargetReportHandler) => (sequence: number, fields: Partial<typeof record> = {}) =>
         handler.handleReport({
             record: { ...record, ...fields },
             sequence,
             clockMs: undefined,
             remainingMs: undefined,
         });
-    return { state, keeper, handler, report, readState: () => state.fleet.targets.get("t0")?.state };
+    const handler = createHandler();
+    return {
+        state,
+        keeper,
+        handler,
+        report: buildReport(handler),
+        replaceLeader: () => buildReport(createHandler()),
+        readState: () => state.fleet.targets.get("t0")?.state,
+        readCapacity: () => state.fleet.targets.get("t0")?.capacity,
+    };
 }
 
 describe("TargetReportHandler", () => {
@@ -57,6 +67,30 @@
         });
     });
 
+    describe("a capacity that shrinks and grows", () => {
+        const full = { cpu: 2_000, memory: 1_000, gpu: 0 };
+        const shrunk = { cpu: 500, memory: 1_000, gpu: 0 };
+
+        it("is in force with the newest heartbeat", async () => {
+            const { report, readCapacity } = createFixture();
+            await report(5, { capacity: shrunk });
+            expect(readCapacity()).toEqual(shrunk);
+            await report(6, { capacity: full });
+            expect(readCapacity()).toEqual(full);
+        });
+
+        it("is not undone by a delayed heartbeat that reaches the next leader first", async () => {
+            const { report, readCapacity, replaceLeader } = createFixture();
+            await report(4, { capacity: full });
+            await report(5, { capacity: shrunk });
+            const successor = replaceLeader();
+            expect(await successor(4, { capacity: full })).toEqual({ isLeader: true, value: { isNewest: false } });
+            expect(readCapacity()).toEqual(shrunk);
+            await successor(6, { capacity: full });
+            expect(readCapacity()).toEqual(full);
+        });
+    });
+
     describe("announcements to leave", () => {
         it("does not restart the tasks of a newer incarnation on a delayed announcement of the earlier one", async () => {
             const { handler, report, readState } = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -57,7 +57,7 @@
         return this.leadership.serveCall(async () => {
             const { record, sequence, clockMs } = report;
             const known = this.leadership.readFleet().targets.get(record.id);
-            if (this.isOutdated(report, known?.incarnation)) {
+            if (this.isOutdated(report, known)) {
                 return { isNewest: false };
             }
             const isChanged = isTargetChanged(known, record);
@@ -76,6 +76,7 @@
             const recording = await this.leadership.recordCommand({
                 kind: CommandKind.RecordTarget,
                 record,
+                sequence,
                 crashes,
                 atMs: this.clock.readWall(),
             });
@@ -163,10 +164,13 @@
         }));
     }
 
-    private isOutdated({ record, sequence }: TargetReport, knownIncarnation: number | undefined): boolean {
+    /** The record is compared too, as a report may have been delayed until another process leads. */
+    private isOutdated({ record, sequence }: TargetReport, known: TargetRecord | undefined): boolean {
         const latest = this.latestReports.get(record.id);
-        const newest = Math.max(latest?.incarnation ?? 0, knownIncarnation ?? 0);
-        return record.incarnation < newest || (latest?.incarnation === record.incarnation
-            && (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded)));
+        const newest = Math.max(latest?.incarnation ?? 0, known?.incarnation ?? 0);
+        const isOvertaken = latest?.incarnation === record.incarnation
+            && (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded));
+        const isBeforeRecord = known?.incarnation === record.incarnation && sequence < (known.reportSequence ?? 0);
+        return record.incarnation < newest || isOvertaken || isBeforeRecord;
     }
 }
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -6,6 +6,7 @@
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
+import type { Resources } from "@daisylock/core/resources/resources.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
@@ -105,6 +106,7 @@
             ending = how;
             client.isResponding = false;
         },
+        setCapacity: (capacity: Resources) => state.fleet.targets.set("t0", { ...record, capacity }),
         requestVm: (atMs: number) => state.fleet.vmOrders.set("vm0", { token: 1, holder: "core-1", atMs }),
         stopReports: () => {
             lastReportAt = clock.readMonotonic();
@@ -605,6 +607,50 @@
         });
     });
 
+    describe("a capacity that has shrunk", () => {
+        it("holds back starts that were recorded before and not sent, on targets that do not guard it", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            fixture.setCapacity({ cpu: 500, memory: 1_000, gpu: 0 });
+            session.startTask(task, 1);
+            await fixture.clock.runFor(100);
+            expect(fixture.client.starts).toEqual([]);
+            expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+            session.close();
+        });
+
+        it("lets a start without an answer not begin any more", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.client.startResult = TargetRequestResult.Unanswered;
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(50);
+            fixture.setCapacity({ cpu: 500, memory: 1_000, gpu: 0 });
+            await fixture.clock.runFor(300);
+            expect(fixture.client.starts).toHaveLength(1);
+            expect(fixture.client.stops).toHaveLength(1);
+            session.close();
+        });
+
+        it("leaves the runs alone that the target has started", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(100);
+            fixture.setCapacity({ cpu: 500, memory: 1_000, gpu: 0 });
+            await fixture.clock.runFor(600);
+            expect(fixture.client.stops).toEqual([]);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            session.close();
+        });
+    });
+
     describe("the end of a target", () => {
         async function runToEnd(runMs: number, how = TargetEnding.Stopped, requestedAtMs?: number) {
             const fixture = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -8,6 +8,7 @@
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
+import { isWithin } from "@daisylock/core/resources/is-within.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import { DecisionKind } from "../logging/decision-kind.js";
@@ -98,6 +99,7 @@
         this.requestSender = new RunRequestSender(fencingToken, this.requests, {
             isClosed: () => this.isClosed,
             isUnreachable: () => !this.isResponding(),
+            isOverCapacity: () => this.isOverCapacity(),
             isRunAssigned: (task, run) => this.isRunAssigned(task, run),
             readRecord: () => this.readRecord(),
             computeLeaseEnd: () => this.targetClock.computeLeaseEnd(this.readNow(), this.readLeaseMs()),
@@ -622,6 +624,11 @@
         return now - lastReportAt > reportTimeoutMs;
     }
 
+    private isOverCapacity(): boolean {
+        const { used } = this.dependencies.leadership.readFleet().targetLoads.get(this.record.id) ?? {};
+        return used !== undefined && !isWithin(used, this.readRecord().capacity);
+    }
+
     private isRunAssigned(task: string, run: number): boolean {
         return !this.isClosed && this.readLoad().runs.get(task) === run;
     }
