--- a/packages/core/src/queueing/collect-pool-loads.ts
+++ b/packages/core/src/queueing/collect-pool-loads.ts
@@ -1,4 +1,5 @@
 import type { FleetState } from "../fleet/fleet-state.js";
+import { isSuspect } from "../placement/is-suspect.js";
 import type { PoolLoad } from "./pool-load.js";
 import type { StepCandidate } from "./step-candidate.js";
 
@@ -23,6 +24,7 @@
             waiting: sum(waitingSteps.map(step => step.waiting.length)),
             wanted: sum(waitingSteps.map(step => step.waiting.length * step.definition.needs.cpu)),
             late: sum(waitingSteps.map(step => step.slackMs < 0 ? step.waiting.length : 0)),
+            suspects: sum(waitingSteps.map(step => step.waiting.filter(index => isSuspect(step, index)).length)),
         };
     });
 }
--- a/packages/core/src/queueing/pool-load.ts
+++ b/packages/core/src/queueing/pool-load.ts
@@ -15,4 +15,6 @@
     readonly wanted: number;
     /** Number of waiting tasks whose job is estimated to finish late. */
     readonly late: number;
+    /** Number of waiting tasks under which targets have crashed and that have to run apart from others. */
+    readonly suspects: number;
 }
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -55,6 +55,11 @@
     private readonly late = this.createGauge(FleetMetricName.PoolLate, "Tasks that wait and can't be on time", [
         "pool",
     ]);
+    private readonly suspects = this.createGauge(
+        FleetMetricName.PoolSuspects,
+        "Tasks that wait to run apart from others, as targets crashed under them",
+        ["pool"],
+    );
     private readonly usableTargets = this.createGauge(
         FleetMetricName.PoolUsableTargets,
         "Targets on which tasks may be started",
@@ -200,6 +205,7 @@
         this.used.set(labels, Number(fields["used"]) / millicoresPerCore);
         this.waiting.set(labels, Number(fields["waiting"]));
         this.late.set(labels, Number(fields["late"]));
+        this.suspects.set(labels, Number(fields["suspects"]));
         this.usableTargets.set(labels, Number(fields["usable"]));
         for (const reason of Object.values(TargetExclusion)) {
             this.excludedTargets.set({ ...labels, reason }, Number(fields[reason]));
