Give up a task only after two crashes that its targets had confirmed, and catch one that crashes late in its runs

Random runs of the simulated fleet with crashing tasks, restarts and a VM service that comes and goes found three faults.

From three crashes on, at whatever time of its runs, a task runs apart until it ends, and is given up at the next crash there. Two crashes under runs whose start the target had confirmed are needed in any case.

--- a/packages/core/src/crashes/compute-probation-ms.ts
+++ b/packages/core/src/crashes/compute-probation-ms.ts
@@ -1,7 +1,7 @@
 import type { FleetState } from "../fleet/fleet-state.js";
 import { decodeTaskKey } from "../jobs/decode-task-key.js";
 import { findTask } from "../jobs/find-task.js";
-import { isLateCrasher } from "./is-late-crasher.js";
+import { isRepeatedSuspect } from "./is-repeated-suspect.js";
 
 /** Time after its start for which a run is on probation, milliseconds: a task that crashes targets does so as it starts. */
 const defaultProbationMs = 100;
@@ -21,7 +21,7 @@
     const key = decodeTaskKey(encodedKey);
     const job = key === undefined ? undefined : fleet.jobs.get(key.job);
     const task = key === undefined || job === undefined ? undefined : findTask(job, key);
-    if (key === undefined || task?.crashes === undefined || !isLateCrasher(task.crashes)) {
+    if (key === undefined || task?.crashes === undefined || !isRepeatedSuspect(task.crashes)) {
         return defaultProbationMs;
     }
     return job?.steps[key.step]?.isLongRunning === true ? longRunningProbationMs : Number.POSITIVE_INFINITY;
--- a/packages/core/src/crashes/crash-history.ts
+++ b/packages/core/src/crashes/crash-history.ts
@@ -1,11 +1,11 @@
 /** Crashes of targets under the runs of one task. */
 export interface CrashHistory {
+    /** Number of targets that crashed under its runs. */
+    readonly crashCount: number;
+    /** Number of these that had confirmed the start of the run; the start at the others may have arrived too late. */
+    readonly confirmedCount: number;
     /** Number of targets that crashed before the run had passed its probation, since a run last passed it. */
     readonly earlyCrashCount: number;
-    /** Number of these that had not confirmed the start of the run. */
-    readonly unconfirmedCount: number;
-    /** Number of targets that crashed after the run had passed its probation. */
-    readonly lateCrashCount: number;
     /** Whether the next run has to pass its probation apart from other recent runs. */
     readonly isSuspect: boolean;
     /** Whether the task is given up. */
--- a/packages/core/src/crashes/crashes.test.ts
+++ b/packages/core/src/crashes/crashes.test.ts
@@ -177,8 +177,7 @@
             ["t0", "t1", "t2"].forEach(target => applyCrash(state, target, { "a.0.0.0": Settled }));
             const late = "a.0.0.0";
             expect(computeProbationMs(state.fleet, late)).toBe(Number.POSITIVE_INFINITY);
-            applyCrash(state, "t3", { [late]: OnProbation });
-            expect(applyCrash(state, "t0", { [late]: OnProbation }).poisonTasks).toEqual([late]);
+            expect(applyCrash(state, "t3", { [late]: OnProbation }).poisonTasks).toEqual([late]);
         });
     });
 
--- a/packages/core/src/crashes/update-crash-history.ts
+++ b/packages/core/src/crashes/update-crash-history.ts
@@ -1,12 +1,16 @@
 import type { CrashHistory } from "./crash-history.js";
-import { isLateCrasher } from "./is-late-crasher.js";
+import { isRepeatedSuspect } from "./is-repeated-suspect.js";
 import { RunProgress } from "./run-progress.js";
 
 /** Time after which earlier crashes are forgotten, milliseconds; targets also crash for reasons of their own. */
 const historyMs = 60_000;
+/** Number of targets that have to crash under a task for certain before it is given up. */
+const minConfirmedCount = 2;
 /** Number of early crashes, on different VMs, at which a task that ran apart from others is given up. */
 const poisonCrashCount = 2;
-/** Number of early crashes at which a task is given up in any case. */
+/** The same if all were on one VM, which may itself be the cause. */
+const poisonCrashCountOnOneVm = 3;
+/** Number of early crashes at which a task is given up even if others ran beside it. */
 const maxEarlyCrashCount = 4;
 
 /** The crash of a target under a run of a task. */
@@ -21,9 +25,9 @@
 }
 
 const emptyHistory: CrashHistory = {
+    crashCount: 0,
+    confirmedCount: 0,
     earlyCrashCount: 0,
-    unconfirmedCount: 0,
-    lateCrashCount: 0,
     isSuspect: false,
     isPoison: false,
     vms: [],
@@ -34,7 +38,7 @@
  * Updates the history of a task with the crash of a target under it. Many tasks may run on a target that crashes, and at
  * most a few of them caused it. Those that were just starting become suspects; one that crashes another target while no
  * other run there is recent is given up. A task that had passed its probation is cleared, unless targets keep crashing
- * under it.
+ * under it: it then runs apart for its whole run, and is given up if the target crashes again.
  * @param history - the history; `undefined` for a task without crashes
  * @param crash - the crash
  * @returns the new history; `undefined` if there still is none
@@ -46,22 +50,24 @@
     }
     const isExpired = history !== undefined && atMs - history.lastCrashAtMs > historyMs;
     const earlier = history === undefined || isExpired ? emptyHistory : history;
-    const seen = { vms: [...new Set([...earlier.vms, vm])], lastCrashAtMs: atMs };
+    const seen = {
+        crashCount: earlier.crashCount + 1,
+        confirmedCount: earlier.confirmedCount + (progress === RunProgress.Unconfirmed ? 0 : 1),
+        vms: [...new Set([...earlier.vms, vm])],
+        lastCrashAtMs: atMs,
+    };
     if (progress === RunProgress.Settled) {
-        const lateCrashCount = earlier.lateCrashCount + 1;
-        return { ...emptyHistory, ...seen, lateCrashCount, isSuspect: isLateCrasher({ lateCrashCount }) };
+        return { ...emptyHistory, ...seen, isSuspect: isRepeatedSuspect(seen) };
     }
     const earlyCrashCount = earlier.earlyCrashCount + 1;
-    const unconfirmedCount = earlier.unconfirmedCount + (progress === RunProgress.Unconfirmed ? 1 : 0);
-    // A single VM may itself be the cause, and an unconfirmed start may have arrived after the crash.
-    const doubts = (seen.vms.length > 1 ? 0 : 1) + (unconfirmedCount > 0 ? 1 : 0);
-    const isConvicted = isOnlyRecentRun && earlyCrashCount >= poisonCrashCount + doubts;
+    const poisonCount = seen.vms.length > 1 ? poisonCrashCount : poisonCrashCountOnOneVm;
+    const isConvicted = isOnlyRecentRun && progress === RunProgress.OnProbation
+        && (isRepeatedSuspect(earlier) || earlyCrashCount >= poisonCount);
     return {
-        ...earlier,
         ...seen,
         earlyCrashCount,
-        unconfirmedCount,
         isSuspect: true,
-        isPoison: isConvicted || earlyCrashCount >= maxEarlyCrashCount,
+        isPoison: seen.confirmedCount >= minConfirmedCount
+            && (isConvicted || earlyCrashCount >= maxEarlyCrashCount),
     };
 }
--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -110,6 +110,18 @@
     },
 );
 
+const actionOrCrash = fc.oneof(
+    { weight: 40, arbitrary: actionOrRestart },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            kind: fc.constant("submit-crashing" as const),
+            crashAfterMs: fc.constantFrom(1, 5, 30, 400),
+        }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("toggle-vm-service" as const) }) },
+);
+
 const actionOrRelayFault = fc.oneof(
     { weight: 12, arbitrary: actionOrRestart },
     {
@@ -123,7 +135,8 @@
     },
 );
 
-type Action = typeof actionOrRelayFault extends fc.Arbitrary<infer Value> ? Value : never;
+type ArbitraryValue<Arbitrary> = Arbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+type Action = ArbitraryValue<typeof actionOrRelayFault> | ArbitraryValue<typeof actionOrCrash>;
 
 async function runAction(fleet: SimulatedFleet, step: Action): Promise<void> {
     const { keeper } = fleet;
@@ -139,6 +152,16 @@
         case "submit-long-running":
             fleet.addJob({ needs: { cpu: 500, memory: 10, gpu: 0 }, durationMs: 0 }, 1, 1);
             break;
+        case "submit-crashing":
+            fleet.addJob(
+                { needs: { cpu: 500, memory: 10, gpu: 0 }, durationMs: 500, crashAfterMs: step.crashAfterMs },
+                1,
+                1,
+            );
+            break;
+        case "toggle-vm-service":
+            fleet.isVmServiceUp = !fleet.isVmServiceUp;
+            break;
         case "cancel":
             void fleet.stopJob(step.position);
             break;
@@ -223,6 +246,7 @@
 const runDirectly = (random: number, steps: readonly Action[]) => runScenario(random, steps, false);
 const scenario = fc.asyncProperty(fc.nat(), fc.array(action, length), runDirectly);
 const scenarioWithRestarts = fc.asyncProperty(fc.nat(), fc.array(actionOrRestart, length), runDirectly);
+const scenarioWithCrashes = fc.asyncProperty(fc.nat(), fc.array(actionOrCrash, length), runDirectly);
 const scenarioWithRelays = fc.asyncProperty(
     fc.nat(),
     fc.array(actionOrRelayFault, length),
@@ -243,6 +267,12 @@
             Math.max(60_000, runs * runTimeoutMs),
         );
 
+        it(
+            "gives up tasks that crash their targets, and no others",
+            () => fc.assert(scenarioWithCrashes, { numRuns: runs, seed, endOnFailure: true }),
+            Math.max(60_000, runs * runTimeoutMs),
+        );
+
         it(
             "runs each task once while relays of the leader's requests fail, are suspended and send them late",
             () => fc.assert(scenarioWithRelays, { numRuns: runs, seed, endOnFailure: true }),
--- a/packages/daemon/src/job-scheduler/testing/run-monitor.ts
+++ b/packages/daemon/src/job-scheduler/testing/run-monitor.ts
@@ -1,5 +1,10 @@
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 
+/** Number of targets that have to crash under a task before its further starts are counted. */
+const crashLimit = 3;
+/** Number of these starts that the platform does not allow. */
+const startLimitAfterCrashes = 3;
+
 interface DoneRun {
     readonly target: string;
     readonly number: number;
@@ -21,11 +26,16 @@
     private readonly failedRuns = new Map<string, number>();
     private readonly crashCounts = new Map<string, number>();
     private readonly startCounts = new Map<string, number>();
+    private readonly startsAfterCrashes = new Map<string, number>();
 
     /**
      * @param isRecordedDone - whether the replicated state no longer needs the result of a task
+     * @param isCrashing - whether a task crashes its targets
      */
-    constructor(private readonly isRecordedDone: (task: string) => boolean) {}
+    constructor(
+        private readonly isRecordedDone: (task: string) => boolean,
+        private readonly isCrashing: (task: string) => boolean = () => false,
+    ) {}
 
     /**
      * Records that a target has started a run.
@@ -36,6 +46,7 @@
     noteStart(target: string, task: string, run: number): void {
         this.startCount += 1;
         this.startCounts.set(task, this.countStarts(task) + 1);
+        this.noteStartAfterCrashes(task);
         const other = this.aliveRuns.get(task);
         if (other !== undefined) {
             this.violations.push(
@@ -51,6 +62,19 @@
         this.aliveRuns.set(task, { target, run });
     }
 
+    private noteStartAfterCrashes(task: string): void {
+        if (this.countCrashes(task) < crashLimit) {
+            return;
+        }
+        const starts = (this.startsAfterCrashes.get(task) ?? 0) + 1;
+        this.startsAfterCrashes.set(task, starts);
+        if (starts >= startLimitAfterCrashes && this.isCrashing(task)) {
+            this.violations.push(
+                `${task} was started ${starts} more times after ${crashLimit} targets had crashed under it`,
+            );
+        }
+    }
+
     /**
      * Records that a run has ended.
      * @param target - id of the target
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -72,6 +72,7 @@
     private readonly reports: TargetReportHandler;
     private readonly requestFaults = new Map<string, RequestFault>();
     private readonly heartbeatDelaysMs = new Map<string, number>();
+    private readonly crashingJobs = new Set<string>();
     private jobCount = 0;
     private heartbeatCount = 0;
     private isStopped = false;
@@ -83,7 +84,10 @@
     constructor(private readonly random: () => number, isRelayed = false) {
         this.state = buildTestFleet(targetCount, targetCapacity);
         this.keeper = new SimulatedKeeper(this.state, this.clock, random);
-        this.monitor = new RunMonitor(task => this.isRecordedDone(task));
+        this.monitor = new RunMonitor(
+            task => this.isRecordedDone(task),
+            task => this.crashingJobs.has(decodeTaskKey(task)?.job ?? task),
+        );
         this.targets = [...this.state.fleet.targets.values()].map((record, index) =>
             new SimulatedTarget(record, {
                 clock: this.clock,
@@ -175,6 +179,9 @@
      */
     addJob(work: SimulatedWork, count: number, stepCount: number): string {
         this.jobCount += 1;
+        if (work.crashAfterMs !== undefined) {
+            this.crashingJobs.add(`j${this.jobCount}`);
+        }
         const steps: JobStep[] = Array.from({ length: stepCount }, (_, index) =>
             buildTestStep({
                 count,
