--- a/packages/core/src/queueing/collect-pool-loads.ts
+++ b/packages/core/src/queueing/collect-pool-loads.ts
@@ -24,7 +24,11 @@
             waiting: sum(waitingSteps.map(step => step.waiting.length)),
             wanted: sum(waitingSteps.map(step => step.waiting.length * step.definition.needs.cpu)),
             late: sum(waitingSteps.map(step => step.slackMs < 0 ? step.waiting.length : 0)),
-            suspects: sum(waitingSteps.map(step => step.waiting.filter(index => isSuspect(step, index)).length)),
+            suspects: fleet.suspectTasks.size === 0 ? 0 : sum(waitingSteps.map(countSuspects)),
         };
     });
 }
+
+function countSuspects(step: StepCandidate): number {
+    return step.waiting.filter(index => isSuspect(step, index)).length;
+}
--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -110,6 +110,18 @@
     },
 );
 
+const actionOrResize = fc.oneof(
+    { weight: 10, arbitrary: actionOrRestart },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("resize" as const),
+            target,
+            cpu: fc.constantFrom(0, 600, 1_500, 4_000),
+        }),
+    },
+);
+
 const actionOrCrash = fc.oneof(
     { weight: 40, arbitrary: actionOrRestart },
     {
@@ -136,7 +148,10 @@
 );
 
 type ArbitraryValue<Arbitrary> = Arbitrary extends fc.Arbitrary<infer Value> ? Value : never;
-type Action = ArbitraryValue<typeof actionOrRelayFault> | ArbitraryValue<typeof actionOrCrash>;
+type Action =
+    | ArbitraryValue<typeof actionOrRelayFault>
+    | ArbitraryValue<typeof actionOrCrash>
+    | ArbitraryValue<typeof actionOrResize>;
 
 async function runAction(fleet: SimulatedFleet, step: Action): Promise<void> {
     const { keeper } = fleet;
@@ -216,6 +231,9 @@
         case "restart":
             fleet.stopTarget(disturbed, step.downMs);
             break;
+        case "resize":
+            disturbed.setCapacity({ ...disturbed.record.capacity, cpu: step.cpu });
+            break;
         case "delay-heartbeats":
             fleet.setHeartbeatDelay(disturbed, step.ms);
             break;
@@ -247,6 +265,7 @@
 const scenario = fc.asyncProperty(fc.nat(), fc.array(action, length), runDirectly);
 const scenarioWithRestarts = fc.asyncProperty(fc.nat(), fc.array(actionOrRestart, length), runDirectly);
 const scenarioWithCrashes = fc.asyncProperty(fc.nat(), fc.array(actionOrCrash, length), runDirectly);
+const scenarioWithResizes = fc.asyncProperty(fc.nat(), fc.array(actionOrResize, length), runDirectly);
 const scenarioWithRelays = fc.asyncProperty(
     fc.nat(),
     fc.array(actionOrRelayFault, length),
@@ -273,6 +292,12 @@
             Math.max(60_000, runs * runTimeoutMs),
         );
 
+        it(
+            "keeps to capacities that shrink and grow",
+            () => fc.assert(scenarioWithResizes, { numRuns: runs, seed, endOnFailure: true }),
+            Math.max(60_000, runs * runTimeoutMs),
+        );
+
         it(
             "runs each task once while relays of the leader's requests fail, are suspended and send them late",
             () => fc.assert(scenarioWithRelays, { numRuns: runs, seed, endOnFailure: true }),
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -264,6 +264,7 @@
         this.roundClock.setHold(0);
         for (const target of this.targets) {
             target.refusal = undefined;
+            target.setCapacity(targetCapacity);
             target.failingRuns = 0;
             target.stallingRuns = 0;
         }
@@ -367,7 +368,9 @@
             const isLost = this.requestFaults.get(record.id)?.percent === 100;
             if (isLost || !(await this.reports.handleReport(report)).isLeader) {
                 this.clock.schedule(retryDelayMs, () => void send());
+                return;
             }
+            target.noteReported(record.capacity);
         };
         this.clock.schedule(this.heartbeatDelaysMs.get(record.id) ?? 0, () => void send());
     }
--- a/packages/daemon/src/job-scheduler/testing/simulated-target.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target.ts
@@ -1,6 +1,7 @@
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { addResources } from "@daisylock/core/resources/add-resources.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
+import type { Resources } from "@daisylock/core/resources/resources.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -16,6 +17,8 @@
 
 /** Longest time for which a stopped task keeps running, milliseconds. */
 const stopGraceMs = 400;
+/** Time after the report of a smaller capacity for which starts may still exceed it, milliseconds. */
+const capacityGraceMs = 4_000;
 /** Maximum number of ended runs in one response. */
 const maxListedEnds = 500;
 
@@ -55,6 +58,8 @@
     isDown = false;
     /** Called when a task crashes the target. */
     handleCrash: () => void = () => undefined;
+    /** Largest capacity that the leader may still count with, as a smaller one was reported only recently. */
+    private countedCapacity: Resources;
     private readonly runs = new Map<string, ActiveRun>();
     private ended: EndedRun[] = [];
     private endCount = 0;
@@ -72,6 +77,7 @@
      */
     constructor(record: TargetRecord, private readonly options: SimulatedTargetOptions) {
         this.currentRecord = record;
+        this.countedCapacity = record.capacity;
     }
 
     /**
@@ -82,6 +88,26 @@
         return this.currentRecord;
     }
 
+    /**
+     * Sets the capacity, which the next heartbeat reports. Runs that need more go on.
+     * @param capacity - the capacity
+     */
+    setCapacity(capacity: Resources): void {
+        this.currentRecord = { ...this.record, capacity };
+    }
+
+    /**
+     * Records that the leader knows a capacity, with which it has to count from some time later on.
+     * @param capacity - the capacity
+     */
+    noteReported(capacity: Resources): void {
+        this.options.clock.schedule(capacityGraceMs, () => {
+            if (this.record.capacity === capacity) {
+                this.countedCapacity = capacity;
+            }
+        });
+    }
+
     /** Ends the process with all its runs. */
     stop(): void {
         this.isDown = true;
@@ -183,7 +209,7 @@
         if (!isFit && this.options.isGuarded) {
             return TargetRequestResult.InsufficientCapacity;
         }
-        if (!isFit) {
+        if (!isFit && !isWithin(used, this.countedCapacity)) {
             this.options.monitor.noteOverload(this.record.id, task);
         }
         this.addRun(task, run, work);
