Do not eject target after target for a task that stalls wherever it runs

Found by looking for the cause of crash loops elsewhere: what happens under a task is held against the target only, without memory of the task. A task that makes no progress on any target was stopped and moved for good, and each target on its way took no starts for 2 to 8 s.

A registry of the leader remembers the first target on which a task has stalled; a stall on another one stops and moves the task and leaves the target in use.

target-health-monitor.test.ts, 'does not eject target after target ...': the second target took no starts before.

--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -27,6 +27,7 @@
 import { PoolBalancer } from "./pool-balancer.js";
 import { Scheduler } from "./scheduler.js";
 import { SharedFailureDetector } from "./shared-failure-detector.js";
+import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetEnding } from "./target-ending.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 import { TargetSessions } from "./target-sessions.js";
@@ -53,6 +54,7 @@
 /** Components that a keeper (control-plane replica) runs while it leads. */
 export class LeaderComponents {
     private readonly estimator = new TaskDurationEstimator();
+    private readonly stalledTasks = new StalledTaskRegistry();
     private readonly sharedFailures = new SharedFailureDetector();
     private readonly sessions: TargetSessions;
     private readonly maintenance: MaintenanceRunner;
@@ -86,6 +88,7 @@
             log,
             maxLeaseMs: settings.tasks.max_lease_ms,
             findTargetEnding: (target, since) => this.findTargetEnding(target, vmLeases, since),
+            stalledTasks: this.stalledTasks,
             mayEjectSlow: ({ pool }) => this.sessions.countSlow(pool) < this.sessions.countTargets(pool) * maxSlowShare,
             estimateTask: task => this.computeTaskMs(leadership.readFleet(), task),
             findTicket: (task, target) => this.tickets.findTicket(parseStepKey(task), target) ?? "",
@@ -229,6 +232,7 @@
             this.estimator.noteRun(job, step, durationMs);
         }
         if (isJobFinished(job)) {
+            this.stalledTasks.dropEnded(other => fleet.activeJobs.has(decodeTaskKey(other)?.job ?? ""));
             const afterMs = job.endedAtMs - job.acceptedAtMs;
             this.dependencies.log.record(DecisionKind.JobEnded, {
                 job: job.id,
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { TargetClient } from "../targets/target-client.js";
 import type { Leadership } from "./leadership.js";
+import type { StalledTaskRegistry } from "./stalled-task-registry.js";
 import type { TargetEnding } from "./target-ending.js";
 import type { TargetReportHandler } from "./target-report-handler.js";
 
@@ -27,6 +28,8 @@
     readonly findTargetEnding: (target: TargetRecord, since: number) => TargetEnding | undefined;
     /** Called when a target left a request unanswered: other targets of its zone may be affected too. */
     readonly handleUnansweredRequest: (target: TargetRecord) => void;
+    /** Tasks that have stalled, on whichever target. */
+    readonly stalledTasks: Pick<StalledTaskRegistry, "noteStall">;
     /** Whether a target may be ejected as slow; false while many targets of its pool already are. */
     readonly mayEjectSlow: (target: TargetRecord) => boolean;
     /**
--- a/packages/daemon/src/job-scheduler/leader/target-health-monitor.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-health-monitor.test.ts
@@ -5,6 +5,7 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { ManualClock } from "../testing/manual-clock.js";
+import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetHealthMonitor } from "./target-health-monitor.js";
 
 const expectedMs = 500;
@@ -18,19 +19,23 @@
     if (target === undefined) {
         throw new TypeError("the test fleet has no target");
     }
-    const monitor = new TargetHealthMonitor(target, {
-        leadership: { readFleet: () => state.fleet } as never,
-        clock,
-        log: { record: () => undefined },
-        estimateTask: () => expectedMs,
-        mayEjectSlow: () => mayEject,
-    });
+    const stalledTasks = new StalledTaskRegistry();
+    const createMonitor = (id: string) =>
+        new TargetHealthMonitor({ ...target, id }, {
+            leadership: { readFleet: () => state.fleet } as never,
+            clock,
+            log: { record: () => undefined },
+            estimateTask: () => expectedMs,
+            stalledTasks,
+            mayEjectSlow: () => mayEject,
+        });
+    const monitor = createMonitor(target.id);
     const collectTasks = (percent: number, elapsedMs: number) =>
         monitor.collectTasksToMove(
             jobs.map(job => ({ task: `${job}.0.0.0`, run: 1, saved: "", percent, load: 0 })),
             () => elapsedMs,
         );
-    return { clock, monitor, collectTasks };
+    return { clock, monitor, createMonitor, collectTasks };
 }
 
 describe("TargetHealthMonitor", () => {
@@ -63,4 +68,19 @@
         monitor.noteRunEnd("a.0.0.0", RunOutcome.Done);
         expect(monitor.countStartsLeft(0)).toBe(Number.POSITIVE_INFINITY);
     });
+
+    it("does not eject target after target for a task that stalls wherever it runs, and still moves it", async () => {
+        const { clock, createMonitor } = createFixture();
+        async function runStalled(id: string, task: string) {
+            const monitor = createMonitor(id);
+            const collectStalled = () =>
+                monitor.collectStalledTasks([{ task, run: 1, saved: "", percent: 5, load: 0 }], () => false);
+            collectStalled();
+            await clock.runFor(4_000);
+            return { movedCount: collectStalled().length, startsLeft: monitor.countStartsLeft(0) };
+        }
+        expect(await runStalled("t0", "a.0.0.0")).toEqual({ movedCount: 1, startsLeft: 0 });
+        expect(await runStalled("t1", "a.0.0.0")).toEqual({ movedCount: 1, startsLeft: Number.POSITIVE_INFINITY });
+        expect(await runStalled("t2", "b.0.0.0")).toEqual({ movedCount: 1, startsLeft: 0 });
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
@@ -29,7 +29,7 @@
         private readonly target: TargetRecord,
         private readonly dependencies: Pick<
             SessionDependencies,
-            "leadership" | "clock" | "log" | "estimateTask" | "mayEjectSlow"
+            "leadership" | "clock" | "log" | "estimateTask" | "mayEjectSlow" | "stalledTasks"
         >,
     ) {}
 
@@ -66,7 +66,7 @@
     }
 
     /**
-     * Collects the tasks that have newly stalled, and ejects the target if there are any.
+     * Collects the tasks that have newly stalled, and ejects the target if one of them had not stalled elsewhere before.
      * @param running - running tasks as reported by the target
      * @param isStopping - whether a run is being stopped already
      * @returns the tasks, to be stopped so that they can continue elsewhere
@@ -81,8 +81,11 @@
             && !isStopping(task, run)
         );
         for (const { task, run, percent } of stalled) {
-            this.circuitBreaker.recordStall(now);
-            const reason = "a task has stalled";
+            const isSuspected = this.dependencies.stalledTasks.noteStall(task, this.target.id);
+            if (isSuspected) {
+                this.circuitBreaker.recordStall(now);
+            }
+            const reason = isSuspected ? "a task has stalled" : "none: the task has stalled on another target before";
             this.dependencies.log.record(DecisionKind.TargetLeftOut, {
                 target: this.target.id,
                 reason,
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -17,6 +17,7 @@
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
 import type { SessionDependencies } from "./session-dependencies.js";
+import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetEnding } from "./target-ending.js";
 import { TargetSession } from "./target-session.js";
 
@@ -71,6 +72,7 @@
         log: { record: (kind, fields) => handleLogLine(kind, fields) },
         maxLeaseMs,
         findTargetEnding: () => ending,
+        stalledTasks: new StalledTaskRegistry(),
         mayEjectSlow: () => true,
         estimateTask: () => 500,
         findTicket: () => "",
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -3,6 +3,7 @@
 
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
+import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetSessions } from "./target-sessions.js";
 
 function createFixture(targetCount = 2) {
@@ -22,6 +23,7 @@
         log: { record: () => undefined },
         maxLeaseMs: 6_000,
         findTargetEnding: () => undefined,
+        stalledTasks: new StalledTaskRegistry(),
         mayEjectSlow: () => true,
         estimateTask: () => undefined,
         findTicket: () => "",
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -15,6 +15,7 @@
 import { LoadMeter } from "../leader/load-meter.js";
 import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
 import { Scheduler } from "../leader/scheduler.js";
+import { StalledTaskRegistry } from "../leader/stalled-task-registry.js";
 import { TargetEnding } from "../leader/target-ending.js";
 import { TargetReportHandler } from "../leader/target-report-handler.js";
 import { TargetSessions } from "../leader/target-sessions.js";
@@ -129,6 +130,7 @@
             log,
             maxLeaseMs: this.maxLeaseMs,
             findTargetEnding: ({ id, incarnation }, since) => this.findTargetEnding(id, incarnation, since),
+            stalledTasks: new StalledTaskRegistry(),
             mayEjectSlow: () => true,
             estimateTask: () => undefined,
             findTicket: () => "",
