Log a stall that is not held against the target under its own kind, and take a target that left its pool for moved

Found on reading the change: target-left-out was written for targets that stay in use, and an incarnation that replaces one of another pool under its id counted as its crash, unlike where the VM service reports the same.

--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -45,7 +45,7 @@
     readonly setStartBackoff: (forMs: number) => void;
     /** Commits ended runs; returns false when they may not have been committed. */
     readonly recordRunEnds: (ends: readonly Omit<TaskEnd, "target">[]) => Promise<boolean>;
-    readonly removeTarget: (reason: string, isCrashed: boolean) => Promise<void>;
+    readonly removeTarget: (reason: string, isStopped: boolean) => Promise<void>;
     /** Wakes the renewal loop, which fetches the target's lists of running tasks and ended runs. */
     readonly startRenewal: () => void;
 }
--- a/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
@@ -81,18 +81,14 @@
             && !isStopping(task, run)
         );
         for (const { task, run, percent } of stalled) {
-            const isSuspected = this.dependencies.stalledTasks.noteStall(task, this.target.id);
-            if (isSuspected) {
+            const fields = { target: this.target.id, task, run, percent };
+            if (this.dependencies.stalledTasks.noteStall(task, this.target.id)) {
                 this.circuitBreaker.recordStall(now);
+                this.dependencies.log.record(DecisionKind.TargetLeftOut, { reason: "a task has stalled", ...fields });
+            }
+            else {
+                this.dependencies.log.record(DecisionKind.TaskStalled, fields);
             }
-            const reason = isSuspected ? "a task has stalled" : "none: the task has stalled on another target before";
-            this.dependencies.log.record(DecisionKind.TargetLeftOut, {
-                target: this.target.id,
-                reason,
-                task,
-                run,
-                percent,
-            });
         }
         const runningTasks = new Set(running.map(({ task }) => task));
         this.stallDetector.dropEndedTasks(task => runningTasks.has(task));
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -157,7 +157,9 @@
     private collectCrashes(record: TargetRecord): TargetCrash[] {
         const fleet = this.leadership.readFleet();
         return [...fleet.targets.values()].filter(other =>
-            other.id === record.id ? other.incarnation < record.incarnation : other.address === record.address
+            other.id === record.id
+                ? other.incarnation < record.incarnation && other.pool === record.pool
+                : other.address === record.address
         ).filter(other => isEndUnplanned(fleet, other)).map(({ id }) => ({
             target: id,
             runs: this.sessions.collectCrashedRuns(id),
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -109,7 +109,7 @@
                 this.startBackoffUntil = this.readNow() + forMs;
             },
             recordRunEnds: ends => this.recordRunEnds(ends),
-            removeTarget: (reason, isCrashed) => this.removeTarget(reason, isCrashed),
+            removeTarget: (reason, isStopped) => this.removeTarget(reason, isStopped),
             startRenewal: () => this.startRenewal(),
         }, dependencies);
         this.healthMonitor = new TargetHealthMonitor(record, dependencies);
@@ -553,6 +553,7 @@
             : leaderLeaseExpiry;
     }
 
+    /** Removes the target; one whose process has stopped has crashed, unless its end was announced. */
     private async removeTarget(reason: string, isStopped: boolean): Promise<void> {
         const { leadership, log, startScheduling } = this.dependencies;
         const { id, incarnation, vm } = this.record;
--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -35,6 +35,7 @@
     TaskPlaced = "task-placed",
     TaskStarted = "task-started",
     TaskEnded = "task-ended",
+    TaskStalled = "task-stalled",
     TaskGivenUp = "task-given-up",
     AdviceAnswered = "advice-answered",
     OrderFailed = "order-failed",
