Clear and convict suspects by job, and see the end of a probation at once

The traces show up to 650 suspects waiting, and one to four probations a second where 18 targets were free. Three causes. Each task of a job passed a probation of its own, although the job fails as a whole when one is given up. On a busy target the end of a probation was seen only with the next answer, up to half a second later. And long-running tasks, which are on some target at each crash, counted as repeated suspects and kept the quarantine to themselves for a second each.

The suspects of a step now run together on one target in quarantine, and a crash with recent runs of one job only convicts that job. While there are suspects, a target is checked 110 ms after it has confirmed a start, unless another answer came. Long-running tasks are no repeated suspects; repeated suspects come after the others.

--- a/packages/core/src/crashes/compute-probation-ms.ts
+++ b/packages/core/src/crashes/compute-probation-ms.ts
@@ -5,9 +5,6 @@
 
 /** Time after its start for which a run is on probation, milliseconds: a task that crashes targets does so as it starts. */
 const defaultProbationMs = 100;
-/** The same for a long-running task that is a suspect although its runs had passed that time, milliseconds. */
-const longRunningProbationMs = 1_000;
-
 /**
  * Computes for how long a run of a task is suspected if its target crashes.
  * @param fleet - the fleet state
@@ -21,8 +18,7 @@
     const key = decodeTaskKey(encodedKey);
     const job = key === undefined ? undefined : fleet.jobs.get(key.job);
     const task = key === undefined || job === undefined ? undefined : findTask(job, key);
-    if (key === undefined || task?.crashes === undefined || !isRepeatedSuspect(task.crashes)) {
-        return defaultProbationMs;
-    }
-    return job?.steps[key.step]?.isLongRunning === true ? longRunningProbationMs : Number.POSITIVE_INFINITY;
+    const isLongRunning = key === undefined || job?.steps[key.step]?.isLongRunning === true;
+    const isRepeated = task?.crashes !== undefined && isRepeatedSuspect(task.crashes);
+    return isRepeated && !isLongRunning ? Number.POSITIVE_INFINITY : defaultProbationMs;
 }
--- a/packages/core/src/crashes/record-crash.ts
+++ b/packages/core/src/crashes/record-crash.ts
@@ -4,7 +4,6 @@
 import { releaseJobData } from "../jobs/release-job-data.js";
 import { TaskPhase } from "../jobs/task-phase.js";
 import { updateJobPhase } from "../jobs/update-job-phase.js";
-import { parseStepKey } from "../placement/parse-step-key.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import type { CrashedRun } from "./crashed-run.js";
 import { RunProgress } from "./run-progress.js";
@@ -33,26 +32,17 @@
     const recentRuns = runs.filter(({ progress }) =>
         progress === RunProgress.OnProbation || progress === RunProgress.Unconfirmed
     );
-    const isOnlyRecentRun = countStartUnits(fleet, recentRuns.map(({ task }) => task)) === 1;
+    const isOnlyRecentJob = new Set(recentRuns.map(({ task }) => decodeTaskKey(task)?.job)).size === 1;
     return runs.filter(({ task, progress }) =>
-        recordCrashOfTask(fleet, task, { progress, vm: target.vm, isOnlyRecentRun, atMs })
+        recordCrashOfTask(fleet, task, { progress, vm: target.vm, isOnlyRecentJob, atMs })
     ).map(({ task }) => task);
 }
 
-/** Counts tasks; those of a gang count once, as they can only start together. */
-function countStartUnits(fleet: FleetState, tasks: readonly string[]): number {
-    return new Set(tasks.map(task => {
-        const key = decodeTaskKey(task);
-        const step = key === undefined ? undefined : fleet.jobs.get(key.job)?.steps[key.step];
-        return step?.isGang === true ? parseStepKey(task) : task;
-    })).size;
-}
-
 /** Returns whether the task is given up. */
 function recordCrashOfTask(
     fleet: FleetState,
     encodedKey: string,
-    crash: Parameters<typeof updateCrashHistory>[1],
+    crash: Omit<Parameters<typeof updateCrashHistory>[1], "isLongRunning">,
 ): boolean {
     const key = decodeTaskKey(encodedKey);
     const job = key === undefined ? undefined : fleet.jobs.get(key.job);
@@ -61,7 +51,8 @@
         return false;
     }
     const wasPoison = task.crashes?.isPoison === true;
-    task.crashes = updateCrashHistory(task.crashes, crash);
+    const isLongRunning = job?.steps[key?.step ?? 0]?.isLongRunning === true;
+    task.crashes = updateCrashHistory(task.crashes, { ...crash, isLongRunning });
     if (task.crashes?.isSuspect === true) {
         fleet.suspectTasks.add(encodedKey);
     }
--- a/packages/core/src/crashes/update-crash-history.ts
+++ b/packages/core/src/crashes/update-crash-history.ts
@@ -18,8 +18,10 @@
     readonly progress: RunProgress;
     /** VM of the target. */
     readonly vm: string;
-    /** Whether no other run on the target can have caused the crash by its start. */
-    readonly isOnlyRecentRun: boolean;
+    /** Whether no run of another job on the target can have caused the crash by its start. */
+    readonly isOnlyRecentJob: boolean;
+    /** Whether the task runs until it is stopped. */
+    readonly isLongRunning: boolean;
     /** Wall clock of the leader, milliseconds. */
     readonly atMs: number;
 }
@@ -36,15 +38,15 @@
 
 /**
  * Updates the history of a task with the crash of a target under it. Many tasks may run on a target that crashes, and at
- * most a few of them caused it. Those that were just starting become suspects; one that crashes another target while no
- * other run there is recent is given up. A task that had passed its probation is cleared, unless targets keep crashing
+ * most a few of them caused it. Those that were just starting become suspects; one under which another target crashes while no
+ * run of another job there is recent is given up, and its job with it. A task that had passed its probation is cleared, unless targets keep crashing
  * under it: it then runs apart for its whole run, and is given up if the target crashes again.
  * @param history - the history; `undefined` for a task without crashes
  * @param crash - the crash
  * @returns the new history; `undefined` if there still is none
  */
 export function updateCrashHistory(history: CrashHistory | undefined, crash: CrashUnderRun): CrashHistory | undefined {
-    const { progress, vm, isOnlyRecentRun, atMs } = crash;
+    const { progress, vm, isOnlyRecentJob, isLongRunning, atMs } = crash;
     if (progress === RunProgress.Unsent) {
         return history;
     }
@@ -57,11 +59,12 @@
         lastCrashAtMs: atMs,
     };
     if (progress === RunProgress.Settled) {
-        return { ...emptyHistory, ...seen, isSuspect: isRepeatedSuspect(seen) };
+        // A long-running task is on some target at each crash of a storm, so that their number says little of it.
+        return { ...emptyHistory, ...seen, isSuspect: !isLongRunning && isRepeatedSuspect(seen) };
     }
     const earlyCrashCount = earlier.earlyCrashCount + 1;
     const poisonCount = seen.vms.length > 1 ? poisonCrashCount : poisonCrashCountOnOneVm;
-    const isConvicted = isOnlyRecentRun && progress === RunProgress.OnProbation
+    const isConvicted = isOnlyRecentJob && progress === RunProgress.OnProbation
         && (isRepeatedSuspect(earlier) || earlyCrashCount >= poisonCount);
     return {
         ...seen,
--- a/packages/core/src/placement/pick-task-target.ts
+++ b/packages/core/src/placement/pick-task-target.ts
@@ -29,7 +29,8 @@
     let best: PlacementTarget | undefined;
     let bestScores: readonly number[] = [];
     for (const target of targets) {
-        const isFit = isStartAllowed(target) && isCapacityLeft(step, target) && isLabelMatching(step, target)
+        const isFit = isStartAllowed(target) && isCapacityLeft(step, target)
+            && isLabelMatching(step, target)
             && isAntiAffinityMet(step, stepKey, target);
         if (!isFit) {
             continue;
--- a/packages/core/src/placement/plan-idle-suspects.ts
+++ b/packages/core/src/placement/plan-idle-suspects.ts
@@ -3,7 +3,7 @@
 import { computeQuarantineQuotas } from "./compute-quarantine-quotas.js";
 import { isSuspect } from "./is-suspect.js";
 import type { PlacementRound } from "./placement-round.js";
-import { planSuspect } from "./plan-suspect.js";
+import { planSuspectStep } from "./plan-suspect-step.js";
 
 /** Largest part of a pool's targets on which suspects are on probation, as each of them may crash. */
 const maxQuarantineShare = 0.5;
@@ -24,6 +24,9 @@
         const { job, occurrence, step, waiting } = candidate;
         const isLeft = (index: number): boolean =>
             isSuspect(candidate, index) && !startedTasks.has(encodeTaskKey({ job: job.id, occurrence, step, index }));
-        waiting.filter(isLeft).forEach(index => planSuspect(round, candidate, index, quotas));
+        const left = waiting.filter(isLeft);
+        if (left.length > 0) {
+            planSuspectStep(round, candidate, left, quotas);
+        }
     }
 }
--- a/packages/core/src/placement/plan-suspect.ts
+++ b/packages/core/src/placement/plan-suspect-step.ts
@@ -6,23 +6,23 @@
 import { planStep } from "./plan-step.js";
 
 /**
- * Plans the start of a suspect on a target that is put in quarantine. A target where runs are on probation, or that is
- * full, is only kept for it: it becomes ready as no other task starts there.
+ * Plans the starts of the suspects of a step on a target that is put in quarantine. A target where runs are on probation,
+ * or that is full, is only kept for them: it becomes ready as no other task starts there.
  * @param round - the round
- * @param candidate - the step of the task
- * @param index - index of the task
+ * @param candidate - the step
+ * @param waiting - indexes of the suspects
  * @param quotas - number of targets that may still be put in quarantine, by pool
  */
-export function planSuspect(
+export function planSuspectStep(
     round: PlacementRound,
     candidate: StepCandidate,
-    index: number,
+    waiting: readonly number[],
     quotas: Map<string, number>,
 ): void {
     const { job, queue, occurrence, step, definition } = candidate;
     const pool = queue?.pool ?? job.pool;
     const quota = quotas.get(pool) ?? 0;
-    const task = job.occurrences[occurrence]?.[step]?.tasks[index];
+    const task = job.occurrences[occurrence]?.[step]?.tasks[waiting[0] ?? 0];
     if (quota <= 0 || task === undefined || !isStartWithinCap(round, candidate)) {
         return;
     }
@@ -32,7 +32,7 @@
         return;
     }
     if (target.recentRuns === 0) {
-        planStep(round, candidate, [index], [target]);
+        planStep(round, candidate, waiting, [target]);
     }
     target.isQuarantined = true;
     quotas.set(pool, quota - 1);
--- a/packages/core/src/placement/plan-suspects.ts
+++ b/packages/core/src/placement/plan-suspects.ts
@@ -1,3 +1,4 @@
+import { isRepeatedSuspect } from "../crashes/is-repeated-suspect.js";
 import { decodeTaskKey } from "../jobs/decode-task-key.js";
 import { findTask } from "../jobs/find-task.js";
 import { TaskPhase } from "../jobs/task-phase.js";
@@ -8,16 +9,23 @@
 import { parseStepKey } from "./parse-step-key.js";
 import type { PlacementRound } from "./placement-round.js";
 import { planSuspectGang } from "./plan-suspect-gang.js";
-import { planSuspect } from "./plan-suspect.js";
+import { planSuspectStep } from "./plan-suspect-step.js";
 import type { ProbationView } from "./probation-view.js";
 
 /** Part of a pool's targets that is kept for suspects even if other tasks wait. */
 const keptShare = 0.25;
 
+/** The tasks of a step that wait and are suspected. */
+interface SuspectStep {
+    readonly candidate: StepCandidate;
+    /** Indexes of the tasks. */
+    readonly waiting: readonly number[];
+}
+
 /**
- * Plans the starts of suspects: tasks under which targets have crashed, most of which only ran beside the cause. Each
- * runs on a target in quarantine, where no other run is on probation, so that it clears or convicts itself and a crash
- * costs others little. Suspects are placed first, as they occupy few targets, for a short time each.
+ * Plans the starts of suspects: tasks under which targets have crashed, most of which only ran beside the cause. Those of
+ * a step run together on a target in quarantine, where no other run is on probation, so that they clear or convict their
+ * job, which fails as a whole, and a crash costs others little. Suspects are placed first, as they occupy few targets, for a short time each.
  * @param round - the round
  * @param candidates - the steps that may start, most urgent first
  * @param probation - what is known of runs on probation
@@ -33,10 +41,10 @@
     }
     const heldSteps = new Set<string>();
     updateQuarantine(round, probation, heldSteps);
-    const quotas = computeQuarantineQuotas(round.pools, keptShare);
+    const suspectSteps: SuspectStep[] = [];
     for (const candidate of candidates) {
-        const suspects = candidate.waiting.filter(index => isSuspect(candidate, index));
-        if (suspects.length === 0) {
+        const waiting = candidate.waiting.filter(index => isSuspect(candidate, index));
+        if (waiting.length === 0) {
             continue;
         }
         const { job, occurrence, step, definition } = candidate;
@@ -48,12 +56,23 @@
             planSuspectGang(round, candidate);
         }
         else {
-            suspects.forEach(index => planSuspect(round, candidate, index, quotas));
+            suspectSteps.push({ candidate, waiting });
         }
     }
+    const quotas = computeQuarantineQuotas(round.pools, keptShare);
+    // Repeated suspects keep their targets to themselves until they end, so that others would wait for them.
+    const isRepeated = ({ candidate, waiting }: SuspectStep): boolean =>
+        waiting.some(index => isRepeatedTask(candidate, index));
+    [...suspectSteps.filter(suspect => !isRepeated(suspect)), ...suspectSteps.filter(isRepeated)]
+        .forEach(({ candidate, waiting }) => planSuspectStep(round, candidate, waiting, quotas));
     return heldSteps;
 }
 
+function isRepeatedTask({ job, occurrence, step, definition }: StepCandidate, index: number): boolean {
+    const crashes = job.occurrences[occurrence]?.[step]?.tasks[index]?.crashes;
+    return !definition.isLongRunning && crashes !== undefined && isRepeatedSuspect(crashes);
+}
+
 /** Puts the targets in quarantine on which suspects are on probation, and holds their steps. */
 function updateQuarantine({ fleet, pools }: PlacementRound, probation: ProbationView, heldSteps: Set<string>): void {
     const targets = new Map([...pools.values()].flat().map(target => [target.record.id, target]));
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -48,6 +48,8 @@
     readonly removeTarget: (reason: string, isStopped: boolean) => Promise<void>;
     /** Wakes the renewal loop, which fetches the target's lists of running tasks and ended runs. */
     readonly startRenewal: () => void;
+    /** Called when the target has confirmed a start. */
+    readonly checkProbation: () => void;
 }
 
 /**
@@ -181,6 +183,7 @@
             request.isStartUnanswered = false;
             if (response.result === TargetRequestResult.Done) {
                 request.confirmedClockMs ??= response.clockMs;
+                this.session.checkProbation();
             }
             log.record(DecisionKind.TaskStarted, {
                 task,
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -35,8 +35,8 @@
  * learned only with the next one, so that the wait bounds by how much their jobs are late.
  */
 const longPollTimeoutMs = 500;
-/** The same while a suspect is on probation, milliseconds. */
-const probationPollMs = 100;
+/** Time after the start of a run at which it is checked, while there are suspects, whether the target has outlived it. */
+const probationCheckMs = 110;
 /** Interval at which the renewal loop checks an idle target for new runs and overdue heartbeats, milliseconds. */
 const idleIntervalMs = 500;
 /** Time without heartbeats after which an idle target is probed, milliseconds. */
@@ -78,6 +78,8 @@
     private unreachableSince: number | undefined;
     /** Whether a reachability check is in flight; no task is started on the target meanwhile. */
     private isBeingChecked = false;
+    /** Whether a check of the runs on probation is scheduled. */
+    private isProbationCheckPlanned = false;
     /** Time before which no task is started on the target, monotonic milliseconds. */
     private startBackoffUntil = 0;
 
@@ -111,6 +113,7 @@
             recordRunEnds: ends => this.recordRunEnds(ends),
             removeTarget: (reason, isStopped) => this.removeTarget(reason, isStopped),
             startRenewal: () => this.startRenewal(),
+            checkProbation: () => this.checkProbation(),
         }, dependencies);
         this.healthMonitor = new TargetHealthMonitor(record, dependencies);
         void this.runRenewals();
@@ -300,6 +303,25 @@
         }
     }
 
+    /**
+     * Checks after the probation of a run whether the target is alive, unless another response tells so before. Runs on
+     * probation keep others from starting there while there are suspects, and a busy target may respond only later.
+     */
+    private checkProbation(): void {
+        const hasSuspects = this.dependencies.leadership.readFleet().suspectTasks.size > 0;
+        if (!hasSuspects || this.isProbationCheckPlanned) {
+            return;
+        }
+        this.isProbationCheckPlanned = true;
+        this.dependencies.clock.schedule(probationCheckMs, () => {
+            this.isProbationCheckPlanned = false;
+            if (!this.isClosed && this.countOnProbation() > 0) {
+                void this.checkReachable().then(() => this.countOnProbation() > 0 && this.checkProbation());
+            }
+            this.dependencies.startScheduling();
+        });
+    }
+
     private findExclusion(): TargetExclusion | undefined {
         const now = this.readNow();
         if (!this.isSynced) {
@@ -349,7 +371,7 @@
             leaseUntilMs,
             fencingToken: this.fencingToken,
             lastSeen: this.lastCommittedEnd,
-            waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 ? this.computeWaitMs(load) : 0,
+            waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 ? longPollTimeoutMs : 0,
         });
         if (this.isClosed) {
             return 0;
@@ -372,14 +394,6 @@
         }
     }
 
-    /** A suspect on probation keeps others from the target, so the end of its probation is to be seen soon. */
-    private computeWaitMs({ runs }: Pick<TargetLoad, "runs">): number {
-        const { suspectTasks } = this.dependencies.leadership.readFleet();
-        const hasSuspect = suspectTasks.size > 0
-            && [...runs].some(([task, run]) => suspectTasks.has(task) && this.isOnProbation(task, run));
-        return hasSuspect ? probationPollMs : longPollTimeoutMs;
-    }
-
     /** Returns false when what the target reports could not be committed. */
     private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<boolean> {
         if (response.incarnation !== undefined && response.incarnation !== this.record.incarnation) {
