--- a/packages/core/src/crashes/update-crash-history.ts
+++ b/packages/core/src/crashes/update-crash-history.ts
@@ -38,9 +38,10 @@
 
 /**
  * Updates the history of a task with the crash of a target under it. Many tasks may run on a target that crashes, and at
- * most a few of them caused it. Those that were just starting become suspects; one under which another target crashes while no
- * run of another job there is recent is given up, and its job with it. A task that had passed its probation is cleared, unless targets keep crashing
- * under it: it then runs apart for its whole run, and is given up if the target crashes again.
+ * most a few of them caused it. Those that were just starting become suspects; one under which another target crashes
+ * while no run of another job there is recent is given up, and its job with it. A task that had passed its probation is
+ * cleared, unless targets keep crashing under it: it then runs apart for its whole run, and is given up if the target
+ * crashes again.
  * @param history - the history; `undefined` for a task without crashes
  * @param crash - the crash
  * @returns the new history; `undefined` if there still is none
--- a/packages/core/src/placement/plan-suspects.ts
+++ b/packages/core/src/placement/plan-suspects.ts
@@ -25,7 +25,8 @@
 /**
  * Plans the starts of suspects: tasks under which targets have crashed, most of which only ran beside the cause. Those of
  * a step run together on a target in quarantine, where no other run is on probation, so that they clear or convict their
- * job, which fails as a whole, and a crash costs others little. Suspects are placed first, as they occupy few targets, for a short time each.
+ * job, which fails as a whole, and a crash costs others little. Suspects are placed first, as they occupy few targets, for
+ * a short time each.
  * @param round - the round
  * @param candidates - the steps that may start, most urgent first
  * @param probation - what is known of runs on probation
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -108,6 +108,7 @@
             ending = how;
             client.isResponding = false;
         },
+        addSuspect: (suspect: string) => state.fleet.suspectTasks.add(suspect),
         setCapacity: (capacity: Resources) => state.fleet.targets.set("t0", { ...record, capacity }),
         requestVm: (atMs: number) => state.fleet.vmOrders.set("vm0", { token: 1, holder: "core-1", atMs }),
         stopReports: () => {
@@ -609,6 +610,27 @@
         });
     });
 
+    describe("a run on probation", () => {
+        it("has its target checked at its end while there are suspects, and not otherwise", async () => {
+            for (const hasSuspects of [true, false]) {
+                const fixture = createFixture();
+                const session = fixture.openSession();
+                await fixture.clock.runFor(200);
+                if (hasSuspects) {
+                    fixture.addSuspect("b.0.0.0");
+                }
+                fixture.recordStart();
+                session.startTask(task, 1);
+                await fixture.clock.runFor(60);
+                expect(session.isOnProbation(task, 1)).toBe(true);
+                await fixture.clock.runFor(80);
+                expect(session.isOnProbation(task, 1)).toBe(!hasSuspects);
+                expect(fixture.client.checkCount).toBe(hasSuspects ? 1 : 0);
+                session.close();
+            }
+        });
+    });
+
     describe("a capacity that has shrunk", () => {
         it("holds back starts that were recorded before and not sent, on targets that do not guard it", async () => {
             const fixture = createFixture();
