--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -22,7 +22,7 @@
     afterEach(() => balancer.stop());
 
     /** Two idle VMs in a pool that needs one, so that the other is to be moved to the spare pool. */
-    function createFixture() {
+    function createFixture(isInMaintenance: (vm: string) => boolean = () => false) {
         const state = buildTestFleet(2, { cpu: 4_000, memory: 1_000, gpu: 0 });
         const records = [...state.fleet.targets.values()];
         const clock = new ManualClock();
@@ -38,7 +38,7 @@
             vmLeases: new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 }),
             vms,
             estimator: { computeStepMs: () => 500, readMeanJobWork: () => 1 },
-            isInMaintenance: () => false,
+            isInMaintenance,
             isUsable: () => true,
             log,
             clock,
@@ -100,4 +100,26 @@
         await runFor(1_000);
         expect(readRequests().slice(sentCount)).toEqual([]);
     });
+
+    it("brings a VM to a pool whose only target is cordoned for maintenance while tasks wait there", async () => {
+        const { state, vms, runFor, readRequests } = createFixture(vm => vm === "vm0");
+        state.fleet.targets.delete("t1");
+        vms.addVm("vm9", "off", "");
+        addTestJob(state, "a", [buildTestStep({ isLongRunning: true, mayMiss: 0 })]);
+        applyCommand(state, {
+            kind: CommandKind.RecordStarts,
+            starts: [{ task: "a.0.0.0", run: 1, target: "t0" }],
+        });
+        addTestJob(state, "b", [buildTestStep()]);
+        await runFor(5_000);
+        expect(readRequests()).toContain("vm9 web");
+    });
+
+    it("brings a VM to a pool that is short of capacity", async () => {
+        const { state, vms, runFor, readRequests } = createFixture();
+        vms.addVm("vm9", "off", "");
+        addTestJob(state, "b", [buildTestStep({ count: 20 })]);
+        await runFor(5_000);
+        expect(readRequests()).toContain("vm9 web");
+    });
 });
