Review case 1: a disk lost after a planned replacement leaves no leader for ever

Tried: a fourth keeper joins, an old one gets SIGTERM 5 s later and ends, and 1.5 s after that another keeper loses its disk right after it has acknowledged a configuration. Seen: every read gets 503 from then on. The earlier cases move on by one number, the gravest first; case 4 now uses a task that lasts, which must be restarted however it ends.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,13 +1,16 @@
-// A heartbeat comes from another writer, whose service no configuration names, with the address of an executor at work.
+// Two executors crash, one after the other, each while the one task of a sound job that lasts runs on it.
 import { Cluster } from "../lib/cluster.mjs";
 import { ExecutorFleet } from "../lib/executor-fleet.mjs";
-import { findDoubleRuns } from "../lib/find-double-runs.mjs";
 import { runCase } from "../lib/run-case.mjs";
 import { sendJson } from "../lib/send-json.mjs";
 import { VmService } from "../lib/vm-service.mjs";
 
-const executorCount = 3;
-const taskMs = 6_000;
+const executorCount = 14;
+/** Times after the starts of the task at which its executor crashes, milliseconds; two crashes are 0.14 of the executors. */
+const crashAfterMs = (process.env.CRASH_AFTER_MS ?? "300,60").split(",").map(Number);
+const crashCount = crashAfterMs.length;
+/** Time after the last crash for which the job is observed, milliseconds. */
+const observedMs = 12_000;
 const jobId = "5c0e7a21d94b36f8";
 const host = "books.example";
 const ip = "127.0.0.1";
@@ -49,60 +52,36 @@
     }
     await Promise.all(Array.from({ length: executorCount }, (_, index) => startExecutor(index)));
     await sleep(4_000);
+    let crashes = 0;
+    fleet.addListener(({ event, id }) => {
+        if (event === "start" && hasTrouble && crashes < crashCount) {
+            setTimeout(() => void crashExecutor(id), crashAfterMs[crashes]);
+            crashes += 1;
+        }
+    });
     await submitJob(record);
-    const start = await waitForStart();
-    await sleep(1_000);
-    if (hasTrouble) {
-        await sendForeignHeartbeat(record, start.id);
-    }
-    const endsAt = Date.now() + 20_000;
+    const endsAt = Date.now() + crashAfterMs.reduce((sum, ms) => sum + ms, 0) + observedMs;
+    const states = [];
     while (Date.now() < endsAt) {
         const { status, body } = await callEntry("GET");
         record.note("state", { status, state: body?.state });
-        if (body?.state === "completed") {
-            break;
-        }
-        await sleep(500);
+        states.push(body?.state);
+        await sleep(300);
     }
-    return findDoubleRuns(fleet.events);
-}
-
-async function waitForStart() {
-    const endsAt = Date.now() + 10_000;
-    while (Date.now() < endsAt) {
-        const start = fleet.events.find(({ event }) => event === "start");
-        if (start !== undefined) {
-            return start;
-        }
-        await sleep(50);
+    if (crashes < crashCount && hasTrouble) {
+        throw new Error(`only ${crashes} crashes`);
     }
-    throw new Error("the task did not start");
-}
-
-/** Sends a heartbeat as another writer does: well formed, but of a service that no configuration names. */
-async function sendForeignHeartbeat(record, executorId) {
-    const { port, id } = fleet.events.find(({ event, id: other }) => event === "listening" && other === executorId);
-    const heartbeat = {
-        service: "metrics-agent",
-        address: `${ip}:${port}`,
-        zone: "z0",
-        version: "v1",
-        slots: 1,
-        state: "ready",
-        coldLeftMs: 0,
-        capacity: { cpu: 0, memMb: 0, gpu: 0 },
-        labels: [],
-        clockMs: 1_000,
-        sequence: 1,
-        born: Date.now() - 1_000,
-    };
-    const { status } = await sendJson(cluster.listControls()[0], "PUT", "/instances/agent-1", heartbeat);
-    record.note("heartbeat of another writer", {
-        at: id,
-        status,
-        service: heartbeat.service,
-        address: heartbeat.address,
-    });
+    const failedEnds = fleet.events.filter(({ event, how }) => event === "end" && how === "failed").length;
+    const runs = fleet.events.filter(({ event }) => event === "start").length;
+    return states.includes("failed")
+        ? [{
+            rule: "LOST",
+            detail: "shown as failed; not cancelled, and no run ended failed",
+            runs,
+            failedEnds,
+            last: states.at(-1),
+        }]
+        : [];
 }
 
 function buildOptions(index) {
@@ -133,10 +112,16 @@
     });
 }
 
+/** Ends an executor for good; the platform lists its machine as down from then on. */
+async function crashExecutor(id) {
+    await fleet.kill(id);
+    vmService.set(id.replace("i-", "m-"), { state: "down", id: "" });
+}
+
 async function submitJob(record) {
     const job = {
-        spec: JSON.stringify({ ms: [taskMs], cpu: [1_800] }),
-        steps: [{ count: 1, cpu: 1_800, memMb: 2_500, estimateMs: taskMs }],
+        spec: JSON.stringify({ ms: [0], cpu: [2_600] }),
+        steps: [{ count: 1, cpu: 2_600, memMb: 4_800, estimateMs: 700, longRunning: true }],
     };
     for (let attempt = 0; attempt < 20; attempt++) {
         const { status } = await callEntry("POST", job);
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -47,8 +47,12 @@
         return `${this.network}.${101 + index}`;
     }
 
+    buildControl(index) {
+        return `${this.keeperIp(index)}:${this.controlPort}`;
+    }
+
     listControls() {
-        return Array.from({ length: this.keeperCount }, (_, index) => `${this.keeperIp(index)}:${this.controlPort}`);
+        return Array.from({ length: this.keeperCount }, (_, index) => this.buildControl(index));
     }
 
     listCallers() {
@@ -106,6 +110,18 @@
         this.processes.delete(name);
     }
 
+    /** Stops a process gracefully; one that does not end within `graceS` is killed. */
+    async terminate(name) {
+        const child = this.processes.get(name);
+        const ended = new Promise(resolve => child.once("exit", resolve));
+        const timer = setTimeout(() => child.kill("SIGKILL"), 6_000);
+        this.signal(name, "SIGTERM");
+        await ended;
+        clearTimeout(timer);
+        this.processes.delete(name);
+        this.record.note("process ended", { name });
+    }
+
     /** Empties the disk of a keeper that has ended. */
     wipe(index) {
         rmSync(join(this.folder, `keeper-${index}`), { recursive: true, force: true });
--- a/review/lib/executor.mjs
+++ b/review/lib/executor.mjs
@@ -3,7 +3,7 @@
 //
 // The spec of a job is JSON: { "ms": [duration of each step], "cpu": [thousandths of a core of a task of each step] }. With
 // "closesAtMs", a Unix time, and "count", its tasks instead wait until then and end one after the other, "everyMs" apart,
-// in an order of their own.
+// in an order of their own. A duration of 0 is that of a task that lasts: it is at work until it is stopped.
 import { createServer } from "node:http";
 
 import { sendJson } from "./send-json.mjs";
@@ -80,13 +80,8 @@
     }
     usedCpu += cpu;
     const durationMs = computeDurationMs(content, step, Number(task.split(".")[3]));
-    running.set(task, {
-        run,
-        cpu,
-        at: readClock(),
-        durationMs,
-        timer: setTimeout(() => endRun(task, "done"), durationMs),
-    });
+    const timer = durationMs === 0 ? undefined : setTimeout(() => endRun(task, "done"), durationMs);
+    running.set(task, { run, cpu, at: readClock(), durationMs, timer });
     report("start", { task, run });
     return undefined;
 }
@@ -113,7 +108,7 @@
         task,
         run,
         "",
-        Math.min(99, Math.floor(100 * (readClock() - at) / durationMs)),
+        durationMs === 0 ? 100 : Math.min(99, Math.floor(100 * (readClock() - at) / durationMs)),
         cpu,
     ]);
     sendReply(response, 200, { running: rows, finished: ends.slice(0, maxListedEnds) });
