--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,20 +1,26 @@
-// Two executors crash, one after the other, each while the one task of a sound job that lasts runs on it.
+// An executor is cut off for a short time, under its lease, while more than a thousand short tasks end on it.
 import { Cluster } from "../lib/cluster.mjs";
 import { ExecutorFleet } from "../lib/executor-fleet.mjs";
+import { findDoubleRuns } from "../lib/find-double-runs.mjs";
 import { runCase } from "../lib/run-case.mjs";
 import { sendJson } from "../lib/send-json.mjs";
+import { TcpCut } from "../lib/tcp-cut.mjs";
 import { VmService } from "../lib/vm-service.mjs";
 
-const executorCount = 14;
-/** Times after the starts of the task at which its executor crashes, milliseconds; two crashes are 0.14 of the executors. */
-const crashAfterMs = (process.env.CRASH_AFTER_MS ?? "300,60").split(",").map(Number);
-const crashCount = crashAfterMs.length;
-/** Time after the last crash for which the job is observed, milliseconds. */
-const observedMs = 12_000;
+/** Length of the cut, milliseconds: shorter than a lease, so that everything runs on. */
+const cutMs = 3_500;
+/** Time for the start of all tasks, milliseconds; they end one after the other from then on. */
+const startMs = 22_000;
+const endIntervalMs = 1.2;
+const taskCount = 3_000;
+const taskCpu = 10;
 const jobId = "5c0e7a21d94b36f8";
 const host = "books.example";
 const ip = "127.0.0.1";
 const capacity = { cpu: 32_000, memMb: 65_536, gpu: 0 };
+/** One of six executors is cut off, 0.17 of them; the label sends the job there. */
+const executorCount = 6;
+const label = "b";
 
 const configuration = {
     version: 7,
@@ -39,6 +45,7 @@
 let cluster;
 let fleet;
 let vmService;
+let links = [];
 
 async function run(record, hasTrouble) {
     vmService = new VmService(record);
@@ -50,82 +57,77 @@
     if (await cluster.putConfiguration(configuration) === undefined) {
         throw new Error("no keeper accepted the configuration");
     }
-    await Promise.all(Array.from({ length: executorCount }, (_, index) => startExecutor(index)));
-    await sleep(4_000);
-    let crashes = 0;
-    fleet.addListener(({ event, id }) => {
-        if (event === "start" && hasTrouble && crashes < crashCount) {
-            setTimeout(() => void crashExecutor(id), crashAfterMs[crashes]);
-            crashes += 1;
-        }
-    });
-    await submitJob(record);
-    const endsAt = Date.now() + crashAfterMs.reduce((sum, ms) => sum + ms, 0) + observedMs;
-    const states = [];
-    while (Date.now() < endsAt) {
+    await startExecutors();
+    await sleep(3_000);
+    const starts = [];
+    let completedAt;
+    fleet.addListener(({ event, atMs }) => event === "start" && starts.push(atMs));
+    const closesAtMs = Date.now() + startMs;
+    await submitJob(record, closesAtMs);
+    while (starts.length < taskCount && Date.now() < closesAtMs - 300) {
+        await sleep(20);
+    }
+    record.note("tasks started", { count: starts.length, inMs: starts.at(-1) - starts[0] });
+    if (starts.length < taskCount) {
+        throw new Error("the tasks did not start in time");
+    }
+    // The cut begins shortly before the first task ends.
+    await sleep(Math.max(0, closesAtMs - 200 - Date.now()));
+    record.note(hasTrouble ? "cut begins" : "no cut");
+    links.forEach(link => link.setCut(hasTrouble));
+    await sleep(cutMs);
+    links.forEach(link => link.setCut(false));
+    record.note("cut over", { ended: fleet.events.filter(({ event }) => event === "end").length });
+    const endsAt = Date.now() + 25_000;
+    while (Date.now() < endsAt && completedAt === undefined) {
         const { status, body } = await callEntry("GET");
         record.note("state", { status, state: body?.state });
-        states.push(body?.state);
-        await sleep(300);
-    }
-    if (crashes < crashCount && hasTrouble) {
-        throw new Error(`only ${crashes} crashes`);
+        completedAt = body?.state === "completed" ? Date.now() : undefined;
+        await sleep(500);
     }
-    const failedEnds = fleet.events.filter(({ event, how }) => event === "end" && how === "failed").length;
-    const runs = fleet.events.filter(({ event }) => event === "start").length;
-    return states.includes("failed")
-        ? [{
-            rule: "LOST",
-            detail: "shown as failed; not cancelled, and no run ended failed",
-            runs,
-            failedEnds,
-            last: states.at(-1),
-        }]
-        : [];
+    await sleep(2_000);
+    const breaks = findDoubleRuns(fleet.events);
+    record.note("checked", { breaks: breaks.length });
+    return breaks.slice(0, 20);
 }
 
-function buildOptions(index) {
-    const zone = `z${index % 3}`;
-    return {
-        machine: `m-${index}`,
-        pool: "front-desk",
-        zone,
-        labels: ["a", `r${index % 3}-${Math.floor(index / 12)}`],
-    };
-}
-
-async function startExecutor(index) {
-    const { machine, pool, zone, labels } = buildOptions(index);
-    const id = `i-${index}`;
-    const port = 0;
-    vmService.set(machine, { pool, state: "up", zone, labels, capacity, id });
-    await fleet.start({
-        id,
-        pool,
-        zone,
-        machine,
-        host: ip,
-        port,
-        controls: cluster.listControls(),
-        capacity,
-        labels,
+/** Starts the executors: the first behind a link of its own to each keeper, and a link from them to it. */
+async function startExecutors() {
+    const inward = new TcpCut(ip, ip, 0);
+    const inwardPort = await inward.start();
+    const outward = await Promise.all(
+        cluster.listControls().map(async control => {
+            const [controlHost, controlPort] = control.split(":");
+            const link = new TcpCut(ip, controlHost, Number(controlPort));
+            return { link, address: `${ip}:${await link.start()}` };
+        }),
+    );
+    links = [inward, ...outward.map(({ link }) => link)];
+    const { port } = await startExecutor(0, {
+        address: `${ip}:${inwardPort}`,
+        controls: outward.map(({ address }) => address),
+        labels: [label, "r0-0"],
     });
+    inward.targetPort = port;
+    for (let index = 1; index < executorCount; index++) {
+        await startExecutor(index, { controls: cluster.listControls(), labels: ["a", `r${index % 3}-0`] });
+    }
 }
 
-/** Ends an executor for good; the platform lists its machine as down from then on. */
-async function crashExecutor(id) {
-    await fleet.kill(id);
-    vmService.set(id.replace("i-", "m-"), { state: "down", id: "" });
+function startExecutor(index, options) {
+    const [id, machine, pool, zone] = [`i-${index}`, `m-${index}`, "front-desk", `z${index % 3}`];
+    vmService.set(machine, { pool, state: "up", zone, labels: options.labels, capacity, id });
+    return fleet.start({ id, pool, zone, machine, host: ip, port: 0, capacity, ...options });
 }
 
-async function submitJob(record) {
+async function submitJob(record, closesAtMs) {
     const job = {
-        spec: JSON.stringify({ ms: [0], cpu: [2_600] }),
-        steps: [{ count: 1, cpu: 2_600, memMb: 4_800, estimateMs: 700, longRunning: true }],
+        spec: JSON.stringify({ closesAtMs, everyMs: endIntervalMs, count: taskCount, cpu: [taskCpu] }),
+        steps: [{ count: taskCount, cpu: taskCpu, memMb: 20, estimateMs: startMs, requiredLabel: label }],
     };
     for (let attempt = 0; attempt < 20; attempt++) {
         const { status } = await callEntry("POST", job);
-        record.note("job sent", { id: jobId, status });
+        record.note("job sent", { id: jobId, tasks: taskCount, status });
         if (status === 200) {
             return;
         }
@@ -144,6 +146,7 @@
 }
 
 await runCase(import.meta.url, run, async () => {
+    links.forEach(link => link.stop());
     vmService?.stop();
     await fleet?.stop();
     await cluster?.stop();
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,13 +1,19 @@
-// A heartbeat comes from another writer, whose service no configuration names, with the address of an executor at work.
+// Two executors crash, one after the other, each while the same task of a sound job that lasts runs on it.
 import { Cluster } from "../lib/cluster.mjs";
 import { ExecutorFleet } from "../lib/executor-fleet.mjs";
-import { findDoubleRuns } from "../lib/find-double-runs.mjs";
 import { runCase } from "../lib/run-case.mjs";
 import { sendJson } from "../lib/send-json.mjs";
 import { VmService } from "../lib/vm-service.mjs";
 
-const executorCount = 3;
-const taskMs = 6_000;
+const executorCount = 14;
+/** Times after the starts of the task at which its executor crashes, milliseconds; two crashes are 0.14 of the executors. */
+const crashAfterMs = (process.env.CRASH_AFTER_MS ?? "300,60").split(",").map(Number);
+const crashCount = crashAfterMs.length;
+const taskCount = 5;
+/** Number of tasks of the step that may be unavailable as a result of the system's actions. */
+const mayMiss = 1;
+/** Time after the last crash for which the job is observed, milliseconds. */
+const observedMs = 12_000;
 const jobId = "5c0e7a21d94b36f8";
 const host = "books.example";
 const ip = "127.0.0.1";
@@ -49,60 +55,52 @@
     }
     await Promise.all(Array.from({ length: executorCount }, (_, index) => startExecutor(index)));
     await sleep(4_000);
+    let crashes = 0;
+    fleet.addListener(({ event, id, task }) => {
+        const isFirstTask = task === `${jobId}.0.0.0`;
+        if (event === "start" && isFirstTask && hasTrouble && crashes < crashCount) {
+            setTimeout(() => void crashExecutor(id), crashAfterMs[crashes]);
+            crashes += 1;
+        }
+    });
     await submitJob(record);
-    const start = await waitForStart();
-    await sleep(1_000);
-    if (hasTrouble) {
-        await sendForeignHeartbeat(record, start.id);
-    }
-    const endsAt = Date.now() + 20_000;
+    const endsAt = Date.now() + crashAfterMs.reduce((sum, ms) => sum + ms, 0) + observedMs;
+    const states = [];
     while (Date.now() < endsAt) {
         const { status, body } = await callEntry("GET");
         record.note("state", { status, state: body?.state });
-        if (body?.state === "completed") {
-            break;
-        }
-        await sleep(500);
+        states.push(body?.state);
+        await sleep(300);
+    }
+    if (crashes < crashCount && hasTrouble) {
+        throw new Error(`only ${crashes} crashes`);
     }
-    return findDoubleRuns(fleet.events);
+    return findUnavailable(states);
 }
 
-async function waitForStart() {
-    const endsAt = Date.now() + 10_000;
-    while (Date.now() < endsAt) {
-        const start = fleet.events.find(({ event }) => event === "start");
-        if (start !== undefined) {
-            return start;
-        }
-        await sleep(50);
-    }
-    throw new Error("the task did not start");
+/** Checks AVAIL: a stop ends a task at work on a sound executor, while `mayMiss` others were ended by such orders. */
+function findUnavailable(states) {
+    const ends = fleet.events.filter(({ event }) => event === "end");
+    const stopped = ends.filter(({ how }) => how === "stopped");
+    const failedEnds = ends.filter(({ how }) => how === "failed").length;
+    return stopped.slice(mayMiss).map(({ id, task, run: number, atMs }, position) => ({
+        rule: "AVAIL",
+        detail: `a stop ended the task at work on a sound executor; ${
+            position + mayMiss
+        } others of its step were ended so before`,
+        task,
+        run: number,
+        on: id,
+        atMs,
+        isRunningAgain: isRunningAgain(task, atMs),
+        state: states.at(-1),
+        failedEnds,
+    })).filter(({ isRunningAgain: isBack }) => !isBack);
 }
 
-/** Sends a heartbeat as another writer does: well formed, but of a service that no configuration names. */
-async function sendForeignHeartbeat(record, executorId) {
-    const { port, id } = fleet.events.find(({ event, id: other }) => event === "listening" && other === executorId);
-    const heartbeat = {
-        service: "metrics-agent",
-        address: `${ip}:${port}`,
-        zone: "z0",
-        version: "v1",
-        slots: 1,
-        state: "ready",
-        coldLeftMs: 0,
-        capacity: { cpu: 0, memMb: 0, gpu: 0 },
-        labels: [],
-        clockMs: 1_000,
-        sequence: 1,
-        born: Date.now() - 1_000,
-    };
-    const { status } = await sendJson(cluster.listControls()[0], "PUT", "/instances/agent-1", heartbeat);
-    record.note("heartbeat of another writer", {
-        at: id,
-        status,
-        service: heartbeat.service,
-        address: heartbeat.address,
-    });
+/** Tells whether a task was started again later. */
+function isRunningAgain(task, atMs) {
+    return fleet.events.some(event => event.event === "start" && event.task === task && event.atMs > atMs);
 }
 
 function buildOptions(index) {
@@ -133,10 +131,16 @@
     });
 }
 
+/** Ends an executor for good; the platform lists its machine as down from then on. */
+async function crashExecutor(id) {
+    await fleet.kill(id);
+    vmService.set(id.replace("i-", "m-"), { state: "down", id: "" });
+}
+
 async function submitJob(record) {
     const job = {
-        spec: JSON.stringify({ ms: [taskMs], cpu: [1_800] }),
-        steps: [{ count: 1, cpu: 1_800, memMb: 2_500, estimateMs: taskMs }],
+        spec: JSON.stringify({ ms: [0], cpu: [2_600] }),
+        steps: [{ count: taskCount, cpu: 2_600, memMb: 4_800, antiAffinity: 1, longRunning: true, mayMiss }],
     };
     for (let attempt = 0; attempt < 20; attempt++) {
         const { status } = await callEntry("POST", job);
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -17,14 +17,17 @@
 export class Cluster {
     /**
      * @param record - record of the run
-     * @param options - number of keepers and entries, tolerated losses, and address of the platform's VM service
+     * @param options - number of keepers and entries, tolerated losses, address of the platform's VM service, and the
+     *     delay after which a process that ended by itself is started again; without it, none is
      */
-    constructor(record, { keeperCount = 3, entryCount = 1, toleratedLosses = 1, vmAddress = "" } = {}) {
-        Object.assign(this, { record, keeperCount, entryCount, toleratedLosses, vmAddress });
+    constructor(record, { keeperCount = 3, entryCount = 1, toleratedLosses = 1, vmAddress = "", restartDelayMs } = {}) {
+        Object.assign(this, { record, keeperCount, entryCount, toleratedLosses, vmAddress, restartDelayMs });
         this.folder = mkdtempSync(join(tmpdir(), "daisylock-review-"));
         // A network of its own for each run: 127.A.B.x.
         this.network = `127.${10 + process.pid % 200}.${1 + (process.pid >> 8) % 250}`;
         this.processes = new Map();
+        /** Processes that ended by themselves. */
+        this.ownEnds = [];
     }
 
     /** Picks the ports, which are the same on all machines. */
@@ -93,6 +96,17 @@
         });
         closeSync(output);
         this.processes.set(name, child);
+        child.once("exit", (code, signal) => {
+            // Any other end was requested by the case.
+            if (this.restartDelayMs !== undefined && !this.isStopping && this.processes.get(name) === child) {
+                this.ownEnds.push({ name, code, signal, atMs: Date.now() });
+                this.record.note("process ended by itself", { name, code, signal });
+                setTimeout(
+                    () => this.isStopping ? undefined : this.startProcess(role, index, false),
+                    this.restartDelayMs,
+                );
+            }
+        });
         this.record.note("process started", { name, pid: child.pid, bootstrap: isBootstrap });
     }
 
@@ -160,6 +174,7 @@
 
     /** Ends all processes of the cluster and removes its folder. */
     async stop() {
+        this.isStopping = true;
         const children = [...this.processes.values()].filter(child =>
             child.exitCode === null && child.signalCode === null
         );
