--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,23 +1,24 @@
-// Two executors crash, one after the other, each while the same task of a sound job that lasts runs on it.
+// The machine of a pool's only executor is due for upkeep while a job that lasts runs there.
 import { Cluster } from "../lib/cluster.mjs";
 import { ExecutorFleet } from "../lib/executor-fleet.mjs";
 import { runCase } from "../lib/run-case.mjs";
 import { sendJson } from "../lib/send-json.mjs";
 import { VmService } from "../lib/vm-service.mjs";
 
-const executorCount = 14;
-/** Times after the starts of the task at which its executor crashes, milliseconds; two crashes are 0.14 of the executors. */
-const crashAfterMs = (process.env.CRASH_AFTER_MS ?? "300,60").split(",").map(Number);
-const crashCount = crashAfterMs.length;
-const taskCount = 5;
-/** Number of tasks of the step that may be unavailable as a result of the system's actions. */
-const mayMiss = 1;
-/** Time after the last crash for which the job is observed, milliseconds. */
-const observedMs = 12_000;
 const jobId = "5c0e7a21d94b36f8";
 const host = "books.example";
 const ip = "127.0.0.1";
 const capacity = { cpu: 32_000, memMb: 65_536, gpu: 0 };
+const taskCount = 3;
+const mayMiss = 1;
+/** Machines in use and machines of the spare pool, which are off. One of the three is due: 0.33 of them. */
+const usedMachines = ["m-0"];
+const spareMachines = ["m-1", "m-2"];
+const deadlineS = 20;
+/** Time for which the job is observed after the order, milliseconds. */
+const observedMs = 45_000;
+/** A task that lasts has to run again: from 6 s after its last run, it may wait for 3 s. */
+const maxWaitMs = 9_000;
 
 const configuration = {
     version: 7,
@@ -27,14 +28,17 @@
         pathPrefix: "/roster/",
         kind: "non_idempotent",
         timeoutMs: 3_000,
-        targetLatencyMs: 600,
+        targetLatencyMs: 2_500,
         priority: 0,
         service: "front-desk",
-        maxAttempts: 2,
-        stretch: 1.6,
+        maxAttempts: 4,
+        stretch: 2.2,
         public: true,
     }],
-    services: [{ name: "front-desk", enforcesCapacity: true, spare: false }],
+    services: [
+        { name: "front-desk", enforcesCapacity: true, spare: false },
+        { name: "admin-desk", enforcesCapacity: true, spare: true },
+    ],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     tenants: [],
 };
@@ -42,108 +46,130 @@
 let cluster;
 let fleet;
 let vmService;
+let executorCount = 0;
 
 async function run(record, hasTrouble) {
-    vmService = new VmService(record);
+    vmService = new VmService(record, {
+        endExecutor: id => fleet.kill(id),
+        startExecutor: (machine, pool) => pool === "admin-desk" ? undefined : startExecutor(machine, pool),
+    });
     const vmAddress = await vmService.start(ip);
     cluster = new Cluster(record, { keeperCount: 3, entryCount: 1, vmAddress });
     fleet = new ExecutorFleet(record);
     await cluster.prepare();
     await cluster.startAll();
+    for (const machine of usedMachines) {
+        vmService.set(machine, {
+            pool: "front-desk",
+            state: "up",
+            zone: "z0",
+            labels: ["a", "r0-1"],
+            capacity,
+            id: "",
+        });
+        vmService.set(machine, { id: await startExecutor(machine, "front-desk") });
+    }
+    for (const machine of spareMachines) {
+        vmService.set(machine, {
+            pool: "admin-desk",
+            state: "up",
+            zone: "z1",
+            labels: ["a", "r1-1"],
+            capacity,
+            id: "",
+        });
+    }
     if (await cluster.putConfiguration(configuration) === undefined) {
         throw new Error("no keeper accepted the configuration");
     }
-    await Promise.all(Array.from({ length: executorCount }, (_, index) => startExecutor(index)));
     await sleep(4_000);
-    let crashes = 0;
-    fleet.addListener(({ event, id, task }) => {
-        const isFirstTask = task === `${jobId}.0.0.0`;
-        if (event === "start" && isFirstTask && hasTrouble && crashes < crashCount) {
-            setTimeout(() => void crashExecutor(id), crashAfterMs[crashes]);
-            crashes += 1;
-        }
-    });
     await submitJob(record);
-    const endsAt = Date.now() + crashAfterMs.reduce((sum, ms) => sum + ms, 0) + observedMs;
-    const states = [];
-    while (Date.now() < endsAt) {
-        const { status, body } = await callEntry("GET");
-        record.note("state", { status, state: body?.state });
-        states.push(body?.state);
-        await sleep(300);
+    await sleep(4_000);
+    if (countRunning() < taskCount) {
+        throw new Error("the tasks did not start");
     }
-    if (crashes < crashCount && hasTrouble) {
-        throw new Error(`only ${crashes} crashes`);
+    const orderedAt = Date.now();
+    if (hasTrouble) {
+        await startWave(record);
     }
-    return findUnavailable(states);
+    while (Date.now() < orderedAt + observedMs) {
+        await sleep(1_000);
+        const wave = await sendJson(cluster.listControls()[0], "GET", "/wave-get/1");
+        record.note("observed", {
+            running: countRunning(),
+            executors: fleet.children.size,
+            wave: wave.body?.state ?? wave.status,
+        });
+    }
+    return findWaiting();
 }
 
-/** Checks AVAIL: a stop ends a task at work on a sound executor, while `mayMiss` others were ended by such orders. */
-function findUnavailable(states) {
-    const ends = fleet.events.filter(({ event }) => event === "end");
-    const stopped = ends.filter(({ how }) => how === "stopped");
-    const failedEnds = ends.filter(({ how }) => how === "failed").length;
-    return stopped.slice(mayMiss).map(({ id, task, run: number, atMs }, position) => ({
-        rule: "AVAIL",
-        detail: `a stop ended the task at work on a sound executor; ${
-            position + mayMiss
-        } others of its step were ended so before`,
-        task,
-        run: number,
-        on: id,
-        atMs,
-        isRunningAgain: isRunningAgain(task, atMs),
-        state: states.at(-1),
-        failedEnds,
-    })).filter(({ isRunningAgain: isBack }) => !isBack);
+/** Checks LOST: a task that lasts doesn't run again, though there is room for it. */
+function findWaiting() {
+    const now = Date.now();
+    const last = new Map();
+    fleet.events.filter(({ task }) => task !== undefined).forEach(event => last.set(event.task, event));
+    return [...last.values()].filter(({ event, atMs }) => event === "end" && now - atMs > maxWaitMs).map(event => ({
+        rule: "LOST",
+        detail: "a task that lasts waits, though most of the room of its pool is free",
+        task: event.task,
+        endedHow: event.how,
+        waitsForMs: now - event.atMs,
+        running: countRunning(),
+        executors: [...fleet.children.keys()],
+    }));
 }
 
-/** Tells whether a task was started again later. */
-function isRunningAgain(task, atMs) {
-    return fleet.events.some(event => event.event === "start" && event.task === task && event.atMs > atMs);
+function countRunning() {
+    const running = new Set();
+    for (const { event, task } of fleet.events) {
+        if (event === "start") {
+            running.add(task);
+        }
+        else if (event === "end") {
+            running.delete(task);
+        }
+    }
+    return running.size;
 }
 
-function buildOptions(index) {
-    const zone = `z${index % 3}`;
-    return {
-        machine: `m-${index}`,
-        pool: "front-desk",
-        zone,
-        labels: ["a", `r${index % 3}-${Math.floor(index / 12)}`],
-    };
+async function startWave(record) {
+    const wave = { wave: 1, machines: usedMachines, deadlineS, cap: 1 };
+    const { status } = await sendJson(cluster.listControls()[0], "POST", "/wave-start", wave);
+    record.note("wave sent", { ...wave, status });
+    if (status !== 200) {
+        throw new Error("the wave was not accepted");
+    }
 }
 
-async function startExecutor(index) {
-    const { machine, pool, zone, labels } = buildOptions(index);
-    const id = `i-${index}`;
-    const port = 0;
-    vmService.set(machine, { pool, state: "up", zone, labels, capacity, id });
+async function startExecutor(machine, pool) {
+    const id = `i-${executorCount++}`;
+    const { zone, labels } = vmService.machines.get(machine);
     await fleet.start({
         id,
         pool,
         zone,
         machine,
         host: ip,
-        port,
+        port: 0,
         controls: cluster.listControls(),
         capacity,
         labels,
     });
-}
-
-/** Ends an executor for good; the platform lists its machine as down from then on. */
-async function crashExecutor(id) {
-    await fleet.kill(id);
-    vmService.set(id.replace("i-", "m-"), { state: "down", id: "" });
+    return id;
 }
 
 async function submitJob(record) {
     const job = {
         spec: JSON.stringify({ ms: [0], cpu: [2_600] }),
-        steps: [{ count: taskCount, cpu: 2_600, memMb: 4_800, antiAffinity: 1, longRunning: true, mayMiss }],
+        steps: [{ count: taskCount, cpu: 2_600, memMb: 4_800, longRunning: true, mayMiss }],
     };
     for (let attempt = 0; attempt < 20; attempt++) {
-        const { status } = await callEntry("POST", job);
+        const headers = { host, "daisylock-request-deadline": "3000" };
+        const { status } = await sendJson(cluster.listCallers()[0], "POST", `/roster/${jobId}`, job, {
+            headers,
+            timeoutMs: 3_000,
+        });
         record.note("job sent", { id: jobId, status });
         if (status === 200) {
             return;
@@ -153,11 +179,6 @@
     throw new Error("the job was not accepted");
 }
 
-function callEntry(method, body) {
-    const headers = { host, "daisylock-request-deadline": "3000" };
-    return sendJson(cluster.listCallers()[0], method, `/roster/${jobId}`, body, { headers, timeoutMs: 3_000 });
-}
-
 function sleep(ms) {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
