--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -7,7 +7,7 @@
 
 const executorCount = 3;
 /** Number of scheduled jobs, and of the occurrences of each: one a minute for a week. */
-const scheduledCount = Number(process.env.JOBS ?? 120);
+const scheduledCount = Number(process.env.JOBS ?? 150);
 const occurrences = Number(process.env.TIMES ?? 10_080);
 const minuteMs = 60_000;
 /** Pause between two jobs, milliseconds; the site's clients send up to 15 jobs a second. */
