--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -12,6 +12,8 @@
 const minuteMs = 60_000;
 /** Pause between two jobs, milliseconds; the site's clients send up to 15 jobs a second. */
 const pauseMs = 70;
+/** Time after which no more jobs are sent, milliseconds. */
+const maxSendMs = 35_000;
 /** Time after the last job until the accepted jobs are asked for, milliseconds; `recoveryS` is 12 s, `finish_s` 14 s. */
 const settleMs = 14_000;
 const askedMs = 25_000;
@@ -63,7 +65,8 @@
     record.note("job accepted", { id: firstId });
     await sleep(2_000);
     const accepted = [firstId];
-    for (let index = 0; index < scheduledCount; index++) {
+    const sendUntil = Date.now() + maxSendMs;
+    for (let index = 0; index < scheduledCount && Date.now() < sendUntil; index++) {
         const id = (0x1000 + index).toString(16).padStart(16, "0");
         const status = await submit(id, buildJob(hasTrouble ? occurrences : 8));
         record.note("scheduled job sent", { id, times: hasTrouble ? occurrences : 8, status });
