Keep no state for occurrences of scheduled jobs that have not begun or are done

Cause: applySubmitJob created a record for each task of each occurrence when a job was accepted, and kept it until the whole job had ended.

Change: occurrences begin in the order of their due times, when their first task starts. Only those that have begun and are not done hold state; the others follow from the number of those that have begun. A round looks at the occurrences under way and at the next 16 that are due.

--- a/packages/core/src/crashes/crashes.test.ts
+++ b/packages/core/src/crashes/crashes.test.ts
@@ -37,7 +37,7 @@
 
 function start(state: ControlState, task: string, target: string): number {
     const [job = "", , step, index] = task.split(".");
-    const record = state.fleet.jobs.get(job)?.occurrences[0]?.[Number(step)]?.tasks[Number(index)];
+    const record = state.fleet.jobs.get(job)?.occurrences.get(0)?.[Number(step)]?.tasks[Number(index)];
     const run = (record?.run ?? 0) + 1;
     const starts = [{ task, run, target }];
     expect(applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts })).toHaveLength(1);
@@ -60,7 +60,7 @@
 }
 
 function readCrashes(state: ControlState, index = 0) {
-    return state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.tasks[index]?.crashes;
+    return state.fleet.jobs.get("a")?.occurrences.get(0)?.[0]?.tasks[index]?.crashes;
 }
 
 describe("crashes of targets", () => {
@@ -242,7 +242,7 @@
             applyRecordEnds(state, { kind: CommandKind.RecordEnds, ends, atMs: 0 });
             expect(state.fleet.suspectTasks.size).toBe(0);
             expect(applyCrash(state, "t1", { "a.0.0.1": OnProbation }).poisonTasks).toEqual([]);
-            expect(state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.doneCount).toBe(1);
+            expect(state.fleet.jobs.get("a")?.occurrences.get(0)?.[0]?.doneCount).toBe(1);
         });
     });
 });
--- a/packages/core/src/crashes/record-crash.ts
+++ b/packages/core/src/crashes/record-crash.ts
@@ -60,9 +60,9 @@
         fleet.suspectTasks.delete(encodedKey);
     }
     const isPoison = task.crashes?.isPoison === true;
-    if (isPoison && job !== undefined && task.phase === TaskPhase.Waiting) {
+    if (isPoison && key !== undefined && job !== undefined && task.phase === TaskPhase.Waiting) {
         task.phase = TaskPhase.Failed;
-        updateJobPhase(job, crash.atMs);
+        updateJobPhase(job, key.occurrence, task, crash.atMs);
         releaseJobData(fleet, job);
     }
     return isPoison && !wasPoison;
--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -1,6 +1,8 @@
 import type { FleetConfiguration } from "../configuration/fleet-configuration.js";
 import type { CrashedRun } from "../crashes/crashed-run.js";
+import { decodeJob } from "../jobs/decode-job.js";
 import { encodeTaskKey } from "../jobs/encode-task-key.js";
+import type { EncodedJob } from "../jobs/encoded-job.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
 import type { Job } from "../jobs/job.js";
 import { TaskPhase } from "../jobs/task-phase.js";
@@ -19,7 +21,7 @@
 export function decodeFleetState(encoded: unknown): FleetState {
     const content = encoded as {
         configuration?: FleetConfiguration;
-        jobs: Job[];
+        jobs: EncodedJob[];
         targets: TargetRecord[];
         vmHomes: [string, string][];
         vmOrders: [string, VmRequestRecord][];
@@ -34,7 +36,7 @@
     content.vmOrders.forEach(([vm, request]) => state.vmOrders.set(vm, request));
     content.upkeep.forEach(wave => state.maintenanceWaves.set(wave.number, wave));
     content.lapsedRuns?.forEach(([target, runs]) => state.lapsedRuns.set(target, runs));
-    for (const job of content.jobs) {
+    for (const job of content.jobs.map(decodeJob)) {
         state.jobs.set(job.id, job);
         if (!isJobFinished(job) || job.placedCount > 0) {
             state.activeJobs.add(job.id);
--- a/packages/core/src/fleet/encode-fleet-state.ts
+++ b/packages/core/src/fleet/encode-fleet-state.ts
@@ -1,3 +1,4 @@
+import { encodeJob } from "../jobs/encode-job.js";
 import type { FleetState } from "./fleet-state.js";
 
 /**
@@ -8,7 +9,7 @@
 export function encodeFleetState(state: FleetState): unknown {
     return {
         configuration: state.configuration,
-        jobs: [...state.jobs.values()],
+        jobs: [...state.jobs.values()].map(encodeJob),
         targets: [...state.targets.values()],
         vmHomes: [...state.vmHomes],
         vmOrders: [...state.vmOrders],
--- a/packages/core/src/jobs/apply-record-ends.ts
+++ b/packages/core/src/jobs/apply-record-ends.ts
@@ -41,7 +41,7 @@
     if (step.isGang && end.how === RunOutcome.Done) {
         recordGangEnd(fleet, job, step, key, end);
     }
-    updateJobPhase(job, atMs);
+    updateJobPhase(job, key.occurrence, task, atMs);
     releaseJobData(fleet, job);
     return true;
 }
@@ -68,7 +68,7 @@
 
 /** Records the members of a gang as done: the successful end of one member completes the whole gang. */
 function recordGangEnd(fleet: FleetState, job: Job, step: JobStep, key: TaskKey, end: TaskEnd): void {
-    const members = job.occurrences[key.occurrence]?.[key.step]?.tasks ?? [];
+    const members = job.occurrences.get(key.occurrence)?.[key.step]?.tasks ?? [];
     members.forEach((task, index) => {
         const memberKey = { ...key, index };
         if (task.phase === TaskPhase.Placed && task.run === end.run) {
@@ -102,7 +102,7 @@
 }
 
 function setTaskDone(job: Job, key: TaskKey, task: TaskRecord): void {
-    const progress = job.occurrences[key.occurrence]?.[key.step];
+    const progress = job.occurrences.get(key.occurrence)?.[key.step];
     task.phase = TaskPhase.Done;
     if (progress !== undefined) {
         progress.doneCount += 1;
@@ -115,7 +115,7 @@
  */
 function recordFailure(job: Job, step: JobStep, key: TaskKey, task: TaskRecord): void {
     task.failures += 1;
-    const members = step.isGang ? job.occurrences[key.occurrence]?.[key.step]?.tasks ?? [] : [task];
+    const members = step.isGang ? job.occurrences.get(key.occurrence)?.[key.step]?.tasks ?? [] : [task];
     const failures = step.isGang ? Math.max(...members.map(member => member.failures)) : task.failures;
     if (failures >= job.maxAttempts) {
         task.phase = TaskPhase.Failed;
@@ -124,7 +124,7 @@
 
 /** A checkpoint of any member is valid for the whole gang, and all members must restart from the same one. */
 function setGangCheckpoint(job: Job, key: TaskKey, saved: string): void {
-    for (const member of job.occurrences[key.occurrence]?.[key.step]?.tasks ?? []) {
+    for (const member of job.occurrences.get(key.occurrence)?.[key.step]?.tasks ?? []) {
         member.saved = saved;
     }
 }
--- a/packages/core/src/jobs/apply-record-starts.ts
+++ b/packages/core/src/jobs/apply-record-starts.ts
@@ -5,11 +5,16 @@
 import { isWithinAccountCap } from "../fleet/is-within-account-cap.js";
 import { addResources } from "../resources/add-resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
+import { beginOccurrences } from "./begin-occurrences.js";
+import { countOccurrences } from "./count-occurrences.js";
 import { decodeTaskKey } from "./decode-task-key.js";
 import { findTask } from "./find-task.js";
 import { isJobFinished } from "./is-job-finished.js";
 import { isStepReady } from "./is-step-ready.js";
 import { JobPhase } from "./job-phase.js";
+import type { JobStep } from "./job-step.js";
+import type { Job } from "./job.js";
+import type { TaskKey } from "./task-key.js";
 import { TaskPhase } from "./task-phase.js";
 import type { TaskStart } from "./task-start.js";
 
@@ -29,17 +34,21 @@
     if (key === undefined || job === undefined || isJobFinished(job) || !fleet.targets.has(start.target)) {
         return false;
     }
-    const task = findTask(job, key);
     const step = job.steps[key.step];
-    const isStartable = task !== undefined && step !== undefined && task.phase === TaskPhase.Waiting
-        && start.run > task.run && isStepReady(job, key.occurrence, key.step);
-    if (!isStartable) {
+    if (
+        step === undefined || !isTaskWaiting(job, step, key, start.run) || !isStepReady(job, key.occurrence, key.step)
+    ) {
         return false;
     }
     const accountLoad = fleet.accountLoads.get(job.account) ?? zeroResources;
     if (!isWithinAccountCap(fleet, job.account, addResources(accountLoad, step.needs))) {
         return false;
     }
+    beginOccurrences(job, key.occurrence);
+    const task = findTask(job, key);
+    if (task === undefined) {
+        return false;
+    }
     task.phase = TaskPhase.Placed;
     task.run = start.run;
     task.target = start.target;
@@ -50,3 +59,12 @@
     fleet.lapsedRuns.delete(start.target);
     return true;
 }
+
+/** Tells whether a task waits and has no run with this or a higher number. */
+function isTaskWaiting(job: Job, step: JobStep, key: TaskKey, run: number): boolean {
+    if (key.occurrence >= job.begunCount) {
+        return key.occurrence < countOccurrences(job) && key.index < step.count;
+    }
+    const task = findTask(job, key);
+    return task?.phase === TaskPhase.Waiting && run > task.run;
+}
--- a/packages/core/src/jobs/apply-submit-job.ts
+++ b/packages/core/src/jobs/apply-submit-job.ts
@@ -2,10 +2,6 @@
 import type { SubmitJobCommand } from "../control/submit-job-command.js";
 import { SubmitJobOutcome } from "../control/submit-job-outcome.js";
 import { JobPhase } from "./job-phase.js";
-import type { JobRequest } from "./job-request.js";
-import type { StepProgress } from "./step-progress.js";
-import { TaskPhase } from "./task-phase.js";
-import type { TaskRecord } from "./task-record.js";
 
 /**
  * Accepts a job. Submission is idempotent: a known id from the same account on the same queue is the same job.
@@ -40,16 +36,9 @@
         phase: JobPhase.Queued,
         endedAtMs: 0,
         placedCount: 0,
-        occurrences: Array.from({ length: Math.max(1, request.times) }, () => createStepProgress(request)),
+        begunCount: 0,
+        occurrences: new Map(),
     });
     fleet.activeJobs.add(id);
     return SubmitJobOutcome.Accepted;
 }
-
-function createStepProgress(request: JobRequest): StepProgress[] {
-    return request.steps.map(step => ({ doneCount: 0, tasks: Array.from({ length: step.count }, createTask) }));
-}
-
-function createTask(): TaskRecord {
-    return { phase: TaskPhase.Waiting, run: 0, failures: 0, saved: "", target: "" };
-}
--- a/packages/core/src/jobs/is-step-ready.ts
+++ b/packages/core/src/jobs/is-step-ready.ts
@@ -8,7 +8,7 @@
  * @returns true when the tasks of the step may start
  */
 export function isStepReady(job: Job, occurrence: number, step: number): boolean {
-    const progress = job.occurrences[occurrence];
+    const progress = job.occurrences.get(occurrence);
     const dependencies = job.steps[step]?.after ?? [];
     return dependencies.every(dependency => progress?.[dependency]?.doneCount === job.steps[dependency]?.count);
 }
--- a/packages/core/src/jobs/job.ts
+++ b/packages/core/src/jobs/job.ts
@@ -27,6 +27,8 @@
     endedAtMs: number;
     /** Number of tasks that may be running. */
     placedCount: number;
-    /** Progress by occurrence and step; emptied together with `spec`. */
-    occurrences: StepProgress[][];
+    /** Number of occurrences that have begun, in the order of their due times; the later ones hold no state. */
+    begunCount: number;
+    /** Progress by step of the occurrences that have begun and are not done; emptied together with `spec`. */
+    readonly occurrences: Map<number, StepProgress[]>;
 }
--- a/packages/core/src/jobs/release-job-data.ts
+++ b/packages/core/src/jobs/release-job-data.ts
@@ -16,5 +16,5 @@
     dropSuspects(fleet, job.id);
     job.spec = "";
     job.steps = [];
-    job.occurrences = [];
+    job.occurrences.clear();
 }
--- a/packages/core/src/jobs/update-job-phase.ts
+++ b/packages/core/src/jobs/update-job-phase.ts
@@ -1,23 +1,31 @@
+import { countOccurrences } from "./count-occurrences.js";
 import { isJobFinished } from "./is-job-finished.js";
 import { JobPhase } from "./job-phase.js";
 import type { Job } from "./job.js";
 import { TaskPhase } from "./task-phase.js";
+import type { TaskRecord } from "./task-record.js";
 
 /**
- * Ends a job if one of its tasks has failed for good or all are done.
+ * Ends a job if one of its tasks has failed for good or all its occurrences are done. Deletes the state of an occurrence
+ * that is done.
  * @param job - the job
+ * @param occurrence - number of the occurrence of the task
+ * @param task - the task whose phase has changed
  * @param atMs - wall clock of the leader, milliseconds
  */
-export function updateJobPhase(job: Job, atMs: number): void {
+export function updateJobPhase(job: Job, occurrence: number, task: TaskRecord, atMs: number): void {
     if (isJobFinished(job)) {
         return;
     }
-    const steps = job.occurrences.flat();
-    if (steps.some(step => step.tasks.some(task => task.phase === TaskPhase.Failed))) {
+    if (task.phase === TaskPhase.Failed) {
         job.phase = JobPhase.Failed;
         job.endedAtMs = atMs;
+        return;
+    }
+    if (job.occurrences.get(occurrence)?.every(step => step.doneCount === step.tasks.length)) {
+        job.occurrences.delete(occurrence);
     }
-    else if (steps.every(step => step.doneCount === step.tasks.length)) {
+    if (job.occurrences.size === 0 && job.begunCount === countOccurrences(job)) {
         job.phase = JobPhase.Completed;
         job.endedAtMs = atMs;
     }
--- a/packages/core/src/placement/is-suspect.ts
+++ b/packages/core/src/placement/is-suspect.ts
@@ -7,5 +7,5 @@
  * @returns true while the task has to pass its probation apart from others
  */
 export function isSuspect({ job, occurrence, step }: StepCandidate, index: number): boolean {
-    return job.occurrences[occurrence]?.[step]?.tasks[index]?.crashes?.isSuspect === true;
+    return job.occurrences.get(occurrence)?.[step]?.tasks[index]?.crashes?.isSuspect === true;
 }
--- a/packages/core/src/placement/plan-starts.test.ts
+++ b/packages/core/src/placement/plan-starts.test.ts
@@ -2,8 +2,10 @@
 
 import { CommandKind } from "../control/command-kind.js";
 import type { ControlState } from "../control/control-state.js";
+import { applyRecordEnds } from "../jobs/apply-record-ends.js";
 import { applyRecordStarts } from "../jobs/apply-record-starts.js";
 import type { JobStep } from "../jobs/job-step.js";
+import { RunOutcome } from "../jobs/run-outcome.js";
 import { collectCandidates } from "../queueing/collect-candidates.js";
 import { addTestJob } from "../testing/add-test-job.js";
 import { buildTestFleet } from "../testing/build-test-fleet.js";
@@ -78,12 +80,11 @@
         const state = buildTestFleet(2, capacity);
         addTestJob(state, "a", [buildTestStep()]);
         const [first] = planTargets(state);
-        const task = state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.tasks[0];
-        if (task === undefined || first === undefined) {
-            throw new TypeError("the first round planned no start");
-        }
-        task.failures = 1;
-        task.target = first;
+        expect(first).toBeDefined();
+        const run = { task: "a.0.0.0", run: 1, target: first ?? "" };
+        applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts: [run] });
+        const ends = [{ ...run, how: RunOutcome.Failed, saved: "" }];
+        expect(applyRecordEnds(state, { kind: CommandKind.RecordEnds, ends, atMs: 0 })).toHaveLength(1);
         expect(planTargets(state)).not.toContain(first);
     });
 
--- a/packages/core/src/placement/plan-step.ts
+++ b/packages/core/src/placement/plan-step.ts
@@ -27,11 +27,11 @@
     targets: readonly PlacementTarget[],
 ): readonly PlacementTarget[] {
     const { job, occurrence, step, definition } = candidate;
-    const tasks = job.occurrences[occurrence]?.[step]?.tasks ?? [];
+    const tasks = job.occurrences.get(occurrence)?.[step]?.tasks ?? [];
     const stepKey = encodeStepKey(job.id, occurrence, step);
     // The tasks of a gang share a run number, which identifies the members that run together.
     const gangRun = Math.max(0, ...tasks.map(task => task.run)) + 1;
-    if (definition.isGang && waiting.length < tasks.length) {
+    if (definition.isGang && waiting.length < definition.count) {
         return [];
     }
     const planned: { readonly start: TaskStart; readonly target: PlacementTarget }[] = [];
--- a/packages/core/src/placement/plan-suspect-step.ts
+++ b/packages/core/src/placement/plan-suspect-step.ts
@@ -22,7 +22,7 @@
     const { job, queue, occurrence, step, definition } = candidate;
     const pool = queue?.pool ?? job.pool;
     const quota = quotas.get(pool) ?? 0;
-    const task = job.occurrences[occurrence]?.[step]?.tasks[waiting[0] ?? 0];
+    const task = job.occurrences.get(occurrence)?.[step]?.tasks[waiting[0] ?? 0];
     if (quota <= 0 || task === undefined || !isStartWithinCap(round, candidate)) {
         return;
     }
--- a/packages/core/src/placement/plan-suspects.ts
+++ b/packages/core/src/placement/plan-suspects.ts
@@ -70,7 +70,7 @@
 }
 
 function isRepeatedTask({ job, occurrence, step, definition }: StepCandidate, index: number): boolean {
-    const crashes = job.occurrences[occurrence]?.[step]?.tasks[index]?.crashes;
+    const crashes = job.occurrences.get(occurrence)?.[step]?.tasks[index]?.crashes;
     return !definition.isLongRunning && crashes !== undefined && isRepeatedSuspect(crashes);
 }
 
--- a/packages/core/src/queueing/collect-candidates.test.ts
+++ b/packages/core/src/queueing/collect-candidates.test.ts
@@ -22,7 +22,7 @@
     );
     for (const job of jobs) {
         const pool = fleet.configuration?.queues.find(({ name }) => name === job.queue)?.pool ?? job.pool;
-        const cpus = job.occurrences.flatMap(steps =>
+        const cpus = [...job.occurrences.values()].flatMap(steps =>
             steps.flatMap(({ tasks }, step) =>
                 tasks.map(({ phase }) => phase === TaskPhase.Placed ? job.steps[step]?.needs.cpu ?? 0 : 0)
             )
@@ -47,7 +47,7 @@
 function collectCandidatesPerStep(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
     const jobs = [...fleet.activeJobs].flatMap(id => fleet.jobs.get(id) ?? []).filter(job => !isJobFinished(job));
     return jobs.flatMap(job =>
-        job.occurrences.flatMap((_, occurrence) =>
+        Array.from({ length: Math.max(1, job.times) }).flatMap((_, occurrence) =>
             job.steps.flatMap((__, step) => buildCandidate(fleet, now, estimator, { job, occurrence, step }))
         )
     );
@@ -61,9 +61,10 @@
 ): StepCandidate[] {
     const queue = fleet.configuration?.queues.find(({ name }) => name === job.queue);
     const definition = job.steps[step];
-    const progress = job.occurrences[occurrence] ?? [];
-    const waiting = (progress[step]?.tasks ?? []).flatMap(({ phase }, index) =>
-        phase === TaskPhase.Waiting ? [index] : []
+    const progress = job.occurrences.get(occurrence) ?? [];
+    const hasBegun = occurrence < job.begunCount;
+    const waiting = Array.from({ length: definition?.count ?? 0 }).flatMap((_, index) =>
+        !hasBegun || progress[step]?.tasks[index]?.phase === TaskPhase.Waiting ? [index] : []
     );
     const dueAt = job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
     const isDue = job.times === 0 || now >= dueAt;
--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -1,5 +1,6 @@
 import type { QueueConfiguration } from "../configuration/queue-configuration.js";
 import type { FleetState } from "../fleet/fleet-state.js";
+import { countOccurrences } from "../jobs/count-occurrences.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
 import { isStepReady } from "../jobs/is-step-ready.js";
 import type { Job } from "../jobs/job.js";
@@ -10,6 +11,9 @@
 import type { StepCandidate } from "./step-candidate.js";
 import type { WorkEstimator } from "./work-estimator.js";
 
+/** Number of occurrences of a job that may begin in one round, so that a round does not grow with those that are overdue. */
+const maxNewOccurrences = 16;
+
 /**
  * Collects the steps that have tasks to start.
  * @param fleet - the fleet state
@@ -27,9 +31,9 @@
         const job = fleet.jobs.get(id);
         if (job !== undefined && !isJobFinished(job)) {
             const queue = queues.get(job.queue);
-            job.occurrences.forEach((_, occurrence) =>
-                addCandidates(candidates, { job, queue, occurrence, now, estimator, readExcesses })
-            );
+            for (const occurrence of listDueOccurrences(job, now)) {
+                addCandidates(candidates, { job, queue, occurrence, now, estimator, readExcesses });
+            }
         }
     }
     return candidates;
@@ -52,11 +56,8 @@
 >;
 
 function addCandidates(candidates: StepCandidate[], context: OccurrenceContext): void {
-    const { job, queue, occurrence, now } = context;
+    const { job, queue, occurrence } = context;
     const dueAt = computeDueTime(job, occurrence);
-    if (job.times > 0 && now < dueAt) {
-        return;
-    }
     let estimated: OccurrenceEstimate | undefined;
     job.steps.forEach((definition, step) => {
         const waiting = listWaitingTasks(job, occurrence, step);
@@ -67,6 +68,19 @@
     });
 }
 
+/** Lists the occurrences that have begun and are not done, and the next ones that are due. */
+function listDueOccurrences(job: Job, now: number): readonly number[] {
+    const occurrences = [...job.occurrences.keys()];
+    const end = Math.min(countOccurrences(job), job.begunCount + maxNewOccurrences);
+    for (let occurrence = job.begunCount; occurrence < end; occurrence++) {
+        if (job.times > 0 && now < computeDueTime(job, occurrence)) {
+            break;
+        }
+        occurrences.push(occurrence);
+    }
+    return occurrences;
+}
+
 function computeDueTime(job: Job, occurrence: number): number {
     return job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
 }
@@ -74,8 +88,12 @@
 /** Lists the indexes of the tasks of a step that may start now. */
 function listWaitingTasks(job: Job, occurrence: number, step: number): number[] {
     const waiting: number[] = [];
-    const progress = job.occurrences[occurrence]?.[step];
-    if (progress === undefined || progress.doneCount === progress.tasks.length) {
+    const progress = job.occurrences.get(occurrence)?.[step];
+    if (progress === undefined) {
+        const definition = job.steps[step];
+        return definition?.after.length === 0 ? Array.from({ length: definition.count }, (_, index) => index) : waiting;
+    }
+    if (progress.doneCount === progress.tasks.length) {
         return waiting;
     }
     // Called for each step of each active job in every round; most tasks are running.
@@ -96,7 +114,7 @@
     const remainingMs = computeCriticalPath(job, occurrence, estimate);
     const budgetMs = (queue?.stretch ?? 1) * computeCriticalPath(job, undefined, estimate) + (queue?.objectiveMs ?? 0);
     const stepsDone =
-        (job.occurrences[occurrence] ?? []).filter((progress, position) =>
+        (job.occurrences.get(occurrence) ?? []).filter((progress, position) =>
             progress.doneCount === job.steps[position]?.count
         ).length;
     return {
--- a/packages/core/src/queueing/compute-critical-path.ts
+++ b/packages/core/src/queueing/compute-critical-path.ts
@@ -11,7 +11,7 @@
 export function computeCriticalPath(job: Job, occurrence: number | undefined, estimate: EstimateStep): number {
     const ends: number[] = [];
     job.steps.forEach((step, position) => {
-        const progress = occurrence === undefined ? undefined : job.occurrences[occurrence]?.[position];
+        const progress = occurrence === undefined ? undefined : job.occurrences.get(occurrence)?.[position];
         const isDone = progress !== undefined && progress.doneCount === step.count;
         const start = Math.max(0, ...step.after.map(dependency => ends[dependency] ?? 0));
         ends.push(start + (isDone || step.isLongRunning ? 0 : estimate(job, step)));
--- a/packages/core/src/queueing/compute-remaining-work.ts
+++ b/packages/core/src/queueing/compute-remaining-work.ts
@@ -10,7 +10,7 @@
  */
 export function computeRemainingWork(job: Job, occurrence: number | undefined, estimate: EstimateStep): number {
     return job.steps.reduce((sum, step, position) => {
-        const doneCount = occurrence === undefined ? 0 : job.occurrences[occurrence]?.[position]?.doneCount ?? 0;
+        const doneCount = occurrence === undefined ? 0 : job.occurrences.get(occurrence)?.[position]?.doneCount ?? 0;
         return sum + (step.isLongRunning ? 0 : (step.count - doneCount) * step.needs.cpu * estimate(job, step));
     }, 0);
 }
--- a/packages/core/src/targets/targets.test.ts
+++ b/packages/core/src/targets/targets.test.ts
@@ -33,7 +33,7 @@
 }
 
 function readPhase(state: ControlState): TaskPhase | undefined {
-    return state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.tasks[0]?.phase;
+    return state.fleet.jobs.get("a")?.occurrences.get(0)?.[0]?.tasks[0]?.phase;
 }
 
 describe("targets", () => {
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -269,7 +269,7 @@
 
     /** Tells whether at most `mayMiss` tasks of a step are unavailable without this one; `undefined` sets no limit. */
     private isDispensable(fleet: FleetState, key: TaskKey, mayMiss: number | undefined): boolean {
-        const tasks = fleet.jobs.get(key.job)?.occurrences[key.occurrence]?.[key.step]?.tasks ?? [];
+        const tasks = fleet.jobs.get(key.job)?.occurrences.get(key.occurrence)?.[key.step]?.tasks ?? [];
         const unavailableTasks = tasks.filter((task, index) => {
             const name = encodeTaskKey({ ...key, index });
             const session = this.dependencies.sessions.find(task.target);
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -115,7 +115,7 @@
             lastReportAt = clock.readMonotonic();
         },
         readJob: () => state.fleet.jobs.get("a")?.phase,
-        readPhase: () => state.fleet.jobs.get("a")?.occurrences[0]?.[0]?.tasks[0]?.phase,
+        readPhase: () => state.fleet.jobs.get("a")?.occurrences.get(0)?.[0]?.tasks[0]?.phase,
     };
 }
 
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -1,5 +1,6 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { ControlState } from "@daisylock/core/control/control-state.js";
+import { countOccurrences } from "@daisylock/core/jobs/count-occurrences.js";
 import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
 import { findTask } from "@daisylock/core/jobs/find-task.js";
 import { isJobFinished } from "@daisylock/core/jobs/is-job-finished.js";
@@ -293,14 +294,15 @@
 
     private describeJob(job: Job): string[] {
         const isLongRunning = job.steps.some(step => step.isLongRunning);
-        const tasks = job.occurrences.flat().flatMap(step => step.tasks);
+        const tasks = [...job.occurrences.values()].flat().flatMap(step => step.tasks);
         if (job.phase === JobPhase.Failed) {
             return this.isFailureExplained(job) ? [] : [`${job.id} failed without failed runs`];
         }
         if (isJobFinished(job)) {
             return [];
         }
-        return isLongRunning && tasks.every(({ phase }) => phase === TaskPhase.Placed)
+        return isLongRunning && job.begunCount === countOccurrences(job)
+                && tasks.every(({ phase }) => phase === TaskPhase.Placed)
             ? []
             : [`${job.id} is ${job.phase}`];
     }
