--- a/packages/core/src/jobs/apply-record-starts.ts
+++ b/packages/core/src/jobs/apply-record-starts.ts
@@ -5,7 +5,6 @@
 import { isWithinAccountCap } from "../fleet/is-within-account-cap.js";
 import { addResources } from "../resources/add-resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
-import { beginOccurrences } from "./begin-occurrences.js";
 import { countOccurrences } from "./count-occurrences.js";
 import { decodeTaskKey } from "./decode-task-key.js";
 import { findTask } from "./find-task.js";
@@ -14,6 +13,7 @@
 import { JobPhase } from "./job-phase.js";
 import type { JobStep } from "./job-step.js";
 import type { Job } from "./job.js";
+import { startOccurrences } from "./start-occurrences.js";
 import type { TaskKey } from "./task-key.js";
 import { TaskPhase } from "./task-phase.js";
 import type { TaskStart } from "./task-start.js";
@@ -44,7 +44,7 @@
     if (!isWithinAccountCap(fleet, job.account, addResources(accountLoad, step.needs))) {
         return false;
     }
-    beginOccurrences(job, key.occurrence);
+    startOccurrences(job, key.occurrence);
     const task = findTask(job, key);
     if (task === undefined) {
         return false;
--- a/packages/core/src/jobs/encode-job.ts
+++ b/packages/core/src/jobs/encode-job.ts
@@ -1,8 +1,8 @@
-import { beginOccurrences } from "./begin-occurrences.js";
 import { countOccurrences } from "./count-occurrences.js";
 import type { EncodedJob } from "./encoded-job.js";
 import { isJobFinished } from "./is-job-finished.js";
 import type { Job } from "./job.js";
+import { startOccurrences } from "./start-occurrences.js";
 import type { StepProgress } from "./step-progress.js";
 import { TaskPhase } from "./task-phase.js";
 
@@ -26,13 +26,13 @@
 
 function listAllOccurrences(job: Job): StepProgress[][] {
     const full: Job = { ...job, begunCount: 0, occurrences: new Map() };
-    beginOccurrences(full, countOccurrences(job) - 1);
+    startOccurrences(full, countOccurrences(job) - 1);
     return [...full.occurrences].map(([occurrence, steps]) =>
-        job.occurrences.get(occurrence) ?? (occurrence < job.begunCount ? steps.map(completeStep) : steps)
+        job.occurrences.get(occurrence) ?? (occurrence < job.begunCount ? steps.map(buildDoneStep) : steps)
     );
 }
 
-function completeStep({ tasks }: StepProgress): StepProgress {
+function buildDoneStep({ tasks }: StepProgress): StepProgress {
     return {
         doneCount: tasks.length,
         tasks: tasks.map(task => ({ ...task, phase: TaskPhase.Done, run: 1 })),
--- a/packages/core/src/jobs/scheduled-jobs.test.ts
+++ b/packages/core/src/jobs/scheduled-jobs.test.ts
@@ -19,7 +19,7 @@
 const occurrencesPerWeek = 10_080;
 const estimator = { computeStepMs: () => 500, readMeanJobWork: () => 500 };
 
-function submitScheduledJob(
+function addScheduledJob(
     state: ControlState,
     id: string,
     schedule: { readonly times: number; readonly startAtMs: number; readonly intervalMs: number },
@@ -45,7 +45,7 @@
         const measure = (times: number): number => {
             const state = buildTestFleet(1, capacity);
             for (let index = 0; index < 20; index++) {
-                submitScheduledJob(state, `j${index}`, { times, startAtMs: minuteMs, intervalMs: minuteMs });
+                addScheduledJob(state, `j${index}`, { times, startAtMs: minuteMs, intervalMs: minuteMs });
             }
             return encodeControlState(state).length;
         };
@@ -54,7 +54,7 @@
 
     it("keep nothing of the occurrences that are done", () => {
         const state = buildTestFleet(1, capacity);
-        submitScheduledJob(state, "a", { times: occurrencesPerWeek, startAtMs: 0, intervalMs: minuteMs });
+        addScheduledJob(state, "a", { times: occurrencesPerWeek, startAtMs: 0, intervalMs: minuteMs });
         const lengthBefore = encodeControlState(state).length;
         for (let occurrence = 0; occurrence < 300; occurrence++) {
             expect(listWaitingOccurrences(state, occurrence * minuteMs)).toEqual([occurrence]);
@@ -66,7 +66,7 @@
 
     it("are done when all their occurrences are", () => {
         const state = buildTestFleet(1, capacity);
-        submitScheduledJob(state, "a", { times: 3, startAtMs: 0, intervalMs: 0 });
+        addScheduledJob(state, "a", { times: 3, startAtMs: 0, intervalMs: 0 });
         const readPhase = () => state.fleet.jobs.get("a")?.phase;
         runOccurrence(state, 2);
         runOccurrence(state, 0);
@@ -78,7 +78,7 @@
     it("go on from a snapshot", () => {
         for (const times of [8, occurrencesPerWeek]) {
             const state = buildTestFleet(1, capacity);
-            submitScheduledJob(state, "a", { times, startAtMs: 0, intervalMs: minuteMs });
+            addScheduledJob(state, "a", { times, startAtMs: 0, intervalMs: minuteMs });
             runOccurrence(state, 0);
             runOccurrence(state, 2);
             runOccurrence(state, 3, RunOutcome.Stopped);
@@ -90,7 +90,7 @@
 
     it("go on from a snapshot that holds every task of every occurrence, as earlier versions wrote it", () => {
         const state = buildTestFleet(1, capacity);
-        submitScheduledJob(state, "a", { times: 4, startAtMs: 0, intervalMs: minuteMs });
+        addScheduledJob(state, "a", { times: 4, startAtMs: 0, intervalMs: minuteMs });
         const waiting = { phase: TaskPhase.Waiting, run: 0, failures: 0, saved: "", target: "" };
         const stopped = { ...waiting, run: 1, target: "t0" };
         const done = { ...waiting, phase: TaskPhase.Done, run: 1 };
--- a/packages/core/src/jobs/begin-occurrences.ts
+++ b/packages/core/src/jobs/start-occurrences.ts
@@ -9,7 +9,7 @@
  * @param job - the job
  * @param occurrence - number of the occurrence
  */
-export function beginOccurrences(job: Job, occurrence: number): void {
+export function startOccurrences(job: Job, occurrence: number): void {
     while (job.begunCount <= occurrence) {
         job.occurrences.set(job.begunCount, createOccurrence(job));
         job.begunCount += 1;
