Cut the log of keepers by the size of its entries, not only by their number

Configurations of a megabyte, or jobs of thousands of steps, filled the memory and the 128 MB of disk.

--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -40,7 +40,11 @@
         await new Promise(resolve => setTimeout(resolve, 2));
     }
 
-    override async saveSnapshot(): Promise<void> {
+    /** Payload of the entries kept with each snapshot, characters. */
+    readonly retainedCharacters: number[] = [];
+
+    override async saveSnapshot(...[, , { entries }]: Parameters<KeeperStorage["saveSnapshot"]>): Promise<void> {
+        this.retainedCharacters.push(entries.reduce((sum, { payload }) => sum + payload.length, 0));
         await this.append();
     }
 
@@ -266,6 +270,31 @@
         expect(settled).toBe(true);
     });
 
+    // Guards against a log of few but large entries that takes all memory and disk of a keeper.
+    it("is kept in a log that is cut by the size of its entries, not only by their number", async () => {
+        const storage = new MemoryStorage("k0", { voters: { k0: "k0" }, learners: {} });
+        startKeeper(storage);
+        await waitUntil(() => keeper.isActiveLeader());
+        const megabyte = 1024 * 1024;
+        const configuration = {
+            version: 1,
+            queues: [],
+            pools: [],
+            accounts: [],
+            source: "x".repeat(megabyte),
+        };
+        for (let version = 1; version <= 20; version++) {
+            const command = {
+                kind: CommandKind.SetConfiguration as const,
+                configuration: { ...configuration, version },
+            };
+            expect((await keeper.sendCommand(command)).isOk).toBe(true);
+        }
+        expect(storage.retainedCharacters.length).toBeGreaterThanOrEqual(2);
+        // One more entry may be in flight, which is kept in any case.
+        expect(Math.max(...storage.retainedCharacters)).toBeLessThanOrEqual(5 * megabyte);
+    });
+
     it("settles when the mailbox is full, also for changes of members and the bootstrap", async () => {
         startKeeper(new MemoryStorage("k0"));
         const readError = (promise: Promise<Result<unknown, unknown>>) =>
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -58,6 +58,10 @@
 const transferTimeoutMs = 300;
 /** Applied entries kept in the log after a snapshot, so that keepers slightly behind need no snapshot. */
 const retainedLogEntries = 256;
+/** Largest total payload of these entries, characters. */
+const retainedLogCharacters = 4 * 1024 * 1024;
+/** Payload of the entries applied since the last snapshot after which the next one is taken, characters. */
+const snapshotCharacters = 8 * 1024 * 1024;
 
 /** A leadership transfer in progress. */
 interface LeadershipTransfer {
@@ -96,6 +100,8 @@
     private transfer: LeadershipTransfer | undefined;
     private stopTick: () => void = () => undefined;
     private isTickWaiting = false;
+    /** Payload of the entries applied since the last snapshot, characters. */
+    private appliedCharacters = 0;
     /** Whether the leader lease was valid at the last tick. */
     private wasLeaseValid = false;
     private readonly suspensionDetector: SuspensionDetector;
@@ -419,17 +425,22 @@
         if (raft.snapshot.index > raft.appliedIndex) {
             this.control = decodeControlState(raft.snapshot.data);
             raft.appliedIndex = raft.snapshot.index;
+            this.appliedCharacters = 0;
         }
         const term = raft.hard.term;
         const committed = takeCommittedEntries(raft);
         for (const entry of committed) {
             this.applyEntry(entry, term);
+            this.appliedCharacters += entry.payload.length;
         }
         if (committed.length > 0) {
             this.dependencies.handleApplied?.();
         }
-        if (raft.appliedIndex - raft.snapshot.index >= this.dependencies.snapshotEntries) {
-            createSnapshot(raft, encodeControlState(this.control), retainedLogEntries);
+        const isSnapshotDue = raft.appliedIndex - raft.snapshot.index >= this.dependencies.snapshotEntries
+            || this.appliedCharacters >= snapshotCharacters;
+        if (isSnapshotDue) {
+            createSnapshot(raft, encodeControlState(this.control), retainedLogEntries, retainedLogCharacters);
+            this.appliedCharacters = 0;
         }
     }
 
