Do not place a gang task by task where it cannot fit

Change: a gang is placed only if the places of all targets, counted by capacity, label and limits, and the account's limit suffice for it. Test: plan-starts.test.ts, "does not place a gang task by task where it cannot fit", by the number of readings of capacity.

--- a/packages/core/src/placement/plan-starts.test.ts
+++ b/packages/core/src/placement/plan-starts.test.ts
@@ -88,6 +88,21 @@
         expect(planTargets(state)).not.toContain(first);
     });
 
+    // Guards against rounds so long that the leader loses its lease.
+    it("does not place a gang task by task where it cannot fit", () => {
+        const state = buildTestFleet(4, capacity);
+        addTestJob(state, "a", [buildTestStep({ count: 20_000, isGang: true })]);
+        const candidates = collectCandidates(state.fleet, 0, { computeStepMs: () => 500, readMeanJobWork: () => 500 });
+        const pools = buildPlacementTargets(state.fleet, () => Number.POSITIVE_INFINITY);
+        let readings = 0;
+        for (const target of [...pools.values()].flat()) {
+            const { free } = target;
+            Object.defineProperty(target, "free", { get: () => (readings++, free) });
+        }
+        expect(planStarts(state.fleet, candidates, pools)).toEqual([]);
+        expect(readings).toBeLessThan(100);
+    });
+
     it("reserves no CPU for fillers and keeps them away from tasks that serve users", () => {
         const state = buildTestFleet(2, capacity);
         addTestJob(state, "serving", [buildTestStep({ isLongRunning: true, tailBoundMs: 50 })]);
--- a/packages/core/src/placement/plan-step.ts
+++ b/packages/core/src/placement/plan-step.ts
@@ -6,6 +6,7 @@
 import { addResources } from "../resources/add-resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
 import { encodeStepKey } from "./encode-step-key.js";
+import { isRoomForGang } from "./is-room-for-gang.js";
 import { isStartWithinCap } from "./is-start-within-cap.js";
 import { pickTaskTarget } from "./pick-task-target.js";
 import type { PlacementRound } from "./placement-round.js";
@@ -31,7 +32,8 @@
     const stepKey = encodeStepKey(job.id, occurrence, step);
     // The tasks of a gang share a run number, which identifies the members that run together.
     const gangRun = Math.max(0, ...tasks.map(task => task.run)) + 1;
-    if (definition.isGang && waiting.length < definition.count) {
+    const isGangComplete = waiting.length === definition.count;
+    if (definition.isGang && !(isGangComplete && isRoomForGang(round, candidate, stepKey, targets))) {
         return [];
     }
     const planned: { readonly start: TaskStart; readonly target: PlacementTarget }[] = [];
