Refuse jobs for whose state the keepers have no memory

Cause: no sum over jobs was bounded. Change: the fleet state counts the estimated memory of each job and client account. The leader refuses a job (429, Retry-After from the rate of release) when its account would take more than it leaves free, counting jobs that are being committed. It first commits a confirmation of its leadership, so that an earlier call with the same id that was accepted is acknowledged instead. Keepers apply what is in the log as before, so that versions can be mixed. Jobs under way begin no further occurrences above 1.25 times the limit. A round looks at 64 ready steps of an occurrence at most. The log line leader-load tells the number of jobs and their memory.

Ruled out: deciding in the state machine, as keepers of the earlier version would accept what newer ones refuse. Tests: job-state-budget.test.ts, job-call-handler.test.ts (a true refusal, room for other accounts, a burst of five times the jobs of 380 targets that is accepted whole).

--- a/packages/core/src/crashes/record-crash.ts
+++ b/packages/core/src/crashes/record-crash.ts
@@ -62,7 +62,7 @@
     const isPoison = task.crashes?.isPoison === true;
     if (isPoison && key !== undefined && job !== undefined && task.phase === TaskPhase.Waiting) {
         task.phase = TaskPhase.Failed;
-        updateJobPhase(job, key.occurrence, task, crash.atMs);
+        updateJobPhase(fleet, job, key.occurrence, task, crash.atMs);
         releaseJobData(fleet, job);
     }
     return isPoison && !wasPoison;
--- a/packages/core/src/fleet/create-fleet-state.ts
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -18,5 +18,7 @@
         targetLoads: new Map(),
         accountLoads: new Map(),
         jobCpus: new Map(),
+        jobBytes: new Map(),
+        accountBytes: new Map(),
     };
 }
--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -12,6 +12,7 @@
 import { addLoad } from "./add-load.js";
 import { createFleetState } from "./create-fleet-state.js";
 import type { FleetState } from "./fleet-state.js";
+import { updateJobBytes } from "./update-job-bytes.js";
 
 /**
  * Decodes the fleet state of a snapshot and recomputes the loads, which are not stored.
@@ -42,6 +43,7 @@
             state.activeJobs.add(job.id);
         }
         addTasks(state, job);
+        updateJobBytes(state, job.id, job.account);
     }
     return state;
 }
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -36,4 +36,8 @@
     readonly accountLoads: Map<string, Resources>;
     /** Thousandths of a core that the tasks of a job that may be running need, by job id; derived from the jobs. */
     readonly jobCpus: Map<string, number>;
+    /** Estimated memory of each job, bytes, by job id; derived from the jobs. */
+    readonly jobBytes: Map<string, number>;
+    /** Estimated memory of the jobs of each client account, bytes; derived from the jobs. */
+    readonly accountBytes: Map<string, number>;
 }
--- a/packages/core/src/jobs/apply-drop-jobs.ts
+++ b/packages/core/src/jobs/apply-drop-jobs.ts
@@ -1,5 +1,6 @@
 import type { ControlState } from "../control/control-state.js";
 import type { DropJobsCommand } from "../control/drop-jobs-command.js";
+import { updateJobBytes } from "../fleet/update-job-bytes.js";
 import { isJobFinished } from "./is-job-finished.js";
 
 /**
@@ -13,6 +14,7 @@
     for (const job of fleet.jobs.values()) {
         if (isJobFinished(job) && job.placedCount === 0 && job.endedAtMs < endedBeforeMs) {
             fleet.jobs.delete(job.id);
+            updateJobBytes(fleet, job.id, job.account);
         }
     }
     return countBefore - fleet.jobs.size;
--- a/packages/core/src/jobs/apply-record-ends.ts
+++ b/packages/core/src/jobs/apply-record-ends.ts
@@ -41,7 +41,7 @@
     if (step.isGang && end.how === RunOutcome.Done) {
         recordGangEnd(fleet, job, step, key, end);
     }
-    updateJobPhase(job, key.occurrence, task, atMs);
+    updateJobPhase(fleet, job, key.occurrence, task, atMs);
     releaseJobData(fleet, job);
     return true;
 }
--- a/packages/core/src/jobs/apply-record-starts.ts
+++ b/packages/core/src/jobs/apply-record-starts.ts
@@ -3,6 +3,7 @@
 import { addLoad } from "../fleet/add-load.js";
 import type { FleetState } from "../fleet/fleet-state.js";
 import { isWithinAccountCap } from "../fleet/is-within-account-cap.js";
+import { updateJobBytes } from "../fleet/update-job-bytes.js";
 import { addResources } from "../resources/add-resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
 import { countOccurrences } from "./count-occurrences.js";
@@ -44,7 +45,10 @@
     if (!isWithinAccountCap(fleet, job.account, addResources(accountLoad, step.needs))) {
         return false;
     }
-    startOccurrences(job, key.occurrence);
+    if (key.occurrence >= job.begunCount) {
+        startOccurrences(job, key.occurrence);
+        updateJobBytes(fleet, job.id, job.account);
+    }
     const task = findTask(job, key);
     if (task === undefined) {
         return false;
--- a/packages/core/src/jobs/apply-submit-job.ts
+++ b/packages/core/src/jobs/apply-submit-job.ts
@@ -1,6 +1,7 @@
 import type { ControlState } from "../control/control-state.js";
 import type { SubmitJobCommand } from "../control/submit-job-command.js";
 import { SubmitJobOutcome } from "../control/submit-job-outcome.js";
+import { updateJobBytes } from "../fleet/update-job-bytes.js";
 import { JobPhase } from "./job-phase.js";
 
 /**
@@ -40,5 +41,6 @@
         occurrences: new Map(),
     });
     fleet.activeJobs.add(id);
+    updateJobBytes(fleet, id, account);
     return SubmitJobOutcome.Accepted;
 }
--- a/packages/core/src/jobs/release-job-data.ts
+++ b/packages/core/src/jobs/release-job-data.ts
@@ -1,5 +1,6 @@
 import { dropSuspects } from "../crashes/drop-suspects.js";
 import type { FleetState } from "../fleet/fleet-state.js";
+import { updateJobBytes } from "../fleet/update-job-bytes.js";
 import { isJobFinished } from "./is-job-finished.js";
 import type { Job } from "./job.js";
 
@@ -17,4 +18,5 @@
     job.spec = "";
     job.steps = [];
     job.occurrences.clear();
+    updateJobBytes(fleet, job.id, job.account);
 }
--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -14,14 +14,23 @@
 /** Number of occurrences of a job that may begin in one round, so that a round does not grow with those that are overdue. */
 const maxNewOccurrences = 16;
 
+/** Number of steps of an occurrence that may start in one round, so that a round does not grow with the size of a job. */
+const maxReadySteps = 64;
+
 /**
  * Collects the steps that have tasks to start.
  * @param fleet - the fleet state
  * @param now - wall-clock time, milliseconds
  * @param estimator - estimates of durations and work
+ * @param isMemoryFull - whether jobs under way may not begin further occurrences, which take memory
  * @returns the steps, in no particular order
  */
-export function collectCandidates(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
+export function collectCandidates(
+    fleet: FleetState,
+    now: number,
+    estimator: WorkEstimator,
+    isMemoryFull = false,
+): StepCandidate[] {
     const candidates: StepCandidate[] = [];
     let excesses: ShareExcesses | undefined;
     // Computed at the first waiting step, as most rounds under light load find none.
@@ -31,7 +40,7 @@
         const job = fleet.jobs.get(id);
         if (job !== undefined && !isJobFinished(job)) {
             const queue = queues.get(job.queue);
-            for (const occurrence of listDueOccurrences(job, now)) {
+            for (const occurrence of listDueOccurrences(job, now, isMemoryFull)) {
                 addCandidates(candidates, { job, queue, occurrence, now, estimator, readExcesses });
             }
         }
@@ -59,19 +68,26 @@
     const { job, queue, occurrence } = context;
     const dueAt = computeDueTime(job, occurrence);
     let estimated: OccurrenceEstimate | undefined;
-    job.steps.forEach((definition, step) => {
+    let readyCount = 0;
+    for (const [step, definition] of job.steps.entries()) {
         const waiting = listWaitingTasks(job, occurrence, step);
         if (waiting.length > 0) {
             estimated ??= computeEstimate(context, dueAt);
             candidates.push({ job, queue, occurrence, step, definition, waiting, ...estimated });
+            readyCount += 1;
+        }
+        if (readyCount >= maxReadySteps) {
+            break;
         }
-    });
+    }
 }
 
 /** Lists the occurrences that have begun and are not done, and the next ones that are due. */
-function listDueOccurrences(job: Job, now: number): readonly number[] {
+function listDueOccurrences(job: Job, now: number, isMemoryFull: boolean): readonly number[] {
     const occurrences = [...job.occurrences.keys()];
-    const end = Math.min(countOccurrences(job), job.begunCount + maxNewOccurrences);
+    // The memory of one occurrence was counted when the job was accepted.
+    const maxNew = isMemoryFull ? Math.max(0, 1 - occurrences.length) : maxNewOccurrences;
+    const end = Math.min(countOccurrences(job), job.begunCount + maxNew);
     for (let occurrence = job.begunCount; occurrence < end; occurrence++) {
         if (job.times > 0 && now < computeDueTime(job, occurrence)) {
             break;
@@ -90,8 +106,11 @@
     const waiting: number[] = [];
     const progress = job.occurrences.get(occurrence)?.[step];
     if (progress === undefined) {
-        const definition = job.steps[step];
-        return definition?.after.length === 0 ? Array.from({ length: definition.count }, (_, index) => index) : waiting;
+        const { after, count } = job.steps[step] ?? { after: [], count: 0 };
+        for (let index = 0; after.length === 0 && index < count; index++) {
+            waiting.push(index);
+        }
+        return waiting;
     }
     if (progress.doneCount === progress.tasks.length) {
         return waiting;
--- a/packages/daemon/src/job-scheduler/leader/job-call-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/job-call-handler.ts
@@ -2,6 +2,8 @@
 import type { QueueConfiguration } from "@daisylock/core/configuration/queue-configuration.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import { SubmitJobOutcome } from "@daisylock/core/control/submit-job-outcome.js";
+import { countJobBytes } from "@daisylock/core/fleet/count-job-bytes.js";
+import { computeJobBytes } from "@daisylock/core/jobs/compute-job-bytes.js";
 import { JobPhase } from "@daisylock/core/jobs/job-phase.js";
 import type { JobRequest } from "@daisylock/core/jobs/job-request.js";
 import type { Job } from "@daisylock/core/jobs/job.js";
@@ -14,6 +16,7 @@
 
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
+import type { JobStateBudget } from "./job-state-budget.js";
 import type { Leadership } from "./leadership.js";
 
 const jobIdPattern = /^[0-9a-f]{16}$/;
@@ -35,11 +38,15 @@
     /**
      * @param leadership - leadership state of this process
      * @param log - decision log
+     * @param budget - limits the memory of accepted jobs
+     * @param keepStateS - time for which the state of an ended job is kept, seconds
      * @param handleJobChange - called when tasks may have to be started or stopped, with the job if it is new
      */
     constructor(
         private readonly leadership: Leadership,
         private readonly log: DecisionLog,
+        private readonly budget: JobStateBudget,
+        private readonly keepStateS: number,
         private readonly handleJobChange: (accepted?: Job) => void,
     ) {}
 
@@ -117,23 +124,32 @@
         }
     }
 
-    private async addJob(
-        { queue, account, id }: AdmittedCall,
-        request: JobRequest | undefined,
-    ): Promise<JobReply | undefined> {
+    private async addJob(call: AdmittedCall, request: JobRequest | undefined): Promise<JobReply | undefined> {
+        const { queue, account, id } = call;
         const errors = request === undefined ? ["no job"] : validateJob(request);
         if (request === undefined || errors.length > 0) {
             this.log.record(DecisionKind.JobRefused, { job: id, queue: queue.name, reason: errors.join(", ") });
             return { outcome: JobOutcome.Invalid, reason: errors.join(", ") };
         }
-        const result = await this.leadership.recordCommand({
-            kind: CommandKind.SubmitJob,
-            id,
-            queue: queue.name,
-            account,
-            request,
-            atMs: Date.now(),
-        });
+        const bytes = computeJobBytes({ ...request, occurrences: new Map() });
+        if (!this.isJobWithinLimit(call, bytes)) {
+            // An earlier call with this id may have been accepted and not be applied yet.
+            if (!await this.leadership.confirmLeadership()) {
+                return undefined;
+            }
+            if (!this.isJobWithinLimit(call, bytes)) {
+                return this.refuseJob(call, bytes);
+            }
+        }
+        const result = await this.budget.countWhile(account, bytes, () =>
+            this.leadership.recordCommand({
+                kind: CommandKind.SubmitJob,
+                id,
+                queue: queue.name,
+                account,
+                request,
+                atMs: Date.now(),
+            }));
         switch (result) {
             case undefined:
                 return undefined;
@@ -149,6 +165,7 @@
                     tasks: request.steps.reduce((sum, step) => sum + step.count, 0),
                     estimates: request.steps.map(step => `${step.count}x${step.estimateMs}`).join(" "),
                 });
+                this.budget.noteAccepted(this.leadership.readFleet(), bytes);
                 this.handleJobChange(this.leadership.readFleet().jobs.get(id));
                 return { outcome: JobOutcome.Accepted };
             case SubmitJobOutcome.AlreadyAccepted:
@@ -156,6 +173,28 @@
         }
     }
 
+    private isJobWithinLimit({ account, id }: AdmittedCall, bytes: number): boolean {
+        const fleet = this.leadership.readFleet();
+        return fleet.jobs.has(id) || this.budget.isWithinLimit(fleet, account, bytes);
+    }
+
+    private refuseJob({ queue, account, id }: AdmittedCall, bytes: number): JobReply {
+        const fleet = this.leadership.readFleet();
+        const retryAfterS = this.budget.computeRetryS(fleet, account, bytes, this.keepStateS);
+        const reason = "the memory for jobs is full";
+        this.log.record(DecisionKind.JobRefused, {
+            job: id,
+            queue: queue.name,
+            reason,
+            account,
+            bytes,
+            accountBytes: fleet.accountBytes.get(account) ?? 0,
+            jobBytes: countJobBytes(fleet),
+            retryAfterS,
+        });
+        return { outcome: JobOutcome.Refused, reason, retryAfterS };
+    }
+
     private async readJob({ queue, account, id }: AdmittedCall): Promise<JobReply | undefined> {
         const findJob = () => {
             const job = this.leadership.readFleet().jobs.get(id);
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -18,6 +18,7 @@
 import { ConfigurationHandler } from "./configuration-handler.js";
 import { findTargetEnding } from "./find-target-ending.js";
 import { JobCallHandler } from "./job-call-handler.js";
+import { JobStateBudget } from "./job-state-budget.js";
 import type { Leadership } from "./leadership.js";
 import type { LoadMeter } from "./load-meter.js";
 import { MaintenanceRunner } from "./maintenance-runner.js";
@@ -35,6 +36,7 @@
 import { VmLeaseTracker } from "./vm-lease-tracker.js";
 
 const msPerSecond = 1_000;
+const bytesPerMegabyte = 1_000_000;
 /** Fraction of a pool's targets that may be ejected as slow; if more seem slow, the estimates are wrong. */
 const maxSlowShare = 0.34;
 
@@ -62,6 +64,7 @@
     private readonly scheduler: Scheduler;
     private readonly targetReports: TargetReportHandler;
     private readonly tickets: PlacementTicketFetcher;
+    private readonly jobStateBudget: JobStateBudget;
 
     /**
      * @param dependencies - settings, leadership, outgoing clients, clock and log
@@ -118,6 +121,7 @@
             clock,
             maintenanceMs: settings.vms.upkeep_s * msPerSecond,
         });
+        this.jobStateBudget = new JobStateBudget(settings.limits.job_state_mb * bytesPerMegabyte, clock);
         this.tickets = new PlacementTicketFetcher({ service: advice, clock, log, startScheduling });
         this.scheduler = new Scheduler({
             leadership,
@@ -127,6 +131,7 @@
             isCordoned: target =>
                 this.maintenance.isDraining(target)
                 || this.balancer.isMoving(leadership.readFleet().targets.get(target)?.vm ?? ""),
+            isMemoryFull: fleet => this.jobStateBudget.isFull(fleet),
             log,
             metrics: dependencies.metrics,
             load: dependencies.load,
@@ -141,8 +146,9 @@
      * @returns the handlers by call
      */
     buildHandlers(members: Pick<FleetHandlers, "join" | "findLeader">): FleetHandlers {
-        const { leadership, log } = this.dependencies;
-        const jobs = new JobCallHandler(leadership, log, job => {
+        const { settings, leadership, log } = this.dependencies;
+        const { keep_state_s: keepStateS } = settings.tasks;
+        const jobs = new JobCallHandler(leadership, log, this.jobStateBudget, keepStateS, job => {
             if (job !== undefined) {
                 this.estimator.noteJob(job);
             }
--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -57,6 +57,7 @@
             estimator: { computeStepMs: () => 500, readMeanJobWork: () => 500 },
             tickets: { updateTickets: () => undefined } as Partial<PlacementTicketFetcher> as PlacementTicketFetcher,
             isCordoned: target => target === "t2",
+            isMemoryFull: () => false,
             log: {
                 record: (kind: DecisionKind, fields: Line) => lines.push({ kind, fields }),
             } as Partial<DecisionLog> as DecisionLog,
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -1,4 +1,5 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { countJobBytes } from "@daisylock/core/fleet/count-job-bytes.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
 import { collectRunsOfFinishedJobs } from "@daisylock/core/jobs/collect-runs-of-finished-jobs.js";
 import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
@@ -45,6 +46,8 @@
     readonly tickets: PlacementTicketFetcher;
     /** Whether a target is cordoned because its VM is being drained or moved. */
     readonly isCordoned: (target: string) => boolean;
+    /** Whether jobs under way may not begin further occurrences. */
+    readonly isMemoryFull: (fleet: FleetState) => boolean;
     readonly log: DecisionLog;
     readonly metrics: Pick<Metrics, "recordTime">;
     readonly load: LoadMeter;
@@ -121,7 +124,7 @@
     private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
         const { leadership, sessions, log, clock, load, metrics } = this.dependencies;
         const startedAt = clock.readMonotonic();
-        const candidates = collectCandidates(fleet, clock.readWall(), this.dependencies.estimator);
+        const candidates = this.collectCandidates(fleet);
         const starts = candidates.length === 0 ? [] : this.planRound(fleet, candidates);
         const durationMs = clock.readMonotonic() - startedAt;
         load.noteRound(durationMs);
@@ -143,6 +146,11 @@
         }
     }
 
+    private collectCandidates(fleet: FleetState): StepCandidate[] {
+        const { clock, estimator, isMemoryFull } = this.dependencies;
+        return collectCandidates(fleet, clock.readWall(), estimator, isMemoryFull(fleet));
+    }
+
     private planRound(fleet: FleetState, candidates: readonly StepCandidate[]): readonly TaskStart[] {
         const { sessions, tickets, isCordoned } = this.dependencies;
         const neededPools = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
@@ -174,14 +182,18 @@
 
     /** Logs one line per second about this process and one per pool, which later tells why a job started late or ran slowly. */
     private writeLoadLines(fleet: FleetState): void {
-        const { clock, estimator, log, load } = this.dependencies;
+        const { clock, log, load } = this.dependencies;
         const now = clock.readMonotonic();
         if (now < this.nextLoadLogAt) {
             return;
         }
         this.nextLoadLogAt = now + loadLogIntervalMs;
-        log.record(DecisionKind.LeaderLoad, { ...load.takeInterval() });
-        const candidates = collectCandidates(fleet, clock.readWall(), estimator);
+        log.record(DecisionKind.LeaderLoad, {
+            ...load.takeInterval(),
+            jobs: fleet.jobs.size,
+            jobBytes: countJobBytes(fleet),
+        });
+        const candidates = this.collectCandidates(fleet);
         for (const poolLoad of collectPoolLoads(fleet, candidates)) {
             const { excluded, ...summary } = computePoolTargetSummary(
                 fleet,
--- a/packages/daemon/src/job-scheduler/settings/fleet-settings-schema.ts
+++ b/packages/daemon/src/job-scheduler/settings/fleet-settings-schema.ts
@@ -76,6 +76,8 @@
             stop_ms: milliseconds(4_000),
             /** Number of applied log entries after which a keeper takes the next snapshot. */
             snapshot_entries: count(2_000),
+            /** Memory for the state of jobs in a keeper, megabytes; beyond it jobs are refused. */
+            job_state_mb: count(64),
         }),
         {},
     ),
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -148,6 +148,7 @@
             estimator: new TaskDurationEstimator(),
             tickets: { updateTickets: () => undefined } as Partial<PlacementTicketFetcher> as PlacementTicketFetcher,
             isCordoned: () => false,
+            isMemoryFull: () => false,
             log,
             clock: this.roundClock,
             keepStateMs,
