Replace a keeper that stops before it ends, and a silent one within 2 s

Cause: a voter was replaced only after 5 s of silence, also one that was told to stop. For that long its vote, which nobody could cast, counted in the quorum of three, while the caught-up learner had none; one more disk left one vote of three.

Change: a keeper that stops calls `depart` on the leader, after it has handed over its own leadership. If a learner responds the leader promotes it and then removes the one that leaves; that one ends when it is no voter, after 2 s at most. Without a learner it keeps its vote, as in a rolling restart. A silent voter is replaced after 2 s, so that the successor of one that is gone votes within its 4 s. Learners that are silent for 0.5 s or leave are not promoted. planMemberChange decides it.

Ruled out: more voters than 2 f + 1 at all times (four voters need three; the end of one and a lost disk would stop them).

--- a/packages/daemon/src/job-scheduler/keeper/member-manager.ts
+++ b/packages/daemon/src/job-scheduler/keeper/member-manager.ts
@@ -1,5 +1,7 @@
-import { buildPromotion } from "@daisylock/core/raft/build-promotion.js";
+import { MemberChangeFault } from "@daisylock/core/raft/member-change-fault.js";
 import type { Members } from "@daisylock/core/raft/members.js";
+import { planMemberChange } from "@daisylock/core/raft/plan-member-change.js";
+import { DepartureState } from "@daisylock/protocol/fleet/departure-state.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -12,11 +14,20 @@
 import type { LeaderClient } from "../peers/leader-client.js";
 
 const intervalMs = 200;
+/** Time between two changes of members that belong together, milliseconds. */
+const nextChangeDelayMs = 25;
 /** Time without a known leader after which a keeper requests to join again, milliseconds: it may have been replaced. */
 const rejoinDelayMs = 2_500;
-/** Time without contact after which a voter is replaced if a responsive learner is available, milliseconds. */
-const deadVoterTimeoutMs = 5_000;
 const joinTimeoutMs = 700;
+/**
+ * Longest time for which a keeper waits to be replaced before it stops, milliseconds: an election and the changes of
+ * members, within the time that a process has to stop.
+ */
+const maxDepartureMs = 2_000;
+const departureTimeoutMs = 700;
+const departureRetryMs = 50;
+/** Time for which a leader remembers that a keeper leaves, which repeats its call until it is no voter, milliseconds. */
+const leavingMemoryMs = 2_000;
 
 /** Membership settings of a process. */
 interface MembershipOptions {
@@ -34,6 +45,10 @@
 export class MemberManager extends PeriodicWorker {
     override readonly name = "member-manager";
     private leaderSeenAt: number;
+    /** Whether this process is about to stop. */
+    private isDeparting = false;
+    /** When each keeper last said that it leaves, monotonic milliseconds, by id. */
+    private readonly leaving = new Map<string, number>();
 
     /**
      * @param keeper - the keeper (control-plane replica) of this process
@@ -92,6 +107,53 @@
         return { isLeader: true, value: { isMember: result.isOk } };
     }
 
+    /**
+     * Handles the call of a keeper that is about to stop. Only a learner that runs can take its place.
+     * @param request - id of the keeper
+     * @returns whether it still votes, or the address of the leader if known
+     */
+    async handleDepart({ id }: { id: string }): Promise<LeaderReply<{ state: DepartureState }>> {
+        const view = this.keeper.readView();
+        if (view === undefined || !this.keeper.isActiveLeader()) {
+            return { isLeader: false, leader: view?.leaderAddress, mayHaveRun: false };
+        }
+        if (!Object.hasOwn(view.members.voters, id)) {
+            this.leaving.set(id, this.clock.readMonotonic());
+            return { isLeader: true, value: { state: DepartureState.Removed } };
+        }
+        const isPending = planMemberChange({ ...this.buildMembershipView(view), leaving: new Set([id]) }) !== undefined;
+        if (isPending && !this.leaving.has(id)) {
+            this.log.record(DecisionKind.MemberLeaving, { id, address: view.members.voters[id], term: view.term });
+        }
+        if (isPending) {
+            this.leaving.set(id, this.clock.readMonotonic());
+            this.startRound();
+        }
+        return { isLeader: true, value: { state: isPending ? DepartureState.Pending : DepartureState.NoSuccessor } };
+    }
+
+    /**
+     * Has this keeper, which is about to stop, replaced by a learner if one runs. Its vote would otherwise count in the
+     * quorum although nobody can cast it.
+     * @returns resolves when it is no voter, when nobody can replace it, or after the longest wait
+     */
+    async releaseVote(): Promise<void> {
+        this.isDeparting = true;
+        const id = this.keeper.readView()?.id;
+        const endsAt = this.clock.readMonotonic() + maxDepartureMs;
+        while (id !== undefined && this.clock.readMonotonic() < endsAt) {
+            const reply = await this.leaderClient.send("depart", { id }, departureTimeoutMs);
+            if (reply.isOk && reply.value.state !== DepartureState.Pending) {
+                this.log.record(DecisionKind.MemberLeaving, { id, state: reply.value.state });
+                return;
+            }
+            await new Promise<void>(resolve => {
+                this.clock.schedule(departureRetryMs, resolve);
+            });
+        }
+        this.log.record(DecisionKind.MemberLeaving, { id, state: "timeout", waitedMs: maxDepartureMs });
+    }
+
     protected override *tick(): Generator<unknown, number, unknown> {
         const view = this.keeper.readView();
         if (view === undefined) {
@@ -102,9 +164,13 @@
             this.leaderSeenAt = now;
         }
         if (this.keeper.isActiveLeader()) {
-            yield* this.updateMembers(view);
+            return yield* this.updateMembers(view);
+        }
+        this.leaving.clear();
+        if (this.isDeparting) {
+            return intervalMs;
         }
-        else if (isBootstrapNode(this.options) && isUninitialized(view)) {
+        if (isBootstrapNode(this.options) && isUninitialized(view)) {
             yield* waitFor(this.keeper.startCluster(this.options.address));
         }
         else if (!isMember(view) || now - this.leaderSeenAt > rejoinDelayMs) {
@@ -115,38 +181,41 @@
         return intervalMs;
     }
 
-    private *updateMembers(view: KeeperView): Generator<unknown, void, unknown> {
-        const { voters, learners } = view.members;
-        const ready = Object.keys(learners).find(id => isAlive(view, id));
-        if (ready === undefined) {
-            return;
-        }
-        if (Object.keys(voters).length < this.options.voterCount) {
-            const result = yield* waitFor(this.keeper.sendMemberChange(buildPromotion(view.members, ready)));
-            if (result.isOk) {
-                const address = learners[ready];
-                this.log.record(DecisionKind.MemberPromoted, { id: ready, address, term: view.term });
-            }
-            return;
-        }
-        const dead = Object.keys(voters).find(id => id !== view.id && !isAlive(view, id));
-        if (dead !== undefined) {
-            const remaining = Object.fromEntries(Object.entries(voters).filter(([id]) => id !== dead));
-            const result = yield* waitFor(this.keeper.sendMemberChange({ voters: remaining, learners }));
-            if (result.isOk) {
-                this.log.record(DecisionKind.MemberRemoved, {
-                    id: dead,
-                    silentMs: deadVoterTimeoutMs,
-                    term: view.term,
-                });
-            }
+    /** Makes the next change of members; returns the delay until the one after it, milliseconds. */
+    private *updateMembers(view: KeeperView): Generator<unknown, number, unknown> {
+        const change = planMemberChange(this.buildMembershipView(view));
+        if (change === undefined) {
+            return intervalMs;
+        }
+        const { promoted, removed, members } = change;
+        const result = yield* waitFor(this.keeper.sendMemberChange(members));
+        const { term } = view;
+        if (result.isOk && promoted !== undefined) {
+            this.log.record(DecisionKind.MemberPromoted, {
+                id: promoted,
+                address: view.members.learners[promoted],
+                term,
+            });
         }
+        if (result.isOk && removed !== undefined) {
+            const silentMs = Math.round(view.silentMs[removed] ?? 0);
+            this.log.record(DecisionKind.MemberRemoved, { id: removed, silentMs, term });
+        }
+        const isSettled = result.isOk || result.error === MemberChangeFault.ChangePending;
+        return isSettled ? nextChangeDelayMs : intervalMs;
     }
-}
 
-/** For a peer that has not responded yet, `silentMs` counts from the start of the leadership. */
-function isAlive(view: KeeperView, id: string): boolean {
-    return (view.silentMs[id] ?? 0) < deadVoterTimeoutMs;
+    private buildMembershipView(view: KeeperView): Parameters<typeof planMemberChange>[0] {
+        const now = this.clock.readMonotonic();
+        const isRemembered = ([, at]: readonly [string, number]): boolean => now - at < leavingMemoryMs;
+        return {
+            leader: view.id,
+            members: view.members,
+            voterCount: this.options.voterCount,
+            silentMs: view.silentMs,
+            leaving: new Set([...this.leaving].filter(isRemembered).map(([id]) => id)),
+        };
+    }
 }
 
 function dropAddress(members: Readonly<Record<string, string>>, address: string): Record<string, string> {
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -145,7 +145,7 @@
      * @param members - handlers for keepers that join as members and for processes that look for the leader
      * @returns the handlers by call
      */
-    buildHandlers(members: Pick<FleetHandlers, "join" | "findLeader">): FleetHandlers {
+    buildHandlers(members: Pick<FleetHandlers, "join" | "findLeader" | "depart">): FleetHandlers {
         const { settings, leadership, log } = this.dependencies;
         const { keep_state_s: keepStateS } = settings.tasks;
         const jobs = new JobCallHandler(leadership, log, this.jobStateBudget, keepStateS, job => {
--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -12,6 +12,7 @@
     MemberJoining = "member-joining",
     MemberPromoted = "member-promoted",
     MemberRemoved = "member-removed",
+    MemberLeaving = "member-leaving",
     LeaderReachable = "leader-reachable",
     LeaderUnreachable = "leader-unreachable",
     ConfigurationInForce = "configuration-in-force",
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -65,6 +65,7 @@
     private readonly rootSupervisor: Supervisor;
     private readonly load = new LoadMeter();
     private keeper: Keeper | undefined;
+    private memberManager: MemberManager | undefined;
 
     /**
      * @param settings - validated settings
@@ -127,18 +128,25 @@
         });
     }
 
-    /** Stops gracefully. A leader first transfers its leadership and forwards calls while the successor is elected. */
+    /**
+     * Stops gracefully. A leader first transfers its leadership and forwards calls while the successor is elected. A keeper
+     * lets a learner take its vote, if there is one.
+     */
     stop(): void {
         this.log.record(DecisionKind.ProcessStopping, {});
-        const transferred = this.keeper?.startLeadershipTransfer() ?? Promise.resolve(undefined);
-        void transferred.then(successor => {
-            if (successor === undefined) {
-                this.rootSupervisor.stop();
-                return;
-            }
+        void this.releaseDuties().finally(() => this.rootSupervisor.stop());
+    }
+
+    /** Hands over the leadership and the vote of a keeper. */
+    private async releaseDuties(): Promise<void> {
+        const successor = await this.keeper?.startLeadershipTransfer();
+        if (successor !== undefined) {
             this.log.record(DecisionKind.LeadershipHandedOver, { successor });
-            this.clock.schedule(leadershipTransferMs, () => this.rootSupervisor.stop());
-        });
+            await new Promise<void>(resolve => {
+                this.clock.schedule(leadershipTransferMs, resolve);
+            });
+        }
+        await this.memberManager?.releaseVote();
     }
 
     /** Checks the settings file at once instead of at the next periodic check. */
@@ -214,9 +222,11 @@
         });
         const membership = { address: listen.peers, seeds: this.seeds, isBootstrapping: cluster.found, voterCount };
         const memberManager = new MemberManager(keeper, this.leaderClient, membership, log, clock);
+        this.memberManager = memberManager;
         const handlers = leader.buildHandlers({
             join: request => memberManager.handleJoin(request),
             findLeader: () => memberManager.handleFindLeader(),
+            depart: request => memberManager.handleDepart(request),
         });
         const controlApi = new ForwardingControlApi(handlers, this.leaderClient);
         return [
--- a/packages/protocol/src/fleet/leader-call-schemas.ts
+++ b/packages/protocol/src/fleet/leader-call-schemas.ts
@@ -111,4 +111,5 @@
     ping: empty,
     findLeader: empty,
     join: v.object({ id: name, address: name }),
+    depart: v.object({ id: name }),
 };
--- a/packages/protocol/src/fleet/leader-calls.ts
+++ b/packages/protocol/src/fleet/leader-calls.ts
@@ -2,6 +2,7 @@
 import type { TargetReport } from "@daisylock/core/targets/target-report.js";
 
 import type { ConfigurationReply } from "./configuration-reply.js";
+import type { DepartureState } from "./departure-state.js";
 import type { JobCall } from "./job-call.js";
 import type { JobReply } from "./job-reply.js";
 import type { MaintenanceWaveProgress } from "./maintenance-wave-progress.js";
@@ -23,4 +24,6 @@
     findLeader: { request: Record<string, never>; reply: Record<string, never> };
     /** Adds the calling keeper as a learner of the replicated log, under the id stored on its disk. */
     join: { request: { id: string; address: string }; reply: { isMember: boolean } };
+    /** Replaces the calling keeper, which is about to stop, by a learner. Repeated until it is no voter. */
+    depart: { request: { id: string }; reply: { state: DepartureState } };
 }
