Count a VM as gone only when two lists in a row miss it

Change: VmLeaseTracker.findVm answers "unknown" until a second list requested after the given time misses the VM too.

--- a/packages/daemon/src/job-scheduler/leader/vm-lease-tracker.ts
+++ b/packages/daemon/src/job-scheduler/leader/vm-lease-tracker.ts
@@ -39,6 +39,10 @@
     private token = 0;
     private readonly observedRequests = new Map<string, ObservedVmRequest>();
     private vmList: readonly VmView[] | undefined;
+    /** The list before the cached one; `undefined` if there is none of this leadership. */
+    private previousVmList: readonly VmView[] | undefined;
+    /** When that list was requested, monotonic milliseconds. */
+    private previousListRequestedAt = 0;
     private listReceivedAt = 0;
     /** When the cached list was requested, monotonic milliseconds. */
     private listRequestedAt = 0;
@@ -99,6 +103,7 @@
         if (token !== this.token) {
             this.token = token;
             this.vmList = undefined;
+            this.previousVmList = undefined;
         }
         if (!leadership.isActive()) {
             return undefined;
@@ -110,20 +115,24 @@
     }
 
     /**
-     * Finds a VM in a list that was requested after a given time.
+     * Finds a VM in a list that was requested after a given time. The list is read in pages, and a VM that is moved
+     * meanwhile shifts the others, so that one list can miss a VM.
      * @param vm - the VM
      * @param since - earliest request time of the list, monotonic milliseconds
-     * @returns the VM; `undefined` when it is not listed; or "unknown" until such a list has arrived
+     * @returns the VM; `undefined` when two such lists in a row miss it; or "unknown" until such lists have arrived
      */
     findVm(vm: string, since: number): VmView | undefined | "unknown" {
-        const now = this.dependencies.clock.readMonotonic();
-        if (this.readLease() === undefined || this.listRequestedAt < since) {
-            if (now - this.listRequestedAt > urgentListAgeMs) {
-                void this.updateVmList(this.token);
-            }
-            return "unknown";
+        const isListRecent = this.readLease() !== undefined && this.listRequestedAt >= since;
+        const view = isListRecent ? this.readVms().find(other => other.vm === vm) : undefined;
+        const isMissedTwice = isListRecent && this.previousListRequestedAt >= since
+            && this.previousVmList?.some(other => other.vm === vm) === false;
+        if (view !== undefined || isMissedTwice) {
+            return view;
+        }
+        if (this.dependencies.clock.readMonotonic() - this.listRequestedAt > urgentListAgeMs) {
+            void this.updateVmList(this.token);
         }
-        return this.readVms().find(view => view.vm === vm);
+        return "unknown";
     }
 
     /**
@@ -143,6 +152,8 @@
         const vmList = await this.dependencies.vms.listVms();
         this.isListRequested = false;
         if (token === this.token && vmList !== undefined) {
+            this.previousVmList = this.vmList;
+            this.previousListRequestedAt = this.listRequestedAt;
             this.vmList = vmList;
             this.listRequestedAt = requestedAt;
             this.listReceivedAt = this.dependencies.clock.readMonotonic();
