Ignore heartbeats that name a pool which no configuration has

Cause: a report was recorded whatever its pool, and a record at an address replaces the earlier one there. Change: the leader records no report that names a pool of no configuration, unless the target is known with that pool.

--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -67,6 +67,26 @@
         });
     });
 
+    describe("heartbeats of other writers", () => {
+        // Guards against a task that is started again while it runs on a target whose address such a heartbeat names.
+        it("replace no target if they name a pool that no configuration has", async () => {
+            const { state, report } = createFixture();
+            const foreign = { id: "agent-1", pool: "unknown", incarnation: 7 };
+            expect(await report(5, foreign)).toEqual({ isLeader: true, value: { isNewest: false } });
+            expect([...state.fleet.targets.keys()]).toEqual(["t0"]);
+        });
+
+        it("are told from those of a target whose pool the configuration no longer has", async () => {
+            const { state, report, readState } = createFixture();
+            const { configuration } = state.fleet;
+            state.fleet.configuration = configuration === undefined ? undefined : { ...configuration, pools: [] };
+            expect(await report(5, { state: ReportedTargetState.Draining })).toMatchObject({
+                value: { isNewest: true },
+            });
+            expect(readState()).toBe(ReportedTargetState.Draining);
+        });
+    });
+
     describe("a capacity that shrinks and grows", () => {
         const full = { cpu: 2_000, memory: 1_000, gpu: 0 };
         const shrunk = { cpu: 500, memory: 1_000, gpu: 0 };
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -57,7 +57,7 @@
         return this.leadership.serveCall(async () => {
             const { record, sequence, clockMs } = report;
             const known = this.leadership.readFleet().targets.get(record.id);
-            if (this.isOutdated(report, known)) {
+            if (this.isOutdated(report, known) || !this.isPoolKnown(record, known)) {
                 return { isNewest: false };
             }
             const isChanged = isTargetChanged(known, record);
@@ -153,6 +153,17 @@
         return latest?.incarnation === incarnation ? latest : undefined;
     }
 
+    /** Only the target itself may go on naming a pool that the configuration no longer has. */
+    private isPoolKnown({ id, pool, address }: TargetRecord, known: TargetRecord | undefined): boolean {
+        const { configuration } = this.leadership.readFleet();
+        const isKnown = configuration === undefined || known?.pool === pool
+            || configuration.pools.some(({ name }) => name === pool);
+        if (!isKnown) {
+            this.log.record(DecisionKind.ReportRefused, { target: id, pool, address, reason: "unknown pool" });
+        }
+        return isKnown;
+    }
+
     /** Collects the crashes of the incarnations that a new one replaces: those under its id and at its address. */
     private collectCrashes(record: TargetRecord): TargetCrash[] {
         const fleet = this.leadership.readFleet();
