Conclude nothing from runs that a partial list of ends does not name

Cause: syncRuns took a response of a target for the whole truth. A target lists 500 ends at a time; runs whose ends were beyond them were stopped, recorded as stopped when the next list lacked them too, and started again. Their ends `done`, listed later, were no longer recorded, and lastSeen passed them.

Change: a renewal tells whether all ends are listed, and nothing follows from the absence of a run otherwise. planRunSync, a function of packages/core, decides what a list says of each run; it also tells apart two runs of a task in one list, of which the ended one hid the running one. Without the word of a relay of an earlier version only an empty list is whole.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -241,8 +241,12 @@
 }
 
 /** Runs the actions, then waits without faults until all jobs have ended, and fails when they do not end in time. */
-async function runScenario(random: number, steps: readonly Action[], isRelayed = false): Promise<void> {
-    const fleet = new SimulatedFleet(createRandom(random), isRelayed);
+async function runScenario(
+    random: number,
+    steps: readonly Action[],
+    options: ConstructorParameters<typeof SimulatedFleet>[1] = {},
+): Promise<void> {
+    const fleet = new SimulatedFleet(createRandom(random), options);
     fleet.start();
     for (const step of steps) {
         await runAction(fleet, step);
@@ -261,7 +265,7 @@
 }
 
 const length = { minLength: 20, maxLength: 80 };
-const runDirectly = (random: number, steps: readonly Action[]) => runScenario(random, steps, false);
+const runDirectly = (random: number, steps: readonly Action[]) => runScenario(random, steps);
 const scenario = fc.asyncProperty(fc.nat(), fc.array(action, length), runDirectly);
 const scenarioWithRestarts = fc.asyncProperty(fc.nat(), fc.array(actionOrRestart, length), runDirectly);
 const scenarioWithCrashes = fc.asyncProperty(fc.nat(), fc.array(actionOrCrash, length), runDirectly);
@@ -269,7 +273,12 @@
 const scenarioWithRelays = fc.asyncProperty(
     fc.nat(),
     fc.array(actionOrRelayFault, length),
-    (random, steps) => runScenario(random, steps, true),
+    (random, steps) => runScenario(random, steps, { isRelayed: true }),
+);
+const scenarioWithShortLists = fc.asyncProperty(
+    fc.nat(),
+    fc.array(actionOrRelayFault, length),
+    (random, steps) => runScenario(random, steps, { isRelayed: random % 2 === 0, maxListedEnds: 1 + random % 3 }),
 );
 
 describe("Scheduler", () => {
@@ -304,6 +313,13 @@
             Math.max(60_000, runs * runTimeoutMs),
         );
 
+        // Runs whose ends were not listed yet counted as gone, were recorded as stopped and started again.
+        it(
+            "runs each task once while targets list only a few ends at a time",
+            () => fc.assert(scenarioWithShortLists, { numRuns: runs, seed, endOnFailure: true }),
+            Math.max(60_000, runs * runTimeoutMs),
+        );
+
         // A refused renewal ended runs as expired whose starts, with a new lease, were in flight.
         it("waits for the lease of a start in flight before it releases the task", () =>
             fc.assert(scenario, { numRuns: 1, seed: 5, path: "136", endOnFailure: true }));
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -9,6 +9,7 @@
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
+import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import { DecisionKind } from "../logging/decision-kind.js";
@@ -443,39 +444,24 @@
     }
 
     /** Reconciles the runs that the target reports with the committed ones. */
-    private async syncRuns({ running, ended, clockMs }: LeaseRenewalResponse, sentAt: number): Promise<void> {
-        const { runs } = this.readLoad();
-        const reportedRuns = new Map([...running, ...ended].map(({ task, run }) => [task, run]));
-        const stopped: Omit<TaskEnd, "target">[] = [];
-        for (const [task, run] of runs) {
-            const request = this.requests.find(task, run);
-            if (reportedRuns.get(task) === run) {
-                this.confirmRun(task, run, clockMs);
-                if (this.isStopping(task, run)) {
-                    this.stopTask(task, run);
-                }
-            }
-            else if (request?.confirmedAt === undefined) {
-                // Either an earlier leader committed the start, and its request has a lower fencing token and can no
-                // longer be accepted, or the request of this leader ended unsettled. One in flight is not repeated.
-                this.startOrStopRun(task, run);
-            }
-            else if (request.confirmedAt < sentAt) {
-                if (request.isStopConfirmed) {
-                    stopped.push({ task, run, how: RunOutcome.Stopped, saved: "" });
-                }
-                else {
-                    this.stopTask(task, run);
-                }
-            }
-        }
-        for (const { task, run } of running) {
-            if (runs.get(task) !== run) {
+    private async syncRuns(
+        { running, ended, areAllEndsListed, clockMs }: LeaseRenewalResponse,
+        sentAt: number,
+    ): Promise<void> {
+        const list = { running, ended, isComplete: areAllEndsListed, requestedAt: sentAt };
+        const plan = planRunSync(this.readLoad().runs, list, (task, run) => this.requests.find(task, run));
+        for (const { task, run } of plan.confirmed) {
+            this.confirmRun(task, run, clockMs);
+            if (this.isStopping(task, run)) {
                 this.stopTask(task, run);
             }
         }
-        if (stopped.length > 0) {
-            await this.recordRunEnds(stopped);
+        // Either an earlier leader committed the start, and its request has a lower fencing token and can no longer be
+        // accepted, or the request of this leader ended unsettled. One in flight is not repeated.
+        plan.unstarted.forEach(({ task, run }) => this.startOrStopRun(task, run));
+        [...plan.lost, ...plan.unassigned].forEach(({ task, run }) => this.stopTask(task, run));
+        if (plan.stopped.length > 0) {
+            await this.recordRunEnds(plan.stopped.map(run => ({ ...run, how: RunOutcome.Stopped, saved: "" })));
         }
     }
 
--- a/packages/daemon/src/job-scheduler/relay/relayed-response-schemas.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-response-schemas.ts
@@ -34,5 +34,7 @@
         incarnation: v.optional(v.pipe(v.number(), v.finite())),
         running: v.array(runningTask),
         ended: v.array(endedRun),
+        /** Absent in responses of relays of earlier versions. */
+        areAllEndsListed: v.optional(v.boolean()),
     }),
 };
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -103,7 +103,10 @@
 
     override async sendLeaseRenewal(target: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
         const timeoutMs = request.waitMs + relayTimeoutMs;
-        return await this.sendRequest(TargetRequestKind.Renew, target, { request }, timeoutMs) as LeaseRenewalResponse;
+        const response = await this.sendRequest(TargetRequestKind.Renew, target, { request }, timeoutMs);
+        const renewal = response as Omit<LeaseRenewalResponse, "areAllEndsListed"> & Partial<LeaseRenewalResponse>;
+        // Without the relay's word, only an empty list is certain to be whole.
+        return { ...renewal, areAllEndsListed: renewal.areAllEndsListed ?? renewal.ended.length === 0 };
     }
 
     override async checkReachable(
--- a/packages/daemon/src/job-scheduler/targets/lease-renewal-response.ts
+++ b/packages/daemon/src/job-scheduler/targets/lease-renewal-response.ts
@@ -8,4 +8,6 @@
     readonly incarnation: number | undefined;
     readonly running: readonly RunningTask[];
     readonly ended: readonly EndedRun[];
+    /** Whether `ended` holds all ends after the last committed one; a target lists a limited number at a time. */
+    readonly areAllEndsListed: boolean;
 }
--- a/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
@@ -31,6 +31,7 @@
     incarnation = 1;
     readonly running: RunningTask[] = [];
     readonly ended: EndedRun[] = [];
+    areAllEndsListed = true;
     readonly starts: StartTaskRequest[] = [];
     readonly stops: RunRequest[] = [];
     readonly renewals: LeaseRenewalRequest[] = [];
@@ -85,8 +86,16 @@
                 incarnation: this.incarnation,
                 running: [...this.running],
                 ended: this.ended.filter(({ number }) => number > request.lastSeen),
+                areAllEndsListed: this.areAllEndsListed,
             }
-            : { result: this.unansweredResult, clockMs: undefined, incarnation: undefined, running: [], ended: [] };
+            : {
+                result: this.unansweredResult,
+                clockMs: undefined,
+                incarnation: undefined,
+                running: [],
+                ended: [],
+                areAllEndsListed: false,
+            };
     }
 
     override async checkReachable({ id }: TargetRecord): Promise<TargetResponse> {
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -81,9 +81,10 @@
 
     /**
      * @param random - returns numbers from 0 to below 1
-     * @param isRelayed - whether other keepers send the leader's requests to targets
+     * @param options - whether other keepers send the leader's requests to targets, and the number of ends that a target
+     *     lists at a time
      */
-    constructor(private readonly random: () => number, isRelayed = false) {
+    constructor(private readonly random: () => number, { isRelayed = false, maxListedEnds = 500 } = {}) {
         this.state = buildTestFleet(targetCount, targetCapacity);
         this.keeper = new SimulatedKeeper(this.state, this.clock, random);
         this.monitor = new RunMonitor(
@@ -97,6 +98,7 @@
                 clockOffsetMs: clockOffsetMs * (index + 1),
                 maxLeaseMs: this.maxLeaseMs,
                 isGuarded: index < targetCount / 2,
+                maxListedEnds,
                 monitor: this.monitor,
                 random,
             })
--- a/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
@@ -60,7 +60,7 @@
     override async sendLeaseRenewal({ id }: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
         const timeoutMs = request.waitMs + requestTimeoutMs;
         const response = await this.sendRequest(id, timeoutMs, target => target.handleRenewal(request));
-        return { incarnation: undefined, running: [], ended: [], ...response };
+        return { incarnation: undefined, running: [], ended: [], areAllEndsListed: false, ...response };
     }
 
     override checkReachable(
--- a/packages/daemon/src/job-scheduler/testing/simulated-target.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target.ts
@@ -19,8 +19,6 @@
 const stopGraceMs = 400;
 /** Time after the report of a smaller capacity for which starts may still exceed it, milliseconds. */
 const capacityGraceMs = 4_000;
-/** Maximum number of ended runs in one response. */
-const maxListedEnds = 500;
 
 interface ActiveRun {
     readonly run: number;
@@ -41,6 +39,8 @@
     readonly maxLeaseMs: number;
     /** Whether starts that exceed the capacity are rejected. */
     readonly isGuarded: boolean;
+    /** Maximum number of ended runs in one response. */
+    readonly maxListedEnds: number;
     readonly monitor: RunMonitor;
     /** Returns numbers from 0 to below 1. */
     readonly random: () => number;
@@ -291,7 +291,8 @@
                 percent: computePercent(active, now),
                 load: active.work.needs.cpu,
             })),
-            ended: isDone ? this.ended.slice(0, maxListedEnds) : [],
+            ended: isDone ? this.ended.slice(0, this.options.maxListedEnds) : [],
+            areAllEndsListed: this.ended.length < this.options.maxListedEnds,
         };
     }
 
