Find room for long-running tasks before a wave stops them, and leave cordoned capacity out of the balance

Cause: placement starts nothing on a cordoned target, while the pool balancer counted its capacity as room, and maintenance stopped a task without a place for it. The task waited for the cordon to end, the cordon for the other tasks, and these, by mayMiss, for the task.

Change: the balancer counts neither the capacity of VMs in maintenance or being drained, nor the short tasks that end there; long-running ones stay demand. A long-running task is stopped when a target that is not cordoned has room for it, by the filters of placement, or, after 3 s, if the whole VM can then be emptied within mayMiss.

Ruled out: the balancer alone (without a VM to be had both still wait); the deadline of the wave deciding (breaks mayMiss).

--- a/packages/core/src/vm-maintenance/maintenance-candidate.ts
+++ b/packages/core/src/vm-maintenance/maintenance-candidate.ts
@@ -8,4 +8,6 @@
     readonly runs: readonly AffectedRun[];
     /** Time from which no new task starts there, wall clock milliseconds; `undefined` when it is not draining. */
     readonly drainingSince: number | undefined;
+    /** Time since which its number of long-running tasks is the same, wall clock milliseconds. */
+    readonly unchangedSince: number;
 }
--- a/packages/core/src/vm-maintenance/plan-maintenance.test.ts
+++ b/packages/core/src/vm-maintenance/plan-maintenance.test.ts
@@ -5,14 +5,23 @@
 import { planMaintenance } from "./plan-maintenance.js";
 
 function buildRun(fields: Partial<AffectedRun> = {}): AffectedRun {
-    return { task: "a.0.0.0", run: 1, isLongRunning: false, hasCheckpoints: false, isDispensable: false, ...fields };
+    return {
+        task: "a.0.0.0",
+        run: 1,
+        isLongRunning: false,
+        hasCheckpoints: false,
+        isDispensable: false,
+        isRemovable: false,
+        isStopping: false,
+        ...fields,
+    };
 }
 
 function buildVm(vm: string, runs: AffectedRun[], drainingSince?: number): MaintenanceCandidate {
-    return { vm, target: `t-${vm}`, runs, drainingSince };
+    return { vm, target: `t-${vm}`, runs, drainingSince, unchangedSince: 0 };
 }
 
-const wave = { cap: 2, deadlineAtMs: 20_000, downCount: 0, maintenanceMs: 2_000, now: 0 };
+const wave = { cap: 2, deadlineAtMs: 20_000, downCount: 0, maintenanceMs: 2_000, now: 0, takeRoom: () => true };
 
 describe("waves of maintenance", () => {
     it("never takes down more VMs than the cap, including those already down", () => {
@@ -52,4 +61,50 @@
         const dispensable = buildRun({ isLongRunning: true, isDispensable: true });
         expect(planMaintenance({ ...wave, waiting: [buildVm("a", [dispensable], 0)] }).stops).toHaveLength(1);
     });
+
+    describe("long-running tasks for which there is no room elsewhere", () => {
+        const withoutRoom = { ...wave, takeRoom: () => false };
+        const buildTask = (index: number, fields: Partial<AffectedRun> = {}) =>
+            buildRun({ task: `a.0.0.${index}`, isLongRunning: true, isDispensable: true, ...fields });
+
+        // Guards against a stopped task and a wave that wait for each other.
+        it("are not stopped while others that stay keep the VM from being emptied", () => {
+            const waiting = [buildVm("a", [buildTask(0, { isRemovable: true }), buildTask(1), buildTask(2)], 0)];
+            expect(planMaintenance({ ...withoutRoom, waiting, now: 5_900 }).stops).toEqual([]);
+        });
+
+        it("are stopped after the grace period when the VM can be emptied, as they run on it again soon", () => {
+            const waiting = [
+                buildVm("a", [buildTask(0, { isRemovable: true }), buildTask(1, { isRemovable: true })], 0),
+            ];
+            expect(planMaintenance({ ...withoutRoom, waiting, now: 2_900 }).stops).toEqual([]);
+            expect(planMaintenance({ ...withoutRoom, waiting, now: 3_000 }).stops).toHaveLength(2);
+        });
+
+        it("have the VM postponed, which leaves its turn to another and takes starts meanwhile", () => {
+            const waiting = [buildVm("a", [buildTask(0)], 0), buildVm("b", [])];
+            expect(planMaintenance({ ...withoutRoom, waiting, cap: 1, now: 5_900 })).toMatchObject({
+                draining: ["a"],
+                postponed: [],
+            });
+            expect(planMaintenance({ ...withoutRoom, waiting, cap: 1, now: 6_000 })).toMatchObject({
+                draining: ["b"],
+                postponed: ["a"],
+            });
+        });
+
+        it("do not have it postponed while tasks leave one after the other", () => {
+            const waiting = [{ ...buildVm("a", [buildTask(0)], 0), unchangedSince: 4_000 }];
+            expect(planMaintenance({ ...withoutRoom, waiting, now: 9_900 }).postponed).toEqual([]);
+            expect(planMaintenance({ ...withoutRoom, waiting, now: 10_000 }).postponed).toEqual(["a"]);
+        });
+
+        it("take the room that is left by those that are being stopped", () => {
+            let room = 1;
+            const takeRoom = () => room-- > 0;
+            const waiting = [buildVm("a", [buildTask(0), buildTask(1, { isStopping: true })], 0)];
+            const { stops } = planMaintenance({ ...wave, waiting, takeRoom });
+            expect(stops.map(({ run }) => run.task)).toEqual(["a.0.0.1"]);
+        });
+    });
 });
--- a/packages/core/src/vm-maintenance/plan-maintenance.ts
+++ b/packages/core/src/vm-maintenance/plan-maintenance.ts
@@ -9,6 +9,15 @@
 /** Minimum grace period, even when the wave is late, milliseconds. */
 const minGraceMs = 1_500;
 
+/**
+ * Time for which a VM stays cordoned while none of its long-running tasks can be moved, milliseconds: enough for a VM to be
+ * brought to the pool and for a task to start on it.
+ */
+const maxUnchangedMs = 6_000;
+
+/** Time for which a long-running task waits for room before it is stopped without, milliseconds: a VM may be on its way. */
+const roomGraceMs = 3_000;
+
 /** State of a wave, the input of the planner. */
 interface MaintenanceWaveView {
     /** Maximum number of VMs that may be down at once. */
@@ -23,27 +32,51 @@
     readonly maintenanceMs: number;
     /** Wall clock, milliseconds. */
     readonly now: number;
+    /**
+     * Takes the room for a long-running task on another target.
+     * @param run - the run of the task
+     * @param cordoned - ids of the targets that the wave cordons
+     * @returns false when there is none
+     */
+    readonly takeRoom: (run: AffectedRun, cordoned: ReadonlySet<string>) => boolean;
 }
 
 /**
  * Plans the next actions of a wave. Load comes in bursts during the maintenance too, so the least loaded VMs go first,
- * short tasks get time to end by themselves, tasks with checkpoints move, and a long-running task is stopped only when
- * its step tolerates that. No more VMs are drained than may be down, and none is maintained while a run is left on it.
+ * short tasks get time to end by themselves, and tasks with checkpoints move. A long-running task is stopped only when its
+ * step tolerates that and there is room for it elsewhere; without room, only if the whole VM can then be emptied, so that
+ * its maintenance begins. No more VMs are drained than may be down, and none is maintained while a run is left on it. A VM
+ * that cannot be emptied is postponed, as tasks may wait for the capacity that its cordon withholds.
  * @param wave - state of the wave
- * @returns the VMs to drain, the runs to stop and the VMs to maintain
+ * @returns the VMs to drain or postpone, the runs to stop and the VMs to maintain
  */
 export function planMaintenance(wave: MaintenanceWaveView): MaintenancePlan {
     const availableSlots = Math.max(0, wave.cap - wave.downCount);
-    const selected = [...wave.waiting].sort(compareDrainOrder).slice(0, availableSlots);
+    const postponed = wave.waiting.filter(vm => isBlocked(vm, wave.now));
+    const selected = wave.waiting.filter(vm => !postponed.includes(vm)).sort(compareDrainOrder)
+        .slice(0, availableSlots);
+    const cordoned = new Set(selected.flatMap(({ target }) => target ?? []));
     const graceMs = computeGracePeriod(wave);
+    const takeRoom = (run: AffectedRun): boolean => wave.takeRoom(run, cordoned);
     const stops = selected.flatMap(vm =>
         vm.target === undefined
             ? []
-            : planStops(vm, wave.now, graceMs).map(run => ({ target: vm.target ?? "", run }))
+            : planStops(vm, wave.now, graceMs, takeRoom).map(run => ({ target: vm.target ?? "", run }))
     );
     const readyVms = selected.filter(vm => vm.drainingSince !== undefined || vm.target === undefined)
         .filter(({ runs }) => runs.length === 0);
-    return { draining: selected.map(({ vm }) => vm), stops, vmsToStart: readyVms.map(({ vm }) => vm) };
+    return {
+        draining: selected.map(({ vm }) => vm),
+        stops,
+        postponed: postponed.map(({ vm }) => vm),
+        vmsToStart: readyVms.map(({ vm }) => vm),
+    };
+}
+
+/** Tells whether none of the long-running tasks on a VM that is being drained has been moved for some time. */
+function isBlocked({ runs, drainingSince, unchangedSince }: MaintenanceCandidate, now: number): boolean {
+    return drainingSince !== undefined && runs.some(({ isLongRunning }) => isLongRunning)
+        && now - Math.max(drainingSince, unchangedSince) >= maxUnchangedMs;
 }
 
 /** Orders VMs that are draining first, so that they stay selected, then those with the least drain cost. */
@@ -72,11 +105,22 @@
     { runs, drainingSince }: MaintenanceCandidate,
     now: number,
     graceMs: number,
+    takeRoom: (run: AffectedRun) => boolean,
 ): AffectedRun[] {
-    const drainingMs = drainingSince === undefined ? 0 : now - drainingSince;
+    if (drainingSince === undefined) {
+        return [];
+    }
+    const drainingMs = now - drainingSince;
+    const longRunning = runs.filter(run => run.isLongRunning);
+    // Tasks that are being stopped need the room that they were stopped for.
+    const withRoom = new Set([
+        ...longRunning.filter(run => run.isStopping && takeRoom(run)),
+        ...longRunning.filter(run => !run.isStopping && takeRoom(run)),
+    ]);
+    const canBeEmptied = longRunning.every(run => withRoom.has(run) || run.isRemovable);
     return runs.filter(run =>
         run.isLongRunning
-            ? run.isDispensable
+            ? run.isDispensable && (withRoom.has(run) || (canBeEmptied && drainingMs >= Math.min(roomGraceMs, graceMs)))
             : drainingMs >= (run.hasCheckpoints ? Math.min(checkpointGraceMs, graceMs) : graceMs)
     );
 }
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
@@ -23,10 +23,10 @@
     let runner: MaintenanceRunner;
     afterEach(() => runner.stop());
 
-    function createFixture() {
-        const state = buildTestFleet(1, { cpu: 4_000, memory: 1_000, gpu: 0 });
+    function createFixture({ targets = 1, steps = [buildTestStep()] } = {}) {
+        const state = buildTestFleet(targets, { cpu: 4_000, memory: 1_000, gpu: 0 });
         const { fleet } = state;
-        addTestJob(state, "a", [buildTestStep()]);
+        addTestJob(state, "a", steps);
         const wave = { number: waveNumber, vms: ["vm0"], cap: 1, deadlineAtMs: 20_000, done: [] };
         applyCommand(state, { kind: CommandKind.StartMaintenance, wave });
         const clock = new ManualClock();
@@ -38,10 +38,16 @@
         runner = new MaintenanceRunner({
             leadership,
             sessions: {
-                find: () => ({
-                    running: new Map(),
-                    isStopping: () => false,
+                find: target => ({
+                    running: new Map(
+                        [...fleet.targetLoads.get(target)?.runs ?? []].map(([name, run]) => [
+                            name,
+                            { task: name, run, saved: "", percent: 100, load: 0 },
+                        ]),
+                    ),
+                    isStopping: name => stops.includes(name),
                     stopTask: stopped => void stops.push(stopped),
+                    countStartsLeft: () => Number.POSITIVE_INFINITY,
                 }),
             },
             vms,
@@ -157,6 +163,36 @@
         });
     });
 
+    describe("a target on which a long-running job runs that may miss one of its tasks", () => {
+        const tasks = ["a.0.0.0", "a.0.0.1", "a.0.0.2"];
+
+        function createLongRunningFixture(targets: number) {
+            const steps = [buildTestStep({ count: tasks.length, isLongRunning: true, mayMiss: 1 })];
+            const fixture = createFixture({ targets, steps });
+            fixture.vms.addVm("vm0", "web", "t0");
+            const starts = tasks.map(name => ({ task: name, run: 1, target: "t0" }));
+            applyCommand(fixture.state, { kind: CommandKind.RecordStarts, starts });
+            return fixture;
+        }
+
+        // Guards against a stopped task and a wave that wait for each other.
+        it("loses none while there is no room elsewhere, and takes starts again until its next turn", async () => {
+            const { stops, runFor } = createLongRunningFixture(1);
+            await runFor(1_000);
+            expect(runner.isDraining("t0")).toBe(true);
+            await runFor(6_000);
+            expect([runner.isDraining("t0"), stops]).toEqual([false, []]);
+            await runFor(5_000);
+            expect([runner.isDraining("t0"), stops]).toEqual([true, []]);
+        });
+
+        it("loses one at a time as soon as there is room elsewhere", async () => {
+            const { stops, runFor } = createLongRunningFixture(2);
+            await runFor(2_000);
+            expect(new Set(stops)).toEqual(new Set(tasks.slice(0, 1)));
+        });
+    });
+
     describe("a VM that is being drained", () => {
         it("stays cordoned, without a new grace period, while the lease lapses for a moment", async () => {
             const { vms, keeper, stops, recordStart, runFor } = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -4,7 +4,11 @@
 import { encodeTaskKey } from "@daisylock/core/jobs/encode-task-key.js";
 import type { TaskKey } from "@daisylock/core/jobs/task-key.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
+import type { TaskRecord } from "@daisylock/core/jobs/task-record.js";
+import { buildPlacementTargets } from "@daisylock/core/placement/build-placement-targets.js";
 import { encodeStepKey } from "@daisylock/core/placement/encode-step-key.js";
+import { parseStepKey } from "@daisylock/core/placement/parse-step-key.js";
+import { RoomFinder } from "@daisylock/core/placement/room-finder.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import type { AffectedRun } from "@daisylock/core/vm-maintenance/affected-run.js";
 import { isVmDown } from "@daisylock/core/vm-maintenance/is-vm-down.js";
@@ -32,10 +36,14 @@
 const readyPercent = 100;
 /** Delay before maintenance of a busy VM is requested again, milliseconds; another VM of the wave goes first. */
 const busyRetryDelayMs = 1_500;
+/** Time for which a VM that cannot be emptied is not drained, milliseconds: for the tasks that waited to start there. */
+const postponementMs = 5_000;
 
 /** The sessions as far as the maintenance runner needs them. */
 interface SessionRegistry {
-    readonly find: (target: string) => Pick<TargetSession, "running" | "isStopping" | "stopTask"> | undefined;
+    readonly find: (
+        target: string,
+    ) => Pick<TargetSession, "running" | "isStopping" | "stopTask" | "countStartsLeft"> | undefined;
 }
 
 /** Dependencies of the maintenance runner. */
@@ -62,6 +70,8 @@
     private readonly busySince = new Map<string, number>();
     /** When the latest maintenance of a VM was requested, wall-clock milliseconds. */
     private readonly maintenanceStartedAt = new Map<string, number>();
+    /** Number of long-running tasks on a VM of a wave, and since when it is the same, wall-clock milliseconds. */
+    private readonly longRunningCounts = new Map<string, { readonly count: number; readonly since: number }>();
     /** Since when a VM has been draining, wall-clock milliseconds. */
     private drainingSince = new Map<string, number>();
     /** Fencing token of the leadership that drains these VMs. */
@@ -103,6 +113,7 @@
             this.drainingToken = token;
         }
         if (waves.length === 0) {
+            this.longRunningCounts.clear();
             return idleIntervalMs;
         }
         // A lapsed lease may be valid again at once, so that the VMs stay cordoned meanwhile.
@@ -150,7 +161,9 @@
             ).map(vm => this.buildVm(fleet, vm, targets.get(vm))),
             maintenanceMs,
             now,
+            takeRoom: this.buildRoomTaker(fleet),
         });
+        this.recordPostponed(wave, plan.postponed);
         for (const vm of plan.draining) {
             const since = this.drainingSince.get(vm) ?? now;
             draining.set(vm, since);
@@ -246,31 +259,71 @@
         return this.dependencies.vmLeases.findVm(vm, since) === undefined;
     }
 
-    private buildVm(fleet: FleetState, vm: string, target: TargetRecord | undefined): MaintenanceCandidate {
-        const runs = target === undefined ? [] : [...fleet.targetLoads.get(target.id)?.runs ?? []];
-        return {
-            vm,
-            target: target?.id,
-            runs: runs.flatMap(([task, run]) => this.buildRun(fleet, task, run)),
-            drainingSince: this.drainingSince.get(vm),
+    /** Builds the search for room; the targets are listed when it is first needed, as most rounds move no task. */
+    private buildRoomTaker(fleet: FleetState): (run: AffectedRun, cordoned: ReadonlySet<string>) => boolean {
+        const { sessions, isMoving } = this.dependencies;
+        let finder: RoomFinder | undefined;
+        return ({ task }, cordoned) => {
+            finder ??= new RoomFinder(buildPlacementTargets(fleet, id => {
+                const isCordoned = cordoned.has(id) || this.isDraining(id) || isMoving(fleet.targets.get(id)?.vm ?? "");
+                return isCordoned ? 0 : sessions.find(id)?.countStartsLeft() ?? 0;
+            }));
+            const key = decodeTaskKey(task);
+            const job = key === undefined ? undefined : fleet.jobs.get(key.job);
+            const step = key === undefined ? undefined : job?.steps[key.step];
+            const pool = fleet.configuration?.queues.find(({ name }) => name === job?.queue)?.pool ?? job?.pool;
+            return step !== undefined && pool !== undefined && finder.takeRoom(step, parseStepKey(task), pool);
         };
     }
 
-    private buildRun(fleet: FleetState, task: string, run: number): AffectedRun[] {
+    private recordPostponed(wave: MaintenanceWave, vms: readonly string[]): void {
+        const { clock, log } = this.dependencies;
+        for (const vm of vms) {
+            this.retryAt.set(vm, clock.readWall() + postponementMs);
+            this.longRunningCounts.delete(vm);
+            log.record(DecisionKind.UpkeepDelayed, { wave: wave.number, vm, result: "no-room", forMs: postponementMs });
+        }
+    }
+
+    private buildVm(fleet: FleetState, vm: string, target: TargetRecord | undefined): MaintenanceCandidate {
+        const recorded = target === undefined ? [] : [...fleet.targetLoads.get(target.id)?.runs ?? []];
+        const runs = recorded.flatMap(([task, run]) => this.buildRun(fleet, target?.id ?? "", task, run));
+        const count = runs.filter(({ isLongRunning }) => isLongRunning).length;
+        const previous = this.longRunningCounts.get(vm);
+        const unchangedSince = previous?.count === count ? previous.since : this.dependencies.clock.readWall();
+        this.longRunningCounts.set(vm, { count, since: unchangedSince });
+        return { vm, target: target?.id, runs, drainingSince: this.drainingSince.get(vm), unchangedSince };
+    }
+
+    private buildRun(fleet: FleetState, target: string, task: string, run: number): AffectedRun[] {
         const key = decodeTaskKey(task);
         const step = key === undefined ? undefined : fleet.jobs.get(key.job)?.steps[key.step];
         if (key === undefined || step === undefined) {
             return [];
         }
-        const { isLongRunning, hasCheckpoints } = step;
-        const isDispensable = isLongRunning && this.isDispensable(fleet, key, step.mayMiss);
-        return [{ task, run, isLongRunning, hasCheckpoints, isDispensable }];
+        const { isLongRunning, hasCheckpoints, mayMiss } = step;
+        const isStopping = this.dependencies.sessions.find(target)?.isStopping(task, run) === true;
+        if (!isLongRunning) {
+            return [{ task, run, isLongRunning, hasCheckpoints, isDispensable: false, isRemovable: false, isStopping }];
+        }
+        const unavailable = this.listUnavailable(fleet, key);
+        const tasksHere = fleet.targetLoads.get(target)?.stepCounts.get(parseStepKey(task)) ?? 1;
+        const unavailableElsewhere = unavailable.filter(other => other.target !== target).length;
+        return [{
+            task,
+            run,
+            isLongRunning,
+            hasCheckpoints,
+            isDispensable: mayMiss === undefined || unavailable.length < mayMiss,
+            isRemovable: mayMiss === undefined || unavailableElsewhere + tasksHere <= mayMiss,
+            isStopping,
+        }];
     }
 
-    /** Tells whether at most `mayMiss` tasks of a step are unavailable without this one; `undefined` sets no limit. */
-    private isDispensable(fleet: FleetState, key: TaskKey, mayMiss: number | undefined): boolean {
+    /** Lists the other tasks of a step that are not at work. */
+    private listUnavailable(fleet: FleetState, key: TaskKey): TaskRecord[] {
         const tasks = fleet.jobs.get(key.job)?.occurrences.get(key.occurrence)?.[key.step]?.tasks ?? [];
-        const unavailableTasks = tasks.filter((task, index) => {
+        return tasks.filter((task, index) => {
             const name = encodeTaskKey({ ...key, index });
             const session = this.dependencies.sessions.find(task.target);
             const running = session?.running.get(name);
@@ -278,7 +331,6 @@
                 && running.percent >= readyPercent && session?.isStopping(name, task.run) === false;
             return index !== key.index && !isReady;
         });
-        return unavailableTasks.length < (mayMiss ?? tasks.length);
     }
 
     private isDown(vm: string): boolean {
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -142,12 +142,13 @@
         const homeCapacities = computeHomeCapacities(fleet, index);
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
             const load = loads.get(name);
+            const cordoned = this.computeCordonedLoad(fleet, name);
             const incoming = [...this.movingVms.values()].filter(({ to }) => to === name);
             return {
                 name,
                 isSpare,
-                capacity: (load?.capacity ?? 0) + incoming.reduce((sum, { cpu }) => sum + cpu, 0),
-                used: load?.used ?? 0,
+                capacity: (load?.capacity ?? 0) - cordoned.capacity + incoming.reduce((sum, { cpu }) => sum + cpu, 0),
+                used: (load?.used ?? 0) - cordoned.usedShortRunning,
                 usedLongRunning: load?.usedLongRunning ?? 0,
                 wanted: load?.wanted ?? 0,
                 homeCapacity: homeCapacities.get(name) ?? 0,
@@ -156,6 +157,26 @@
         });
     }
 
+    /**
+     * Computes the part of a pool's load that is on VMs in maintenance or being drained for it. Their capacity takes no
+     * start. Their long-running tasks still need room in the pool; the others end there.
+     */
+    private computeCordonedLoad(
+        fleet: FleetState,
+        pool: string,
+    ): { readonly capacity: number; readonly usedShortRunning: number } {
+        let capacity = 0;
+        let usedShortRunning = 0;
+        for (const target of fleet.targets.values()) {
+            if (target.pool === pool && target.vm !== "" && this.dependencies.isInMaintenance(target.vm)) {
+                const load = fleet.targetLoads.get(target.id);
+                capacity += target.capacity.cpu;
+                usedShortRunning += (load?.used.cpu ?? 0) - (load?.servingCpu ?? 0);
+            }
+        }
+        return { capacity, usedShortRunning };
+    }
+
     private listIdleVms(fleet: FleetState, pool: string): PoolStatus["idleVms"] {
         const { isUsable, isInMaintenance, vmLeases } = this.dependencies;
         return [...fleet.targets.values()]
