Accept nothing in a new cluster before all its keepers vote

Cause: commands were accepted from f + 1 voters on, also while 2 f + 1 were joining. Of two voters both are needed.

--- a/packages/daemon/src/job-scheduler/leader/leadership.ts
+++ b/packages/daemon/src/job-scheduler/leader/leadership.ts
@@ -4,15 +4,31 @@
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 
+import type { Clock } from "../../clock/clock.js";
 import type { Keeper } from "../../request-proxy/keeper/keeper.js";
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 
+/**
+ * Time from the start of a leadership for which a new cluster waits for all its voters, milliseconds. After it, a cluster
+ * of which a keeper never came serves with fewer.
+ */
+const foundingWaitMs = 5_000;
+
+/** The founding of a cluster. */
+interface Founding {
+    /** Number of voters that the cluster is to have. */
+    readonly voterCount: number;
+    readonly clock: Clock;
+}
+
 /** Leadership state and command log of this process, shared by the leader components. */
 export class Leadership {
     /**
      * @param keeper - the keeper (control-plane replica) of this process
      * @param minVoters - number of voters below which no command is accepted, so that accepted commands are never
      *     stored on one disk only
+     * @param founding - number of voters for which a cluster without a configuration waits first, so that the loss of a disk
+     *     right after its first acknowledgement leaves a quorum; without it, it does not wait
      */
     constructor(
         private readonly keeper: Pick<
@@ -20,6 +36,7 @@
             "isActiveLeader" | "readControl" | "readView" | "readTerm" | "countVoters" | "sendCommand"
         >,
         private readonly minVoters: number,
+        private readonly founding?: Founding,
     ) {}
 
     /**
@@ -27,7 +44,7 @@
      * @returns true while it holds a valid leader lease and the cluster has enough voters
      */
     isActive(): boolean {
-        return this.keeper.isActiveLeader() && this.keeper.countVoters() >= this.minVoters;
+        return this.keeper.isActiveLeader() && this.keeper.countVoters() >= this.minVoters && !this.isFounding();
     }
 
     /**
@@ -114,6 +131,13 @@
         return this.isActive() && await this.recordCommand({ kind: CommandKind.ConfirmLeadership }) === true;
     }
 
+    private isFounding(): boolean {
+        return this.founding !== undefined
+            && this.keeper.countVoters() < this.founding.voterCount
+            && this.readFleet().configuration === undefined
+            && this.founding.clock.readMonotonic() - this.readStartedAt() < foundingWaitMs;
+    }
+
     private buildNotLeaderReply(mayHaveRun: boolean): LeaderReply<never> {
         const view = this.keeper.readView();
         const leader = view?.leader === view?.id ? undefined : view?.leaderAddress;
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -39,6 +39,8 @@
 
 /** A failed component ends the process; after the restart, all state that it acknowledged is loaded from disk. */
 const restartPolicy = { maxRestarts: 0, periodMs: 1, delayMs: 0 };
+/** Largest number of seeds that settings name; fewer are all keepers of the cluster. */
+const maxSeeds = 3;
 /** Limit of connections to any one other process; further calls are queued. */
 const maxPeerConnections = 8;
 /** Time between a leadership transfer and the stop of the process, for the election of the successor, milliseconds. */
@@ -208,7 +210,9 @@
         const targetSender = new TargetRequestSender(this.adapter.createTargetClient(), noteSent);
         const relays = new RelayDirectory(() => keeper.readView(), clock);
         const voterCount = 2 * cluster.tolerated_losses + 1;
-        const leadership = new Leadership(keeper, Math.min(this.seeds.length, cluster.tolerated_losses + 1));
+        const minVoters = Math.min(this.seeds.length, cluster.tolerated_losses + 1);
+        const foundingVoters = this.seeds.length < maxSeeds ? this.seeds.length : voterCount;
+        const leadership = new Leadership(keeper, minVoters, { voterCount: foundingVoters, clock });
         const leader = new LeaderComponents({
             settings,
             leadership,
