Postpone a VM of a wave sooner for want of room than for other tasks that are away

Cause: in a wave over many VMs the tasks of a step leave one after the other, as mayMiss allows, so that a VM whose tasks have room waits for its turn longer than 6 s. Postponing it then has it filled again with short tasks. Change: 6 s where none of its long-running tasks has room and the VM cannot be emptied without, 15 s otherwise. Test: plan-maintenance.test.ts, "have it postponed later where there is room, and others of their step are away".

--- a/packages/core/src/vm-maintenance/plan-maintenance.ts
+++ b/packages/core/src/vm-maintenance/plan-maintenance.ts
@@ -10,10 +10,12 @@
 const minGraceMs = 1_500;
 
 /**
- * Time for which a VM stays cordoned while none of its long-running tasks can be moved, milliseconds: enough for a VM to be
- * brought to the pool and for a task to start on it.
+ * Time for which a VM stays cordoned while there is no room for any of its long-running tasks, milliseconds: enough for a
+ * VM to be brought to the pool and for a task to start on it.
  */
-const maxUnchangedMs = 6_000;
+const maxRoomlessMs = 6_000;
+/** Time for which it stays cordoned while there is room and none of them is moved, as other tasks of their steps are away. */
+const maxUnchangedMs = 15_000;
 
 /** Time for which a long-running task waits for room before it is stopped without, milliseconds: a VM may be on its way. */
 const roomGraceMs = 3_000;
@@ -52,21 +54,26 @@
  */
 export function planMaintenance(wave: MaintenanceWaveView): MaintenancePlan {
     const availableSlots = Math.max(0, wave.cap - wave.downCount);
-    const postponed = wave.waiting.filter(vm => isBlocked(vm, wave.now));
-    const selected = wave.waiting.filter(vm => !postponed.includes(vm)).sort(compareDrainOrder)
+    const isUnchangedFor = (vm: MaintenanceCandidate, ms: number): boolean => isUnchanged(vm, wave.now, ms);
+    const selected = wave.waiting.filter(vm => !isUnchangedFor(vm, maxUnchangedMs)).sort(compareDrainOrder)
         .slice(0, availableSlots);
     const cordoned = new Set(selected.flatMap(({ target }) => target ?? []));
     const graceMs = computeGracePeriod(wave);
     const takeRoom = (run: AffectedRun): boolean => wave.takeRoom(run, cordoned);
-    const stops = selected.flatMap(vm =>
-        vm.target === undefined
-            ? []
-            : planStops(vm, wave.now, graceMs, takeRoom).map(run => ({ target: vm.target ?? "", run }))
+    const drains = selected.map(vm => planDrain(vm, wave.now, graceMs, takeRoom));
+    const isRoomless = (vm: MaintenanceCandidate, position: number): boolean =>
+        drains[position]?.isRoomless === true && isUnchangedFor(vm, maxRoomlessMs);
+    const postponed = [
+        ...wave.waiting.filter(vm => isUnchangedFor(vm, maxUnchangedMs)),
+        ...selected.filter(isRoomless),
+    ];
+    const stops = selected.flatMap(({ target }, position) =>
+        target === undefined ? [] : (drains[position]?.stops ?? []).map(run => ({ target, run }))
     );
     const readyVms = selected.filter(vm => vm.drainingSince !== undefined || vm.target === undefined)
         .filter(({ runs }) => runs.length === 0);
     return {
-        draining: selected.map(({ vm }) => vm),
+        draining: selected.filter(vm => !postponed.includes(vm)).map(({ vm }) => vm),
         stops,
         postponed: postponed.map(({ vm }) => vm),
         vmsToStart: readyVms.map(({ vm }) => vm),
@@ -74,9 +81,13 @@
 }
 
 /** Tells whether none of the long-running tasks on a VM that is being drained has been moved for some time. */
-function isBlocked({ runs, drainingSince, unchangedSince }: MaintenanceCandidate, now: number): boolean {
+function isUnchanged(
+    { runs, drainingSince, unchangedSince }: MaintenanceCandidate,
+    now: number,
+    forMs: number,
+): boolean {
     return drainingSince !== undefined && runs.some(({ isLongRunning }) => isLongRunning)
-        && now - Math.max(drainingSince, unchangedSince) >= maxUnchangedMs;
+        && now - Math.max(drainingSince, unchangedSince) >= forMs;
 }
 
 /** Orders VMs that are draining first, so that they stay selected, then those with the least drain cost. */
@@ -97,18 +108,25 @@
     return Math.min(maxGraceMs, Math.max(minGraceMs, perRoundMs));
 }
 
+/** What to do with the runs on a VM that is being drained. */
+interface Drain {
+    readonly stops: readonly AffectedRun[];
+    /** Whether there is no room for any of its long-running tasks, and the VM cannot be emptied without. */
+    readonly isRoomless: boolean;
+}
+
 /**
  * Plans which runs to stop: after the grace period also short tasks, as waiting longer could make the wave late. The
  * maintenance itself starts only once no run is left.
  */
-function planStops(
+function planDrain(
     { runs, drainingSince }: MaintenanceCandidate,
     now: number,
     graceMs: number,
     takeRoom: (run: AffectedRun) => boolean,
-): AffectedRun[] {
+): Drain {
     if (drainingSince === undefined) {
-        return [];
+        return { stops: [], isRoomless: false };
     }
     const drainingMs = now - drainingSince;
     const longRunning = runs.filter(run => run.isLongRunning);
@@ -118,9 +136,11 @@
         ...longRunning.filter(run => !run.isStopping && takeRoom(run)),
     ]);
     const canBeEmptied = longRunning.every(run => withRoom.has(run) || run.isRemovable);
-    return runs.filter(run =>
+    const stops = runs.filter(run =>
         run.isLongRunning
-            ? run.isDispensable && (withRoom.has(run) || (canBeEmptied && drainingMs >= Math.min(roomGraceMs, graceMs)))
+            ? run.isDispensable
+                && (withRoom.has(run) || (canBeEmptied && drainingMs >= Math.min(roomGraceMs, graceMs)))
             : drainingMs >= (run.hasCheckpoints ? Math.min(checkpointGraceMs, graceMs) : graceMs)
     );
+    return { stops, isRoomless: withRoom.size === 0 && !canBeEmptied };
 }
