--- a/packages/daemon/src/job-scheduler/testing/keeper-group.ts
+++ b/packages/daemon/src/job-scheduler/testing/keeper-group.ts
@@ -1,4 +1,3 @@
-import type { Members } from "@daisylock/core/raft/members.js";
 import type { LeaderCalls } from "@daisylock/protocol/fleet/leader-calls.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 import Result from "true-myth/result";
@@ -9,14 +8,13 @@
 import { CallFailureKind } from "../../http-client/call-failure-kind.js";
 import type { CallFailure } from "../../http-client/call-failure.js";
 import { Keeper } from "../../request-proxy/keeper/keeper.js";
-import { KeeperStorage } from "../../request-proxy/keeper/storage/keeper-storage.js";
 import { MemberManager } from "../keeper/member-manager.js";
 import { DecisionLog } from "../logging/decision-log.js";
 import type { LeaderClient } from "../peers/leader-client.js";
+import { MemoryKeeperStorage } from "./memory-keeper-storage.js";
 
 const timing = { heartbeatIntervalMs: 75, minElectionTimeoutMs: 320, maxElectionTimeoutMs: 560, leaseMs: 260 };
 const networkDelayMs = 1;
-const writeMs = 2;
 const pollMs = 10;
 const maxWaitMs = 8_000;
 const callRetryMs = 20;
@@ -29,36 +27,6 @@
     readonly manager: MemberManager;
 }
 
-/** Storage that starts empty and lasts as long as its keeper. */
-class EmptyStorage extends KeeperStorage {
-    constructor(private readonly id: string) {
-        super();
-    }
-
-    override async load() {
-        const members: Members = { voters: {}, learners: {} };
-        return {
-            id: this.id,
-            hard: { term: 0, votedFor: undefined },
-            snapshot: { index: 0, term: 0, members, data: "" },
-            base: { index: 0, term: 0 },
-            entries: [],
-        };
-    }
-
-    override async append(): Promise<void> {
-        await new Promise(resolve => setTimeout(resolve, writeMs));
-    }
-
-    override async saveSnapshot(): Promise<void> {
-        await this.append();
-    }
-
-    override async close(): Promise<void> {
-        // No files are open.
-    }
-}
-
 /** Keepers in one process with their member managers; the name of a keeper is its id and its peer address. */
 export class KeeperGroup {
     private readonly members = new Map<string, GroupMember>();
@@ -71,7 +39,7 @@
      */
     startKeeper(name: string, isBootstrapping: boolean): void {
         const keeper = new Keeper({
-            storage: new EmptyStorage(name),
+            storage: new MemoryKeeperStorage(name),
             clock: this.clock,
             random: Math.random,
             timing,
--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -1,6 +1,5 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import { buildPromotion } from "@daisylock/core/raft/build-promotion.js";
-import type { Members } from "@daisylock/core/raft/members.js";
 import { RaftMessageKind } from "@daisylock/core/raft/raft-message-kind.js";
 import type { RaftMessage } from "@daisylock/core/raft/raft-message.js";
 import { RaftRole } from "@daisylock/core/raft/raft-role.js";
@@ -10,48 +9,12 @@
 import { SystemClock } from "../../clock/system-clock.js";
 import { runGoroutine } from "../../concurrency/run-goroutine.js";
 import { EventLog } from "../../events/event-log.js";
+import { MemoryKeeperStorage } from "../../job-scheduler/testing/memory-keeper-storage.js";
 import { MetricName } from "../../metrics/metric-name.js";
 import type { Metrics } from "../../metrics/metrics.js";
 import { Keeper } from "./keeper.js";
 import { ProposeFailureKind } from "./propose-failure-kind.js";
-import { KeeperStorage } from "./storage/keeper-storage.js";
-
-/** Storage that starts empty, keeps nothing and takes 2 ms for each write. */
-class MemoryStorage extends KeeperStorage {
-    constructor(
-        private readonly id: string,
-        private readonly members: Members = { voters: {}, learners: {} },
-    ) {
-        super();
-    }
-
-    override async load() {
-        const { members } = this;
-        return {
-            id: this.id,
-            hard: { term: 0, votedFor: undefined },
-            snapshot: { index: 0, term: 0, members, data: "" },
-            base: { index: 0, term: 0 },
-            entries: [],
-        };
-    }
-
-    override async append(): Promise<void> {
-        await new Promise(resolve => setTimeout(resolve, 2));
-    }
-
-    /** Payload of the entries kept with each snapshot, characters. */
-    readonly retainedCharacters: number[] = [];
-
-    override async saveSnapshot(...[, , { entries }]: Parameters<KeeperStorage["saveSnapshot"]>): Promise<void> {
-        this.retainedCharacters.push(entries.reduce((sum, { payload }) => sum + payload.length, 0));
-        await this.append();
-    }
-
-    override async close(): Promise<void> {
-        // No files are open.
-    }
-}
+import type { KeeperStorage } from "./storage/keeper-storage.js";
 
 const timing = { heartbeatIntervalMs: 75, minElectionTimeoutMs: 1_200, maxElectionTimeoutMs: 1_600, leaseMs: 900 };
 const addresses = ["k0", "k1", "k2"];
@@ -98,7 +61,7 @@
         isConnected = true;
         keepers = addresses.map(address =>
             new Keeper({
-                storage: new MemoryStorage(address),
+                storage: new MemoryKeeperStorage(address),
                 clock,
                 random: Math.random,
                 timing,
@@ -178,7 +141,7 @@
         tickDelays = created.tickDelays;
         const clock = new SystemClock();
         keeper = new Keeper({
-            storage: new MemoryStorage("k0"),
+            storage: new MemoryKeeperStorage("k0"),
             clock,
             random: Math.random,
             timing,
@@ -241,7 +204,7 @@
     afterEach(() => keeper.stop());
 
     it("settles when the leadership began and ended between two writes to disk", async () => {
-        startKeeper(new MemoryStorage("k0", { voters: { k0: "k0", k1: "k1", k2: "k2" }, learners: {} }));
+        startKeeper(new MemoryKeeperStorage("k0", { voters: { k0: "k0", k1: "k1", k2: "k2" }, learners: {} }));
         await waitUntil(() => findSent(RaftMessageKind.PreVote) !== undefined);
         const answer = (kind: RaftMessageKind.PreVoteReply | RaftMessageKind.VoteReply, term: number) =>
             keeper.receive([{ kind, from: "k1", to: "k0", term, isGranted: true }], "k1");
@@ -272,7 +235,7 @@
 
     // Guards against a log of few but large entries that takes all memory and disk of a keeper.
     it("is kept in a log that is cut by the size of its entries, not only by their number", async () => {
-        const storage = new MemoryStorage("k0", { voters: { k0: "k0" }, learners: {} });
+        const storage = new MemoryKeeperStorage("k0", { voters: { k0: "k0" }, learners: {} });
         startKeeper(storage);
         await waitUntil(() => keeper.isActiveLeader());
         const megabyte = 1024 * 1024;
@@ -296,7 +259,7 @@
     });
 
     it("settles when the mailbox is full, also for changes of members and the bootstrap", async () => {
-        startKeeper(new MemoryStorage("k0"));
+        startKeeper(new MemoryKeeperStorage("k0"));
         const readError = (promise: Promise<Result<unknown, unknown>>) =>
             Promise.race([
                 promise.then(result => result.isErr ? result.error : undefined),
