--- a/packages/core/src/jobs/encode-job.ts
+++ b/packages/core/src/jobs/encode-job.ts
@@ -25,6 +25,9 @@
 }
 
 function listAllOccurrences(job: Job): StepProgress[][] {
+    if (job.occurrences.size === countOccurrences(job)) {
+        return [...job.occurrences.values()];
+    }
     const full: Job = { ...job, begunCount: 0, occurrences: new Map() };
     startOccurrences(full, countOccurrences(job) - 1);
     return [...full.occurrences].map(([occurrence, steps]) =>
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -262,17 +262,25 @@
     /** Builds the search for room; the targets are listed when it is first needed, as most rounds move no task. */
     private buildRoomTaker(fleet: FleetState): (run: AffectedRun, cordoned: ReadonlySet<string>) => boolean {
         const { sessions, isMoving } = this.dependencies;
-        let finder: RoomFinder | undefined;
-        return ({ task }, cordoned) => {
-            finder ??= new RoomFinder(buildPlacementTargets(fleet, id => {
+        const finders = new Map<string, RoomFinder>();
+        const buildFinder = (pool: string, cordoned: ReadonlySet<string>): RoomFinder => {
+            const countStartsLeft = (id: string): number => {
                 const isCordoned = cordoned.has(id) || this.isDraining(id) || isMoving(fleet.targets.get(id)?.vm ?? "");
                 return isCordoned ? 0 : sessions.find(id)?.countStartsLeft() ?? 0;
-            }));
+            };
+            return new RoomFinder(buildPlacementTargets(fleet, countStartsLeft, name => name === pool));
+        };
+        return ({ task }, cordoned) => {
             const key = decodeTaskKey(task);
             const job = key === undefined ? undefined : fleet.jobs.get(key.job);
             const step = key === undefined ? undefined : job?.steps[key.step];
             const pool = fleet.configuration?.queues.find(({ name }) => name === job?.queue)?.pool ?? job?.pool;
-            return step !== undefined && pool !== undefined && finder.takeRoom(step, parseStepKey(task), pool);
+            if (step === undefined || pool === undefined) {
+                return false;
+            }
+            const finder = finders.get(pool) ?? buildFinder(pool, cordoned);
+            finders.set(pool, finder);
+            return finder.takeRoom(step, parseStepKey(task), pool);
         };
     }
 
@@ -302,10 +310,11 @@
             return [];
         }
         const { isLongRunning, hasCheckpoints, mayMiss } = step;
-        const isStopping = this.dependencies.sessions.find(target)?.isStopping(task, run) === true;
         if (!isLongRunning) {
-            return [{ task, run, isLongRunning, hasCheckpoints, isDispensable: false, isRemovable: false, isStopping }];
+            const flags = { isDispensable: false, isRemovable: false, isStopping: false };
+            return [{ task, run, isLongRunning, hasCheckpoints, ...flags }];
         }
+        const isStopping = this.dependencies.sessions.find(target)?.isStopping(task, run) === true;
         const unavailable = this.listUnavailable(fleet, key);
         const tasksHere = fleet.targetLoads.get(target)?.stepCounts.get(parseStepKey(task)) ?? 1;
         const unavailableElsewhere = unavailable.filter(other => other.target !== target).length;
@@ -339,13 +348,13 @@
         if (requestedAtMs === undefined) {
             return false;
         }
+        const request = { requestedAtMs, nowMs: clock.readWall(), maintenanceMs };
+        // Most maintenance is long over, so that the target need not be searched.
+        if (!isVmDown({ ...request, incarnation: 0 })) {
+            return false;
+        }
         const target = [...leadership.readFleet().targets.values()].find(record => record.vm === vm);
-        return isVmDown({
-            requestedAtMs,
-            nowMs: clock.readWall(),
-            maintenanceMs,
-            incarnation: target?.incarnation ?? 0,
-        });
+        return isVmDown({ ...request, incarnation: target?.incarnation ?? 0 });
     }
 }
 
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -8,6 +8,7 @@
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
 import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
+import { zeroResources } from "@daisylock/core/resources/zero-resources.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -45,6 +46,13 @@
     readonly moveMs: number;
 }
 
+/** Load on the VMs of a pool that take no start, thousandths of a core. */
+interface CordonedLoad {
+    readonly capacity: number;
+    /** Part in use by tasks that end there. */
+    readonly usedShortRunning: number;
+}
+
 /** A VM that is being moved to a pool. */
 interface MovingVm {
     readonly to: string;
@@ -140,15 +148,17 @@
         const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
         const index = new VmCapacityIndex(fleet.targets.values());
         const homeCapacities = computeHomeCapacities(fleet, index);
+        const cordonedLoads = this.computeCordonedLoads(fleet);
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
             const load = loads.get(name);
-            const cordoned = this.computeCordonedLoad(fleet, name);
+            const cordoned = cordonedLoads.get(name);
             const incoming = [...this.movingVms.values()].filter(({ to }) => to === name);
             return {
                 name,
                 isSpare,
-                capacity: (load?.capacity ?? 0) - cordoned.capacity + incoming.reduce((sum, { cpu }) => sum + cpu, 0),
-                used: (load?.used ?? 0) - cordoned.usedShortRunning,
+                capacity: (load?.capacity ?? 0) - (cordoned?.capacity ?? 0)
+                    + incoming.reduce((sum, { cpu }) => sum + cpu, 0),
+                used: (load?.used ?? 0) - (cordoned?.usedShortRunning ?? 0),
                 usedLongRunning: load?.usedLongRunning ?? 0,
                 wanted: load?.wanted ?? 0,
                 homeCapacity: homeCapacities.get(name) ?? 0,
@@ -158,23 +168,23 @@
     }
 
     /**
-     * Computes the part of a pool's load that is on VMs in maintenance or being drained for it. Their capacity takes no
+     * Computes the part of each pool's load that is on VMs in maintenance or being drained for it. Their capacity takes no
      * start. Their long-running tasks still need room in the pool; the others end there.
      */
-    private computeCordonedLoad(
-        fleet: FleetState,
-        pool: string,
-    ): { readonly capacity: number; readonly usedShortRunning: number } {
-        let capacity = 0;
-        let usedShortRunning = 0;
-        for (const target of fleet.targets.values()) {
-            if (target.pool === pool && target.vm !== "" && this.dependencies.isInMaintenance(target.vm)) {
-                const load = fleet.targetLoads.get(target.id);
-                capacity += target.capacity.cpu;
-                usedShortRunning += (load?.used.cpu ?? 0) - (load?.servingCpu ?? 0);
+    private computeCordonedLoads(fleet: FleetState): ReadonlyMap<string, CordonedLoad> {
+        const loads = new Map<string, CordonedLoad>();
+        for (const { id, pool, vm, capacity } of fleet.targets.values()) {
+            if (vm === "" || !this.dependencies.isInMaintenance(vm)) {
+                continue;
             }
+            const { used, servingCpu } = fleet.targetLoads.get(id) ?? { used: zeroResources, servingCpu: 0 };
+            const sum = loads.get(pool) ?? { capacity: 0, usedShortRunning: 0 };
+            loads.set(pool, {
+                capacity: sum.capacity + capacity.cpu,
+                usedShortRunning: sum.usedShortRunning + used.cpu - servingCpu,
+            });
         }
-        return { capacity, usedShortRunning };
+        return loads;
     }
 
     private listIdleVms(fleet: FleetState, pool: string): PoolStatus["idleVms"] {
