--- a/packages/daemon/src/job-scheduler/settings/fleet-settings-schema.ts
+++ b/packages/daemon/src/job-scheduler/settings/fleet-settings-schema.ts
@@ -1,13 +1,14 @@
+import { addressSchema } from "@daisylock/protocol/address/address-schema.js";
 import * as v from "valibot";
 
 import { Role } from "../../settings/role.js";
 
-const address = v.pipe(
-    v.string(),
-    v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "expected an IP address and a port"),
-);
-const optionalAddress = v.optional(v.union([v.literal(""), address]), "");
-const count = (fallback: number) => v.optional(v.pipe(v.number(), v.integer(), v.minValue(1)), fallback);
+const maxPort = 65_535;
+const optionalAddress = v.optional(v.union([v.literal(""), addressSchema]), "");
+/** Largest delay of a timer, milliseconds; a longer one would end at once. */
+const maxDelayMs = 2 ** 31 - 1;
+const count = (fallback: number) =>
+    v.optional(v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(maxDelayMs)), fallback);
 const milliseconds = count;
 
 /** Schema of the settings file of a job-scheduler process. */
@@ -33,9 +34,9 @@
     }),
     cluster: v.strictObject({
         /** Addresses of some keepers of the cluster, from which the other keepers are discovered. */
-        seeds: v.pipe(v.array(address), v.minLength(1)),
+        seeds: v.pipe(v.array(addressSchema), v.minLength(1)),
         /** Port of the keepers' listeners for other processes. */
-        peer_port: v.pipe(v.number(), v.integer(), v.minValue(1)),
+        peer_port: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(maxPort)),
         /** Whether the seeds bootstrap a new cluster. */
         found: v.boolean(),
         /** Number n of voters that may fail at the same time; the cluster has 2 n + 1 voters. */
--- a/packages/daemon/src/job-scheduler/settings/load-fleet-settings.test.ts
+++ b/packages/daemon/src/job-scheduler/settings/load-fleet-settings.test.ts
@@ -43,6 +43,17 @@
     it.each([
         ["an unknown key", `${entrySettings}\n[tasks]\nmax_leese_ms = 1\n`, "max_leese_ms"],
         ["a seed that is not an address", entrySettings.replace("10.0.0.2:90", "nowhere"), "cluster.seeds"],
+        ["a seed with a port out of range", entrySettings.replace("10.0.0.2:90", "10.0.0.2:99999"), "cluster.seeds"],
+        [
+            "a listener with an octet out of range",
+            entrySettings.replace("10.0.0.1:80", "10.0.0.999:80"),
+            "listen.callers",
+        ],
+        ["a port of the peers out of range", entrySettings.replace("7000", "70000"), "cluster.peer_port"],
+        ["a time beyond the range of timers", `${entrySettings}\n[limits]\nstop_ms = 3000000000\n`, "limits.stop_ms"],
+        ["an empty file", "", "node"],
+        ["a file that is cut short", entrySettings.slice(0, 60), ""],
+        ["a section of another type", entrySettings.replace("[node]\n", "node = [1]\n[other]\n"), "node"],
         ["a role without a setting that it requires", entrySettings.replace("\"entry\"", "\"keeper\""), "node.data"],
         ["a file that is not valid TOML", "[node", "line 1"],
     ])("rejects %s and names the file and the key", (_, content, expected) => {
--- a/packages/daemon/src/settings/settings-schema.ts
+++ b/packages/daemon/src/settings/settings-schema.ts
@@ -1,14 +1,11 @@
 import { QueuePolicy } from "@daisylock/core/admission/queue-policy.js";
 import { TargetPolicy } from "@daisylock/core/admission/target-policy.js";
+import { addressSchema } from "@daisylock/protocol/address/address-schema.js";
 import * as v from "valibot";
 
 import { Role } from "./role.js";
 
 const minSecretLength = 16;
-const address = v.pipe(
-    v.string(),
-    v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "expected an IP address and a port"),
-);
 const name = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9-]{0,40}$/, "expected lower case letters, digits, -"));
 const secret = v.pipe(v.string(), v.minLength(minSecretLength, `expected at least ${minSecretLength} characters`));
 const milliseconds = (defaultValue: number) => v.optional(v.pipe(v.number(), v.integer(), v.minValue(1)), defaultValue);
@@ -25,10 +22,10 @@
     }),
     listen: v.strictObject({
         /** Listener for client requests; required, like `targets`, for the role entry. */
-        callers: v.optional(address),
-        targets: v.optional(address),
-        operators: address,
-        peers: address,
+        callers: v.optional(addressSchema),
+        targets: v.optional(addressSchema),
+        operators: addressSchema,
+        peers: addressSchema,
     }),
     cluster: v.strictObject({
         /** Shared secret by which the processes of the cluster authenticate each other. */
@@ -36,11 +33,11 @@
         operator_token: secret,
         target_token: secret,
         /** Peer addresses of the keepers. */
-        keepers: v.pipe(v.array(address), v.minLength(1)),
+        keepers: v.pipe(v.array(addressSchema), v.minLength(1)),
         /** Peer addresses of the entries, which relay calls for each other. */
-        entries: v.optional(v.array(address), []),
+        entries: v.optional(v.array(addressSchema), []),
         /** Maps a peer address to the address to dial in its place, for zones connected by address translation. */
-        dial: v.optional(v.record(address, address), {}),
+        dial: v.optional(v.record(addressSchema, addressSchema), {}),
     }),
     policy: v.optional(
         v.strictObject({
@@ -97,7 +94,7 @@
         {},
     ),
     /** API of the platform that reboots VMs. Without it, reboot waves wait after draining a VM. */
-    platform: v.optional(v.strictObject({ address, token: secret })),
+    platform: v.optional(v.strictObject({ address: addressSchema, token: secret })),
     maintenance: v.optional(
         v.strictObject({
             /** Time limit for a VM to become ready again after its reboot. */
@@ -107,5 +104,5 @@
         }),
         {},
     ),
-    metrics: v.optional(v.strictObject({ statsd: v.optional(address) }), {}),
+    metrics: v.optional(v.strictObject({ statsd: v.optional(addressSchema) }), {}),
 });
--- a/packages/protocol/src/target/announcement-schema.ts
+++ b/packages/protocol/src/target/announcement-schema.ts
@@ -1,11 +1,13 @@
 import * as v from "valibot";
 
+import { addressSchema } from "../address/address-schema.js";
+
 const maxRunning = 1_024;
 
 /** Schema of the announcement by which a target registers and reports its state. */
 export const announcementSchema = v.strictObject({
     /** IP address and port at which the target accepts requests. */
-    address: v.pipe(v.string(), v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i)),
+    address: addressSchema,
     /** Increases with each start of the target. Announcements with a lower number than the latest are outdated. */
     incarnation: v.pipe(v.number(), v.integer(), v.minValue(1)),
     /** Number of requests that the target can run at the same time. */
