Refuse heartbeats, leaves and relayed requests that name an unusable target

Cause: a heartbeat was checked by the shape of its fields only. An address with a port or an octet out of range was recorded, and dialing it threw in every keeper that led. An id with a character that a header cannot carry fails in the same place, as each request to the target names the id in a header.

--- a/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
@@ -104,6 +104,28 @@
         expect(effects).toHaveLength(1);
     });
 
+    it.each([
+        ["a target's address", "report", { ...report, record: { ...report.record, address: "127.0.0.9:99999" } }],
+        ["a target's id", "report", { ...report, record: { ...report.record, id: "i-\n" } }],
+        ["a target's incarnation", "report", { ...report, record: { ...report.record, incarnation: 1e300 } }],
+        ["the number of a heartbeat", "report", { ...report, sequence: 1e300 }],
+        ["the address of a joining keeper", "join", { id: "k9", address: "127.0.0.9:99999" }],
+    ])("do not pass on %s that cannot be used", async (_, name, request) => {
+        const { handler, effects } = createFixture();
+        const { status } = await handler.handleRequest(`${peerPaths.call}${name}`, encode(request));
+        expect([status, effects]).toEqual([400, []]);
+    });
+
+    it.each([
+        { id: "t1", address: "127.0.0.9:99999" },
+        { id: "i-\n", address: "127.0.0.9:80" },
+    ])("do not send a request to the target %j, which cannot be reached", async target => {
+        const { handler, effects } = createFixture();
+        const body = { target, sentAtMs: Date.now(), request: { fencingToken: 1 } };
+        const { status } = await handler.handleRequest(`${peerPaths.relay}${TargetRequestKind.Stop}`, encode(body));
+        expect([status, effects]).toEqual([400, []]);
+    });
+
     // A malformed job that was committed would stop every keeper that applies it, and again after each restart.
     it("do not pass a job on whose steps cannot be applied", async () => {
         const { handler, effects } = createFixture();
--- a/packages/protocol/src/fleet/leader-call-schemas.ts
+++ b/packages/protocol/src/fleet/leader-call-schemas.ts
@@ -1,6 +1,8 @@
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import * as v from "valibot";
 
+import { addressSchema } from "../address/address-schema.js";
+import { targetIdSchema } from "../target/target-id-schema.js";
 import { JobAction } from "./job-action.js";
 import type { LeaderCalls } from "./leader-calls.js";
 
@@ -8,7 +10,7 @@
 const maxNameLength = 4_096;
 
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
-const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const amount = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 /**
  * A number whose range the leader checks itself, so that whoever sent it is told the fault. JSON has no infinite numbers:
  * one that was too large to be decoded arrives as null.
@@ -72,10 +74,10 @@
 });
 
 const targetRecord = v.object({
-    id: name,
+    id: targetIdSchema,
     incarnation: amount,
     pool: name,
-    address: name,
+    address: addressSchema,
     zone: name,
     vm: name,
     rack: name,
@@ -101,15 +103,15 @@
     readConfiguration: empty,
     report: v.object({
         record: targetRecord,
-        sequence: v.pipe(v.number(), v.finite()),
+        sequence: amount,
         clockMs: v.optional(v.pipe(v.number(), v.finite())),
         remainingMs: v.optional(v.pipe(v.number(), v.finite())),
     }),
-    leave: v.object({ id: name, incarnation: v.optional(v.pipe(v.number(), v.finite())) }),
+    leave: v.object({ id: name, incarnation: v.optional(amount) }),
     startUpkeep: v.object({ number: unchecked, vms: v.array(v.string()), deadlineS: unchecked, cap: unchecked }),
     readUpkeep: v.object({ number: unchecked }),
     ping: empty,
     findLeader: empty,
-    join: v.object({ id: name, address: name }),
+    join: v.object({ id: name, address: addressSchema }),
     depart: v.object({ id: name }),
 };
