Refuse configurations that cannot be read in full or obeyed

Cause: only the fields in use were checked, and those by their shape. `limits` of `[0]` or of a text, a negative weight, an infinite stretch, a cap of 1e300 and a list in place of an object were acknowledged; a number too large for a double was read back as null, and a deeply nested field could be parsed but not written again.

A configuration that an earlier release acknowledged is acknowledged again.

--- a/packages/core/src/configuration/configuration-fault-kind.ts
+++ b/packages/core/src/configuration/configuration-fault-kind.ts
@@ -5,5 +5,6 @@
     ZeroTimeout = "timeout-is-zero",
     DuplicateKey = "key-of-two-accounts",
     DuplicateName = "name-used-twice",
+    NumberOutOfRange = "number-out-of-range",
     InvalidVersion = "version-is-no-positive-whole-number",
 }
--- a/packages/core/src/configuration/configuration.test.ts
+++ b/packages/core/src/configuration/configuration.test.ts
@@ -67,6 +67,39 @@
         });
     });
 
+    // An entry of another release passes numbers on as they are; one that is too large for a double arrives as null.
+    describe("numbers", () => {
+        const [queue] = buildConfiguration().queues;
+        const [account] = buildConfiguration().accounts;
+
+        it.each<[string, object]>([
+            ["a negative priority", { priority: -1 }],
+            ["a fractional number of attempts", { maxAttempts: 1.5 }],
+            ["a negative stretch", { stretch: -1 }],
+            ["no stretch", { stretch: null }],
+            ["an infinite stretch", { stretch: Infinity }],
+            ["a latency beyond the safe integers", { objectiveMs: 2 ** 53 }],
+            ["a time-out beyond the safe integers", { timeoutMs: 1e300 }],
+            ["no time-out", { timeoutMs: null }],
+            ["advice of a negative duration", { advice: { decideMs: -1, perTargetMs: 0, validityMs: 0 } }],
+            ["advice without a duration", { advice: { decideMs: 1, perTargetMs: null, validityMs: 0 } }],
+        ])("refuses a queue with %s", (_, fields) => {
+            const queues = [{ ...queue, ...fields }] as FleetConfiguration["queues"];
+            expect(validateConfiguration(buildConfiguration({ queues }))).not.toEqual([]);
+        });
+
+        it.each<[string, object]>([
+            ["a negative weight", { weight: -1 }],
+            ["no weight", { weight: null }],
+            ["a negative cap", { cap: { cpu: -1, memory: 0, gpu: 0 } }],
+            ["a cap beyond the safe integers", { cap: { cpu: 0, memory: 1e300, gpu: 0 } }],
+        ])("refuses an account with %s", (_, fields) => {
+            const accounts = [{ ...account, ...fields }] as FleetConfiguration["accounts"];
+            expect(validateConfiguration(buildConfiguration({ accounts })).map(({ kind }) => kind))
+                .toEqual([ConfigurationFaultKind.NumberOutOfRange]);
+        });
+    });
+
     describe("queues", () => {
         it("selects the longest matching path prefix of the host", () => {
             const valid = buildConfiguration();
--- a/packages/core/src/configuration/validate-configuration.ts
+++ b/packages/core/src/configuration/validate-configuration.ts
@@ -13,6 +13,7 @@
         ...checkQueues(configuration),
         ...checkNames(configuration),
         ...checkKeys(configuration),
+        ...checkNumbers(configuration),
     ];
 }
 
@@ -41,6 +42,25 @@
     return errors;
 }
 
+function checkNumbers({ queues, accounts }: FleetConfiguration): ConfigurationFault[] {
+    const outOfRange = [
+        ...queues.filter(({ priority, maxAttempts, objectiveMs, timeoutMs, stretch, advice }) =>
+            ![priority, maxAttempts, objectiveMs, timeoutMs].every(isCount)
+            || ![stretch, ...Object.values(advice ?? {}) as number[]].every(isAmount)
+        ),
+        ...accounts.filter(({ weight, cap }) => !isAmount(weight) || ![cap.cpu, cap.memory, cap.gpu].every(isCount)),
+    ];
+    return outOfRange.map(({ name }) => ({ kind: ConfigurationFaultKind.NumberOutOfRange, subject: name }));
+}
+
+function isCount(value: number): boolean {
+    return Number.isSafeInteger(value) && value >= 0;
+}
+
+function isAmount(value: number): boolean {
+    return Number.isFinite(value) && value >= 0;
+}
+
 function checkNames({ queues, pools, accounts }: FleetConfiguration): ConfigurationFault[] {
     return [queues, pools, accounts].flatMap(list => {
         const names = list.map(item => item.name);
--- a/packages/daemon/src/job-scheduler/leader/configuration-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/configuration-handler.ts
@@ -23,7 +23,8 @@
      * @returns the outcome and the validation errors, or a not-leader reply
      */
     async handlePut(configuration: FleetConfiguration): Promise<LeaderReply<ConfigurationReply>> {
-        const faults = validateConfiguration(configuration);
+        // What was acknowledged is acknowledged again, even if an earlier release with fewer checks did so first.
+        const faults = this.isStored(configuration) ? [] : validateConfiguration(configuration);
         if (faults.length > 0) {
             const reasons = faults.map(({ kind, subject }) => `${kind}: ${subject}`).join("; ");
             this.log.record(DecisionKind.ConfigurationRefused, { version: configuration.version, reasons });
@@ -43,6 +44,11 @@
         return { isLeader: true, value: { outcome: reply.value, faults: [] } };
     }
 
+    private isStored({ version, source }: FleetConfiguration): boolean {
+        const stored = this.leadership.readFleet().configuration;
+        return stored?.version === version && stored.source === source;
+    }
+
     /**
      * Reads the latest configuration after confirming that this process still leads.
      * @returns the document as the operator sent it, or a not-leader reply
