Refuse jobs and waves whose numbers cannot be used

Cause: an estimate or a bound of response times of 1e300, needs whose sums are not exact and a last occurrence beyond all times were accepted; a wave with a deadline of 1e300 was stored with an infinite one, which is null once it is written. The leader left the numbers of a wave that another process passes on unchecked.

Change: numbers of jobs and waves have ranges, checked by the decoder and by the leader.

--- a/packages/core/src/jobs/validate-job.ts
+++ b/packages/core/src/jobs/validate-job.ts
@@ -6,6 +6,10 @@
 const maxSpecBytes = 4_000;
 /** Maximum number of tasks of a job over all steps and occurrences; limits the memory of a job to about 1 MB. */
 const maxTasks = 20_000;
+/** Largest need of a task for one resource; sums over all tasks stay exact. */
+const maxNeed = 1e12;
+/** Largest time or duration, milliseconds; sums of times stay exact. */
+const maxTimeMs = 1e15;
 
 /**
  * Validates a job request, regardless of the current load.
@@ -24,7 +28,10 @@
     if (taskCount > maxTasks) {
         errors.add(JobFault.TooManyTasks);
     }
-    if ([job.times, job.startAtMs, job.intervalMs].some(value => !isNonNegativeInteger(value))) {
+    const lastDueMs = job.startAtMs + job.times * job.intervalMs;
+    if (
+        [job.times, job.startAtMs, job.intervalMs].some(value => !isNonNegativeInteger(value)) || lastDueMs > maxTimeMs
+    ) {
         errors.add(JobFault.NumberOutOfRange);
     }
     job.steps.forEach((step, position) => {
@@ -45,6 +52,7 @@
 function isStepValid(step: JobStep): boolean {
     const { cpu, memory, gpu } = step.needs;
     return isNonNegativeInteger(step.count) && step.count > 0
-        && [cpu, memory, gpu, step.maxPerTarget].every(isNonNegativeInteger)
-        && Number.isFinite(step.estimateMs) && step.estimateMs >= 0;
+        && [cpu, memory, gpu].every(need => isNonNegativeInteger(need) && need <= maxNeed)
+        && [step.maxPerTarget, step.tailBoundMs, step.mayMiss ?? 0].every(isNonNegativeInteger)
+        && Number.isFinite(step.estimateMs) && step.estimateMs >= 0 && step.estimateMs <= maxTimeMs;
 }
--- a/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-request-handler.test.ts
@@ -109,6 +109,9 @@
         ["a target's id", "report", { ...report, record: { ...report.record, id: "i-\n" } }],
         ["a target's incarnation", "report", { ...report, record: { ...report.record, incarnation: 1e300 } }],
         ["the number of a heartbeat", "report", { ...report, sequence: 1e300 }],
+        ["the number of a wave", "startUpkeep", { number: null, vms: [], deadlineS: 5, cap: 1 }],
+        ["the deadline of a wave", "startUpkeep", { number: 1, vms: [], deadlineS: 1e300, cap: 1 }],
+        ["the cap of a wave", "startUpkeep", { number: 1, vms: [], deadlineS: 5, cap: 0 }],
         ["the address of a joining keeper", "join", { id: "k9", address: "127.0.0.9:99999" }],
     ])("do not pass on %s that cannot be used", async (_, name, request) => {
         const { handler, effects } = createFixture();
--- a/packages/protocol/src/fleet/leader-call-schemas.ts
+++ b/packages/protocol/src/fleet/leader-call-schemas.ts
@@ -9,6 +9,9 @@
 /** Longest name, id or address in a heartbeat, characters. */
 const maxNameLength = 4_096;
 
+/** Longest time limit of a wave, seconds; sums with the time of day stay exact in milliseconds. */
+const maxDeadlineS = 1e12;
+
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const amount = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 /**
@@ -108,8 +111,13 @@
         remainingMs: v.optional(v.pipe(v.number(), v.finite())),
     }),
     leave: v.object({ id: name, incarnation: v.optional(amount) }),
-    startUpkeep: v.object({ number: unchecked, vms: v.array(v.string()), deadlineS: unchecked, cap: unchecked }),
-    readUpkeep: v.object({ number: unchecked }),
+    startUpkeep: v.object({
+        number: amount,
+        vms: v.array(v.string()),
+        deadlineS: v.pipe(v.number(), v.minValue(0), v.maxValue(maxDeadlineS)),
+        cap: v.pipe(amount, v.minValue(1)),
+    }),
+    readUpkeep: v.object({ number: amount }),
     ping: empty,
     findLeader: empty,
     join: v.object({ id: name, address: addressSchema }),
