--- a/packages/daemon/src/job-scheduler/relay/relayed-response-schemas.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-response-schemas.ts
@@ -4,21 +4,26 @@
 import { TargetRequestKind } from "../targets/target-request-kind.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
 
+const whole = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const finite = v.pipe(v.number(), v.finite());
+/** Largest number of ended runs in one response; a target lists 500 at a time. */
+const maxEndedRuns = 5_000;
+
 const response = v.object({
     result: v.enum(TargetRequestResult),
-    clockMs: v.optional(v.pipe(v.number(), v.finite())),
+    clockMs: v.optional(v.pipe(finite, v.minValue(0), v.maxValue(Number.MAX_SAFE_INTEGER))),
 });
 const runningTask = v.object({
     task: v.string(),
-    run: v.number(),
+    run: whole,
     saved: v.string(),
-    percent: v.number(),
-    load: v.number(),
+    percent: finite,
+    load: finite,
 });
 const endedRun = v.object({
-    number: v.number(),
+    number: whole,
     task: v.string(),
-    run: v.number(),
+    run: whole,
     how: v.enum(RunOutcome),
     saved: v.string(),
 });
@@ -31,9 +36,9 @@
     [TargetRequestKind.Check]: response,
     [TargetRequestKind.Renew]: v.object({
         ...response.entries,
-        incarnation: v.optional(v.pipe(v.number(), v.finite())),
+        incarnation: v.optional(whole),
         running: v.array(runningTask),
-        ended: v.array(endedRun),
+        ended: v.pipe(v.array(endedRun), v.maxLength(maxEndedRuns)),
         /** Absent in responses of relays of earlier versions. */
         areAllEndsListed: v.optional(v.boolean()),
     }),
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -2,6 +2,7 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { describe, expect, it } from "@jest/globals";
 import Result from "true-myth/result";
+import * as v from "valibot";
 
 import { CallFailureKind } from "../../http-client/call-failure-kind.js";
 import type { HttpCall } from "../../http-client/http-call.js";
@@ -12,6 +13,7 @@
 import { TargetRequestSender } from "../targets/target-request-sender.js";
 import type { TargetResponse } from "../targets/target-response.js";
 import { ManualClock } from "../testing/manual-clock.js";
+import { relayedResponseSchemas } from "./relayed-response-schemas.js";
 import { RelayedTargetClient } from "./relayed-target-client.js";
 import { TargetRequestRelay } from "./target-request-relay.js";
 
@@ -106,6 +108,19 @@
         },
     );
 
+    it.each([
+        ["a negative clock", { clockMs: -1 }],
+        ["a clock beyond all times", { clockMs: 1e300 }],
+        ["an end without a number", { ended: [{ number: null, task: "a", run: 1, how: "done", saved: "" }] }],
+        ["a run that is a fraction", { running: [{ task: "a", run: 0.5, saved: "", percent: 1, load: 0 }] }],
+        ["an incarnation beyond all times", { incarnation: 1e300 }],
+    ])("does not believe a relay that returns %s", (_, fields) => {
+        const reply = { result: TargetRequestResult.Done, running: [], ended: [] };
+        const schema = relayedResponseSchemas[TargetRequestKind.Renew];
+        expect(v.is(schema, reply)).toBe(true);
+        expect(v.is(schema, { ...reply, ...fields })).toBe(false);
+    });
+
     it("sends a request itself when the relay fails, with the same run number", async () => {
         const { own, client, failures, state, lines } = createFixture();
         state.isDown = true;
