One line tells why a process ends by itself; what a start has loaded; memory

Memory and what a start had loaded stood nowhere.

Change: process-failed (reason, component, error, first frames, uptime, resident memory, exit code), written synchronously and once by ProcessFailureReporter on a descriptor of its own that does not block; pending lines go first. log-loaded; residentBytes in leader-load; metrics of memory and start time. No logic changes.

--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -15,6 +15,8 @@
     readonly longestRoundMs: number;
     /** Requests that were sent to and received from other processes. */
     readonly requests: number;
+    /** Resident memory of the process at the end of the interval. */
+    readonly residentBytes: number;
 }
 
 /** Measures what a process spends its time on, from one reading to the next. */
@@ -55,6 +57,7 @@
             roundMs: Math.round(this.roundMs),
             longestRoundMs: Math.round(this.longestRoundMs),
             requests: this.requests,
+            residentBytes: process.memoryUsage.rss(),
         };
         this.cpu = process.cpuUsage();
         this.utilization = performance.eventLoopUtilization();
--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -2,6 +2,10 @@
 export enum DecisionKind {
     ProcessStarted = "process-started",
     ProcessStopping = "process-stopping",
+    /** The process ends by itself. */
+    ProcessFailed = "process-failed",
+    /** A keeper has loaded its replicated log. */
+    LogLoaded = "log-loaded",
     SettingsReloaded = "settings-reloaded",
     SettingsRefused = "settings-refused",
     /** An event of the supervisor tree or the replicated log. */
--- a/packages/daemon/src/job-scheduler/logging/decision-log.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.ts
@@ -104,6 +104,14 @@
         this.logger.info(kind, fields);
     }
 
+    /**
+     * Takes the lines that wait to be written, for a process that is about to end.
+     * @returns the lines without their ends
+     */
+    takePendingLines(): string[] {
+        return this.batcher.takePendingLines();
+    }
+
     private isWithinRate(kind: DecisionKind, fields: Fields, now: number): boolean {
         const job = findJob(fields);
         if (job !== undefined && !this.sampler.isLineKept(job, now)) {
--- a/packages/daemon/src/job-scheduler/logging/line-batcher.ts
+++ b/packages/daemon/src/job-scheduler/logging/line-batcher.ts
@@ -40,6 +40,17 @@
         return this.output.writableLength + this.bytes;
     }
 
+    /**
+     * Takes the lines that wait for the next write, which then leaves them out.
+     * @returns the lines without their ends
+     */
+    takePendingLines(): string[] {
+        const lines = this.lines.map(text => text.slice(0, -1));
+        this.lines = [];
+        this.bytes = 0;
+        return lines;
+    }
+
     private writeBatch(): void {
         if (this.lines.length > 0) {
             this.output.write(this.lines.join(""));
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
@@ -8,7 +8,10 @@
 
 /** Leaves out the metrics that change between two readings without an event. */
 function dropProcessMetrics(text: string): string {
-    return text.replace(/^daisylock_(cpu_seconds_total|event_loop_busy_ratio) .*$/gm, "");
+    return text.replace(
+        /^daisylock_(cpu_seconds_total|event_loop_busy_ratio|resident_memory_bytes|heap_used_bytes) .*$/gm,
+        "",
+    );
 }
 
 describe("FleetMetrics", () => {
@@ -29,6 +32,14 @@
         expect(text).toContain("daisylock_log_sync_seconds_count 1");
     });
 
+    it("shows the memory and the start of the process", async () => {
+        const text = await new FleetMetrics().describeAll();
+        expect(Number(/^daisylock_resident_memory_bytes (\S+)$/m.exec(text)?.[1])).toBeGreaterThan(1_000_000);
+        expect(Number(/^daisylock_heap_used_bytes (\S+)$/m.exec(text)?.[1])).toBeGreaterThan(1_000_000);
+        const startedAtS = Number(/^daisylock_start_time_seconds (\S+)$/m.exec(text)?.[1]);
+        expect(Math.abs(Date.now() / 1_000 - process.uptime() - startedAtS)).toBeLessThan(2);
+    });
+
     it("does not count an unknown duration as zero", async () => {
         const metrics = new FleetMetrics();
         metrics.noteDecision(DecisionKind.TaskPlaced, { task: "a.0.0.0", waitMs: undefined });
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -228,6 +228,24 @@
                 this.inc((user + system) / microsecondsPerSecond);
             },
         });
+        new Gauge({
+            name: FleetMetricName.ResidentMemory,
+            help: "Resident memory of the process",
+            registers,
+            collect() {
+                this.set(process.memoryUsage.rss());
+            },
+        });
+        new Gauge({
+            name: FleetMetricName.HeapUsed,
+            help: "Heap in use",
+            registers,
+            collect() {
+                this.set(process.memoryUsage().heapUsed);
+            },
+        });
+        new Gauge({ name: FleetMetricName.StartTime, help: "Start of the process, seconds since 1970", registers })
+            .set(Math.round(performance.timeOrigin / msPerSecond));
         let utilization = performance.eventLoopUtilization();
         new Gauge({
             name: FleetMetricName.LoopBusy,
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -151,6 +151,14 @@
         await this.memberManager?.releaseVote();
     }
 
+    /**
+     * Takes the log lines that wait to be written, for a process that is about to end.
+     * @returns the lines without their ends
+     */
+    takePendingLines(): string[] {
+        return this.log.takePendingLines();
+    }
+
     /** Checks the settings file at once instead of at the next periodic check. */
     updateSettings(): void {
         this.settingsWatcher.startRound();
@@ -205,6 +213,7 @@
                 sender.sendMessages(address, messages);
             },
             handleApplied: () => leader.startScheduling(),
+            handleLoaded: loaded => this.log.record(DecisionKind.LogLoaded, { ...loaded }),
         });
         this.keeper = keeper;
         const targetSender = new TargetRequestSender(this.adapter.createTargetClient(), noteSent);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,12 +4,15 @@
 
 import { SystemClock } from "./clock/system-clock.js";
 import { createLogger } from "./logging/create-logger.js";
+import { ProcessFailureReason } from "./process-failure/process-failure-reason.js";
+import { ProcessFailureReporter } from "./process-failure/process-failure-reporter.js";
 import { ProxyDaemon } from "./request-proxy/proxy-daemon.js";
 import { loadSettings } from "./settings/load-settings.js";
+import type { SettingsFailure } from "./settings/settings-failure.js";
 import type { Settings } from "./settings/settings.js";
 
-const exitFailure = 1;
 const exitUsage = 2;
+const standardErrorFd = 2;
 
 /** Events of individual requests, which are logged at debug level because of their volume. */
 const requestEventKinds: ReadonlySet<EventKind> = new Set([
@@ -21,15 +24,21 @@
     EventKind.RequestUnknown,
 ]);
 
-function readSettings(file: string): Settings {
+/** Prints the faults of the settings, and ends the process if there are any. */
+function readSettings(file: string, exit: (failure: SettingsFailure) => never): Settings {
     return loadSettings(file).unwrapOrElse(failure => {
         process.stderr.write(`${failure.message}\n`);
-        process.exit(exitUsage);
+        return exit(failure);
     });
 }
 
 async function runDaemon(file: string): Promise<void> {
-    const settings = readSettings(file);
+    const log = { fd: standardErrorFd, process: "", takePendingLines: () => [] };
+    const failures = new ProcessFailureReporter(log);
+    failures.start();
+    const { SettingsUnusable, ComponentFailed } = ProcessFailureReason;
+    const settings = readSettings(file, failure => failures.reportAndExit(SettingsUnusable, failure));
+    failures.setLog({ ...log, process: settings.node.name });
     const logger = createLogger(settings.node.name, settings.log.level);
     const daemon = new ProxyDaemon(settings, new SystemClock());
     daemon.events.addListener(({ kind, time, process: name, ...fields }) => {
@@ -47,8 +56,7 @@
         process.exit(0);
     }
     catch (error) {
-        logger.error("daemon stopped after an unrecoverable error", { error: String(error) });
-        process.exit(exitFailure);
+        failures.reportAndExit(ComponentFailed, error);
     }
 }
 
@@ -60,7 +68,7 @@
     .scriptName("daisylockd")
     .command(["run", "$0"], "Run the daemon", settingsOption, ({ settings }) => runDaemon(settings))
     .command("check", "Validate a settings file without starting the daemon", settingsOption, ({ settings }) => {
-        readSettings(settings);
+        readSettings(settings, () => process.exit(exitUsage));
         process.stdout.write(`${settings}: good\n`);
     })
     .example("$0 run --settings examples/single.toml", "run the daemon with a settings file")
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -70,6 +70,18 @@
     readonly deadline: number;
 }
 
+/** What a keeper has loaded at its start. */
+interface LoadedLog {
+    /** Log entries after the snapshot. */
+    readonly entries: number;
+    /** Position of the last entry in the snapshot; 0 without one. */
+    readonly snapshotIndex: number;
+    /** Size of the snapshot. */
+    readonly snapshotBytes: number;
+    /** Duration of reading and decoding, milliseconds. */
+    readonly tookMs: number;
+}
+
 /** Dependencies of a keeper. */
 interface KeeperDependencies {
     readonly storage: KeeperStorage;
@@ -84,6 +96,8 @@
     readonly send: (address: string, messages: readonly RaftMessage[]) => void;
     /** Called after each batch that changed the replicated state. */
     readonly handleApplied?: () => void;
+    /** Called once the stored log is loaded. */
+    readonly handleLoaded?: (loaded: LoadedLog) => void;
 }
 
 /** Runs the replicated log of one keeper: handles events in batches, writes to disk, sends messages, then applies. */
@@ -269,11 +283,19 @@
     }
 
     private *loadRaft(): Generator<unknown, RaftState, unknown> {
-        const { storage, timing, random, clock } = this.dependencies;
+        const { storage, timing, random, clock, handleLoaded } = this.dependencies;
+        const startedAt = clock.readMonotonic();
         const storedState = yield* waitFor(storage.load());
-        if (storedState.snapshot.data !== "") {
-            this.control = decodeControlState(storedState.snapshot.data);
+        const { snapshot, entries } = storedState;
+        if (snapshot.data !== "") {
+            this.control = decodeControlState(snapshot.data);
         }
+        handleLoaded?.({
+            entries: entries.length,
+            snapshotIndex: snapshot.index,
+            snapshotBytes: Buffer.byteLength(snapshot.data),
+            tookMs: Math.round(clock.readMonotonic() - startedAt),
+        });
         return createRaftState({ ...storedState, timing, random, now: clock.readMonotonic() });
     }
 
