A call that can't be sent is a failure of the call, not the end of the process

Cause: node:http throws synchronously for a port out of range, a character in a path or a header that can't be sent. HttpClient.send rejected with that error where its callers expect a result; nobody handles the rejection of a session's loop, which ends the process. ChannelClient.send did the same for the address of a peer, and for a path over 255 bytes, and left the channel half open.

Change: both clients check the address (an IP address and a port from 1 to 65535; port 0 and missing ports were called on port 80, host names were looked up in the thread pool that also syncs the log) and return NotSent with the detail for whatever node throws.

--- a/packages/daemon/src/channel/channel-client.test.ts
+++ b/packages/daemon/src/channel/channel-client.test.ts
@@ -65,6 +65,26 @@
 });
 
 describe("ChannelClient", () => {
+    it.each(["127.0.0.1:99999", "127.0.0.1:0", "nowhere", ""])(
+        "fails as not sent for the address %j",
+        async address => {
+            const { send } = createClient();
+            const result = await send(address, "/a");
+            expect(result.isErr && result.error.kind).toBe(CallFailureKind.NotSent);
+            expect(result.isErr && result.error.detail).toContain("is not an IP address and port");
+        },
+    );
+
+    it("fails a request that can't be encoded, and serves the others on the connection", async () => {
+        const { address } = await startServer(echo);
+        const { send } = createClient();
+        const results = await Promise.all([send(address, "/a"), send(address, `/${"x".repeat(300)}`)]);
+        expect(results.map(result => result.isOk)).toEqual([true, false]);
+        const late = await send(address, `/${"x".repeat(300)}`);
+        expect(late.isErr && late.error.kind).toBe(CallFailureKind.NotSent);
+        expect((await send(address, "/b")).isOk).toBe(true);
+    });
+
     it("returns each response to its own request, also when they overtake each other, over one connection", async () => {
         const { address, connections } = await startServer(async (path, body) => {
             await new Promise(resolve => setTimeout(resolve, path === "/slow" ? 150 : 0));
--- a/packages/daemon/src/channel/channel-client.ts
+++ b/packages/daemon/src/channel/channel-client.ts
@@ -8,7 +8,7 @@
 import type { HttpCall } from "../http-client/http-call.js";
 import type { HttpClient } from "../http-client/http-client.js";
 import type { HttpResponse } from "../http-client/http-response.js";
-import { parseAddress } from "../settings/parse-address.js";
+import { parseCallableAddress } from "../settings/parse-callable-address.js";
 import { ChannelConnection } from "./channel-connection.js";
 import { channelProtocol } from "./channel-protocol.js";
 import { FrameKind } from "./frame-kind.js";
@@ -72,12 +72,16 @@
     constructor(private readonly http: Pick<HttpClient, "send" | "close">, private readonly clock: Clock) {}
 
     /**
-     * Sends a request and waits for its response.
+     * Sends a request and waits for its response. Never throws or rejects.
      * @param call - the request; method and headers do not apply to channels
      * @returns the response, or a failure that says whether the peer may have received the request
      */
     send(call: HttpCall): Promise<SendResult> {
         const { address, path, body = emptyBody, timeoutMs } = call;
+        if (parseCallableAddress(address) === undefined) {
+            const detail = `${JSON.stringify(address)} is not an IP address and port`;
+            return Promise.resolve(buildFailure(false, detail, false));
+        }
         if ((this.withoutChannelUntil.get(address) ?? 0) > this.clock.readMonotonic()) {
             return this.http.send(call);
         }
@@ -119,11 +123,9 @@
             waiting: [],
         };
         this.channels.set(address, channel);
-        const { host, port } = parseAddress(address);
         const upgrade = request({
             agent: this.agent,
-            host,
-            port,
+            ...parseCallableAddress(address),
             headers: { connection: "upgrade", upgrade: channelProtocol },
         });
         const fail = (detail: string, isTimeout = false): void => {
@@ -169,7 +171,10 @@
         this.channels.delete(channel.address);
         for (const { call, resolve, stopTimer } of channel.openRequests.values()) {
             stopTimer();
-            void this.http.send(call).then(resolve);
+            this.http.send(call).then(
+                resolve,
+                (error: unknown) => resolve(buildFailure(true, String(error), false)),
+            );
         }
         channel.openRequests.clear();
     }
@@ -178,7 +183,14 @@
         const handleWritten = frame.kind === FrameKind.Notice
             ? () => settleRequest(channel, frame.id, Result.ok({ status: noContent, body: emptyBody }))
             : undefined;
-        connection.sendFrame(frame, handleWritten);
+        try {
+            connection.sendFrame(frame, handleWritten);
+        }
+        catch (error) {
+            // A frame that can't be encoded costs its request only.
+            settleRequest(channel, frame.id, buildFailure(false, String(error), false));
+            return;
+        }
         channel.lastSentAt = this.clock.readMonotonic();
         this.startChecks();
     }
--- a/packages/daemon/src/channel/channel-connection.ts
+++ b/packages/daemon/src/channel/channel-connection.ts
@@ -63,18 +63,20 @@
      * Sends a frame. On a connection that has ended it is dropped.
      * @param frame - the frame
      * @param handleWritten - called when the frame is handed to the network
+     * @throws RangeError for a frame that can't be encoded, which changes nothing
      */
     sendFrame(frame: Frame, handleWritten?: () => void): void {
         if (this.isClosed) {
             return;
         }
+        const parts = encodeFrame(frame);
         if (handleWritten !== undefined) {
             this.writtenHandlers.push(handleWritten);
         }
         if (this.queued.length === 0) {
             this.scheduleWrite();
         }
-        this.queued.push(...encodeFrame(frame));
+        this.queued.push(...parts);
     }
 
     /**
--- a/packages/daemon/src/http-client/http-client.ts
+++ b/packages/daemon/src/http-client/http-client.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import Result from "true-myth/result";
 
-import { parseAddress } from "../settings/parse-address.js";
+import { parseCallableAddress } from "../settings/parse-callable-address.js";
 import { CallFailureKind } from "./call-failure-kind.js";
 import type { CallFailure } from "./call-failure.js";
 import type { HttpCall } from "./http-call.js";
@@ -26,42 +26,19 @@
     }
 
     /**
-     * Sends a request and waits for the complete response.
+     * Sends a request and waits for the complete response. Never throws or rejects.
      * @param call - the request
-     * @returns the response, or a failure that says whether the server may have received the request
+     * @returns the response, or a failure that says whether the server may have received the request; one that can't be
+     *     sent, for example because of its address, has not been received
      */
     send(call: HttpCall): Promise<Result<HttpResponse, CallFailure>> {
         return new Promise(resolve => {
-            const { host, port } = parseAddress(call.address);
-            const outgoing = request({
-                agent: this.agent,
-                host,
-                port,
-                method: call.method,
-                path: call.path,
-                headers: { ...call.headers, "content-length": call.body?.length ?? 0 },
-            });
-            const pendingCall = new PendingCall(outgoing, call.timeoutMs, resolve);
-            outgoing.on("response", response => {
-                const chunks: Buffer[] = [];
-                let bytes = 0;
-                response.on("data", (chunk: Buffer) => {
-                    bytes += chunk.length;
-                    chunks.push(chunk);
-                    if (bytes > maxResponseBytes) {
-                        pendingCall.settleFailure("answer too large");
-                    }
-                });
-                response.on("end", () => {
-                    if (response.complete) {
-                        pendingCall.settle(
-                            Result.ok({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) }),
-                        );
-                    }
-                });
-                response.on("close", () => pendingCall.settleFailure("answer cut short"));
-            });
-            outgoing.end(call.body);
+            const outgoing = this.openRequest(call);
+            if (outgoing.isErr) {
+                resolve(Result.err(outgoing.error));
+                return;
+            }
+            this.sendRequest(outgoing.value, call, resolve);
         });
     }
 
@@ -69,6 +46,55 @@
     close(): void {
         this.agent.destroy();
     }
+
+    /** Node throws for a request that it can't send, for example because of a character in a header. */
+    private openRequest(
+        { address, method, path, headers, body }: HttpCall,
+    ): Result<ClientRequest, CallFailure> {
+        const server = parseCallableAddress(address);
+        if (server === undefined) {
+            return Result.err(buildNotSent(`${JSON.stringify(address)} is not an IP address and port`));
+        }
+        try {
+            const allHeaders = { ...headers, "content-length": body?.length ?? 0 };
+            return Result.ok(request({ agent: this.agent, ...server, method, path, headers: allHeaders }));
+        }
+        catch (error) {
+            return Result.err(buildNotSent(String(error)));
+        }
+    }
+
+    private sendRequest(
+        outgoing: ClientRequest,
+        call: HttpCall,
+        resolve: (result: Result<HttpResponse, CallFailure>) => void,
+    ): void {
+        const pendingCall = new PendingCall(outgoing, call.timeoutMs, resolve);
+        outgoing.on("response", response => {
+            const chunks: Buffer[] = [];
+            let bytes = 0;
+            response.on("data", (chunk: Buffer) => {
+                bytes += chunk.length;
+                chunks.push(chunk);
+                if (bytes > maxResponseBytes) {
+                    pendingCall.settleFailure("answer too large");
+                }
+            });
+            response.on("end", () => {
+                if (response.complete) {
+                    pendingCall.settle(
+                        Result.ok({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) }),
+                    );
+                }
+            });
+            response.on("close", () => pendingCall.settleFailure("answer cut short"));
+        });
+        outgoing.end(call.body);
+    }
+}
+
+function buildNotSent(detail: string): CallFailure {
+    return { kind: CallFailureKind.NotSent, detail, isTimeout: false };
 }
 
 /**
--- a/packages/daemon/src/process-failure/describe-error.ts
+++ b/packages/daemon/src/process-failure/describe-error.ts
@@ -3,7 +3,7 @@
 /** Longest stack frame that is logged, characters. */
 const maxFrameLength = 200;
 /** Stack frames that are logged. */
-const maxFrames = 6;
+const maxFrames = 10;
 
 /** An error as fields of a log line. */
 interface ErrorFields {
