--- a/packages/daemon/src/job-scheduler/testing/build-mutations.ts
+++ b/packages/daemon/src/job-scheduler/testing/build-mutations.ts
@@ -76,7 +76,7 @@
                 Reflect.deleteProperty(node, key);
             }
             else {
-                Reflect.set(node, key, value);
+                Reflect.set(node, key, structuredClone(value));
             }
         }
         return root.message;
