--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,21 @@
     .map(match => match[1]);
 const verbPattern = `^(${verbs.join("|")})([A-Z]|$)`;
 
+const restrictedSyntax = [
+    {
+        selector: "Program:has(ExportNamedDeclaration ~ ExportNamedDeclaration)",
+        message: "One export a file.",
+    },
+    { selector: "ThrowStatement > Literal", message: "Throw a typed failure, not a bare value." },
+    { selector: "ThrowStatement > TemplateLiteral", message: "Throw a typed failure, not a bare value." },
+    {
+        selector: "ThrowStatement > NewExpression[callee.name='Error']",
+        message: "Throw a failure with a type of its own.",
+    },
+    { selector: "TSInterfaceDeclaration[id.name=/^I[A-Z][a-z]/]", message: "No I prefix." },
+    { selector: "TSUnionType > TSNullKeyword", message: "Use undefined, not null." },
+];
+
 const shared = {
     plugins: { tsdoc },
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
@@ -32,20 +47,19 @@
                 { selector: "enumMember", format: ["PascalCase"] },
                 { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
             ],
+            "no-restricted-syntax": ["error", ...restrictedSyntax],
+        },
+    },
+    {
+        // Work that nobody awaits is started by `startContained`, which says what becomes of its faults.
+        files: ["packages/{core,protocol,daemon}/src/**/*.ts", "platform/src/**/*.ts"],
+        ignores: ["**/*.test.ts", "**/testing/**", "platform/src/leader-load/**"],
+        rules: {
+            "@typescript-eslint/no-floating-promises": ["error", { ignoreVoid: false }],
             "no-restricted-syntax": [
                 "error",
-                {
-                    selector: "Program:has(ExportNamedDeclaration ~ ExportNamedDeclaration)",
-                    message: "One export a file.",
-                },
-                { selector: "ThrowStatement > Literal", message: "Throw a typed failure, not a bare value." },
-                { selector: "ThrowStatement > TemplateLiteral", message: "Throw a typed failure, not a bare value." },
-                {
-                    selector: "ThrowStatement > NewExpression[callee.name='Error']",
-                    message: "Throw a failure with a type of its own.",
-                },
-                { selector: "TSInterfaceDeclaration[id.name=/^I[A-Z][a-z]/]", message: "No I prefix." },
-                { selector: "TSUnionType > TSNullKeyword", message: "Use undefined, not null." },
+                ...restrictedSyntax,
+                { selector: "UnaryExpression[operator='void']", message: "Start it by startContained." },
             ],
         },
     },
--- a/packages/core/src/events/event-kind.ts
+++ b/packages/core/src/events/event-kind.ts
@@ -5,6 +5,8 @@
     /** A supervised component failed. */
     ChildFailed = "child-failed",
     ChildRestarted = "child-restarted",
+    /** Work for one target, call, VM or peer ended by a fault. */
+    WorkFailed = "work-failed",
     InvariantBroken = "invariant-broken",
     /** The keeper that records the event became leader. */
     LeaderElected = "leader-elected",
--- a/packages/daemon/src/channel/channel-client.test.ts
+++ b/packages/daemon/src/channel/channel-client.test.ts
@@ -28,11 +28,12 @@
 
 async function startServer(handler: Handler) {
     const connections = { count: 0 };
-    const channels = new ChannelServer(handler);
+    const faults: unknown[] = [];
+    const channels = new ChannelServer(handler, fault => faults.push(fault));
     const server = createServer();
     server.on("connection", () => connections.count++);
     server.on("upgrade", (request, socket, head) => channels.serveUpgrade(request, socket, head));
-    return { address: await startListening(server), connections, channels };
+    return { address: await startListening(server), connections, channels, faults };
 }
 
 /** Starts a server that accepts channels and then never sends anything. */
@@ -178,4 +179,21 @@
             "http /c",
         ]);
     });
+
+    it("answers with an internal error and notes the cause when a handler throws, and serves the next request", async () => {
+        const { address, connections, faults } = await startServer((path, body) => {
+            if (path === "/throw") {
+                throw new TypeError("broken");
+            }
+            return path === "/reject" ? Promise.reject(new TypeError("broken")) : echo(path, body);
+        });
+        const { send } = createClient();
+        for (const path of ["/throw", "/reject"]) {
+            const result = await send(address, path);
+            expect(result.isOk && result.value.status).toBe(500);
+        }
+        expect((await send(address, "/a")).isOk).toBe(true);
+        expect(faults).toMatchObject([{ work: "peer-request", subject: "/throw" }, { subject: "/reject" }]);
+        expect(connections.count).toBe(1);
+    });
 });
--- a/packages/daemon/src/channel/channel-client.ts
+++ b/packages/daemon/src/channel/channel-client.ts
@@ -157,6 +157,7 @@
         const connection = new ChannelConnection(socket, {
             handleFrame: ({ id, status, body }) => settleRequest(channel, id, Result.ok({ status, body })),
             handleClose: () => this.closeChannel(channel, "connection lost", false),
+            handleFault: error => this.closeChannel(channel, String(error), false),
         }, () => this.clock.readMonotonic());
         channel.connection = connection;
         channel.waiting.splice(0).forEach(frame => this.sendFrame(channel, connection, frame));
--- a/packages/daemon/src/channel/channel-connection.ts
+++ b/packages/daemon/src/channel/channel-connection.ts
@@ -21,6 +21,8 @@
     readonly handleFrame: (frame: Frame) => void;
     /** Called once, when the connection has ended. */
     readonly handleClose: () => void;
+    /** Called with a fault of handling a frame, which also ends the connection. */
+    readonly handleFault: (error: unknown) => void;
 }
 
 /**
@@ -110,13 +112,12 @@
             this.close();
             return;
         }
-        for (const frame of frames) {
-            if (frame.kind === FrameKind.Ping) {
-                this.sendFrame({ ...frame, kind: FrameKind.Pong });
-            }
-            else if (frame.kind !== FrameKind.Pong) {
-                this.handlers.handleFrame(frame);
-            }
+        try {
+            frames.forEach(frame => this.handleFrame(frame));
+        }
+        catch (error) {
+            this.handlers.handleFault(error);
+            this.close();
         }
     }
 
@@ -158,6 +159,15 @@
         }
     }
 
+    private handleFrame(frame: Frame): void {
+        if (frame.kind === FrameKind.Ping) {
+            this.sendFrame({ ...frame, kind: FrameKind.Pong });
+        }
+        else if (frame.kind !== FrameKind.Pong) {
+            this.handlers.handleFrame(frame);
+        }
+    }
+
     private handleClose(): void {
         if (!this.isClosed) {
             this.isClosed = true;
--- a/packages/daemon/src/channel/channel-server.ts
+++ b/packages/daemon/src/channel/channel-server.ts
@@ -2,6 +2,11 @@
 import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 
+import type { FaultListener } from "../containment/fault-listener.js";
+import { runContained } from "../containment/run-contained.js";
+import { startContained } from "../containment/start-contained.js";
+import { WorkKind } from "../containment/work-kind.js";
+import type { Work } from "../containment/work.js";
 import type { HttpResponse } from "../http-client/http-response.js";
 import { ChannelConnection } from "./channel-connection.js";
 import { channelProtocol } from "./channel-protocol.js";
@@ -18,8 +23,12 @@
 
     /**
      * @param handleRequest - computes the response to a request
+     * @param noteFault - called with each fault of a request or a channel
      */
-    constructor(private readonly handleRequest: (path: string, body: Buffer) => Promise<HttpResponse>) {}
+    constructor(
+        private readonly handleRequest: (path: string, body: Buffer) => Promise<HttpResponse>,
+        private readonly noteFault: FaultListener,
+    ) {}
 
     /**
      * Turns an HTTP connection into a channel.
@@ -33,9 +42,11 @@
             return;
         }
         socket.write(`HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`);
+        const address = `${socket.remoteAddress}:${socket.remotePort}`;
         const connection: ChannelConnection = new ChannelConnection(socket, {
-            handleFrame: frame => void this.serveFrame(connection, frame),
+            handleFrame: frame => this.startRequest(connection, frame),
             handleClose: () => this.connections.delete(connection),
+            handleFault: error => this.noteFault({ work: WorkKind.PeerChannel, subject: address, error }),
         }, () => performance.now());
         this.connections.add(connection);
         if (head.length > 0) {
@@ -60,23 +71,40 @@
         [...this.connections].forEach(connection => connection.closeAfterWriting());
     }
 
-    private async serveFrame(connection: ChannelConnection, { kind, id, path, body }: Frame): Promise<void> {
-        if (kind !== FrameKind.Request && kind !== FrameKind.Notice) {
+    private startRequest(connection: ChannelConnection, frame: Frame): void {
+        if (frame.kind !== FrameKind.Request && frame.kind !== FrameKind.Notice) {
             connection.close();
             return;
         }
+        const work = { work: WorkKind.PeerRequest, subject: frame.path };
         this.inFlightCount += 1;
-        const response = await this.handleRequest(path, body).catch((error: unknown) => ({
-            status: internalError,
-            body: Buffer.from(String(error)),
-        }));
+        startContained(this.noteFault, work, async () => {
+            try {
+                await this.serveRequest(connection, frame, work);
+            }
+            finally {
+                this.inFlightCount -= 1;
+                if (this.inFlightCount === 0) {
+                    this.handleIdle();
+                }
+            }
+        });
+    }
+
+    private async serveRequest(
+        connection: ChannelConnection,
+        { kind, id, path, body }: Frame,
+        work: Work,
+    ): Promise<void> {
+        const response = await runContained(
+            this.noteFault,
+            work,
+            () => this.handleRequest(path, body),
+            () => ({ status: internalError, body: Buffer.alloc(0) }),
+        );
         if (kind === FrameKind.Request) {
             const { status } = response;
             connection.sendFrame({ kind: FrameKind.Response, id, status, path: "", body: response.body });
         }
-        this.inFlightCount -= 1;
-        if (this.inFlightCount === 0) {
-            this.handleIdle();
-        }
     }
 }
--- /dev/null
+++ b/packages/daemon/src/containment/start-contained.ts
@@ -0,0 +1,14 @@
+import type { FaultListener } from "./fault-listener.js";
+import { reportUncaught } from "./report-uncaught.js";
+import { runContained } from "./run-contained.js";
+import type { Work } from "./work.js";
+
+/**
+ * Starts work that nobody awaits. A fault is noted and ends only this work; a broken invariant ends the process.
+ * @param noteFault - called with a fault
+ * @param work - what is run, and for what
+ * @param run - runs the work
+ */
+export function startContained(noteFault: FaultListener, work: Work, run: () => unknown): void {
+    runContained<unknown>(noteFault, work, run, () => undefined).catch(reportUncaught);
+}
--- a/packages/daemon/src/job-scheduler/adapter/fleet-adapter.ts
+++ b/packages/daemon/src/job-scheduler/adapter/fleet-adapter.ts
@@ -13,23 +13,25 @@
      * Creates the listener for callers' requests about jobs.
      * @param settings - validated settings
      * @param gateway - handles the requests
+     * @param log - log of decisions, for faults of a request
      * @returns the listener
      */
-    abstract createCallerListener(settings: FleetSettings, gateway: JobGateway): Worker;
+    abstract createCallerListener(settings: FleetSettings, gateway: JobGateway, log: DecisionLog): Worker;
 
     /**
      * Creates the listener for readiness checks of the platform's load balancer.
      * @param settings - validated settings
      * @param isReady - tells whether callers should be routed to this process
+     * @param log - log of decisions, for faults of a request
      * @returns the listener
      */
-    abstract createReadyListener(settings: FleetSettings, isReady: () => boolean): Worker;
+    abstract createReadyListener(settings: FleetSettings, isReady: () => boolean, log: DecisionLog): Worker;
 
     /**
      * Creates the listener for operators and targets.
      * @param settings - validated settings
      * @param api - handles the calls
-     * @param log - log of decisions, for requests that are refused before they reach the API
+     * @param log - log of decisions, for requests that are refused before they reach the API and for faults
      * @returns the listener
      */
     abstract createControlListener(settings: FleetSettings, api: ControlApi, log: DecisionLog): Worker;
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -6,9 +6,12 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { Clock } from "../../clock/clock.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import type { Metrics } from "../../metrics/metrics.js";
 import type { ChildSpec } from "../../supervision/child-spec.js";
 import type { AdviceService } from "../advice/advice-service.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { FleetHandlers } from "../peers/fleet-handlers.js";
@@ -80,6 +83,7 @@
             leadership,
             vms,
             clock,
+            log,
             holder: settings.node.name,
             holderLeaseMs: settings.vms.holder_lease_ms,
         });
@@ -96,7 +100,10 @@
             estimateTask: task => this.computeTaskMs(leadership.readFleet(), task),
             findTicket: (task, target) => this.tickets.findTicket(parseStepKey(task), target) ?? "",
             handleRejectedTicket: (task, target) => this.tickets.dropTicket(parseStepKey(task), target),
-            handleUnansweredRequest: target => void this.sessions.checkZoneReachable(target),
+            handleUnansweredRequest: target => {
+                const work = { work: WorkKind.ReachabilityCheck, subject: target.zone };
+                startContained(createFaultListener(log), work, () => this.sessions.checkZoneReachable(target));
+            },
             startScheduling,
             handleRunEnd: (task, how, durationMs) => this.noteRunEnd(leadership.readFleet(), task, how, durationMs),
         });
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
@@ -33,7 +33,8 @@
         const keeper = new FakeKeeper(state);
         const leadership = new Leadership(keeper, 1);
         const vms = new FakeVmService();
-        const vmLeases = new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 });
+        const log = { record: () => undefined };
+        const vmLeases = new VmLeaseTracker({ leadership, vms, clock, log, holder: "k0", holderLeaseMs: 3_000 });
         const stops: string[] = [];
         runner = new MaintenanceRunner({
             leadership,
@@ -52,7 +53,7 @@
             },
             vms,
             vmLeases,
-            log: { record: () => undefined },
+            log,
             clock,
             isMoving: () => false,
             maintenanceMs: 2_000,
@@ -244,4 +245,18 @@
             expect(isDraining).toBe(true);
         });
     });
+
+    // A fault of the VM service's client ended the process.
+    it("tries a VM again after a pause when its request threw", async () => {
+        const { vms, runFor, readDone, readRequests } = createFixture();
+        vms.addVm("vm0", "web", "t0");
+        vms.handleRequest = () => {
+            throw new RangeError("bad port");
+        };
+        await runFor(1_000);
+        expect([readDone(), readRequests()]).toEqual([[], ["vm0"]]);
+        vms.handleRequest = () => VmRequestResult.Done;
+        await runFor(6_000);
+        expect(readDone()).toEqual(["vm0"]);
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -19,7 +19,10 @@
 
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
+import { runContained } from "../../containment/run-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { VmLease } from "../vms/vm-lease.js";
@@ -148,7 +151,7 @@
         wave: MaintenanceWave,
         draining: Map<string, number>,
     ): Generator<unknown, void, unknown> {
-        const { clock, sessions, maintenanceMs, leadership, vmLeases, isMoving } = this.dependencies;
+        const { clock, sessions, maintenanceMs, leadership, vmLeases, isMoving, log } = this.dependencies;
         const now = clock.readWall();
         const targets = collectTargetsByVm(fleet);
         const plan = planMaintenance({
@@ -173,7 +176,15 @@
             sessions.find(target)?.stopTask(run.task, run.run);
         }
         if (leadership.isActive()) {
-            yield* waitFor(Promise.all(plan.vmsToStart.map(vm => this.startMaintenance(wave, vm, targets.get(vm)))));
+            const noteFault = createFaultListener(log);
+            yield* waitFor(Promise.all(plan.vmsToStart.map(vm =>
+                runContained(
+                    noteFault,
+                    { work: WorkKind.VmMaintenance, subject: vm },
+                    () => this.startMaintenance(wave, vm, targets.get(vm)),
+                    () => this.handleFault(vm),
+                )
+            )));
         }
     }
 
@@ -192,6 +203,13 @@
         });
     }
 
+    /** The request may have been sent, so that the VM counts as down, like after a request without an answer. */
+    private handleFault(vm: string): void {
+        const now = this.dependencies.clock.readWall();
+        this.maintenanceStartedAt.set(vm, now);
+        this.retryAt.set(vm, now + busyRetryDelayMs);
+    }
+
     private async startMaintenance(
         wave: MaintenanceWave,
         vm: string,
--- a/packages/daemon/src/job-scheduler/leader/pace-controller.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pace-controller.test.ts
@@ -58,7 +58,7 @@
             );
             return runWorker(controller, clock);
         };
-        return { keeper, tail, target, open };
+        return { keeper, tail, target, session, open };
     }
 
     it("raises the pace of a filler that an earlier leader slowed down", async () => {
@@ -120,4 +120,17 @@
         await runFor(2_000);
         expect(target.requestCount).toBe(requestCount);
     });
+
+    it("sends a pace again when the request for it threw", async () => {
+        const { target, session, open } = createFixture();
+        target.pace = 20;
+        const send = session.setPace;
+        session.setPace = () => Promise.reject(new RangeError("bad port"));
+        const runFor = open();
+        await runFor(2_000);
+        expect(target.pace).toBe(20);
+        session.setPace = send;
+        await runFor(4_000);
+        expect(target.pace).toBe(100);
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/pace-controller.ts
+++ b/packages/daemon/src/job-scheduler/leader/pace-controller.ts
@@ -4,7 +4,10 @@
 
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
+import { runContained } from "../../containment/run-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { RunningTask } from "../targets/running-task.js";
@@ -98,7 +101,12 @@
         maxTailShare: number,
     ): Promise<void> {
         const { token } = this;
-        const isConfirmed = await session.setPace(task, run, percent);
+        const isConfirmed = await runContained(
+            createFaultListener(this.log),
+            { work: WorkKind.TargetRequest, subject: session.record.id },
+            () => session.setPace(task, run, percent),
+            () => false,
+        );
         if (token !== this.token) {
             return;
         }
--- a/packages/daemon/src/job-scheduler/leader/placement-ticket-fetcher.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/placement-ticket-fetcher.test.ts
@@ -101,4 +101,24 @@
         expect(service.requests).toHaveLength(2);
         expect(fetcher.findTicket("j0.0.0", "t1")).toBe("ticket");
     });
+
+    it("sends the request again after a pause when the client of the adviser threw", async () => {
+        const { clock, service, fetcher, update } = createFixture();
+        const send = service.sendRequest.bind(service);
+        let requestCount = 0;
+        service.sendRequest = () => {
+            requestCount += 1;
+            throw new RangeError("bad port");
+        };
+        for (let round = 0; round < 20; round++) {
+            update();
+            await clock.runFor(10);
+        }
+        expect(requestCount).toBeLessThan(5);
+        service.sendRequest = send;
+        await clock.runFor(1_000);
+        update();
+        await clock.runFor(200);
+        expect(fetcher.findTicket("j0.0.0", "t1")).toBe("ticket");
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/placement-ticket-fetcher.ts
+++ b/packages/daemon/src/job-scheduler/leader/placement-ticket-fetcher.ts
@@ -7,7 +7,11 @@
 import type { StepCandidate } from "@daisylock/core/queueing/step-candidate.js";
 
 import type { Clock } from "../../clock/clock.js";
+import { runContained } from "../../containment/run-contained.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import type { AdviceService } from "../advice/advice-service.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 
@@ -69,7 +73,9 @@
             const targets = pickAdviceTargets(candidate, name, pools.get(pool) ?? [], this.tickets, latestArrivalAt);
             if (targets.length > 0 && !this.inFlightSteps.has(name)) {
                 this.inFlightSteps.add(name);
-                void this.sendRequest(name, targets, advice);
+                const noteFault = createFaultListener(this.dependencies.log);
+                const work = { work: WorkKind.Advice, subject: name };
+                startContained(noteFault, work, () => this.sendRequest(name, targets, advice));
             }
         }
     }
@@ -97,7 +103,13 @@
         const { service, clock, log, startScheduling } = this.dependencies;
         const requestedAt = clock.readMonotonic();
         const expectedMs = advice.decideMs + advice.perTargetMs * targets.length;
-        const response = await service.sendRequest(step, targets, maxInFlightRequests * expectedMs + responseMarginMs);
+        const timeoutMs = maxInFlightRequests * expectedMs + responseMarginMs;
+        const response = await runContained(
+            createFaultListener(log),
+            { work: WorkKind.Advice, subject: step },
+            () => service.sendRequest(step, targets, timeoutMs),
+            () => undefined,
+        );
         const tookMs = Math.round(clock.readMonotonic() - requestedAt);
         log.record(DecisionKind.AdviceAnswered, {
             step,
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -35,7 +35,7 @@
         const reports = new TargetReportHandler(leadership, clock, log, () => undefined, sessions);
         balancer = new PoolBalancer({
             leadership,
-            vmLeases: new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 }),
+            vmLeases: new VmLeaseTracker({ leadership, vms, clock, log, holder: "k0", holderLeaseMs: 3_000 }),
             vms,
             estimator: { computeStepMs: () => 500, readMeanJobWork: () => 1 },
             isInMaintenance,
@@ -122,4 +122,21 @@
         await runFor(5_000);
         expect(readRequests()).toContain("vm9 web");
     });
+
+    // A fault of the VM service's client ended the process.
+    it("goes on with other VMs when a request for one throws", async () => {
+        const { state, vms, runFor, readRequests } = createFixture();
+        vms.addVm("vm8", "off", "");
+        vms.addVm("vm9", "off", "");
+        addTestJob(state, "b", [buildTestStep({ count: 20 })]);
+        vms.handleRequest = vm => {
+            if (vm === "vm8") {
+                throw new RangeError("bad port");
+            }
+            return VmRequestResult.Done;
+        };
+        await runFor(5_000);
+        expect(readRequests()).toEqual(expect.arrayContaining(["vm8 web", "vm9 web"]));
+        expect(readRequests().filter(request => request === "vm8 web").length).toBeLessThan(4);
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -12,7 +12,10 @@
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 
 import type { Clock } from "../../clock/clock.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { VmRequestResult } from "../vms/vm-request-result.js";
@@ -93,7 +96,7 @@
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
-        const { leadership, vmLeases, clock } = this.dependencies;
+        const { leadership, vmLeases, clock, log } = this.dependencies;
         vmLeases.noteRequests();
         const fleet = leadership.readFleet();
         const now = clock.readMonotonic();
@@ -104,7 +107,11 @@
         this.dropArrived(fleet);
         const moves = this.planner.planRound(this.collectPools(fleet), now);
         // Moves are not awaited, so that a slow VM service does not delay the next round.
-        moves.forEach(move => void this.runMove(move));
+        for (const move of moves) {
+            const work = { work: WorkKind.VmMove, subject: move.vm };
+            // After a fault, the VM counts as moving until the time that a move takes has passed.
+            startContained(createFaultListener(log), work, () => this.runMove(move));
+        }
         return intervalMs;
     }
 
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -6,6 +6,11 @@
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
+import type { FaultListener } from "../../containment/fault-listener.js";
+import { runContained } from "../../containment/run-contained.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
@@ -17,6 +22,8 @@
 const retryDelayMs = 120;
 /** Time for which no task is started on a target that refused a start or left one unanswered, milliseconds. */
 const refusalBackoffMs = 300;
+/** Time for which a run gets no request after a fault, milliseconds. */
+const faultDelayMs = 1_000;
 
 const refusalResults: ReadonlySet<TargetRequestResult> = new Set([
     TargetRequestResult.InsufficientCapacity,
@@ -58,6 +65,8 @@
  * While the leader lease has lapsed, requests wait: until the session is closed, this leadership may become active again.
  */
 export class RunRequestSender {
+    private readonly noteFault: FaultListener;
+
     /**
      * @param token - fencing token of this leadership
      * @param requests - request state of each run
@@ -69,7 +78,9 @@
         private readonly requests: RunRequestTracker,
         private readonly session: SessionCallbacks,
         private readonly dependencies: SessionDependencies,
-    ) {}
+    ) {
+        this.noteFault = createFaultListener(dependencies.log);
+    }
 
     /**
      * Sends a committed start to the target.
@@ -78,7 +89,7 @@
      */
     startTask(task: string, run: number): void {
         const request = this.requests.findOrCreate(task, run);
-        void this.runExclusively(request, () => this.sendStartUntilSettled(task, request));
+        this.startExclusively(task, request, () => this.sendStartUntilSettled(task, request));
         this.session.startRenewal();
     }
 
@@ -91,7 +102,7 @@
         const request = this.requests.findOrCreate(task, run);
         request.isStopRequested = true;
         if (!request.isStopConfirmed) {
-            void this.runExclusively(request, () => this.sendStopUntilConfirmed(task, request));
+            this.startExclusively(task, request, () => this.sendStopUntilConfirmed(task, request));
         }
         this.session.startRenewal();
     }
@@ -272,18 +283,17 @@
         return job !== undefined && isJobFinished(job);
     }
 
-    /** Sends at most one request for a run at a time. */
-    private async runExclusively(request: RunRequestState, send: () => Promise<void>): Promise<void> {
+    /** Sends at most one request for a run at a time. After a fault, the session's next renewals send it again. */
+    private startExclusively(task: string, request: RunRequestState, send: () => Promise<void>): void {
         if (request.isInFlight) {
             return;
         }
         request.isInFlight = true;
-        try {
-            await send();
-        }
-        finally {
+        const work = { work: WorkKind.TargetRun, subject: task };
+        startContained(this.noteFault, work, async () => {
+            await runContained(this.noteFault, work, send, () => this.waitDelay(faultDelayMs));
             request.isInFlight = false;
-        }
+        });
     }
 
     private readNow(): number {
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -12,7 +12,14 @@
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
+import type { FaultListener } from "../../containment/fault-listener.js";
+import { reportUncaught } from "../../containment/report-uncaught.js";
+import { runContained } from "../../containment/run-contained.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
+import { ContainedTargetClient } from "../targets/contained-target-client.js";
 import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
 import type { RunningTask } from "../targets/running-task.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
@@ -44,6 +51,10 @@
 const reportTimeoutMs = 3_500;
 /** Delay after a failed request, milliseconds. */
 const retryDelayMs = 120;
+/** Delay after a fault of the session, milliseconds. */
+const faultDelayMs = 1_000;
+/** Time for which no task is started on the target after a fault, milliseconds: beyond the next renewal. */
+const faultBackoffMs = 2 * faultDelayMs;
 /** Shortest time between two checks of the progress of a target's tasks, milliseconds. */
 const healthCheckIntervalMs = 100;
 /** Margin added to the lease expiry for the time between two readings of a clock, milliseconds. */
@@ -59,6 +70,8 @@
 export class TargetSession {
     /** Running tasks as last reported by the target, by encoded task key. */
     readonly running = new Map<string, RunningTask>();
+    private readonly dependencies: SessionDependencies;
+    private readonly noteFault: FaultListener;
     private readonly targetClock = new TargetClock();
     private readonly requests: RunRequestTracker;
     private readonly requestSender: RunRequestSender;
@@ -93,9 +106,12 @@
     constructor(
         readonly record: TargetRecord,
         private readonly fencingToken: number,
-        private readonly dependencies: SessionDependencies,
+        dependencies: SessionDependencies,
         isRestarted = false,
     ) {
+        this.noteFault = createFaultListener(dependencies.log);
+        const client = new ContainedTargetClient(dependencies.client, this.noteFault);
+        this.dependencies = { ...dependencies, client };
         this.inheritedRuns = new Map(isRestarted ? this.readLoad().runs : []);
         this.openedAt = dependencies.clock.readMonotonic();
         this.requests = new RunRequestTracker(dependencies.clock);
@@ -115,9 +131,9 @@
             removeTarget: (reason, isStopped) => this.removeTarget(reason, isStopped),
             startRenewal: () => this.startRenewal(),
             checkProbation: () => this.checkProbation(),
-        }, dependencies);
+        }, this.dependencies);
         this.healthMonitor = new TargetHealthMonitor(record, dependencies);
-        void this.runRenewals();
+        this.runRenewals().catch(reportUncaught);
     }
 
     /**
@@ -314,15 +330,24 @@
             return;
         }
         this.isProbationCheckPlanned = true;
+        const work = { work: WorkKind.ReachabilityCheck, subject: this.record.id };
         this.dependencies.clock.schedule(probationCheckMs, () => {
             this.isProbationCheckPlanned = false;
-            if (!this.isClosed && this.countOnProbation() > 0) {
-                void this.checkReachable().then(() => this.countOnProbation() > 0 && this.checkProbation());
-            }
+            startContained(this.noteFault, work, () => this.runProbationCheck());
             this.dependencies.startScheduling();
         });
     }
 
+    private async runProbationCheck(): Promise<void> {
+        if (this.isClosed || this.countOnProbation() === 0) {
+            return;
+        }
+        await this.checkReachable();
+        if (this.countOnProbation() > 0) {
+            this.checkProbation();
+        }
+    }
+
     private findExclusion(): TargetExclusion | undefined {
         const now = this.readNow();
         if (!this.isSynced) {
@@ -341,23 +366,41 @@
     }
 
     private async runRenewals(): Promise<void> {
+        const work = { work: WorkKind.TargetSession, subject: this.record.id };
         while (!this.isClosed) {
-            const load = this.readLoad();
-            // An unreachable target is probed until it responds, also while nothing runs on it.
-            const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
-                && !this.isReportOverdue(this.readNow());
-            if (isIdle || !this.dependencies.leadership.isActive()) {
-                await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
-                continue;
-            }
-            const delayMs = await this.sendRenewal(load);
-            if (delayMs > 0) {
-                await this.waitForRenewal(delayMs);
-            }
-            else if (this.readLoad().runs.size === 0) {
-                await this.waitForRenewal(idleIntervalMs);
-            }
+            await runContained(this.noteFault, work, () => this.runRenewal(), () => this.handleFault());
+        }
+    }
+
+    /** Renews the lease once, unless nothing calls for it, and waits until the next renewal is due. */
+    private async runRenewal(): Promise<void> {
+        const load = this.readLoad();
+        // An unreachable target is probed until it responds, also while nothing runs on it.
+        const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
+            && !this.isReportOverdue(this.readNow());
+        if (isIdle || !this.dependencies.leadership.isActive()) {
+            await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
+            return;
+        }
+        const delayMs = await this.sendRenewal(load);
+        if (delayMs > 0) {
+            await this.waitForRenewal(delayMs);
+        }
+        else if (this.readLoad().runs.size === 0) {
+            await this.waitForRenewal(idleIntervalMs);
+        }
+    }
+
+    /** Treats the target as one that does not respond, so that it takes no start and is removed in time. */
+    private async handleFault(): Promise<void> {
+        if (this.isClosed) {
+            return;
         }
+        const work = { work: WorkKind.TargetSession, subject: this.record.id };
+        this.noteUnreachable(TargetRequestResult.Unanswered);
+        this.startBackoffUntil = this.readNow() + faultBackoffMs;
+        await runContained(this.noteFault, work, () => this.handleUnreachable(), () => undefined);
+        await this.waitForRenewal(faultDelayMs);
     }
 
     /** Returns the delay before the next renewal, milliseconds: 0 after one that succeeded. */
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -2,6 +2,9 @@
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import type { SessionDependencies } from "./session-dependencies.js";
 import { TargetSession } from "./target-session.js";
 
@@ -80,11 +83,22 @@
      * @param target - the target
      */
     async checkZoneReachable({ id, zone }: Pick<TargetRecord, "id" | "zone">): Promise<void> {
-        void this.sessions.get(id)?.checkReachable();
+        const work = { work: WorkKind.ReachabilityCheck, subject: id };
+        const noteFault = createFaultListener(this.dependencies.log);
+        startContained(noteFault, work, () => this.sessions.get(id)?.checkReachable());
         if (this.checkedZones.has(zone)) {
             return;
         }
         this.checkedZones.add(zone);
+        try {
+            await this.checkSample(id, zone);
+        }
+        finally {
+            this.checkedZones.delete(zone);
+        }
+    }
+
+    private async checkSample(id: string, zone: string): Promise<void> {
         const others = [...this.sessions.values()].filter(session =>
             session.record.zone === zone && session.record.id !== id && session.isResponding()
         );
@@ -93,7 +107,6 @@
         if (responses.filter(isReachable => isReachable === false).length >= zoneFailureCount) {
             await Promise.all(others.map(session => session.checkReachable()));
         }
-        this.checkedZones.delete(zone);
     }
 
     private pickSample(sessions: readonly TargetSession[]): TargetSession[] {
--- a/packages/daemon/src/job-scheduler/leader/vm-lease-tracker.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/vm-lease-tracker.test.ts
@@ -15,7 +15,14 @@
     vms.addVm("vm0", "web", "t0");
     vms.addVm("vm1", "web", "t1");
     const leadership = new Leadership(new FakeKeeper(createControlState()), 1);
-    const tracker = new VmLeaseTracker({ leadership, vms, clock, holder: "core-1", holderLeaseMs: 3_000 });
+    const tracker = new VmLeaseTracker({
+        leadership,
+        vms,
+        clock,
+        log: { record: () => undefined },
+        holder: "core-1",
+        holderLeaseMs: 3_000,
+    });
     await clock.runFor(100);
     return { clock, vms, tracker };
 }
@@ -54,3 +61,27 @@
         expect(found).toContain("unknown");
     });
 });
+
+describe("a list of VMs whose request throws", () => {
+    it("is requested again after a pause", async () => {
+        const { clock, vms, tracker } = await createFixture();
+        let requestCount = 0;
+        const list = vms.listVms.bind(vms);
+        vms.listVms = () => {
+            requestCount += 1;
+            throw new RangeError("bad port");
+        };
+        const read = async (ms: number) => {
+            for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 100) {
+                tracker.readLease();
+                await clock.runFor(100);
+            }
+        };
+        await read(3_000);
+        expect(requestCount).toBeGreaterThan(1);
+        expect(requestCount).toBeLessThan(5);
+        vms.listVms = list;
+        await read(1_500);
+        expect(tracker.readVms()).toHaveLength(2);
+    });
+});
--- a/packages/daemon/src/job-scheduler/leader/vm-lease-tracker.ts
+++ b/packages/daemon/src/job-scheduler/leader/vm-lease-tracker.ts
@@ -2,6 +2,11 @@
 import type { VmRequestRecord } from "@daisylock/core/pools/vm-request-record.js";
 
 import type { Clock } from "../../clock/clock.js";
+import { runContained } from "../../containment/run-contained.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
+import type { DecisionLog } from "../logging/decision-log.js";
 import type { VmLease } from "../vms/vm-lease.js";
 import type { VmService } from "../vms/vm-service.js";
 import type { VmView } from "../vms/vm-view.js";
@@ -12,11 +17,15 @@
 /** Age after which the list is fetched again to check the VM of an unreachable target, milliseconds. */
 const urgentListAgeMs = 400;
 
+/** Time for which the list is not fetched after a fault, milliseconds. */
+const faultDelayMs = 1_000;
+
 /** Dependencies of the VM lease tracker. */
 interface VmLeaseDependencies {
     readonly leadership: Leadership;
     readonly vms: VmService;
     readonly clock: Clock;
+    readonly log: Pick<DecisionLog, "record">;
     /** Name of this process, under which it holds VM leases. */
     readonly holder: string;
     /** Time after a request about a VM for which only its sender may send another, milliseconds. */
@@ -109,7 +118,7 @@
             return undefined;
         }
         if (this.vmList === undefined || clock.readMonotonic() - this.listReceivedAt > maxListAgeMs) {
-            void this.updateVmList(token);
+            this.startListUpdate(token);
         }
         return this.vmList === undefined ? undefined : { holder, fencingToken: token };
     }
@@ -130,7 +139,7 @@
             return view;
         }
         if (this.dependencies.clock.readMonotonic() - this.listRequestedAt > urgentListAgeMs) {
-            void this.updateVmList(this.token);
+            this.startListUpdate(this.token);
         }
         return "unknown";
     }
@@ -143,14 +152,28 @@
         return this.vmList ?? [];
     }
 
-    private async updateVmList(token: number): Promise<void> {
+    private startListUpdate(token: number): void {
         if (this.isListRequested) {
             return;
         }
         this.isListRequested = true;
+        const noteFault = createFaultListener(this.dependencies.log);
+        const work = { work: WorkKind.VmList, subject: this.dependencies.holder };
+        startContained(noteFault, work, async () => {
+            await runContained(noteFault, work, () => this.updateVmList(token), () => this.waitFaultDelay());
+            this.isListRequested = false;
+        });
+    }
+
+    private waitFaultDelay(): Promise<void> {
+        return new Promise(resolve => {
+            this.dependencies.clock.schedule(faultDelayMs, resolve);
+        });
+    }
+
+    private async updateVmList(token: number): Promise<void> {
         const requestedAt = this.dependencies.clock.readMonotonic();
         const vmList = await this.dependencies.vms.listVms();
-        this.isListRequested = false;
         if (token === this.token && vmList !== undefined) {
             this.previousVmList = this.vmList;
             this.previousListRequestedAt = this.listRequestedAt;
--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -45,6 +45,8 @@
     AdviceAnswered = "advice-answered",
     OrderFailed = "order-failed",
     RelayFailed = "relay-failed",
+    /** Work for one target, call, VM or peer ended by a fault. */
+    WorkFailed = "work-failed",
     LeaseLost = "lease-lost",
     PaceChanged = "pace-changed",
     WaveStarted = "wave-started",
--- a/packages/daemon/src/job-scheduler/logging/high-volume-kinds.ts
+++ b/packages/daemon/src/job-scheduler/logging/high-volume-kinds.ts
@@ -16,5 +16,6 @@
     DecisionKind.AdviceAnswered,
     DecisionKind.OrderFailed,
     DecisionKind.RelayFailed,
+    DecisionKind.WorkFailed,
     DecisionKind.PaceChanged,
 ]);
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
@@ -11,6 +11,7 @@
     LeaseLapses = "daisylock_lease_lapses_total",
     TickDelay = "daisylock_tick_delay_seconds",
     PeerRequests = "daisylock_requests_total",
+    WorkFaults = "daisylock_work_faults_total",
     CpuTime = "daisylock_cpu_seconds_total",
     ResidentMemory = "daisylock_resident_memory_bytes",
     HeapUsed = "daisylock_heap_used_bytes",
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
@@ -40,6 +40,14 @@
         expect(Math.abs(Date.now() / 1_000 - process.uptime() - startedAtS)).toBeLessThan(2);
     });
 
+    it("counts faults by the work that they ended", async () => {
+        const metrics = new FleetMetrics();
+        metrics.noteDecision(DecisionKind.WorkFailed, { work: "vm-move", subject: "vm1" });
+        const text = await metrics.describeAll();
+        expect(text).toContain("daisylock_work_faults_total{work=\"vm-move\"} 1");
+        expect(text).toContain("daisylock_work_faults_total{work=\"target-session\"} 0");
+    });
+
     it("does not count an unknown duration as zero", async () => {
         const metrics = new FleetMetrics();
         metrics.noteDecision(DecisionKind.TaskPlaced, { task: "a.0.0.0", waitMs: undefined });
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -3,6 +3,7 @@
 import { performance } from "node:perf_hooks";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+import { WorkKind } from "../../containment/work-kind.js";
 import { MessageDropReason } from "../../metrics/message-drop-reason.js";
 import { MetricName } from "../../metrics/metric-name.js";
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
@@ -38,6 +39,11 @@
     private readonly runTime = this.createHistogram(FleetMetricName.RunTime, "From the order to the end of a run", [
         "how",
     ]);
+    private readonly workFaults = this.createCounter(
+        FleetMetricName.WorkFaults,
+        "Faults that ended work for one target, call, VM or peer",
+        ["work"],
+    );
     private readonly targetCrashes = this.createCounter(
         FleetMetricName.TargetCrashes,
         "Targets that ended without an announcement",
@@ -99,6 +105,7 @@
     private readonly term = this.createGauge(FleetMetricName.Term, "Term of the replicated log", []);
 
     constructor() {
+        Object.values(WorkKind).forEach(work => this.workFaults.inc({ work }, 0));
         this.addProcessMetrics();
     }
 
@@ -131,6 +138,9 @@
                     this.targetCrashes.inc();
                 }
                 break;
+            case DecisionKind.WorkFailed:
+                this.workFaults.inc({ work: String(fields["work"]) });
+                break;
             case DecisionKind.JobEnded:
                 recordDuration(this.jobTime, fields["afterMs"], { phase: String(fields["phase"]) });
                 break;
--- a/packages/daemon/src/job-scheduler/metrics/metrics-listener.test.ts
+++ b/packages/daemon/src/job-scheduler/metrics/metrics-listener.test.ts
@@ -17,12 +17,14 @@
 describe("MetricsListener", () => {
     let base: string;
     let listener: MetricsListener;
+    let metrics: FleetMetrics;
+    const faults: unknown[] = [];
     beforeAll(async () => {
         const address = `127.0.0.1:${await findFreePort()}`;
         base = `http://${address}`;
-        const metrics = new FleetMetrics();
+        metrics = new FleetMetrics();
         metrics.noteDecision(DecisionKind.JobAccepted, {});
-        listener = new MetricsListener(address, metrics);
+        listener = new MetricsListener(address, metrics, fault => faults.push(fault));
         runGoroutine(() => listener.run(), () => undefined);
         await new Promise(resolve => setTimeout(resolve, 100));
     });
@@ -39,4 +41,13 @@
         expect((await fetch(`${base}/other`)).status).toBe(404);
         expect((await fetch(`${base}/metrics`, { method: "POST" })).status).toBe(404);
     });
+
+    it("closes the connection and notes the cause when serving a request fails, and serves the next one", async () => {
+        const describeAll = metrics.describeAll.bind(metrics);
+        metrics.describeAll = () => Promise.reject(new TypeError("broken"));
+        await expect(fetch(`${base}/metrics`)).rejects.toThrow();
+        metrics.describeAll = describeAll;
+        expect(faults).toMatchObject([{ work: "http-request", subject: "GET /metrics" }]);
+        expect((await fetch(`${base}/metrics`)).status).toBe(200);
+    });
 });
--- a/packages/daemon/src/job-scheduler/metrics/metrics-listener.ts
+++ b/packages/daemon/src/job-scheduler/metrics/metrics-listener.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
+import type { FaultListener } from "../../containment/fault-listener.js";
 import { HttpWorker } from "../../http/http-worker.js";
 import type { FleetMetrics } from "./fleet-metrics.js";
 
@@ -13,9 +14,10 @@
     /**
      * @param address - address to listen on
      * @param metrics - metrics to serve
+     * @param noteFault - called with each fault of a request
      */
-    constructor(address: string, private readonly metrics: FleetMetrics) {
-        super(address, limits);
+    constructor(address: string, private readonly metrics: FleetMetrics, noteFault: FaultListener) {
+        super(address, limits, noteFault);
     }
 
     protected override async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
@@ -17,6 +17,8 @@
     Malformed,
     /** Refuses connections, as during a restart of its process. */
     Refusing,
+    /** The call throws. */
+    Throwing,
     /** Does not respond, as when its availability zone is partitioned or its power is off. */
     Unresponsive,
 }
@@ -41,6 +43,8 @@
                 case Behavior.Malformed:
                     resolve(Result.ok({ status: 200, body: Buffer.from("{\"isLeader\":1}") }));
                     break;
+                case Behavior.Throwing:
+                    throw new RangeError("bad port");
                 case Behavior.Refusing:
                     resolve(Result.err({ kind: CallFailureKind.NotSent, detail: "refused", isTimeout: false }));
                     break;
@@ -62,7 +66,7 @@
 function createFixture() {
     const clock = new ManualClock();
     const keepers = new FakeKeepers(clock);
-    const client = new LeaderClient(keepers, seeds, clock);
+    const client = new LeaderClient(keepers, seeds, clock, () => undefined);
     const start = (timeoutMs = 2_500) => {
         const call: { repliedAt?: number; isOk?: boolean; kind?: CallFailureKind | undefined } = {};
         void client.send("ping", {}, timeoutMs).then(reply => {
@@ -87,6 +91,17 @@
         expect(call.isOk).toBe(true);
     });
 
+    it("takes a call that throws for one without an answer, and finds the leader among the others", async () => {
+        const { clock, keepers, start } = createFixture();
+        seeds.forEach(seed => keepers.behaviors.set(seed, Behavior.Throwing));
+        const call = start();
+        await clock.runFor(200);
+        expect(call.repliedAt).toBeUndefined();
+        keepers.behaviors.set("10.0.0.3:70", Behavior.Leading);
+        await clock.runFor(300);
+        expect(call.isOk).toBe(true);
+    });
+
     it("waits for the end of an election instead of failing a call", async () => {
         const { clock, keepers, start } = createFixture();
         const call = start();
--- a/packages/daemon/src/job-scheduler/peers/leader-client.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.ts
@@ -5,9 +5,13 @@
 import Result from "true-myth/result";
 
 import type { Clock } from "../../clock/clock.js";
+import type { FaultListener } from "../../containment/fault-listener.js";
+import { runContained } from "../../containment/run-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { CallFailureKind } from "../../http-client/call-failure-kind.js";
 import type { CallFailure } from "../../http-client/call-failure.js";
 import type { HttpClient } from "../../http-client/http-client.js";
+import type { HttpResponse } from "../../http-client/http-response.js";
 import { parseJsonBody } from "../../http/parse-json-body.js";
 import { peerPaths } from "./peer-paths.js";
 
@@ -39,11 +43,13 @@
      * @param http - client for other processes
      * @param seeds - peer addresses of some keepers
      * @param clock - clock for timeouts and delays
+     * @param noteFault - called with each fault of a call to one keeper
      */
     constructor(
         private readonly http: Pick<HttpClient, "send">,
         private seeds: readonly string[],
         private readonly clock: Clock,
+        private readonly noteFault: FaultListener,
     ) {
         this.reachability = new KeeperReachability(seeds);
         this.voters = seeds;
@@ -182,7 +188,7 @@
 
     /** Resolves at the first keeper that reports that it leads, without waiting for the others. */
     private findLeaderAmongKeepers(): Promise<void> {
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             const contacted = new Set<string>();
             const sendToAll = async (addresses: readonly string[]): Promise<void> => {
                 const uncontacted = [...new Set(addresses)].filter(address => !contacted.has(address));
@@ -198,7 +204,7 @@
                     }
                 }));
             };
-            void sendToAll([...this.voters, ...this.seeds]).then(resolve);
+            sendToAll([...this.voters, ...this.seeds]).then(resolve, reject);
         });
     }
 
@@ -221,14 +227,20 @@
         request: LeaderCalls[Name]["request"],
         timeoutMs: number,
     ): Promise<Result<Reply<Name>, CallFailure>> {
-        const reply = await this.http.send({
+        const call = {
             address,
             method: "POST",
             path: `${peerPaths.call}${name}`,
             headers: { "content-type": "application/json" },
             body: Buffer.from(JSON.stringify(request)),
             timeoutMs,
-        });
+        };
+        const reply = await runContained<Result<HttpResponse, CallFailure>>(
+            this.noteFault,
+            { work: WorkKind.PeerCall, subject: address },
+            () => this.http.send(call),
+            () => Result.err({ kind: CallFailureKind.Unanswered, detail: "fault", isTimeout: false }),
+        );
         this.noteReachability(address, reply);
         return reply.andThen(({ status, body }) => {
             const value = status === 200 ? parseJsonBody(body, leaderReplySchema) : undefined;
--- a/packages/daemon/src/job-scheduler/peers/peer-server.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-server.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
 import { ChannelServer } from "../../channel/channel-server.js";
+import type { FaultListener } from "../../containment/fault-listener.js";
 import { HttpWorker } from "../../http/http-worker.js";
 import { readBytes } from "../../http/read-bytes.js";
 import type { PeerRequestHandler } from "./peer-request-handler.js";
@@ -16,9 +17,15 @@
     /**
      * @param address - address to listen on
      * @param handler - handles the requests
+     * @param noteFault - called with each fault of a request
      */
-    constructor(address: string, private readonly handler: Pick<PeerRequestHandler, "handleRequest">) {
-        super(address, limits, undefined, new ChannelServer((path, body) => handler.handleRequest(path, body)));
+    constructor(
+        address: string,
+        private readonly handler: Pick<PeerRequestHandler, "handleRequest">,
+        noteFault: FaultListener,
+    ) {
+        const channels = new ChannelServer((path, body) => handler.handleRequest(path, body), noteFault);
+        super(address, limits, noteFault, undefined, channels);
     }
 
     protected override async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/daemon/src/job-scheduler/peers/raft-sender.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/raft-sender.test.ts
@@ -31,9 +31,14 @@
     const calls: HttpCall[] = [];
     const responses: (() => void)[] = [];
     const counts = new Map<string, number>();
+    const faults: unknown[] = [];
+    const state = { isThrowing: false };
     const http = {
         send: (call: HttpCall) => {
             calls.push(call);
+            if (state.isThrowing) {
+                throw new RangeError("bad port");
+            }
             return new Promise<Result<HttpResponse, never>>(resolve =>
                 responses.push(() => resolve(Result.ok({ status: 200, body: Buffer.alloc(0) })))
             );
@@ -44,8 +49,8 @@
             const key = [name, ...Object.values(tags)].join(" ");
             counts.set(key, (counts.get(key) ?? 0) + count);
         },
-    });
-    return { calls, responses, counts, sender };
+    }, fault => faults.push(fault));
+    return { calls, responses, counts, sender, faults, state };
 }
 
 describe("RaftSender", () => {
@@ -79,4 +84,18 @@
         sender.sendMessages(address, [buildAppend(1)]);
         expect(calls).toHaveLength(maxInFlightBatches + 1);
     });
+
+    it("goes on sending to an address after calls that threw", async () => {
+        const { calls, sender, faults, state } = createFixture();
+        state.isThrowing = true;
+        for (let batch = 0; batch < 40; batch++) {
+            sender.sendMessages(address, [buildAppend(1)]);
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect([calls.length, faults.length]).toEqual([40, 40]);
+        expect(faults[0]).toMatchObject({ work: "peer-call", subject: address });
+        state.isThrowing = false;
+        sender.sendMessages(address, [buildAppend(1)]);
+        expect(calls).toHaveLength(41);
+    });
 });
--- a/packages/daemon/src/job-scheduler/peers/raft-sender.ts
+++ b/packages/daemon/src/job-scheduler/peers/raft-sender.ts
@@ -3,6 +3,9 @@
 import { RaftBatch } from "@daisylock/protocol/generated/raft.js";
 import { encodeRaftMessages } from "@daisylock/protocol/peer/encode-raft-messages.js";
 
+import type { FaultListener } from "../../containment/fault-listener.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import type { HttpClient } from "../../http-client/http-client.js";
 import { MessageDropReason } from "../../metrics/message-drop-reason.js";
 import { MetricName } from "../../metrics/metric-name.js";
@@ -23,11 +26,13 @@
      * @param http - client for other processes
      * @param ownAddress - peer address of this process, to which replies go
      * @param metrics - counters of sent entries and bytes and of dropped messages
+     * @param noteFault - called with each fault
      */
     constructor(
         private readonly http: Pick<HttpClient, "send">,
         private readonly ownAddress: string,
         private readonly metrics: Pick<Metrics, "addCount">,
+        private readonly noteFault: FaultListener,
     ) {}
 
     /**
@@ -50,8 +55,14 @@
         this.metrics.addCount(MetricName.EntriesSent, {}, countEntries(messages));
         this.metrics.addCount(MetricName.BytesSent, {}, body.length);
         const call = { address, method: "POST", path: peerPaths.raft, headers, body, timeoutMs: sendTimeoutMs };
-        void this.http.send({ ...call, isOneWay: true })
-            .then(() => this.inFlightBatches.set(address, (this.inFlightBatches.get(address) ?? 1) - 1));
+        startContained(this.noteFault, { work: WorkKind.PeerCall, subject: address }, async () => {
+            try {
+                await this.http.send({ ...call, isOneWay: true });
+            }
+            finally {
+                this.inFlightBatches.set(address, (this.inFlightBatches.get(address) ?? 1) - 1);
+            }
+        });
     }
 }
 
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -59,9 +59,12 @@
     const other = createSender(relayResponse);
     const relay = new TargetRequestRelay(createRequestSender(other.client), clock);
     const failures: string[] = [];
-    const state = { isDown: false, clockStepMs: 0, malformedReply: "" };
+    const state = { isDown: false, clockStepMs: 0, malformedReply: "", isThrowing: false };
     const peers = {
         send: async ({ path, body }: HttpCall) => {
+            if (state.isThrowing) {
+                throw new RangeError("bad port");
+            }
             if (state.isDown) {
                 return Result.err({ kind: CallFailureKind.Unanswered, detail: "connection lost", isTimeout: false });
             }
@@ -106,6 +109,14 @@
         },
     );
 
+    it("sends a request itself when the call of the relay throws", async () => {
+        const { own, client, failures, state, lines } = createFixture();
+        state.isThrowing = true;
+        expect(await client.sendLeaseRenewal(target, renewal)).toMatchObject({ incarnation: 1, running: [] });
+        expect([own.sent.length, failures]).toEqual([1, ["k1:70"]]);
+        expect(lines).toContainEqual(expect.objectContaining({ kind: "work-failed", work: "peer-call" }));
+    });
+
     it("sends a request itself when the relay fails, with the same run number", async () => {
         const { own, client, failures, state, lines } = createFixture();
         state.isDown = true;
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -1,12 +1,15 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
-import type Result from "true-myth/result";
+import Result from "true-myth/result";
 
 import type { Clock } from "../../clock/clock.js";
+import { runContained } from "../../containment/run-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { CallFailureKind } from "../../http-client/call-failure-kind.js";
 import type { CallFailure } from "../../http-client/call-failure.js";
 import type { HttpClient } from "../../http-client/http-client.js";
 import type { HttpResponse } from "../../http-client/http-response.js";
 import { parseJsonBody } from "../../http/parse-json-body.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { peerPaths } from "../peers/peer-paths.js";
@@ -56,6 +59,13 @@
     TargetRequestResult.WrongTarget,
 ]);
 
+/** Reply in place of one that ended by a fault; the relay may have the request. */
+const faultReply: Result<HttpResponse, CallFailure> = Result.err({
+    kind: CallFailureKind.Unanswered,
+    detail: "fault",
+    isTimeout: false,
+});
+
 /** A target that its relay did not reach the last time. */
 interface UnreachedTarget {
     readonly directMs: number;
@@ -137,14 +147,20 @@
         }
         const { id, address } = target;
         const body: RelayedRequest = { target: { id, address }, sentAtMs: this.clock.readWall(), ...content };
-        const reply = await this.peers.send({
+        const call = {
             address: relay,
             method: "POST",
             path: `${peerPaths.relay}${kind}`,
             headers: {},
             body: Buffer.from(JSON.stringify(body)),
             timeoutMs,
-        });
+        };
+        const reply = await runContained(
+            createFaultListener(this.log),
+            { work: WorkKind.PeerCall, subject: relay },
+            () => this.peers.send(call),
+            () => faultReply,
+        );
         const response = parseResponse(kind, reply);
         if (response === undefined) {
             return this.sendDirectly(kind, target, content, relay, reply);
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -3,6 +3,9 @@
 import { ChannelClient } from "../channel/channel-client.js";
 import type { Clock } from "../clock/clock.js";
 import { runGoroutine } from "../concurrency/run-goroutine.js";
+import type { FaultListener } from "../containment/fault-listener.js";
+import { startContained } from "../containment/start-contained.js";
+import { WorkKind } from "../containment/work-kind.js";
 import { EventLog } from "../events/event-log.js";
 import { HttpClient } from "../http-client/http-client.js";
 import { MetricName } from "../metrics/metric-name.js";
@@ -20,6 +23,7 @@
 import { LeaderComponents } from "./leader/leader-components.js";
 import { Leadership } from "./leader/leadership.js";
 import { LoadMeter } from "./leader/load-meter.js";
+import { createFaultListener } from "./logging/create-fault-listener.js";
 import { DecisionKind } from "./logging/decision-kind.js";
 import { DecisionLog } from "./logging/decision-log.js";
 import { FleetMetrics } from "./metrics/fleet-metrics.js";
@@ -58,6 +62,7 @@
 /** One process of the job scheduler: builds its components and runs the root of their supervisor tree. */
 export class SchedulerDaemon {
     private readonly log: DecisionLog;
+    private readonly noteFault: FaultListener;
     private readonly metrics = new FleetMetrics();
     private readonly events: EventLog;
     private readonly peerClient: ChannelClient;
@@ -83,6 +88,7 @@
     ) {
         const { node, log } = settings;
         this.log = new DecisionLog(node.name, log.level);
+        this.noteFault = createFaultListener(this.log);
         this.log.addListener({
             noteDecision: (kind, fields) => this.metrics.noteDecision(kind, fields),
             noteDroppedLine: () => this.metrics.noteDroppedLine(),
@@ -90,7 +96,7 @@
         this.events = new EventLog(node.name, node.zone, clock, eventCapacity);
         this.seeds = listSeeds(settings);
         this.peerClient = new ChannelClient(new HttpClient(maxPeerConnections), clock);
-        this.leaderClient = new LeaderClient(this.peerClient, this.seeds, clock);
+        this.leaderClient = new LeaderClient(this.peerClient, this.seeds, clock, this.noteFault);
         this.settingsWatcher = new SettingsWatcher(file, settings, next => this.applySettings(next), this.log, clock);
         const children = [
             { name: "settings-watch", create: () => this.settingsWatcher },
@@ -136,7 +142,15 @@
      */
     stop(): void {
         this.log.record(DecisionKind.ProcessStopping, {});
-        void this.releaseDuties().finally(() => this.rootSupervisor.stop());
+        const work = { work: WorkKind.Departure, subject: this.settings.node.name };
+        startContained(this.noteFault, work, async () => {
+            try {
+                await this.releaseDuties();
+            }
+            finally {
+                this.rootSupervisor.stop();
+            }
+        });
     }
 
     /** Hands over the leadership and the vote of a keeper. */
@@ -178,7 +192,7 @@
         const { metrics } = this.settings.listen;
         return metrics === ""
             ? []
-            : [{ name: "metrics-listener", create: () => new MetricsListener(metrics, this.metrics) }];
+            : [{ name: "metrics-listener", create: () => new MetricsListener(metrics, this.metrics, this.noteFault) }];
     }
 
     private listEntryChildren(): ChildSpec[] {
@@ -186,10 +200,13 @@
         const monitor = new LeaderMonitor(this.leaderClient, this.log, this.clock);
         return [
             { name: "leader-watch", create: () => monitor },
-            { name: "caller-listener", create: () => this.adapter.createCallerListener(this.settings, gateway) },
+            {
+                name: "caller-listener",
+                create: () => this.adapter.createCallerListener(this.settings, gateway, this.log),
+            },
             {
                 name: "ready-listener",
-                create: () => this.adapter.createReadyListener(this.settings, () => monitor.isReady()),
+                create: () => this.adapter.createReadyListener(this.settings, () => monitor.isReady(), this.log),
             },
         ];
     }
@@ -199,7 +216,7 @@
         const { node, listen, cluster, limits } = settings;
         const noteSent = (kind: string) => this.noteRequest(RequestDirection.Sent, kind);
         const noteReceived = (kind: string) => this.noteRequest(RequestDirection.Received, kind);
-        const sender = new RaftSender(this.peerClient, listen.peers, this.metrics);
+        const sender = new RaftSender(this.peerClient, listen.peers, this.metrics, this.noteFault);
         const keeper = new Keeper({
             storage: new FileKeeperStorage(node.data, node.name),
             clock,
@@ -255,6 +272,7 @@
                             new TargetRequestRelay(targetSender, clock),
                             noteReceived,
                         ),
+                        this.noteFault,
                     ),
             },
             { name: "member-manager", create: () => memberManager },
--- a/packages/daemon/src/metrics/metric-name.ts
+++ b/packages/daemon/src/metrics/metric-name.ts
@@ -22,5 +22,6 @@
     PeerRequests = "process.requests",
     RoundTime = "scheduler.round",
     InvariantsBroken = "invariants.broken",
+    WorkFaults = "process.work_faults",
     ChildRestarts = "supervisor.restarts",
 }
--- a/packages/daemon/src/request-proxy/entry/callers/dispatch-recorder.ts
+++ b/packages/daemon/src/request-proxy/entry/callers/dispatch-recorder.ts
@@ -6,6 +6,9 @@
 import Result from "true-myth/result";
 
 import type { Clock } from "../../../clock/clock.js";
+import type { FaultListener } from "../../../containment/fault-listener.js";
+import { startContained } from "../../../containment/start-contained.js";
+import { WorkKind } from "../../../containment/work-kind.js";
 import type { PeerFailure } from "../../../peer/peer-failure.js";
 import type { LeaderRpcClient } from "../../leader-client/leader-rpc-client.js";
 import type { CallerRequest } from "./caller-request.js";
@@ -22,8 +25,13 @@
     /**
      * @param leaderClient - client for commands to the leader
      * @param clock - wall time for the retention of records, monotonic time for deadlines
+     * @param noteFault - called with each fault of recording an outcome
      */
-    constructor(private readonly leaderClient: LeaderRpcClient, private readonly clock: Clock) {}
+    constructor(
+        private readonly leaderClient: LeaderRpcClient,
+        private readonly clock: Clock,
+        private readonly noteFault: FaultListener,
+    ) {}
 
     /**
      * Claims an unrepeatable request.
@@ -60,9 +68,11 @@
         state: DispatchState.Completed | DispatchState.NotRun,
         response: RecordedResponse | undefined,
     ): void {
-        void this.leaderClient.sendCommand(
-            { kind: CommandKind.RecordOutcome, ...claim, state, answer: response },
-            outcomeTimeoutMs,
+        const command = { kind: CommandKind.RecordOutcome, ...claim, state, answer: response } as const;
+        startContained(
+            this.noteFault,
+            { work: WorkKind.PeerCall, subject: claim.dispatchId },
+            () => this.leaderClient.sendCommand(command, outcomeTimeoutMs),
         );
     }
 }
--- a/packages/daemon/src/request-proxy/entry/entry-components.ts
+++ b/packages/daemon/src/request-proxy/entry/entry-components.ts
@@ -41,7 +41,7 @@
         private readonly callerAddress: string,
         private readonly targetAddress: string,
     ) {
-        const { settings, clock, events, metrics, leaderClient } = processContext;
+        const { settings, clock, events, metrics, leaderClient, noteFault } = processContext;
         this.state = new EntryState(settings, randomBytes(6).toString("hex"), clock);
         this.registry = new TargetRegistry(
             clock,
@@ -62,7 +62,7 @@
             connections,
             abandonedRequests: new AbandonedRequests(admissionController, clock, events),
             halfOpenDetector: new HalfOpenConnectionDetector(connections, clock),
-            dispatchRecorder: new DispatchRecorder(leaderClient, clock),
+            dispatchRecorder: new DispatchRecorder(leaderClient, clock, noteFault),
             retryBudget: { tokens: retryBudgetLimits.maxTokens },
             clock,
             events,
@@ -89,7 +89,7 @@
      * that it stops first while the workers that its in-flight requests depend on still run.
      */
     private listChildren(): ChildSpec[] {
-        const { clock, clients, metrics } = this.processContext;
+        const { clock, clients, metrics, noteFault } = this.processContext;
         const { state, registry, callerDependencies } = this;
         return [
             { name: "table-follower", create: () => this.createLeaderSyncWorker() },
@@ -102,7 +102,10 @@
                 create: () =>
                     new AbandonedPoller(callerDependencies.abandonedRequests, state, registry, clients, clock, metrics),
             },
-            { name: "target-listener", create: () => new TargetListener(this.targetAddress, state, registry) },
+            {
+                name: "target-listener",
+                create: () => new TargetListener(this.targetAddress, state, registry, noteFault),
+            },
             { name: "caller-listener", create: () => new CallerListener(this.callerAddress, callerDependencies) },
         ];
     }
--- a/packages/daemon/src/request-proxy/entry/targets/target-listener.ts
+++ b/packages/daemon/src/request-proxy/entry/targets/target-listener.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as v from "valibot";
 
+import type { FaultListener } from "../../../containment/fault-listener.js";
 import { HttpWorker } from "../../../http/http-worker.js";
 import { isTokenValid } from "../../../http/is-token-valid.js";
 import { readJson } from "../../../http/read-json.js";
@@ -24,9 +25,15 @@
      * @param address - address to listen on
      * @param state - state of the entry
      * @param registry - registry in which announcements are recorded
+     * @param noteFault - called with each fault of a request
      */
-    constructor(address: string, private readonly state: EntryState, private readonly registry: TargetRegistry) {
-        super(address, state.settings.limits);
+    constructor(
+        address: string,
+        private readonly state: EntryState,
+        private readonly registry: TargetRegistry,
+        noteFault: FaultListener,
+    ) {
+        super(address, state.settings.limits, noteFault);
     }
 
     protected override async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/daemon/src/request-proxy/keeper/keeper-components.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper-components.ts
@@ -1,6 +1,8 @@
 import { defaultRaftTiming } from "@daisylock/core/raft/default-raft-timing.js";
 import { encodeRaftMessages } from "@daisylock/protocol/peer/encode-raft-messages.js";
 
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { Supervisor } from "../../supervision/supervisor.js";
 import type { ProcessContext } from "../process-context.js";
 import { Allocator } from "./allocator.js";
@@ -22,7 +24,7 @@
      * @param folder - path of the data folder
      */
     constructor(private readonly processContext: ProcessContext, folder: string) {
-        const { settings, clock, events, metrics, clients } = processContext;
+        const { settings, clock, events, metrics, clients, noteFault } = processContext;
         this.keeper = new Keeper({
             storage: new FileKeeperStorage(folder, settings.node.name),
             clock,
@@ -33,7 +35,8 @@
             snapshotEntries: settings.limits.snapshot_entries,
             send: (address, messages) => {
                 const batch = encodeRaftMessages(messages, settings.listen.peers);
-                void clients.send(address, "deliver", batch, deliverTimeoutMs);
+                const work = { work: WorkKind.PeerCall, subject: address };
+                startContained(noteFault, work, () => clients.send(address, "deliver", batch, deliverTimeoutMs));
             },
         });
         this.allocator = new Allocator(this.keeper, clock, events);
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -152,6 +152,7 @@
             this.raft = undefined;
             this.transfer?.resolve(undefined);
             this.proposals.settleAll();
+            // Every write was synced, so that a failure to close loses nothing.
             storage.close().catch(() => undefined);
         }
     }
--- a/packages/daemon/src/request-proxy/operator/operator-listener.ts
+++ b/packages/daemon/src/request-proxy/operator/operator-listener.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type Result from "true-myth/result";
 
+import type { FaultListener } from "../../containment/fault-listener.js";
 import { HttpWorker } from "../../http/http-worker.js";
 import { isTokenValid } from "../../http/is-token-valid.js";
 import { readJson } from "../../http/read-json.js";
@@ -21,9 +22,14 @@
     /**
      * @param settings - settings of the process
      * @param operate - handles a request in this process or forwards it to the leader
+     * @param noteFault - called with each fault of a request
      */
-    constructor(private readonly settings: Settings, private readonly operate: OperateHandler) {
-        super(settings.listen.operators, settings.limits);
+    constructor(
+        private readonly settings: Settings,
+        private readonly operate: OperateHandler,
+        noteFault: FaultListener,
+    ) {
+        super(settings.listen.operators, settings.limits, noteFault);
     }
 
     protected override async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/daemon/src/request-proxy/process-context.ts
+++ b/packages/daemon/src/request-proxy/process-context.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../clock/clock.js";
+import type { FaultListener } from "../containment/fault-listener.js";
 import type { EventLog } from "../events/event-log.js";
 import type { Metrics } from "../metrics/metrics.js";
 import type { PeerClients } from "../peer/peer-clients.js";
@@ -13,4 +14,6 @@
     readonly metrics: Metrics;
     readonly clients: PeerClients;
     readonly leaderClient: LeaderRpcClient;
+    /** Called with each fault of work for one call, VM or peer. */
+    readonly noteFault: FaultListener;
 }
--- a/packages/daemon/src/request-proxy/proxy-daemon.ts
+++ b/packages/daemon/src/request-proxy/proxy-daemon.ts
@@ -7,6 +7,7 @@
 import { Metrics } from "../metrics/metrics.js";
 import { PeerClients } from "../peer/peer-clients.js";
 import { PeerListener } from "../peer/peer-listener.js";
+import { describeError } from "../process-failure/describe-error.js";
 import { Role } from "../settings/role.js";
 import type { Settings } from "../settings/settings.js";
 import type { ChildSpec } from "../supervision/child-spec.js";
@@ -37,11 +38,18 @@
         this.events = new EventLog(node.name, node.zone, clock, limits.events);
         const clients = new PeerClients(cluster.secret, this.events, cluster.dial);
         const relays = cluster.entries.filter(address => address !== settings.listen.peers);
+        const metrics = new Metrics(settings.metrics.statsd, node.name, node.zone);
         this.context = {
             settings,
             clock,
             events: this.events,
-            metrics: new Metrics(settings.metrics.statsd, node.name, node.zone),
+            metrics,
+            noteFault: ({ work, subject, error }) => {
+                const { error: name, message, stack = "" } = describeError(error);
+                const detail = `${work} ${subject}: ${name}: ${message}\n${stack}`;
+                this.events.record(EventKind.WorkFailed, { detail });
+                metrics.addCount(MetricName.WorkFaults, { work });
+            },
             clients,
             leaderClient: new LeaderRpcClient(clients, clock, cluster.keepers, relays),
         };
@@ -83,7 +91,7 @@
     }
 
     private listChildren(): ChildSpec[] {
-        const { settings, clock, events, clients } = this.context;
+        const { settings, clock, events, clients, noteFault } = this.context;
         const { node, listen, cluster } = settings;
         const keeperComponents = node.roles.includes(Role.Keeper) && node.data !== undefined
             ? new KeeperComponents(this.context, node.data)
@@ -116,7 +124,7 @@
         }
         children.push({
             name: "operator-listener",
-            create: () => new OperatorListener(settings, request => handlers.operate(request)),
+            create: () => new OperatorListener(settings, request => handlers.operate(request), noteFault),
         });
         return children;
     }
