A response that can't be forwarded costs its request, not the request proxy

What callers saw: a target whose response has the status 099 ended the process of the entry; one whose announced address has a port out of range kept the slot of each request that was sent to it for ever.

Cause: writeHead and request of node:http throw. The first was called by an event handler, which nothing surrounds; the second before the attempt had a result, so that its slot was never released.

Change: both are contained; the attempt ends as unknown or as not run, is logged (work-failed) and settles its slot. Other faults of a request were recorded as broken invariants; now only these are.

--- a/packages/daemon/src/containment/start-contained.ts
+++ b/packages/daemon/src/containment/start-contained.ts
@@ -8,7 +8,13 @@
  * @param noteFault - called with a fault
  * @param work - what is run, and for what
  * @param run - runs the work
+ * @param recover - called after a fault; does nothing by default
  */
-export function startContained(noteFault: FaultListener, work: Work, run: () => unknown): void {
-    runContained<unknown>(noteFault, work, run, () => undefined).catch(reportUncaught);
+export function startContained(
+    noteFault: FaultListener,
+    work: Work,
+    run: () => unknown,
+    recover: () => unknown = () => undefined,
+): void {
+    runContained(noteFault, work, run, recover).catch(reportUncaught);
 }
--- a/packages/daemon/src/http/http-worker.ts
+++ b/packages/daemon/src/http/http-worker.ts
@@ -4,10 +4,8 @@
 import { Mailbox } from "../concurrency/mailbox.js";
 import { waitFor } from "../concurrency/wait-for.js";
 import type { FaultListener } from "../containment/fault-listener.js";
-import { runContained } from "../containment/run-contained.js";
 import { startContained } from "../containment/start-contained.js";
 import { WorkKind } from "../containment/work-kind.js";
-import type { Work } from "../containment/work.js";
 import type { Settings } from "../settings/settings.js";
 import { Worker } from "../supervision/worker.js";
 import { HttpListener } from "./http-listener.js";
@@ -43,10 +41,6 @@
         private readonly upgrades?: Pick<ChannelServer, "serveUpgrade" | "stop">,
     ) {
         super();
-        const startServing = (work: Work, serve: () => unknown, stream: { destroy: () => unknown }): void => {
-            const close = () => stream.destroy();
-            startContained(noteFault, work, () => runContained(noteFault, work, serve, close));
-        };
         this.listener = new HttpListener(
             address,
             {
@@ -57,11 +51,12 @@
             },
             (request, response) => {
                 const work = { work: WorkKind.HttpRequest, subject: describeRequest(request) };
-                startServing(work, () => this.serve(request, response), response);
+                startContained(noteFault, work, () => this.serve(request, response), () => response.destroy());
             },
             upgrades === undefined ? undefined : (request, socket, head) => {
                 const work = { work: WorkKind.PeerChannel, subject: describeRequest(request) };
-                startServing(work, () => upgrades.serveUpgrade(request, socket, head), socket);
+                const serve = () => upgrades.serveUpgrade(request, socket, head);
+                startContained(noteFault, work, serve, () => socket.destroy());
             },
         );
     }
--- a/packages/daemon/src/request-proxy/entry/callers/caller-dependencies.ts
+++ b/packages/daemon/src/request-proxy/entry/callers/caller-dependencies.ts
@@ -1,6 +1,7 @@
 import type { RetryBudget } from "@daisylock/core/retries/retry-budget.js";
 
 import type { Clock } from "../../../clock/clock.js";
+import type { FaultListener } from "../../../containment/fault-listener.js";
 import type { EventLog } from "../../../events/event-log.js";
 import type { Metrics } from "../../../metrics/metrics.js";
 import type { AdmissionController } from "../admission/admission-controller.js";
@@ -22,4 +23,6 @@
     readonly clock: Clock;
     readonly events: EventLog;
     readonly metrics: Metrics;
+    /** Called with each fault of a request. */
+    readonly noteFault: FaultListener;
 }
--- a/packages/daemon/src/request-proxy/entry/callers/caller-listener.ts
+++ b/packages/daemon/src/request-proxy/entry/callers/caller-listener.ts
@@ -1,9 +1,11 @@
 import { EventKind } from "@daisylock/core/events/event-kind.js";
 import type { IncomingMessage, ServerResponse } from "node:http";
 
+import { InvariantViolation } from "@daisylock/core/invariants/invariant-violation.js";
 import { Mailbox } from "../../../concurrency/mailbox.js";
 import { runGoroutine } from "../../../concurrency/run-goroutine.js";
 import { waitFor } from "../../../concurrency/wait-for.js";
+import { WorkKind } from "../../../containment/work-kind.js";
 import { HttpListener } from "../../../http/http-listener.js";
 import { sendJson } from "../../../http/send-json.js";
 import { Worker } from "../../../supervision/worker.js";
@@ -11,6 +13,8 @@
 import { RequestHandler } from "./request-handler.js";
 
 const healthPath = "/v1/health";
+/** Part of the method and path of a request that is logged with a fault, characters. */
+const maxSubjectLength = 200;
 
 /** HTTP listener for requests of callers. */
 export class CallerListener extends Worker {
@@ -65,7 +69,7 @@
         const handler = new RequestHandler(this.dependencies, request, response);
         runGoroutine(() => handler.run(), error => {
             if (error !== undefined) {
-                this.handleFailure(response, error);
+                this.handleFailure(request, response, error);
             }
             // Discards the rest of the body of a refused request, so that a caller that is still sending gets the response.
             request.resume();
@@ -78,8 +82,14 @@
         sendJson(response, isReady ? 200 : 503, { ready: isReady, fresh: state.freshness.isFresh() });
     }
 
-    private handleFailure(response: ServerResponse, error: unknown): void {
-        this.dependencies.events.record(EventKind.InvariantBroken, { detail: String(error) });
+    private handleFailure({ method, url }: IncomingMessage, response: ServerResponse, error: unknown): void {
+        const { events, noteFault } = this.dependencies;
+        if (error instanceof InvariantViolation) {
+            events.record(EventKind.InvariantBroken, { detail: String(error) });
+        }
+        else {
+            noteFault({ work: WorkKind.HttpRequest, subject: `${method} ${url}`.slice(0, maxSubjectLength), error });
+        }
         response.destroy();
     }
 }
--- a/packages/daemon/src/request-proxy/entry/callers/run-attempt.ts
+++ b/packages/daemon/src/request-proxy/entry/callers/run-attempt.ts
@@ -42,6 +42,7 @@
         admissionController,
         abandonedRequests,
         clock,
+        noteFault,
     } = dependencies;
     const { limits, node, cluster } = state.settings;
     const { call: request, dispatch } = input;
@@ -65,6 +66,7 @@
         bodyStallMs: limits.body_stall_ms,
         maxBodyBytes: limits.max_body_bytes,
         clock,
+        noteFault,
     });
     halfOpenDetector.add(vm, address, dispatchId, attempt);
     const result = yield* waitFor(attempt.run());
--- a/packages/daemon/src/request-proxy/entry/entry-components.ts
+++ b/packages/daemon/src/request-proxy/entry/entry-components.ts
@@ -67,6 +67,7 @@
             clock,
             events,
             metrics,
+            noteFault,
         };
         this.registry.addListener(target => {
             applyAnnouncement(this.state, target);
--- a/packages/daemon/src/request-proxy/entry/forwarding/target-attempt.ts
+++ b/packages/daemon/src/request-proxy/entry/forwarding/target-attempt.ts
@@ -10,6 +10,9 @@
 } from "node:http";
 
 import type { Clock } from "../../../clock/clock.js";
+import type { FaultListener } from "../../../containment/fault-listener.js";
+import { startContained } from "../../../containment/start-contained.js";
+import { WorkKind } from "../../../containment/work-kind.js";
 import { parseAddress } from "../../../settings/parse-address.js";
 import type { CallerRequest } from "../callers/caller-request.js";
 import { AttemptEnd } from "./attempt-end.js";
@@ -39,6 +42,8 @@
     readonly bodyStallMs: number;
     readonly maxBodyBytes: number;
     readonly clock: Clock;
+    /** Called with each fault of the attempt. */
+    readonly noteFault: FaultListener;
 }
 
 /** Sends a request to one target and forwards the response. */
@@ -67,7 +72,19 @@
      * @returns the result of the attempt
      */
     run(): Promise<AttemptResult> {
-        const { clock, call: request, response } = this.options;
+        const { noteFault, address } = this.options;
+        // Node throws for a request that it can't send, for example because of the target's address.
+        startContained(
+            noteFault,
+            { work: WorkKind.TargetRequest, subject: address },
+            () => this.startRequest(),
+            () => this.settleFailure(UnknownOutcomeReason.ConnectionLost, true),
+        );
+        return this.result;
+    }
+
+    private startRequest(): void {
+        const { clock, call: request, response, noteFault, address } = this.options;
         const outgoing = this.sendRequest();
         this.outgoing = outgoing;
         const connectTimer = clock.schedule(this.options.connectTimeoutMs, () => this.handleConnectTimeout());
@@ -86,9 +103,14 @@
             }
             this.handleConnect(connectTimer);
         });
-        outgoing.once("response", incoming => this.handleResponse(incoming));
+        outgoing.once("response", incoming =>
+            startContained(
+                noteFault,
+                { work: WorkKind.TargetRequest, subject: address },
+                () => this.handleResponse(incoming),
+                () => this.settleFailure(UnknownOutcomeReason.ConnectionLost, true),
+            ));
         outgoing.on("error", () => this.handleError());
-        return this.result;
     }
 
     /**
@@ -206,11 +228,12 @@
 
     private forwardResponse(incoming: IncomingMessage, status: number): void {
         const { response, call: request } = this.options;
-        this.hasResponseHeaders = true;
         // A response that has begun may exceed the deadline as long as it makes progress.
         this.stopDeadlineTimer();
         this.scheduleProgressCheck(incoming, -1);
+        // Throws for a status or a header that can't be sent.
         response.writeHead(status, buildResponseHeaders(incoming.headers, request.id));
+        this.hasResponseHeaders = true;
         if (request.isUnrepeatable) {
             this.recordResponseBody(incoming);
         }
