A fault of one wave or of the paces of one target costs only that

Cause: the rounds of the maintenance runner and the pace controller compute for one wave or one target after the other; a fault for one ended the process. Change: the wave waits for 1 s, with its VMs still cordoned, and the others go on; a target's paces are computed again in the next round. The relay's client creates its listener of faults once. Before: the new tests ended the worker. After: npx jest pace-controller maintenance-runner relayed-target: all pass.

--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.test.ts
@@ -19,11 +19,13 @@
 const waveNumber = 1;
 const task = "a.0.0.0";
 
+const isNeverMoving: (vm: string) => boolean = () => false;
+
 describe("MaintenanceRunner", () => {
     let runner: MaintenanceRunner;
     afterEach(() => runner.stop());
 
-    function createFixture({ targets = 1, steps = [buildTestStep()] } = {}) {
+    function createFixture({ targets = 1, steps = [buildTestStep()], isMoving = isNeverMoving } = {}) {
         const state = buildTestFleet(targets, { cpu: 4_000, memory: 1_000, gpu: 0 });
         const { fleet } = state;
         addTestJob(state, "a", steps);
@@ -55,7 +57,7 @@
             vmLeases,
             log,
             clock,
-            isMoving: () => false,
+            isMoving,
             maintenanceMs: 2_000,
         });
         return {
@@ -259,4 +261,24 @@
         await runFor(6_000);
         expect(readDone()).toEqual(["vm0"]);
     });
+
+    it("goes on with other waves after a fault of one, and tries that one again after a pause", async () => {
+        let faultCount = 0;
+        const isMoving = (vm: string) => {
+            if (vm === "vm0") {
+                faultCount += 1;
+                throw new TypeError("broken");
+            }
+            return false;
+        };
+        const { state, vms, runFor, readRequests } = createFixture({ targets: 2, isMoving });
+        const wave = { number: waveNumber + 1, vms: ["vm1"], cap: 1, deadlineAtMs: 20_000, done: [] };
+        applyCommand(state, { kind: CommandKind.StartMaintenance, wave });
+        vms.addVm("vm0", "web", "t0");
+        vms.addVm("vm1", "web", "t1");
+        await runFor(3_000);
+        expect(readRequests()).toEqual(["vm1"]);
+        expect(faultCount).toBeGreaterThan(1);
+        expect(faultCount).toBeLessThan(5);
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -17,6 +17,7 @@
 import type { MaintenanceWave } from "@daisylock/core/vm-maintenance/maintenance-wave.js";
 import { planMaintenance } from "@daisylock/core/vm-maintenance/plan-maintenance.js";
 
+import { InvariantViolation } from "@daisylock/core/invariants/invariant-violation.js";
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
 import { runContained } from "../../containment/run-contained.js";
@@ -39,6 +40,8 @@
 const readyPercent = 100;
 /** Delay before maintenance of a busy VM is requested again, milliseconds; another VM of the wave goes first. */
 const busyRetryDelayMs = 1_500;
+/** Time for which a wave waits after a fault, milliseconds. */
+const faultDelayMs = 1_000;
 /** Time for which a VM that cannot be emptied is not drained, milliseconds: for the tasks that waited to start there. */
 const postponementMs = 5_000;
 
@@ -67,6 +70,8 @@
 export class MaintenanceRunner extends PeriodicWorker {
     override readonly name = "upkeep-runner";
     private token = 0;
+    /** Time until which a wave waits after a fault, wall-clock milliseconds, by number. */
+    private readonly faultyUntil = new Map<number, number>();
     /** Earliest time at which maintenance of a VM is requested again, wall-clock milliseconds. */
     private readonly retryAt = new Map<string, number>();
     /** When the first of the latest requests that all found a VM busy was sent, monotonic milliseconds. */
@@ -127,7 +132,7 @@
         this.noteLeadership(lease);
         const draining = new Map<string, number>();
         for (const wave of waves) {
-            yield* this.runWave(fleet, wave, draining);
+            yield* this.runWaveContained(fleet, wave, draining);
         }
         this.drainingSince = draining;
         return intervalMs;
@@ -146,6 +151,39 @@
             .forEach(({ vm }) => this.maintenanceStartedAt.set(vm, clock.readWall()));
     }
 
+    /** After a fault, the wave waits for a while; VMs that drain for it stay cordoned meanwhile. */
+    private *runWaveContained(
+        fleet: FleetState,
+        wave: MaintenanceWave,
+        draining: Map<string, number>,
+    ): Generator<unknown, void, unknown> {
+        const { log, clock } = this.dependencies;
+        if (clock.readWall() < (this.faultyUntil.get(wave.number) ?? 0)) {
+            this.restoreDraining(wave, draining);
+            return;
+        }
+        try {
+            yield* this.runWave(fleet, wave, draining);
+        }
+        catch (error) {
+            if (error instanceof InvariantViolation) {
+                throw error;
+            }
+            createFaultListener(log)({ work: WorkKind.VmMaintenance, subject: `wave ${wave.number}`, error });
+            this.faultyUntil.set(wave.number, clock.readWall() + faultDelayMs);
+            this.restoreDraining(wave, draining);
+        }
+    }
+
+    private restoreDraining({ vms }: MaintenanceWave, draining: Map<string, number>): void {
+        for (const vm of vms) {
+            const since = this.drainingSince.get(vm);
+            if (since !== undefined) {
+                draining.set(vm, since);
+            }
+        }
+    }
+
     private *runWave(
         fleet: FleetState,
         wave: MaintenanceWave,
--- a/packages/daemon/src/job-scheduler/leader/pace-controller.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pace-controller.test.ts
@@ -133,4 +133,22 @@
         await runFor(4_000);
         expect(target.pace).toBe(100);
     });
+
+    it("goes on after a fault of computing the paces of a target", async () => {
+        const { target, session, open } = createFixture();
+        target.pace = 20;
+        const running = new Map(session.running);
+        Object.defineProperty(session, "running", {
+            configurable: true,
+            get: () => {
+                throw new TypeError("broken");
+            },
+        });
+        const runFor = open();
+        await runFor(2_000);
+        expect(target.pace).toBe(20);
+        Object.defineProperty(session, "running", { value: running });
+        await runFor(4_000);
+        expect(target.pace).toBe(100);
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/pace-controller.ts
+++ b/packages/daemon/src/job-scheduler/leader/pace-controller.ts
@@ -4,6 +4,7 @@
 
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
+import type { FaultListener } from "../../containment/fault-listener.js";
 import { runContained } from "../../containment/run-contained.js";
 import { WorkKind } from "../../containment/work-kind.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
@@ -42,6 +43,7 @@
     private readonly paces = new Map<string, Pace>();
     /** Fencing token of the leadership in which the paces were set. */
     private token = 0;
+    private readonly noteFault: FaultListener;
 
     /**
      * @param leadership - leadership state of this process
@@ -56,12 +58,20 @@
         clock: Clock,
     ) {
         super(clock);
+        this.noteFault = createFaultListener(log);
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
         if (this.leadership.isActive()) {
             this.noteLeadership(this.leadership.readFencingToken());
-            const changes = [...this.sessions.list().values()].flatMap(session => this.applyPaces(session));
+            const changes = [...this.sessions.list().values()].map(session =>
+                runContained<unknown>(
+                    this.noteFault,
+                    { work: WorkKind.TargetRequest, subject: session.record.id },
+                    () => Promise.all(this.applyPaces(session)),
+                    () => undefined,
+                )
+            );
             yield* waitFor(Promise.all(changes));
         }
         return intervalMs;
@@ -102,7 +112,7 @@
     ): Promise<void> {
         const { token } = this;
         const isConfirmed = await runContained(
-            createFaultListener(this.log),
+            this.noteFault,
             { work: WorkKind.TargetRequest, subject: session.record.id },
             () => session.setPace(task, run, percent),
             () => false,
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -2,6 +2,7 @@
 import Result from "true-myth/result";
 
 import type { Clock } from "../../clock/clock.js";
+import type { FaultListener } from "../../containment/fault-listener.js";
 import { runContained } from "../../containment/run-contained.js";
 import { WorkKind } from "../../containment/work-kind.js";
 import { CallFailureKind } from "../../http-client/call-failure-kind.js";
@@ -81,6 +82,7 @@
  */
 export class RelayedTargetClient extends TargetClient {
     private readonly unreachedTargets = new Map<string, UnreachedTarget>();
+    private readonly noteFault: FaultListener;
 
     /**
      * @param direct - sends requests from this process
@@ -97,6 +99,7 @@
         private readonly clock: Clock,
     ) {
         super();
+        this.noteFault = createFaultListener(log);
     }
 
     override startTask(target: TargetRecord, request: StartTaskRequest): Promise<TargetResponse> {
@@ -156,7 +159,7 @@
             timeoutMs,
         };
         const reply = await runContained(
-            createFaultListener(this.log),
+            this.noteFault,
             { work: WorkKind.PeerCall, subject: relay },
             () => this.peers.send(call),
             () => faultReply,
