--- a/packages/daemon/src/process-failure/describe-error.ts
+++ b/packages/daemon/src/process-failure/describe-error.ts
@@ -10,7 +10,7 @@
     /** Class of the error; the type of a thrown value that is no error. */
     readonly error: string;
     readonly message: string;
-    /** First stack frames, separated by line ends; `undefined` for a thrown value that is no error. */
+    /** First stack frames of the error or its cause, separated by line ends; `undefined` for a thrown value that is no error. */
     readonly stack: string | undefined;
 }
 
@@ -23,7 +23,8 @@
     if (!(error instanceof Error)) {
         return { error: typeof error, message: String(error).slice(0, maxMessageLength), stack: undefined };
     }
-    const frames = (error.stack ?? "").split("\n").filter(line => line.startsWith("    at ")).slice(0, maxFrames);
+    const thrown = error.cause instanceof Error ? error.cause : error;
+    const frames = (thrown.stack ?? "").split("\n").filter(line => line.startsWith("    at ")).slice(0, maxFrames);
     return {
         error: error.name,
         message: error.message.slice(0, maxMessageLength),
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -29,6 +29,7 @@
 import { tickRaft } from "@daisylock/core/raft/tick-raft.js";
 import Result from "true-myth/result";
 
+import { InvariantViolation } from "@daisylock/core/invariants/invariant-violation.js";
 import type { Clock } from "../../clock/clock.js";
 import { SuspensionDetector } from "../../clock/suspension-detector.js";
 import { Mailbox } from "../../concurrency/mailbox.js";
@@ -38,6 +39,7 @@
 import { MetricName } from "../../metrics/metric-name.js";
 import type { Metrics } from "../../metrics/metrics.js";
 import { Worker } from "../../supervision/worker.js";
+import { ApplyFailure } from "./apply-failure.js";
 import { buildKeeperView } from "./build-keeper-view.js";
 import { collectByReceiver } from "./collect-by-receiver.js";
 import { KeeperEventKind } from "./keeper-event-kind.js";
@@ -475,12 +477,21 @@
             this.proposals.settle(entry, term, undefined);
             return;
         }
-        const command = JSON.parse(entry.payload) as ControlCommand;
-        const result = applyCommand(this.control, command);
+        const result = this.applyCommand(entry);
         this.dependencies.metrics.addCount(MetricName.LogCommits);
         this.proposals.settle(entry, term, result);
     }
 
+    /** Every keeper ends that applies an entry by which its state would differ from the others'; the error names the entry. */
+    private applyCommand(entry: LogEntry): ReturnType<typeof applyCommand> {
+        try {
+            return applyCommand(this.control, JSON.parse(entry.payload) as ControlCommand);
+        }
+        catch (error) {
+            throw error instanceof InvariantViolation ? error : new ApplyFailure(entry, error);
+        }
+    }
+
     private reportRole(raft: RaftState): void {
         // A leadership may have begun and ended within the batch, so the previous role does not matter.
         if (raft.role !== RaftRole.Leader) {
