A process that fails ends also when the reader of its log is stuck

Cause: the exit of Node waits for its threads, one of which writes the log; with a reader that takes nothing, it waits without a limit. On a socket, the write of the last line itself could block. A log file that is not opened for appending got the line at its end, where the next process wrote over it.

Change: pipes are opened again without blocking, sockets are made non-blocking, files are written at the shared position.

--- a/packages/daemon/src/containment/run-contained.test.ts
+++ b/packages/daemon/src/containment/run-contained.test.ts
@@ -51,7 +51,7 @@
         };
             import { startContained } from "${folder}/containment/start-contained.js";
             import { ProcessFailureReporter } from "${folder}/process-failure/process-failure-reporter.js";
-            const log = { fd: 1, process: "k1", takePendingLines: () => [] };
+            const log = { fd: 1, process: "k1", takePendingLines: () => [], countPendingBytes: () => 0 };
             new ProcessFailureReporter(log).start();
             setInterval(() => undefined, 1_000);
             for (const subject of ["vm1", "vm2"]) {
--- a/packages/daemon/src/job-scheduler/logging/decision-log.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-log.ts
@@ -112,6 +112,14 @@
         return this.batcher.takePendingLines();
     }
 
+    /**
+     * Counts the bytes that the reader of the log has not taken yet.
+     * @returns bytes
+     */
+    countPendingBytes(): number {
+        return this.batcher.countPendingBytes();
+    }
+
     private isWithinRate(kind: DecisionKind, fields: Fields, now: number): boolean {
         const job = findJob(fields);
         if (job !== undefined && !this.sampler.isLineKept(job, now)) {
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -61,7 +61,7 @@
 
 /** One process of the job scheduler: builds its components and runs the root of their supervisor tree. */
 export class SchedulerDaemon {
-    private readonly log: DecisionLog;
+    readonly log: DecisionLog;
     private readonly noteFault: FaultListener;
     private readonly metrics = new FleetMetrics();
     private readonly events: EventLog;
@@ -165,14 +165,6 @@
         await this.memberManager?.releaseVote();
     }
 
-    /**
-     * Takes the log lines that wait to be written, for a process that is about to end.
-     * @returns the lines without their ends
-     */
-    takePendingLines(): string[] {
-        return this.log.takePendingLines();
-    }
-
     /** Checks the settings file at once instead of at the next periodic check. */
     updateSettings(): void {
         this.settingsWatcher.startRound();
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -33,7 +33,7 @@
 }
 
 async function runDaemon(file: string): Promise<void> {
-    const log = { fd: standardErrorFd, process: "", takePendingLines: () => [] };
+    const log = { fd: standardErrorFd, process: "", takePendingLines: () => [], countPendingBytes: () => 0 };
     const failures = new ProcessFailureReporter(log);
     failures.start();
     const { SettingsUnusable, ComponentFailed } = ProcessFailureReason;
--- a/packages/daemon/src/process-failure/process-failure-reporter.test.ts
+++ b/packages/daemon/src/process-failure/process-failure-reporter.test.ts
@@ -1,7 +1,7 @@
 import { InvariantViolation } from "@daisylock/core/invariants/invariant-violation.js";
 import { Invariant } from "@daisylock/core/invariants/invariant.js";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
-import { execFileSync, spawnSync } from "node:child_process";
+import { execFileSync, spawn, spawnSync } from "node:child_process";
 import { closeSync, constants, mkdtempSync, openSync, readFileSync, rmSync, writeSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
@@ -28,7 +28,12 @@
 
     function createReporter(pendingLines: string[] = [], output = fd) {
         const codes: number[] = [];
-        const log = { fd: output, process: "k1", takePendingLines: () => pendingLines.splice(0) };
+        const log = {
+            fd: output,
+            process: "k1",
+            takePendingLines: () => pendingLines.splice(0),
+            countPendingBytes: () => 0,
+        };
         const reporter = new ProcessFailureReporter(log, code => codes.push(code) as never);
         return { reporter, codes };
     }
@@ -92,6 +97,44 @@
         expect(Date.now() - startedAt).toBeLessThan(1_000);
     });
 
+    it("adds to a file at the shared position, so that the next process does not overwrite the line", () => {
+        const path = join(folder, "log");
+        const output = openSync(path, "w");
+        const { reporter } = createReporter([], output);
+        reporter.reportAndExit(ProcessFailureReason.UncaughtError, new Error("first"));
+        writeSync(output, "{\"kind\":\"process-started\"}\n");
+        closeSync(output);
+        expect(readLines()).toMatchObject([{ kind: "process-failed" }, { kind: "process-started" }]);
+    });
+
+    it("ends when nobody reads the socket of the log", async () => {
+        const module = (name: string) => resolve(`packages/daemon/dist/${name}.js`);
+        const program = `import { DecisionLog } from "${module("job-scheduler/logging/decision-log")}";
+            import { ProcessFailureReporter } from "${module("process-failure/process-failure-reporter")}";
+            const log = new DecisionLog("k3", "info");
+            const takePendingLines = () => log.takePendingLines();
+            const countPendingBytes = () => log.countPendingBytes();
+            new ProcessFailureReporter({ fd: 1, process: "k3", takePendingLines, countPendingBytes }).start();
+            for (let index = 0; index < 400; index++) {
+                log.record("target-gone", { detail: "x".repeat(3_000) });
+            }
+            setTimeout(() => { throw new RangeError("late"); }, 200);
+            setInterval(() => undefined, 1_000);`;
+        // Standard output is a socket that this process does not read.
+        const child = spawn(process.execPath, ["--input-type=module", "--eval", program], {
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        let isLate = false;
+        const timer = setTimeout(() => {
+            isLate = true;
+            child.kill("SIGKILL");
+        }, 4_000);
+        await new Promise(done => child.once("exit", done));
+        clearTimeout(timer);
+        child.stdout.destroy();
+        expect(isLate).toBe(false);
+    });
+
     describe.each([
         ["an uncaught error", "setTimeout(() => { throw new RangeError('late'); }, 1)", "uncaught-error"],
         ["an unhandled rejection", "Promise.reject(new RangeError('late'))", "unhandled-rejection"],
@@ -99,7 +142,7 @@
         it("writes one line and ends with exit code 1", () => {
             const file = resolve("packages/daemon/dist/process-failure/process-failure-reporter.js");
             const program = `import { ProcessFailureReporter } from ${JSON.stringify(file)};
-                const log = { fd: 1, process: "k2", takePendingLines: () => [] };
+                const log = { fd: 1, process: "k2", takePendingLines: () => [], countPendingBytes: () => 0 };
                 new ProcessFailureReporter(log).start();
                 setInterval(() => undefined, 1_000);
                 ${code};`;
--- a/packages/daemon/src/process-failure/process-failure-reporter.ts
+++ b/packages/daemon/src/process-failure/process-failure-reporter.ts
@@ -8,7 +8,12 @@
 
 const exitFailure = 1;
 const exitUsage = 2;
+const standardErrorFd = 2;
 const msPerSecond = 1_000;
+/** Bytes in writes in progress above which the reader of the log is taken to be stuck: two writes of lines. */
+const maxPendingBytes = 8_192;
+
+type StopProcess = (code: number, isLogBlocked: boolean) => never;
 
 /** Log of the process, as far as it is known when the process fails. */
 interface FailureLog {
@@ -18,17 +23,21 @@
     readonly process: string;
     /** Takes the lines that wait to be written. */
     readonly takePendingLines: () => string[];
+    /** Counts the bytes that are being written. */
+    readonly countPendingBytes: () => number;
 }
 
 /** Writes one structured line when the process ends by itself, and ends it. */
 export class ProcessFailureReporter {
     private isReported = false;
+    /** Whether the reader of the log has taken nothing for a while. */
+    private isLogBlocked = false;
 
     /**
      * @param log - log of the process
-     * @param exit - ends the process with an exit code
+     * @param exit - ends the process with an exit code; at once if a write of the log waits for its reader
      */
-    constructor(private log: FailureLog, private readonly exit: (code: number) => never = code => process.exit(code)) {}
+    constructor(private log: FailureLog, private readonly exit: StopProcess = stopProcess) {}
 
     /**
      * Sets the log once it is known.
@@ -58,7 +67,7 @@
             this.isReported = true;
             this.writeReport(reason, error, exitCode);
         }
-        return this.exit(exitCode);
+        return this.exit(exitCode, this.isLogBlocked);
     }
 
     private writeReport(reason: ProcessFailureReason, error: unknown, exitCode: number): void {
@@ -75,10 +84,21 @@
             residentBytes: process.memoryUsage.rss(),
             exitCode,
         });
-        if (!writeBeforeExit(this.log.fd, [...this.log.takePendingLines(), line])) {
-            writeBeforeExit(process.stderr.fd, [line]);
+        const { fd, takePendingLines, countPendingBytes } = this.log;
+        const isWritten = writeBeforeExit(fd, [...takePendingLines(), line]);
+        if (!isWritten) {
+            writeBeforeExit(standardErrorFd, [line]);
         }
+        this.isLogBlocked = !isWritten || countPendingBytes() > maxPendingBytes;
+    }
+}
+
+/** The exit of Node waits for writes in progress, without a limit. */
+function stopProcess(code: number, isLogBlocked: boolean): never {
+    if (isLogBlocked) {
+        process.kill(process.pid, "SIGKILL");
     }
+    process.exit(code);
 }
 
 /** Follows escalations from the root of the supervisor tree to the component that failed. */
--- a/packages/daemon/src/process-failure/write-before-exit.ts
+++ b/packages/daemon/src/process-failure/write-before-exit.ts
@@ -1,4 +1,5 @@
-import { closeSync, constants, openSync, writeSync } from "node:fs";
+import { closeSync, constants, fstatSync, openSync, writeSync } from "node:fs";
+import { Socket } from "node:net";
 
 /** Longest wait for a reader that takes nothing, milliseconds. */
 const maxWaitMs = 250;
@@ -14,21 +15,34 @@
  * @returns whether all lines were written
  */
 export function writeBeforeExit(fd: number, lines: readonly string[]): boolean {
-    let output: number;
-    try {
-        // A descriptor of its own does not block, whatever the mode of the shared one.
-        output = openSync(`/proc/self/fd/${fd}`, constants.O_WRONLY | constants.O_NONBLOCK | constants.O_APPEND);
-    }
-    catch {
-        // Sockets and descriptors of another user cannot be opened again.
-        return writeLines(fd, lines);
-    }
+    const output = openWithoutBlocking(fd);
     try {
         return writeLines(output, lines);
     }
     finally {
-        closeSync(output);
+        if (output !== fd) {
+            closeSync(output);
+        }
+    }
+}
+
+/** Returns a descriptor of the same file whose writes do not wait for a reader. */
+function openWithoutBlocking(fd: number): number {
+    const status = fstatSync(fd);
+    if (status.isFIFO()) {
+        try {
+            // The mode of the shared descriptor stays as it is for the other processes that have it.
+            return openSync(`/proc/self/fd/${fd}`, constants.O_WRONLY | constants.O_NONBLOCK);
+        }
+        catch {
+            // A pipe without a reader, or of another user, can't be opened again.
+        }
+    }
+    if (status.isFIFO() || status.isSocket()) {
+        // Node makes the descriptors of its sockets and pipes non-blocking.
+        new Socket({ fd, readable: false, writable: true }).on("error", () => undefined);
     }
+    return fd;
 }
 
 function writeLines(fd: number, lines: readonly string[]): boolean {
