Let the target's answer decide who replaces a recorded target

Cause: a heartbeat was believed as it came. One of another writer under the id of a target with a later start, at its address under another id, or with another address displaced the target that was there, ended its runs in the records while they ran, and kept the target's own heartbeats out for ever. One of a target that does not exist was recorded and counted as capacity.

Change: a heartbeat that would record an incarnation, or move one to another address, only tells the leader where to ask. It sends that address a renewal that grants no lease, for the claimed id; the target's id and start in the answer decide. A confirmed claim replaces whatever is recorded, also a later incarnation on disks of earlier versions. Questions about a claim are asked once at a time and at growing intervals, at most 64 at once; heartbeats of recorded incarnations cost none.

--- a/packages/core/src/control/record-target-command.ts
+++ b/packages/core/src/control/record-target-command.ts
@@ -8,6 +8,10 @@
     readonly record: TargetRecord;
     /** Number of the report, which increases within an incarnation. */
     readonly sequence?: number;
+    /** Reading of the target's clock in the report, milliseconds. */
+    readonly clockMs?: number | undefined;
+    /** Whether an answer of the target bears the report out, so that it holds whatever an unproven record says. */
+    readonly isVerified?: boolean | undefined;
     /** What the leader knows of runs on incarnations that this one replaces and that have crashed. */
     readonly crashes?: readonly TargetCrash[];
     /** Wall clock of the leader, milliseconds. */
--- a/packages/core/src/targets/is-target-changed.ts
+++ b/packages/core/src/targets/is-target-changed.ts
@@ -8,5 +8,6 @@
  */
 export function isTargetChanged(recorded: TargetRecord | undefined, reported: TargetRecord): boolean {
     return recorded === undefined
-        || JSON.stringify({ ...recorded, reportSequence: undefined }) !== JSON.stringify(reported);
+        || JSON.stringify({ ...recorded, reportSequence: undefined, reportClockMs: undefined })
+            !== JSON.stringify(reported);
 }
--- a/packages/core/src/targets/target-record.ts
+++ b/packages/core/src/targets/target-record.ts
@@ -18,4 +18,6 @@
     readonly state: ReportedTargetState;
     /** Number of the report with which it was recorded; `undefined` in the reports themselves. */
     readonly reportSequence?: number | undefined;
+    /** Reading of the target's clock in that report, milliseconds; absent in records of earlier versions. */
+    readonly reportClockMs?: number | undefined;
 }
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -29,6 +29,7 @@
 import { Scheduler } from "./scheduler.js";
 import { SharedFailureDetector } from "./shared-failure-detector.js";
 import { StalledTaskRegistry } from "./stalled-task-registry.js";
+import { TargetClaimVerifier } from "./target-claim-verifier.js";
 import { TargetEnding } from "./target-ending.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 import { TargetSessions } from "./target-sessions.js";
@@ -75,7 +76,7 @@
         this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
             collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
             noteRunEnds: ends => this.sessions.noteRunEnds(ends),
-        });
+        }, new TargetClaimVerifier(client, leadership, clock));
         const vmLeases = new VmLeaseTracker({
             leadership,
             vms,
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -10,6 +10,7 @@
 import { ManualClock } from "../testing/manual-clock.js";
 import { runWorker } from "../testing/run-worker.js";
 import { VmRequestResult } from "../vms/vm-request-result.js";
+import { ClaimOutcome } from "./claim-outcome.js";
 import { Leadership } from "./leadership.js";
 import { PoolBalancer } from "./pool-balancer.js";
 import { TargetReportHandler } from "./target-report-handler.js";
@@ -32,7 +33,8 @@
         records.forEach(({ vm, pool, id }) => vms.addVm(vm, pool, id));
         const log = { record: () => undefined };
         const sessions = { collectCrashedRuns: () => [], noteRunEnds: () => undefined };
-        const reports = new TargetReportHandler(leadership, clock, log, () => undefined, sessions);
+        const claims = { verifyClaim: async () => ({ outcome: ClaimOutcome.Confirmed, clockMs: undefined }) };
+        const reports = new TargetReportHandler(leadership, clock, log, () => undefined, sessions, claims);
         balancer = new PoolBalancer({
             leadership,
             vmLeases: new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 }),
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
@@ -0,0 +1,107 @@
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import type { Clock } from "../../clock/clock.js";
+import type { TargetClient } from "../targets/target-client.js";
+import { TargetRequestResult } from "../targets/target-request-result.js";
+import type { ClaimAnswer } from "./claim-answer.js";
+import { ClaimOutcome } from "./claim-outcome.js";
+import type { Leadership } from "./leadership.js";
+
+/** Bounds of the delay after which a claim that was not confirmed is asked about again; it doubles, milliseconds. */
+const minRetryMs = 500;
+const maxRetryMs = 5_000;
+/** Maximum number of questions in flight, so that claims at silent addresses hold only few connections. */
+const maxInFlight = 64;
+/** Maximum number of remembered failures; the oldest are dropped. */
+const maxFailures = 1_024;
+
+interface FailedClaim {
+    readonly retryMs: number;
+    /** Monotonic milliseconds. */
+    readonly retryAt: number;
+}
+
+/**
+ * Asks the address that a heartbeat claims for a target whether that incarnation is there. A heartbeat proves nothing
+ * of itself, as any writer may send one; a target refuses requests that are meant for another, and states its incarnation.
+ */
+export class TargetClaimVerifier {
+    private readonly inFlight = new Map<string, Promise<ClaimAnswer>>();
+    private readonly failures = new Map<string, FailedClaim>();
+
+    /**
+     * @param client - sends requests to targets
+     * @param leadership - fencing token of the requests
+     * @param clock - clock for the delays between questions
+     */
+    constructor(
+        private readonly client: Pick<TargetClient, "sendLeaseRenewal">,
+        private readonly leadership: Pick<Leadership, "readFencingToken">,
+        private readonly clock: Clock,
+    ) {}
+
+    /**
+     * Asks the claimed address whether the incarnation is there. The question grants no lease and discards no ends.
+     * @param record - the claimed record
+     * @returns the answer
+     */
+    verifyClaim(record: TargetRecord): Promise<ClaimAnswer> {
+        const key = JSON.stringify([record.id, record.incarnation, record.address]);
+        const pending = this.inFlight.get(key);
+        if (pending !== undefined) {
+            return pending;
+        }
+        const isTooEarly = (this.failures.get(key)?.retryAt ?? 0) > this.clock.readMonotonic();
+        if (isTooEarly || this.inFlight.size >= maxInFlight) {
+            return Promise.resolve({ outcome: ClaimOutcome.Deferred, clockMs: undefined });
+        }
+        const answer = this.sendQuestion(key, record);
+        this.inFlight.set(key, answer);
+        return answer;
+    }
+
+    private async sendQuestion(key: string, record: TargetRecord): Promise<ClaimAnswer> {
+        try {
+            const answer = await this.readAnswer(record);
+            this.noteOutcome(key, answer.outcome);
+            return answer;
+        }
+        finally {
+            this.inFlight.delete(key);
+        }
+    }
+
+    private async readAnswer(record: TargetRecord): Promise<ClaimAnswer> {
+        const { result, clockMs, incarnation } = await this.client.sendLeaseRenewal(record, {
+            leaseUntilMs: undefined,
+            fencingToken: this.leadership.readFencingToken(),
+            lastSeen: 0,
+            waitMs: 0,
+        });
+        if (result === TargetRequestResult.WrongTarget) {
+            return { outcome: ClaimOutcome.Refuted, clockMs: undefined };
+        }
+        if (incarnation !== undefined) {
+            const isSame = incarnation === record.incarnation;
+            return { outcome: isSame ? ClaimOutcome.Confirmed : ClaimOutcome.Refuted, clockMs };
+        }
+        // A target without incarnations proves its id and address only.
+        return result === TargetRequestResult.Done
+            ? { outcome: ClaimOutcome.Confirmed, clockMs }
+            : { outcome: ClaimOutcome.Unanswered, clockMs };
+    }
+
+    private noteOutcome(key: string, outcome: ClaimOutcome): void {
+        const previous = this.failures.get(key);
+        this.failures.delete(key);
+        if (outcome === ClaimOutcome.Confirmed) {
+            return;
+        }
+        const retryMs = previous === undefined ? minRetryMs : Math.min(maxRetryMs, 2 * previous.retryMs);
+        this.failures.set(key, { retryMs, retryAt: this.clock.readMonotonic() + retryMs });
+        const [oldest] = this.failures.keys();
+        if (this.failures.size > maxFailures && oldest !== undefined) {
+            this.failures.delete(oldest);
+        }
+    }
+}
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -1,4 +1,7 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { applyRecordStarts } from "@daisylock/core/jobs/apply-record-starts.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
@@ -7,17 +10,24 @@
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { FakeKeeper } from "../testing/fake-keeper.js";
 import { ManualClock } from "../testing/manual-clock.js";
+import { ClaimOutcome } from "./claim-outcome.js";
 import { Leadership } from "./leadership.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 
 function createFixture() {
     const state = buildTestFleet(1, { cpu: 2_000, memory: 1_000, gpu: 0 });
     addTestJob(state, "a", [buildTestStep()]);
+    applyRecordStarts(state, {
+        kind: CommandKind.RecordStarts,
+        starts: [{ task: "a.0.0.0", run: 1, target: "t0" }],
+    });
     const record = state.fleet.targets.get("t0");
     if (record === undefined) {
         throw new TypeError("the test fleet has no target");
     }
     const keeper = new FakeKeeper(state);
+    const questions: TargetRecord[] = [];
+    let pickOutcome: (claim: TargetRecord) => ClaimOutcome = () => ClaimOutcome.Confirmed;
     const createHandler = () =>
         new TargetReportHandler(
             new Leadership(keeper, 1),
@@ -25,6 +35,12 @@
             { record: () => undefined },
             () => undefined,
             { collectCrashedRuns: () => [], noteRunEnds: () => undefined },
+            {
+                verifyClaim: async claim => {
+                    questions.push(claim);
+                    return { outcome: pickOutcome(claim), clockMs: undefined };
+                },
+            },
         );
     const buildReport = (handler: TargetReportHandler) => (sequence: number, fields: Partial<typeof record> = {}) =>
         handler.handleReport({
@@ -38,8 +54,21 @@
         state,
         keeper,
         handler,
+        questions,
+        /** Lets one incarnation answer at its address, and nothing anywhere else. */
+        setAnswering: (incarnation: number, address = record.address) => {
+            pickOutcome = claim => {
+                if (claim.address !== address) {
+                    return ClaimOutcome.Unanswered;
+                }
+                return claim.id === record.id && claim.incarnation === incarnation
+                    ? ClaimOutcome.Confirmed
+                    : ClaimOutcome.Refuted;
+            };
+        },
         report: buildReport(handler),
         replaceLeader: () => buildReport(createHandler()),
+        readRunCount: () => state.fleet.targetLoads.get("t0")?.runs.size,
         readState: () => state.fleet.targets.get("t0")?.state,
         readCapacity: () => state.fleet.targets.get("t0")?.capacity,
     };
@@ -76,6 +105,49 @@
             expect([...state.fleet.targets.keys()]).toEqual(["t0"]);
         });
 
+        // Guards against tasks that are started again while they run on the target that is displaced.
+        it("displace no target that answers", async () => {
+            const { state, report, setAnswering, readRunCount } = createFixture();
+            setAnswering(1);
+            const isOutdated = { isLeader: true, value: { isNewest: false } };
+            const farFuture = 4_000_000_000_000;
+            expect(await report(5, { incarnation: farFuture })).toEqual(isOutdated);
+            expect(await report(5, { incarnation: farFuture, pool: "batch" })).toEqual(isOutdated);
+            expect(await report(5, { id: "agent-1", incarnation: 7 })).toEqual(isOutdated);
+            expect(await report(5, { address: "10.9.9.9:80" })).toEqual(isOutdated);
+            expect([...state.fleet.targets]).toMatchObject([["t0", { incarnation: 1, address: "10.0.0.1:80" }]]);
+            expect(readRunCount()).toBe(1);
+            expect(await report(6)).toEqual({ isLeader: true, value: { isNewest: true } });
+        });
+
+        it("record no target that does not answer, so that it counts as no capacity", async () => {
+            const { state, report, setAnswering } = createFixture();
+            setAnswering(1);
+            expect(await report(5, { id: "agent-1", address: "10.9.9.9:80" })).toMatchObject({
+                value: { isNewest: false },
+            });
+            expect([...state.fleet.targets.keys()]).toEqual(["t0"]);
+        });
+
+        it("that are on disk do not keep the target out: its answer counts more than a later incarnation", async () => {
+            const { state, report, setAnswering, readRunCount } = createFixture();
+            const recorded = state.fleet.targets.get("t0");
+            if (recorded !== undefined) {
+                state.fleet.targets.set("t0", { ...recorded, incarnation: 1e300, reportSequence: 2 ** 53 - 1 });
+            }
+            setAnswering(1);
+            expect(await report(5)).toEqual({ isLeader: true, value: { isNewest: true } });
+            expect(state.fleet.targets.get("t0")).toMatchObject({ incarnation: 1, reportSequence: 5 });
+            expect(readRunCount()).toBe(1);
+        });
+
+        it("cost the recorded target no question with each heartbeat", async () => {
+            const { report, questions } = createFixture();
+            await report(5);
+            await report(6, { state: ReportedTargetState.Draining });
+            expect(questions).toEqual([]);
+        });
+
         it("are told from those of a target whose pool the configuration no longer has", async () => {
             const { state, report, readState } = createFixture();
             const { configuration } = state.fleet;
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -11,8 +11,10 @@
 import type { Clock } from "../../clock/clock.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
+import { ClaimOutcome } from "./claim-outcome.js";
 import type { Leadership } from "./leadership.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
+import type { TargetClaimVerifier } from "./target-claim-verifier.js";
 import type { TargetSessions } from "./target-sessions.js";
 
 /** Latest heartbeat of one target incarnation. */
@@ -28,7 +30,10 @@
     readonly isRecorded: boolean;
 }
 
-/** Handles heartbeats of targets, on the leader. */
+/**
+ * Handles heartbeats of targets, on the leader. Any writer may send one, so that a heartbeat that would record a target, or
+ * displace one that is recorded, only tells where to ask; the answer of the target decides.
+ */
 export class TargetReportHandler {
     private readonly latestReports = new Map<string, LatestReport>();
 
@@ -38,6 +43,7 @@
      * @param log - decision log
      * @param startScheduling - called when a target has changed
      * @param sessions - sessions of the targets, which know the runs on an incarnation that is replaced or leaves
+     * @param claims - asks targets whether they are where a heartbeat claims
      */
     constructor(
         private readonly leadership: Leadership,
@@ -45,6 +51,7 @@
         private readonly log: Pick<DecisionLog, "record">,
         private readonly startScheduling: () => void,
         private readonly sessions: Pick<TargetSessions, "collectCrashedRuns" | "noteRunEnds">,
+        private readonly claims: Pick<TargetClaimVerifier, "verifyClaim">,
     ) {}
 
     /**
@@ -55,53 +62,15 @@
      */
     handleReport(report: TargetReport): Promise<LeaderReply<{ isNewest: boolean }>> {
         return this.leadership.serveCall(async () => {
-            const { record, sequence, clockMs } = report;
-            const known = this.leadership.readFleet().targets.get(record.id);
-            if (this.isOutdated(report, known) || !this.isPoolKnown(record, known)) {
+            const { record } = report;
+            if (!this.isPoolKnown(record, this.readRecord(record.id))) {
                 return { isNewest: false };
             }
-            const isChanged = isTargetChanged(known, record);
-            const latest: LatestReport = {
-                incarnation: record.incarnation,
-                sequence,
-                at: this.clock.readMonotonic(),
-                clockMs,
-                isRecorded: !isChanged,
-            };
-            this.latestReports.set(record.id, latest);
-            if (!isChanged) {
-                return { isNewest: true };
-            }
-            const crashes = this.collectCrashes(record);
-            const recording = await this.leadership.recordCommand({
-                kind: CommandKind.RecordTarget,
-                record,
-                sequence,
-                crashes,
-                atMs: this.clock.readWall(),
-            });
-            if (recording === undefined) {
-                return undefined;
-            }
-            const { isNewest, ends, poisonTasks } = recording;
-            this.sessions.noteRunEnds(ends);
-            recordPoisonTasks(this.log, poisonTasks, record.id);
-            if (this.latestReports.get(record.id) === latest) {
-                this.latestReports.set(record.id, { ...latest, isRecorded: true });
+            const isVerified = isClaim(this.readRecord(record.id), record);
+            if (isVerified && !await this.isClaimConfirmed(record)) {
+                return { isNewest: false };
             }
-            const kind = record.state === ReportedTargetState.Draining
-                ? DecisionKind.TargetDraining
-                : DecisionKind.TargetRecorded;
-            this.log.record(kind, {
-                target: record.id,
-                vm: record.vm,
-                pool: record.pool,
-                sequence,
-                newest: isNewest,
-                crashes: isNewest && crashes.length > 0 ? crashes.length : undefined,
-            });
-            this.startScheduling();
-            return { isNewest };
+            return this.isOutdated(report, isVerified) ? { isNewest: false } : this.recordReport(report, isVerified);
         });
     }
 
@@ -153,6 +122,72 @@
         return latest?.incarnation === incarnation ? latest : undefined;
     }
 
+    /** Returns `undefined` when the report may not have been committed. */
+    private async recordReport(
+        { record, sequence, clockMs }: TargetReport,
+        isVerified: boolean,
+    ): Promise<{ isNewest: boolean } | undefined> {
+        const isChanged = isTargetChanged(this.readRecord(record.id), record);
+        const latest: LatestReport = {
+            incarnation: record.incarnation,
+            sequence,
+            at: this.clock.readMonotonic(),
+            clockMs,
+            isRecorded: !isChanged,
+        };
+        this.latestReports.set(record.id, latest);
+        if (!isChanged) {
+            return { isNewest: true };
+        }
+        const crashes = this.collectCrashes(record);
+        const recording = await this.leadership.recordCommand({
+            kind: CommandKind.RecordTarget,
+            record,
+            sequence,
+            isVerified,
+            crashes,
+            atMs: this.clock.readWall(),
+        });
+        if (recording === undefined) {
+            return undefined;
+        }
+        const { isNewest, ends, poisonTasks } = recording;
+        this.sessions.noteRunEnds(ends);
+        recordPoisonTasks(this.log, poisonTasks, record.id);
+        if (this.latestReports.get(record.id) === latest) {
+            this.latestReports.set(record.id, { ...latest, isRecorded: true });
+        }
+        const kind = record.state === ReportedTargetState.Draining
+            ? DecisionKind.TargetDraining
+            : DecisionKind.TargetRecorded;
+        this.log.record(kind, {
+            target: record.id,
+            vm: record.vm,
+            pool: record.pool,
+            sequence,
+            newest: isNewest,
+            crashes: isNewest && crashes.length > 0 ? crashes.length : undefined,
+        });
+        this.startScheduling();
+        return { isNewest };
+    }
+
+    private async isClaimConfirmed(record: TargetRecord): Promise<boolean> {
+        const { outcome } = await this.claims.verifyClaim(record);
+        if (outcome === ClaimOutcome.Refuted || outcome === ClaimOutcome.Unanswered) {
+            const { id, incarnation, pool, address } = record;
+            const reason = outcome === ClaimOutcome.Refuted
+                ? "another target or incarnation answers at the address"
+                : "no answer at the address confirms it";
+            this.log.record(DecisionKind.ReportRefused, { target: id, incarnation, pool, address, reason });
+        }
+        return outcome === ClaimOutcome.Confirmed;
+    }
+
+    private readRecord(id: string): TargetRecord | undefined {
+        return this.leadership.readFleet().targets.get(id);
+    }
+
     /** Only the target itself may go on naming a pool that the configuration no longer has. */
     private isPoolKnown({ id, pool, address }: TargetRecord, known: TargetRecord | undefined): boolean {
         const { configuration } = this.leadership.readFleet();
@@ -178,12 +213,24 @@
     }
 
     /** The record is compared too, as a report may have been delayed until another process leads. */
-    private isOutdated({ record, sequence }: TargetReport, known: TargetRecord | undefined): boolean {
+    private isOutdated({ record, sequence }: TargetReport, isVerified: boolean): boolean {
         const latest = this.latestReports.get(record.id);
-        const newest = Math.max(latest?.incarnation ?? 0, known?.incarnation ?? 0);
-        const isOvertaken = latest?.incarnation === record.incarnation
-            && (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded));
-        const isBeforeRecord = known?.incarnation === record.incarnation && sequence < (known.reportSequence ?? 0);
-        return record.incarnation < newest || isOvertaken || isBeforeRecord;
+        const isSameIncarnation = latest?.incarnation === record.incarnation;
+        if (latest !== undefined && isSameIncarnation) {
+            if (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded)) {
+                return true;
+            }
+        }
+        else if (latest?.isRecorded === false && !isVerified) {
+            // An answer has confirmed the other incarnation, which is being committed.
+            return true;
+        }
+        const known = this.readRecord(record.id);
+        return known?.incarnation === record.incarnation && sequence < (known.reportSequence ?? 0);
     }
 }
+
+/** Tells whether a report claims more than that the recorded incarnation is where it was. */
+function isClaim(known: TargetRecord | undefined, { incarnation, address }: TargetRecord): boolean {
+    return known?.incarnation !== incarnation || known.address !== address;
+}
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -8,6 +8,7 @@
 import type { JobStep } from "@daisylock/core/jobs/job-step.js";
 import type { Job } from "@daisylock/core/jobs/job.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 
@@ -17,6 +18,7 @@
 import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
 import { Scheduler } from "../leader/scheduler.js";
 import { StalledTaskRegistry } from "../leader/stalled-task-registry.js";
+import { TargetClaimVerifier } from "../leader/target-claim-verifier.js";
 import { TargetEnding } from "../leader/target-ending.js";
 import { TargetReportHandler } from "../leader/target-report-handler.js";
 import { TargetSessions } from "../leader/target-sessions.js";
@@ -109,10 +111,6 @@
         const leadership = new Leadership(this.keeper, 1);
         const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
         const startScheduling = () => this.startRound();
-        this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
-            collectCrashedRuns: id => sessions.collectCrashedRuns(id),
-            noteRunEnds: ends => sessions.noteRunEnds(ends),
-        });
         const client = new SimulatedTargetClient(
             new Map(this.targets.map(target => [target.record.id, target])),
             this.clock,
@@ -125,9 +123,16 @@
             pickRelay: (target: string) => this.relays.names[target.charCodeAt(1) % this.relays.names.length],
             noteFailure: () => undefined,
         };
+        const targetClient = isRelayed
+            ? new RelayedTargetClient(sender, this.relays, directory, log, this.clock)
+            : client;
+        this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
+            collectCrashedRuns: id => sessions.collectCrashedRuns(id),
+            noteRunEnds: ends => sessions.noteRunEnds(ends),
+        }, new TargetClaimVerifier(targetClient, leadership, this.clock));
         const sessions: TargetSessions = new TargetSessions({
             leadership,
-            client: isRelayed ? new RelayedTargetClient(sender, this.relays, directory, log, this.clock) : client,
+            client: targetClient,
             reports: this.reports,
             clock: this.clock,
             log,
@@ -260,6 +265,23 @@
         });
     }
 
+    /**
+     * Sends a heartbeat of another writer, which is not repeated.
+     * @param target - the target that it resembles
+     * @param fields - fields of the record that differ
+     * @param sequence - number of the heartbeat
+     * @param clockMs - reading of a clock in the heartbeat, milliseconds
+     */
+    sendForeignReport(
+        target: SimulatedTarget,
+        fields: Partial<TargetRecord>,
+        sequence: number,
+        clockMs: number | undefined,
+    ): void {
+        const record = { ...target.record, ...fields };
+        void this.reports.handleReport({ record, sequence, clockMs, remainingMs: undefined });
+    }
+
     /** Ends all faults, except for requests and heartbeats that are already delayed. */
     stopFaults(): void {
         this.relays.stopFaults();
--- a/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
@@ -42,33 +42,33 @@
         this.delays = new RandomDelays(clock, random);
     }
 
-    override startTask({ id }: TargetRecord, request: StartTaskRequest): Promise<TargetResponse> {
-        return this.sendRequest(id, requestTimeoutMs, async target => target.handleStart(request));
+    override startTask(record: TargetRecord, request: StartTaskRequest): Promise<TargetResponse> {
+        return this.sendRequest(record, requestTimeoutMs, async target => target.handleStart(request));
     }
 
-    override stopTask({ id }: TargetRecord, request: RunRequest): Promise<TargetResponse> {
-        return this.sendRequest(id, requestTimeoutMs, async target => target.handleStop(request));
+    override stopTask(record: TargetRecord, request: RunRequest): Promise<TargetResponse> {
+        return this.sendRequest(record, requestTimeoutMs, async target => target.handleStop(request));
     }
 
-    override setPace({ id }: TargetRecord): Promise<TargetResponse> {
-        return this.sendRequest(id, requestTimeoutMs, async target => ({
+    override setPace(record: TargetRecord): Promise<TargetResponse> {
+        return this.sendRequest(record, requestTimeoutMs, async target => ({
             result: TargetRequestResult.Done,
             clockMs: target.readClock(),
         }));
     }
 
-    override async sendLeaseRenewal({ id }: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
+    override async sendLeaseRenewal(record: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
         const timeoutMs = request.waitMs + requestTimeoutMs;
-        const response = await this.sendRequest(id, timeoutMs, target => target.handleRenewal(request));
+        const response = await this.sendRequest(record, timeoutMs, target => target.handleRenewal(request));
         return { incarnation: undefined, running: [], ended: [], areAllEndsListed: false, ...response };
     }
 
     override checkReachable(
-        { id }: TargetRecord,
+        record: TargetRecord,
         request: Pick<LeaseRenewalRequest, "fencingToken" | "lastSeen">,
     ): Promise<TargetResponse> {
         return this.sendRequest(
-            id,
+            record,
             checkTimeoutMs,
             target => target.handleRenewal({ ...request, leaseUntilMs: undefined, waitMs: 0 }),
         );
@@ -79,12 +79,12 @@
     }
 
     private async sendRequest<Response extends TargetResponse>(
-        id: string,
+        { id, address }: TargetRecord,
         timeoutMs: number,
         execute: (target: SimulatedTarget) => Promise<Response>,
     ): Promise<Response | TargetResponse> {
-        const target = this.targets.get(id);
-        const fate = this.pickFate(id);
+        const target = [...this.targets.values()].find(({ record }) => record.address === address);
+        const fate = this.pickFate(target?.record.id ?? id);
         const requestDelayMs = this.delays.pickDelay(minDelayMs, maxDelayMs);
         if (target === undefined || fate === RequestFate.Refused || target.isDown) {
             await this.delays.waitDelay(requestDelayMs);
@@ -97,7 +97,7 @@
                 ? this.delays.pickDelay(minLateMs, maxLateMs)
                 : requestDelayMs;
             this.clock.schedule(executionDelayMs, () => {
-                if (!isGone()) {
+                if (!isGone() && target.record.id === id) {
                     void execute(target);
                 }
             });
@@ -107,6 +107,9 @@
             return { result: TargetRequestResult.Unanswered, clockMs: undefined };
         }
         await this.delays.waitDelay(requestDelayMs);
+        if (target.record.id !== id) {
+            return { result: TargetRequestResult.WrongTarget, clockMs: undefined };
+        }
         const response = isGone() ? undefined : await execute(target);
         if (response === undefined || isGone()) {
             return { result: TargetRequestResult.Unanswered, clockMs: undefined };
