Order the heartbeats of a target by the clock that its answers state

Cause: heartbeats of an incarnation were ordered by their numbers alone. One of another writer with the number 2^53-1 made all later ones outdated: the target counted as overdue, its drain went unnoticed, and a `draining` of the other writer could not be taken back. The clock in a heartbeat was also taken for the target's in the arithmetic of leases, so that a reading ahead of it made a lease that was in force count as expired, and its tasks start again elsewhere.

Change: the answers of a target state its clock. A heartbeat whose reading is ahead of it is refused, and one without a reading if others of the incarnation have one. The others are ordered by the reading, which grows as the number does; the number decides while no answer is known. A heartbeat never moves the estimate of the clock ahead.

--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -75,6 +75,7 @@
         const startScheduling = () => this.scheduler.startRound();
         this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
             collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
+            findAnsweredClock: (id, incarnation) => this.sessions.findAnsweredClock(id, incarnation),
             noteRunEnds: ends => this.sessions.noteRunEnds(ends),
         }, new TargetClaimVerifier(client, leadership, clock));
         const vmLeases = new VmLeaseTracker({
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -32,7 +32,11 @@
         const vms = new FakeVmService();
         records.forEach(({ vm, pool, id }) => vms.addVm(vm, pool, id));
         const log = { record: () => undefined };
-        const sessions = { collectCrashedRuns: () => [], noteRunEnds: () => undefined };
+        const sessions = {
+            collectCrashedRuns: () => [],
+            findAnsweredClock: () => undefined,
+            noteRunEnds: () => undefined,
+        };
         const claims = { verifyClaim: async () => ({ outcome: ClaimOutcome.Confirmed, clockMs: undefined }) };
         const reports = new TargetReportHandler(leadership, clock, log, () => undefined, sessions, claims);
         balancer = new PoolBalancer({
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -12,6 +12,7 @@
 import { ManualClock } from "../testing/manual-clock.js";
 import { ClaimOutcome } from "./claim-outcome.js";
 import { Leadership } from "./leadership.js";
+import { TargetClock } from "./target-clock.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 
 function createFixture() {
@@ -27,14 +28,20 @@
     }
     const keeper = new FakeKeeper(state);
     const questions: TargetRecord[] = [];
+    const clock = new ManualClock();
+    let answeredClock: TargetClock | undefined;
     let pickOutcome: (claim: TargetRecord) => ClaimOutcome = () => ClaimOutcome.Confirmed;
     const createHandler = () =>
         new TargetReportHandler(
             new Leadership(keeper, 1),
-            new ManualClock(),
+            clock,
             { record: () => undefined },
             () => undefined,
-            { collectCrashedRuns: () => [], noteRunEnds: () => undefined },
+            {
+                collectCrashedRuns: () => [],
+                findAnsweredClock: () => answeredClock,
+                noteRunEnds: () => undefined,
+            },
             {
                 verifyClaim: async claim => {
                     questions.push(claim);
@@ -42,19 +49,27 @@
                 },
             },
         );
-    const buildReport = (handler: TargetReportHandler) => (sequence: number, fields: Partial<typeof record> = {}) =>
-        handler.handleReport({
-            record: { ...record, ...fields },
-            sequence,
-            clockMs: undefined,
-            remainingMs: undefined,
-        });
+    const buildReport =
+        (handler: TargetReportHandler) => (sequence: number, fields: Partial<typeof record> = {}, clockMs?: number) =>
+            handler.handleReport({
+                record: { ...record, ...fields },
+                sequence,
+                clockMs,
+                remainingMs: undefined,
+            });
     const handler = createHandler();
     return {
         state,
         keeper,
         handler,
         questions,
+        runFor: (ms: number) => clock.runFor(ms),
+        /** Lets the target answer the leader with a reading of its clock. */
+        setAnsweredClock: (clockMs: number) => {
+            answeredClock = new TargetClock();
+            answeredClock.noteReading(clockMs, clock.readMonotonic());
+            answeredClock.noteAnswer(clockMs, clock.readMonotonic());
+        },
         /** Lets one incarnation answer at its address, and nothing anywhere else. */
         setAnswering: (incarnation: number, address = record.address) => {
             pickOutcome = claim => {
@@ -141,6 +156,43 @@
             expect(readRunCount()).toBe(1);
         });
 
+        it("with a number that no later one passes do not make the target's own outdated", async () => {
+            const { report, runFor, setAnsweredClock, readCapacity } = createFixture();
+            const last = 2 ** 53 - 1;
+            const foreign = { capacity: { cpu: 1, memory: 1, gpu: 0 } };
+            setAnsweredClock(10_000);
+            await report(5, {}, 10_000);
+            expect(await report(last, foreign, 482_113)).toMatchObject({ value: { isNewest: false } });
+            expect(await report(last, foreign)).toMatchObject({ value: { isNewest: false } });
+            expect(await report(last, foreign, 9_000)).toMatchObject({ value: { isNewest: false } });
+            expect(await report(last, foreign, 10_500)).toMatchObject({ value: { isNewest: true } });
+            await runFor(1_000);
+            expect(await report(6, {}, 11_000)).toMatchObject({ value: { isNewest: true } });
+            expect(readCapacity()).toEqual({ cpu: 2_000, memory: 1_000, gpu: 0 });
+        });
+
+        it("that are on disk with such a number do not make the target's own outdated", async () => {
+            const { state, report, setAnsweredClock, readCapacity } = createFixture();
+            const recorded = state.fleet.targets.get("t0");
+            if (recorded !== undefined) {
+                const capacity = { cpu: 1, memory: 1, gpu: 0 };
+                state.fleet.targets.set("t0", { ...recorded, capacity, reportSequence: 2 ** 53 - 1 });
+            }
+            setAnsweredClock(10_000);
+            expect(await report(6, {}, 10_000)).toMatchObject({ value: { isNewest: true } });
+            expect(readCapacity()).toEqual({ cpu: 2_000, memory: 1_000, gpu: 0 });
+        });
+
+        it("do not make a target drain that says later that it is ready", async () => {
+            const { report, runFor, setAnsweredClock, readState } = createFixture();
+            setAnsweredClock(10_000);
+            await report(5, {}, 10_000);
+            await report(9, { state: ReportedTargetState.Draining }, 10_500);
+            await runFor(1_000);
+            await report(6, {}, 11_000);
+            expect(readState()).toBe(ReportedTargetState.Ready);
+        });
+
         it("cost the recorded target no question with each heartbeat", async () => {
             const { report, questions } = createFixture();
             await report(5);
@@ -159,6 +211,18 @@
         });
     });
 
+    describe("heartbeats with the target's clock", () => {
+        it("do not make a draining target ready again if they are delayed, also until the next leader", async () => {
+            const { report, replaceLeader, runFor, setAnsweredClock, readState } = createFixture();
+            setAnsweredClock(10_000);
+            await runFor(1_000);
+            await report(6, { state: ReportedTargetState.Draining }, 11_000);
+            await report(5, {}, 10_900);
+            expect(await replaceLeader()(5, {}, 10_900)).toMatchObject({ value: { isNewest: false } });
+            expect(readState()).toBe(ReportedTargetState.Draining);
+        });
+    });
+
     describe("a capacity that shrinks and grows", () => {
         const full = { cpu: 2_000, memory: 1_000, gpu: 0 };
         const shrunk = { cpu: 500, memory: 1_000, gpu: 0 };
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -12,20 +12,20 @@
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { ClaimOutcome } from "./claim-outcome.js";
+import { clockAheadMarginMs } from "./clock-ahead-margin-ms.js";
+import { compareReports } from "./compare-reports.js";
 import type { Leadership } from "./leadership.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
+import type { ReportMark } from "./report-mark.js";
+import { ReportOrder } from "./report-order.js";
 import type { TargetClaimVerifier } from "./target-claim-verifier.js";
 import type { TargetSessions } from "./target-sessions.js";
 
 /** Latest heartbeat of one target incarnation. */
-interface LatestReport {
+interface LatestReport extends ReportMark {
     readonly incarnation: number;
-    /** Number of the heartbeat, which increases within an incarnation. */
-    readonly sequence: number;
     /** When the heartbeat arrived, monotonic milliseconds. */
     readonly at: number;
-    /** The target's clock in the heartbeat, milliseconds. */
-    readonly clockMs: number | undefined;
     /** Whether the heartbeat is committed or needed no commit. A repeat of one that is not has to be committed too. */
     readonly isRecorded: boolean;
 }
@@ -50,7 +50,7 @@
         private readonly clock: Clock,
         private readonly log: Pick<DecisionLog, "record">,
         private readonly startScheduling: () => void,
-        private readonly sessions: Pick<TargetSessions, "collectCrashedRuns" | "noteRunEnds">,
+        private readonly sessions: Pick<TargetSessions, "collectCrashedRuns" | "findAnsweredClock" | "noteRunEnds">,
         private readonly claims: Pick<TargetClaimVerifier, "verifyClaim">,
     ) {}
 
@@ -63,14 +63,17 @@
     handleReport(report: TargetReport): Promise<LeaderReply<{ isNewest: boolean }>> {
         return this.leadership.serveCall(async () => {
             const { record } = report;
-            if (!this.isPoolKnown(record, this.readRecord(record.id))) {
+            if (!this.isPoolKnown(record, this.readRecord(record.id)) || !this.isClockPossible(report)) {
                 return { isNewest: false };
             }
-            const isVerified = isClaim(this.readRecord(record.id), record);
-            if (isVerified && !await this.isClaimConfirmed(record)) {
+            const isConfirmedClaim = isClaim(this.readRecord(record.id), record);
+            if (isConfirmedClaim && !await this.isClaimConfirmed(report)) {
                 return { isNewest: false };
             }
-            return this.isOutdated(report, isVerified) ? { isNewest: false } : this.recordReport(report, isVerified);
+            const order = this.computeOrder(report, isConfirmedClaim);
+            return order === ReportOrder.Outdated
+                ? { isNewest: false }
+                : this.recordReport(report, isConfirmedClaim || order === ReportOrder.NewestByClock);
         });
     }
 
@@ -144,6 +147,7 @@
             kind: CommandKind.RecordTarget,
             record,
             sequence,
+            clockMs,
             isVerified,
             crashes,
             atMs: this.clock.readWall(),
@@ -172,16 +176,47 @@
         return { isNewest };
     }
 
-    private async isClaimConfirmed(record: TargetRecord): Promise<boolean> {
-        const { outcome } = await this.claims.verifyClaim(record);
-        if (outcome === ClaimOutcome.Refuted || outcome === ClaimOutcome.Unanswered) {
-            const { id, incarnation, pool, address } = record;
-            const reason = outcome === ClaimOutcome.Refuted
-                ? "another target or incarnation answers at the address"
-                : "no answer at the address confirms it";
-            this.log.record(DecisionKind.ReportRefused, { target: id, incarnation, pool, address, reason });
+    private async isClaimConfirmed({ record, clockMs }: TargetReport): Promise<boolean> {
+        const answer = await this.claims.verifyClaim(record);
+        if (answer.outcome === ClaimOutcome.Refuted) {
+            this.recordRefusal(record, "another target or incarnation answers at the address");
+        }
+        else if (answer.outcome === ClaimOutcome.Unanswered) {
+            this.recordRefusal(record, "no answer at the address confirms it");
+        }
+        if (answer.outcome !== ClaimOutcome.Confirmed) {
+            return false;
+        }
+        const isAhead = answer.clockMs !== undefined && clockMs !== undefined
+            && clockMs > answer.clockMs + clockAheadMarginMs;
+        if (isAhead) {
+            this.recordRefusal(record, "its clock is ahead of the one that the target answers with");
+        }
+        return !isAhead;
+    }
+
+    /** Tells whether an incarnation whose clock the answers state can have sent a heartbeat with this reading. */
+    private isClockPossible({ record, clockMs }: TargetReport): boolean {
+        const clock = this.sessions.findAnsweredClock(record.id, record.incarnation);
+        if (clock === undefined) {
+            return true;
+        }
+        if (clockMs === undefined) {
+            const isClockStated = this.findReport(record.id, record.incarnation)?.clockMs !== undefined;
+            if (isClockStated) {
+                this.recordRefusal(record, "it states no clock, as other heartbeats of the target do");
+            }
+            return !isClockStated;
+        }
+        const isAhead = clock.isAhead(clockMs, this.clock.readMonotonic());
+        if (isAhead) {
+            this.recordRefusal(record, "its clock is ahead of the one that the target answers with");
         }
-        return outcome === ClaimOutcome.Confirmed;
+        return !isAhead;
+    }
+
+    private recordRefusal({ id, incarnation, pool, address }: TargetRecord, reason: string): void {
+        this.log.record(DecisionKind.ReportRefused, { target: id, incarnation, pool, address, reason });
     }
 
     private readRecord(id: string): TargetRecord | undefined {
@@ -213,20 +248,31 @@
     }
 
     /** The record is compared too, as a report may have been delayed until another process leads. */
-    private isOutdated({ record, sequence }: TargetReport, isVerified: boolean): boolean {
+    private computeOrder(report: TargetReport, isConfirmedClaim: boolean): ReportOrder {
+        const { record, sequence, clockMs } = report;
         const latest = this.latestReports.get(record.id);
         const isSameIncarnation = latest?.incarnation === record.incarnation;
-        if (latest !== undefined && isSameIncarnation) {
-            if (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded)) {
-                return true;
-            }
-        }
-        else if (latest?.isRecorded === false && !isVerified) {
+        if (latest?.isRecorded === false && !isSameIncarnation && !isConfirmedClaim) {
             // An answer has confirmed the other incarnation, which is being committed.
-            return true;
+            return ReportOrder.Outdated;
+        }
+        const isRepeat = isSameIncarnation && sequence === latest.sequence && clockMs === latest.clockMs;
+        if (isRepeat && latest.isRecorded) {
+            return ReportOrder.Outdated;
         }
         const known = this.readRecord(record.id);
-        return known?.incarnation === record.incarnation && sequence < (known.reportSequence ?? 0);
+        const marks: ReportMark[] = [
+            ...isSameIncarnation ? [latest] : [],
+            ...known?.incarnation === record.incarnation
+                ? [{ sequence: known.reportSequence ?? 0, clockMs: known.reportClockMs }]
+                : [],
+        ];
+        const clock = this.sessions.findAnsweredClock(record.id, record.incarnation);
+        const orders = marks.map(mark => compareReports(report, mark, clock, this.clock.readMonotonic()));
+        if (orders.includes(ReportOrder.Outdated)) {
+            return ReportOrder.Outdated;
+        }
+        return orders.includes(ReportOrder.NewestByClock) ? ReportOrder.NewestByClock : ReportOrder.Newest;
     }
 }
 
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -38,6 +38,7 @@
     let isCommitting = true;
     let isActive = true;
     let lastReportAt: number | undefined;
+    let reportLeadMs = 0;
     let ending: TargetEnding | undefined;
     let handleLogLine: (kind: DecisionKind, fields: LineFields) => void = () => undefined;
     const record = state.fleet.targets.get("t0");
@@ -64,7 +65,7 @@
                         incarnation: 1,
                         sequence: 1,
                         at: lastReportAt ?? clock.readMonotonic(),
-                        clockMs: clock.readMonotonic() + clockOffsetMs,
+                        clockMs: clock.readMonotonic() + clockOffsetMs + reportLeadMs,
                     }
                     : { incarnation: 1, sequence: 1, at: 0, clockMs: options.oldReportClockMs },
         },
@@ -111,6 +112,9 @@
         addSuspect: (suspect: string) => state.fleet.suspectTasks.add(suspect),
         setCapacity: (capacity: Resources) => state.fleet.targets.set("t0", { ...record, capacity }),
         requestVm: (atMs: number) => state.fleet.vmOrders.set("vm0", { token: 1, holder: "core-1", atMs }),
+        setReportLead: (leadMs: number) => {
+            reportLeadMs = leadMs;
+        },
         stopReports: () => {
             lastReportAt = clock.readMonotonic();
         },
@@ -154,6 +158,23 @@
     });
 
     describe("ends", () => {
+        // Guards against a task that is started again under a lease that a heartbeat of another writer made seem over.
+        it("does not count a lease as expired by the clock in a heartbeat", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(8_000);
+            fixture.setReportLead(900);
+            fixture.client.isResponding = false;
+            await fixture.clock.runFor(maxLeaseMs * 0.75 - 500);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            await fixture.clock.runFor(2_000);
+            expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+            session.close();
+        });
+
         it("waits for a lease that the session of an earlier incarnation may have granted to the new one", async () => {
             const fixture = createFixture();
             fixture.recordStart();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -128,6 +128,14 @@
         return !this.isClosed;
     }
 
+    /**
+     * Reads the clock of the target as its answers state it.
+     * @returns the clock, or `undefined` until the first answer of this incarnation
+     */
+    readAnsweredClock(): TargetClock | undefined {
+        return this.targetClock.isKnown() ? this.targetClock : undefined;
+    }
+
     /** Closes the session without waiting for requests in flight. */
     close(): void {
         this.isClosed = true;
@@ -405,6 +413,9 @@
             await this.handleUnreachable();
             return false;
         }
+        if (response.clockMs !== undefined) {
+            this.targetClock.noteAnswer(response.clockMs, this.readNow());
+        }
         this.noteReachable();
         this.running.clear();
         response.running.forEach(task => this.running.set(task.task, task));
@@ -599,10 +610,8 @@
     }
 
     private noteClock({ result, clockMs }: TargetResponse): void {
-        if (clockMs !== undefined) {
-            this.targetClock.noteReading(clockMs, this.readNow());
-        }
         if (clockMs !== undefined && result !== TargetRequestResult.WrongTarget) {
+            this.targetClock.noteReading(clockMs, this.readNow());
             this.requests.noteAlive(clockMs);
         }
     }
@@ -615,7 +624,7 @@
     private noteReportedClock(): void {
         const report = this.dependencies.reports.findReport(this.record.id, this.record.incarnation);
         if (report?.clockMs !== undefined) {
-            this.targetClock.noteReading(report.clockMs, report.at);
+            this.targetClock.noteReport(report.clockMs, report.at);
         }
     }
 
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -3,6 +3,7 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { SessionDependencies } from "./session-dependencies.js";
+import type { TargetClock } from "./target-clock.js";
 import { TargetSession } from "./target-session.js";
 
 /** Number of other targets of an availability zone that are checked after a target left a request unanswered. */
@@ -66,6 +67,17 @@
         return this.sessions.get(id);
     }
 
+    /**
+     * Finds the clock of a target incarnation as its answers state it.
+     * @param id - id of the target
+     * @param incarnation - the incarnation
+     * @returns the clock, or `undefined` until the incarnation has answered this leadership
+     */
+    findAnsweredClock(id: string, incarnation: number): TargetClock | undefined {
+        const session = this.sessions.get(id);
+        return session?.record.incarnation === incarnation ? session.readAnsweredClock() : undefined;
+    }
+
     /**
      * Lists the sessions.
      * @returns the sessions by target id
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -128,6 +128,7 @@
             : client;
         this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
             collectCrashedRuns: id => sessions.collectCrashedRuns(id),
+            findAnsweredClock: (id, incarnation) => sessions.findAnsweredClock(id, incarnation),
             noteRunEnds: ends => sessions.noteRunEnds(ends),
         }, new TargetClaimVerifier(targetClient, leadership, this.clock));
         const sessions: TargetSessions = new TargetSessions({
