Refuse heartbeats that change what an incarnation keeps

Cause: a heartbeat of another writer under the id and start of a target changed its pool, VM, zone and labels, so that tasks of other queues were placed there and none of its own.

Change: an incarnation keeps them for its life. A heartbeat that differs is refused while heartbeats that agree with the record arrive, and believed 3.5 s after the last of them, as a record on disk may be the other writer's. A claim whose clock is more than 10 s behind the answer's is not believed either.

The first of the new tests fails on the code before.

--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/report-timeout-ms.ts
@@ -0,0 +1,2 @@
+/** Time without heartbeats after which they count as overdue, milliseconds. */
+export const reportTimeoutMs = 3_500;
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -193,6 +193,29 @@
             expect(readState()).toBe(ReportedTargetState.Ready);
         });
 
+        it("move no target to another pool, VM, zone or kind while its own go on", async () => {
+            const { state, report, runFor } = createFixture();
+            const changes = [{ pool: "batch" }, { vm: "vm9" }, { zone: "b" }, { labels: ["b", "r9"], rack: "r9" }];
+            let sequence = 5;
+            for (const fields of changes) {
+                await report(sequence++);
+                await runFor(1_000);
+                expect(await report(sequence++, fields)).toMatchObject({ value: { isNewest: false } });
+            }
+            expect(state.fleet.targets.get("t0")).toMatchObject({ pool: "web", vm: "vm0", zone: "a", rack: "r0" });
+        });
+
+        it("that are on disk do not bind the target to another zone", async () => {
+            const { state, report, runFor } = createFixture();
+            const recorded = state.fleet.targets.get("t0");
+            if (recorded !== undefined) {
+                state.fleet.targets.set("t0", { ...recorded, zone: "b" });
+            }
+            await runFor(4_000);
+            expect(await report(6)).toMatchObject({ value: { isNewest: true } });
+            expect(state.fleet.targets.get("t0")?.zone).toBe("a");
+        });
+
         it("cost the recorded target no question with each heartbeat", async () => {
             const { report, questions } = createFixture();
             await report(5);
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -18,9 +18,13 @@
 import { recordPoisonTasks } from "./record-poison-tasks.js";
 import type { ReportMark } from "./report-mark.js";
 import { ReportOrder } from "./report-order.js";
+import { reportTimeoutMs } from "./report-timeout-ms.js";
 import type { TargetClaimVerifier } from "./target-claim-verifier.js";
 import type { TargetSessions } from "./target-sessions.js";
 
+/** Age of a heartbeat from which its claim is not believed, as the target has sent others meanwhile, milliseconds. */
+const maxClaimAgeMs = 10_000;
+
 /** Latest heartbeat of one target incarnation. */
 interface LatestReport extends ReportMark {
     readonly incarnation: number;
@@ -71,7 +75,7 @@
                 return { isNewest: false };
             }
             const order = this.computeOrder(report, isConfirmedClaim);
-            return order === ReportOrder.Outdated
+            return order === ReportOrder.Outdated || !this.isPlaceKept(record, this.readRecord(record.id))
                 ? { isNewest: false }
                 : this.recordReport(report, isConfirmedClaim || order === ReportOrder.NewestByClock);
         });
@@ -187,12 +191,15 @@
         if (answer.outcome !== ClaimOutcome.Confirmed) {
             return false;
         }
-        const isAhead = answer.clockMs !== undefined && clockMs !== undefined
-            && clockMs > answer.clockMs + clockAheadMarginMs;
-        if (isAhead) {
-            this.recordRefusal(record, "its clock is ahead of the one that the target answers with");
+        if (answer.clockMs === undefined || clockMs === undefined) {
+            return true;
         }
-        return !isAhead;
+        const ageMs = answer.clockMs - clockMs;
+        const isOfTarget = ageMs >= -clockAheadMarginMs && ageMs < maxClaimAgeMs;
+        if (!isOfTarget) {
+            this.recordRefusal(record, "its clock is not the one that the target answers with");
+        }
+        return isOfTarget;
     }
 
     /** Tells whether an incarnation whose clock the answers state can have sent a heartbeat with this reading. */
@@ -215,6 +222,22 @@
         return !isAhead;
     }
 
+    /**
+     * An incarnation keeps its pool, its VM and its place, none of which an answer states. A heartbeat that differs is
+     * believed once those that agree with the record have ceased, as the record may be of another writer.
+     */
+    private isPlaceKept(record: TargetRecord, known: TargetRecord | undefined): boolean {
+        if (known?.incarnation !== record.incarnation || describePlace(known) === describePlace(record)) {
+            return true;
+        }
+        const agreedAt = this.findReport(record.id, record.incarnation)?.at ?? this.leadership.readStartedAt();
+        const isCeased = this.clock.readMonotonic() - agreedAt > reportTimeoutMs;
+        if (!isCeased) {
+            this.recordRefusal(record, "an incarnation keeps its pool, VM, zone and labels");
+        }
+        return isCeased;
+    }
+
     private recordRefusal({ id, incarnation, pool, address }: TargetRecord, reason: string): void {
         this.log.record(DecisionKind.ReportRefused, { target: id, incarnation, pool, address, reason });
     }
@@ -276,6 +299,11 @@
     }
 }
 
+/** Describes what stays the same for the life of an incarnation and is not proven by its answers. */
+function describePlace({ pool, vm, zone, rack, labels }: TargetRecord): string {
+    return JSON.stringify([pool, vm, zone, rack, labels]);
+}
+
 /** Tells whether a report claims more than that the recorded incarnation is where it was. */
 function isClaim(known: TargetRecord | undefined, { incarnation, address }: TargetRecord): boolean {
     return known?.incarnation !== incarnation || known.address !== address;
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -19,6 +19,7 @@
 import type { TargetResponse } from "../targets/target-response.js";
 import { minClockRate } from "./min-clock-rate.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
+import { reportTimeoutMs } from "./report-timeout-ms.js";
 import { RunRequestSender } from "./run-request-sender.js";
 import { RunRequestTracker } from "./run-request-tracker.js";
 import type { SessionDependencies } from "./session-dependencies.js";
@@ -40,8 +41,6 @@
 const probationCheckMs = 110;
 /** Interval at which the renewal loop checks an idle target for new runs and overdue heartbeats, milliseconds. */
 const idleIntervalMs = 500;
-/** Time without heartbeats after which an idle target is probed, milliseconds. */
-const reportTimeoutMs = 3_500;
 /** Delay after a failed request, milliseconds. */
 const retryDelayMs = 120;
 /** Shortest time between two checks of the progress of a target's tasks, milliseconds. */
