Believe that a target has left once it cannot be reached

Cause: an announcement to leave, which anyone may send, removed the target and ended its runs at once; they started again elsewhere while it went on.

Change: the leader asks the target. One that still answers stays; its session watches it for 3 s and removes it when its process cannot be reached, as a target ends after it has announced it. One that cannot be reached or at whose address another answers is removed as before, and one that leaves the question unanswered if it has no runs; otherwise the lease of its runs has to expire.

--- a/packages/daemon/src/job-scheduler/leader/claim-outcome.ts
+++ b/packages/daemon/src/job-scheduler/leader/claim-outcome.ts
@@ -4,6 +4,8 @@
     Confirmed = "confirmed",
     /** Another target or another incarnation answers there. */
     Refuted = "refuted",
+    /** No process could be reached there. */
+    Unreachable = "unreachable",
     /** Nothing answers there, or the answer proves nothing. */
     Unanswered = "unanswered",
     /** Not asked: a recent question failed, or too many are in flight. */
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -76,6 +76,7 @@
         this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
             collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
             findAnsweredClock: (id, incarnation) => this.sessions.findAnsweredClock(id, incarnation),
+            noteLeaving: (id, incarnation) => this.sessions.noteLeaving(id, incarnation),
             noteRunEnds: ends => this.sessions.noteRunEnds(ends),
         }, new TargetClaimVerifier(client, leadership, clock));
         const vmLeases = new VmLeaseTracker({
--- a/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
@@ -71,7 +71,12 @@
         }
     }
 
-    private async readAnswer(record: TargetRecord): Promise<ClaimAnswer> {
+    /**
+     * Asks a target at once, however recent the last failure is.
+     * @param record - the claimed record
+     * @returns the answer
+     */
+    async readAnswer(record: TargetRecord): Promise<ClaimAnswer> {
         const { result, clockMs, incarnation } = await this.client.sendLeaseRenewal(record, {
             leaseUntilMs: undefined,
             fencingToken: this.leadership.readFencingToken(),
@@ -81,6 +86,9 @@
         if (result === TargetRequestResult.WrongTarget) {
             return { outcome: ClaimOutcome.Refuted, clockMs: undefined };
         }
+        if (result === TargetRequestResult.NotSent) {
+            return { outcome: ClaimOutcome.Unreachable, clockMs: undefined };
+        }
         if (incarnation !== undefined) {
             const isSame = incarnation === record.incarnation;
             return { outcome: isSame ? ClaimOutcome.Confirmed : ClaimOutcome.Refuted, clockMs };
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -54,8 +54,11 @@
         private readonly clock: Clock,
         private readonly log: Pick<DecisionLog, "record">,
         private readonly startScheduling: () => void,
-        private readonly sessions: Pick<TargetSessions, "collectCrashedRuns" | "findAnsweredClock" | "noteRunEnds">,
-        private readonly claims: Pick<TargetClaimVerifier, "verifyClaim">,
+        private readonly sessions: Pick<
+            TargetSessions,
+            "collectCrashedRuns" | "findAnsweredClock" | "noteLeaving" | "noteRunEnds"
+        >,
+        private readonly claims: Pick<TargetClaimVerifier, "readAnswer" | "verifyClaim">,
     ) {}
 
     /**
@@ -83,18 +86,19 @@
 
     /**
      * Handles the announcement of a target that it is leaving. An announcement may be delayed until a newer incarnation
-     * runs under the same id, whose tasks must not be started elsewhere. One that names no incarnation is therefore
-     * believed only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
+     * runs under the same id, or come from another writer, and the tasks of a target that runs must not be started
+     * elsewhere. It is therefore believed once no process can be reached at its address. One that names no incarnation is believed
+     * only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
      * @param request - id of the target and the incarnation that is leaving
-     * @returns whether that incarnation was known, or a not-leader reply
+     * @returns whether that incarnation was known and has left, or a not-leader reply
      */
     handleLeave({ id, incarnation }: TargetLeave): Promise<LeaderReply<{ isKnown: boolean }>> {
         return this.leadership.serveCall(async () => {
-            const known = this.leadership.readFleet().targets.get(id);
+            const known = this.readRecord(id);
             const isLeaving = incarnation === undefined
                 ? known?.state === ReportedTargetState.Draining
                 : known?.incarnation === incarnation;
-            if (known === undefined || !isLeaving) {
+            if (known === undefined || !isLeaving || !await this.isGone(known)) {
                 return { isKnown: false };
             }
             const removal = await this.leadership.recordCommand({
@@ -118,6 +122,24 @@
         });
     }
 
+    /** A target whose process has not ended yet is watched by its session. */
+    private async isGone(known: TargetRecord): Promise<boolean> {
+        const { outcome } = await this.claims.readAnswer(known);
+        const hasRuns = (this.leadership.readFleet().targetLoads.get(known.id)?.runs.size ?? 0) > 0;
+        const isGone = outcome === ClaimOutcome.Refuted || outcome === ClaimOutcome.Unreachable
+            || (outcome === ClaimOutcome.Unanswered && !hasRuns);
+        if (!isGone) {
+            this.sessions.noteLeaving(known.id, known.incarnation);
+            this.recordRefusal(
+                known,
+                outcome === ClaimOutcome.Confirmed
+                    ? "it is said to leave and still answers"
+                    : "it is said to leave and may be cut off with its tasks",
+            );
+        }
+        return isGone;
+    }
+
     /**
      * Finds the latest heartbeat of a target incarnation.
      * @param id - id of the target
@@ -185,7 +207,7 @@
         if (answer.outcome === ClaimOutcome.Refuted) {
             this.recordRefusal(record, "another target or incarnation answers at the address");
         }
-        else if (answer.outcome === ClaimOutcome.Unanswered) {
+        else if (answer.outcome === ClaimOutcome.Unanswered || answer.outcome === ClaimOutcome.Unreachable) {
             this.recordRefusal(record, "no answer at the address confirms it");
         }
         if (answer.outcome !== ClaimOutcome.Confirmed) {
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -157,6 +157,33 @@
         });
     });
 
+    describe("announcements to leave", () => {
+        async function runLeave(unansweredResult: TargetRequestResult, endMs: number) {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(6_000);
+            session.noteLeaving();
+            await fixture.clock.runFor(endMs);
+            fixture.client.isResponding = false;
+            fixture.client.unansweredResult = unansweredResult;
+            await fixture.clock.runFor(1_000);
+            session.close();
+            return fixture.readPhase();
+        }
+
+        it("end the runs of a target whose process ends a moment later", async () => {
+            expect(await runLeave(TargetRequestResult.NotSent, 700)).toBe(TaskPhase.Waiting);
+        });
+
+        it("do not end the runs of a target that goes on, or that may only be cut off", async () => {
+            expect(await runLeave(TargetRequestResult.NotSent, 5_000)).toBe(TaskPhase.Placed);
+            expect(await runLeave(TargetRequestResult.Unanswered, 700)).toBe(TaskPhase.Placed);
+        });
+    });
+
     describe("ends", () => {
         // Guards against a task that is started again under a lease that a heartbeat of another writer made seem over.
         it("does not count a lease as expired by the clock in a heartbeat", async () => {
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -45,6 +45,8 @@
 const retryDelayMs = 120;
 /** Shortest time between two checks of the progress of a target's tasks, milliseconds. */
 const healthCheckIntervalMs = 100;
+/** Time for which an announcement to leave tells that a target that cannot be reached has ended, milliseconds. */
+const leavingMs = 3_000;
 /** Margin added to the lease expiry for the time between two readings of a clock, milliseconds. */
 const leaseExpiryMarginMs = 50;
 /** Time after which a target that neither responds nor sends heartbeats is removed, milliseconds. */
@@ -80,6 +82,8 @@
     private isBeingChecked = false;
     /** Whether a check of the runs on probation is scheduled. */
     private isProbationCheckPlanned = false;
+    /** Until when the target is expected to end, as it is said to leave, monotonic milliseconds. */
+    private leavingUntil = 0;
     /** Time before which no task is started on the target, monotonic milliseconds. */
     private startBackoffUntil = 0;
 
@@ -135,6 +139,12 @@
         return this.targetClock.isKnown() ? this.targetClock : undefined;
     }
 
+    /** Takes note that the target is said to leave: it has, once no process can be reached at its address. */
+    noteLeaving(): void {
+        this.leavingUntil = this.readNow() + leavingMs;
+        this.startRenewal();
+    }
+
     /** Closes the session without waiting for requests in flight. */
     close(): void {
         this.isClosed = true;
@@ -352,7 +362,7 @@
             const load = this.readLoad();
             // An unreachable target is probed until it responds, also while nothing runs on it.
             const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
-                && !this.isReportOverdue(this.readNow());
+                && !this.isReportOverdue(this.readNow()) && this.readNow() >= this.leavingUntil;
             if (isIdle || !this.dependencies.leadership.isActive()) {
                 await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
                 continue;
@@ -397,6 +407,10 @@
                 return idleIntervalMs;
             default:
                 this.noteUnreachable(response.result);
+                if (response.result === TargetRequestResult.NotSent && this.readNow() < this.leavingUntil) {
+                    await this.removeTarget("it announced that it is leaving", false);
+                    return retryDelayMs;
+                }
                 await this.handleUnreachable();
                 return retryDelayMs;
         }
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -78,6 +78,18 @@
         return session?.record.incarnation === incarnation ? session.readAnsweredClock() : undefined;
     }
 
+    /**
+     * Watches for the end of a target that is said to leave and still answers.
+     * @param id - id of the target
+     * @param incarnation - the incarnation
+     */
+    noteLeaving(id: string, incarnation: number): void {
+        const session = this.sessions.get(id);
+        if (session?.record.incarnation === incarnation) {
+            session.noteLeaving();
+        }
+    }
+
     /**
      * Lists the sessions.
      * @returns the sessions by target id
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -129,6 +129,7 @@
         this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
             collectCrashedRuns: id => sessions.collectCrashedRuns(id),
             findAnsweredClock: (id, incarnation) => sessions.findAnsweredClock(id, incarnation),
+            noteLeaving: (id, incarnation) => sessions.noteLeaving(id, incarnation),
             noteRunEnds: ends => sessions.noteRunEnds(ends),
         }, new TargetClaimVerifier(targetClient, leadership, this.clock));
         const sessions: TargetSessions = new TargetSessions({
