Remove stored targets that never respond, and keep their runs until the lease ends

Cause: a record on disk that an earlier version took from another writer stayed for as long as that writer sent heartbeats, and counted as capacity. Where its address was that of another target, the answer there ended the runs in the record at once, although they may run at the target's own address.

Change: a target that has not responded to this leader for 20 s is removed, whatever heartbeats arrive; one that has responded is kept by them as before. If another target answers at the address of one that has not responded, its runs end with their lease, and a new target is recorded at that address afterwards.

4 new tests fail on the code before.

--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -213,6 +213,17 @@
             expect(state.fleet.targets.get("t0")).toMatchObject({ pool: "web", vm: "vm0", zone: "a", rack: "r0" });
         });
 
+        // Guards against tasks that are started again while they run at another address than the one on disk.
+        it("that are on disk with the address of another target do not end runs before their lease expires", async () => {
+            const { state, report, setAnsweredClock, readRunCount } = createFixture();
+            const other = { id: "t9", incarnation: 7 };
+            expect(await report(5, other)).toMatchObject({ value: { isNewest: false } });
+            expect(readRunCount()).toBe(1);
+            setAnsweredClock(10_000);
+            expect(await report(5, other)).toMatchObject({ value: { isNewest: true } });
+            expect([...state.fleet.targets.keys()]).toEqual(["t9"]);
+        });
+
         it("that are on disk do not bind the target to another zone", async () => {
             const { state, report, runFor } = createFixture();
             const recorded = state.fleet.targets.get("t0");
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -77,6 +77,9 @@
             if (isConfirmedClaim && !await this.isClaimConfirmed(report)) {
                 return { isNewest: false };
             }
+            if (isConfirmedClaim && this.isAddressHeld(record)) {
+                return { isNewest: false };
+            }
             const order = this.computeOrder(report, isConfirmedClaim);
             return order === ReportOrder.Outdated || !this.isPlaceKept(record, this.readRecord(record.id))
                 ? { isNewest: false }
@@ -224,6 +227,22 @@
         return isOfTarget;
     }
 
+    /**
+     * Tells whether a record at the address has runs and has not answered this leader. It may be wrong on a disk of an
+     * earlier version, and its runs be elsewhere: its session removes it once their lease has expired.
+     */
+    private isAddressHeld(record: TargetRecord): boolean {
+        const { targets, targetLoads } = this.leadership.readFleet();
+        const holder = [...targets.values()].find(other =>
+            other.id !== record.id && other.address === record.address && targetLoads.has(other.id)
+            && this.sessions.findAnsweredClock(other.id, other.incarnation) === undefined
+        );
+        if (holder !== undefined) {
+            this.recordRefusal(record, `the lease of ${holder.id} at the address has to expire first`);
+        }
+        return holder !== undefined;
+    }
+
     /** Tells whether an incarnation whose clock the answers state can have sent a heartbeat with this reading. */
     private isClockPossible({ record, clockMs }: TargetReport): boolean {
         const clock = this.sessions.findAnsweredClock(record.id, record.incarnation);
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -157,6 +157,40 @@
         });
     });
 
+    describe("records of other writers on disk", () => {
+        it("are removed although their heartbeats go on, once the target has not responded for some time", async () => {
+            const fixture = createFixture();
+            fixture.client.isResponding = false;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(15_000);
+            expect(session.isUsable()).toBe(false);
+            expect(session.isOpen()).toBe(true);
+            await fixture.clock.runFor(8_000);
+            expect(session.isOpen()).toBe(false);
+        });
+
+        it("are removed if another incarnation responds", async () => {
+            const fixture = createFixture();
+            fixture.client.incarnation = 2;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(23_000);
+            expect(session.isOpen()).toBe(false);
+        });
+
+        it("do not end runs before their lease expires if another target responds at the address", async () => {
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.client.isResponding = false;
+            fixture.client.unansweredResult = TargetRequestResult.WrongTarget;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(leaseExpiryMs - 500);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            await fixture.clock.runFor(2_000);
+            expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+            expect(session.isOpen()).toBe(false);
+        });
+    });
+
     describe("announcements to leave", () => {
         async function runLeave(unansweredResult: TargetRequestResult, endMs: number) {
             const fixture = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -49,7 +49,10 @@
 const leavingMs = 3_000;
 /** Margin added to the lease expiry for the time between two readings of a clock, milliseconds. */
 const leaseExpiryMarginMs = 50;
-/** Time after which a target that neither responds nor sends heartbeats is removed, milliseconds. */
+/**
+ * Time without a response after which a target is removed, milliseconds. The heartbeats of one that has responded before
+ * prolong it; those of one that never has may be another writer's.
+ */
 const removalTimeoutMs = 20_000;
 
 /**
@@ -400,7 +403,13 @@
             case TargetRequestResult.Done:
                 return await this.handleRenewal(response, sentAt) ? 0 : retryDelayMs;
             case TargetRequestResult.WrongTarget:
-                await this.removeTarget("another target responds at its address", true);
+                if (this.isSynced || this.readLoad().runs.size === 0) {
+                    await this.removeTarget("another target responds at its address", true);
+                    return retryDelayMs;
+                }
+                // The address may be wrong in a record of an earlier version, and the runs be elsewhere.
+                this.noteUnreachable(response.result);
+                await this.handleUnreachable();
                 return retryDelayMs;
             case TargetRequestResult.Fenced:
                 this.noteUnreachable(response.result);
@@ -558,9 +567,12 @@
         }
         if (
             this.unreachableSince !== undefined && now - this.unreachableSince > removalTimeoutMs
-            && this.isReportOverdue(now)
+            && (!this.isSynced || this.isReportOverdue(now))
         ) {
-            await this.removeTarget("it neither responds nor sends heartbeats", false);
+            const reason = this.isSynced
+                ? "it neither responds nor sends heartbeats"
+                : "it has never responded to this leader";
+            await this.removeTarget(reason, false);
         }
     }
 
