Let the lease end the runs of a target that is said to leave without a drain

Cause: an announcement to leave together with a refused connection ended the runs of a target that was only cut off.

Change: a target drains before it leaves. The runs of one that does not drain end with their lease, however its connections fail; without runs it is removed.

The new cases fail on the code before: the report handler's removes the target on `Unreachable`, the session's on `NotSent`.

--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -90,7 +90,8 @@
     /**
      * Handles the announcement of a target that it is leaving. An announcement may be delayed until a newer incarnation
      * runs under the same id, or come from another writer, and the tasks of a target that runs must not be started
-     * elsewhere. It is therefore believed once no process can be reached at its address. One that names no incarnation is believed
+     * elsewhere. It is therefore believed once no process can be reached at its address, and of a target with runs only if it drains,
+     * as targets do before they leave: the address of any other may only be cut off. One that names no incarnation is believed
      * only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
      * @param request - id of the target and the incarnation that is leaving
      * @returns whether that incarnation was known and has left, or a not-leader reply
@@ -129,7 +130,9 @@
     private async isGone(known: TargetRecord): Promise<boolean> {
         const { outcome } = await this.claims.readAnswer(known);
         const hasRuns = (this.leadership.readFleet().targetLoads.get(known.id)?.runs.size ?? 0) > 0;
-        const isGone = outcome === ClaimOutcome.Refuted || outcome === ClaimOutcome.Unreachable
+        const isUnreachable = outcome === ClaimOutcome.Unreachable;
+        const isGone = outcome === ClaimOutcome.Refuted
+            || (isUnreachable && (!hasRuns || known.state === ReportedTargetState.Draining))
             || (outcome === ClaimOutcome.Unanswered && !hasRuns);
         if (!isGone) {
             this.sessions.noteLeaving(known.id, known.incarnation);
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -10,6 +10,7 @@
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
+import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import { DecisionKind } from "../logging/decision-kind.js";
@@ -416,7 +417,7 @@
                 return idleIntervalMs;
             default:
                 this.noteUnreachable(response.result);
-                if (response.result === TargetRequestResult.NotSent && this.readNow() < this.leavingUntil) {
+                if (response.result === TargetRequestResult.NotSent && this.isLeaving()) {
                     await this.removeTarget("it announced that it is leaving", false);
                     return retryDelayMs;
                 }
@@ -538,6 +539,12 @@
         return recorded !== undefined;
     }
 
+    /** A target drains before it leaves; one that does not and has runs may only be cut off. */
+    private isLeaving(): boolean {
+        const mayLeave = this.readRecord().state === ReportedTargetState.Draining || this.readLoad().runs.size === 0;
+        return mayLeave && this.readNow() < this.leavingUntil;
+    }
+
     private async handleUnreachable(): Promise<void> {
         const now = this.readNow();
         const { log, findTargetEnding } = this.dependencies;
