Random runs beside another writer's heartbeats and announcements to leave

Heartbeats under the ids, at the addresses and with the starts of targets, with extreme numbers, clocks and capacities, some with the clock of the target, and announcements to leave, beside changes of term, lapses, refused commands, restarts, cuts and late requests. A task must not run twice, and every job ends.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -1,3 +1,4 @@
+import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import { createRandom } from "@daisylock/core/testing/create-random.js";
 import { describe, expect, it } from "@jest/globals";
 import fc from "fast-check";
@@ -147,10 +148,55 @@
     },
 );
 
+const lastSequence = 2 ** 53 - 1;
+const foreignReport = fc.record({
+    kind: fc.constant("foreign-report" as const),
+    target,
+    fields: fc.record({
+        id: fc.constantFrom("t0", "t1", "t2", "t3", "x0", "x1"),
+        address: fc.constantFrom("10.0.0.1:80", "10.0.0.2:80", "10.0.0.9:80"),
+        incarnation: fc.constantFrom(0, 1, 2, 3, 4_000_000_000_000, 1e300),
+        pool: fc.constantFrom("web", "batch"),
+        zone: fc.constant("b"),
+        vm: fc.constantFrom("", "vm1"),
+        state: fc.constantFrom(ReportedTargetState.Ready, ReportedTargetState.Draining),
+        capacity: fc.constantFrom({ cpu: 0, memory: 0, gpu: 0 }, { cpu: 1e300, memory: 1e300, gpu: 0 }),
+    }, { requiredKeys: [] }),
+    sequence: fc.constantFrom(0, 50, lastSequence),
+    clockMs: fc.constantFrom(undefined, 0, 482_113, 4_000_000_000, lastSequence),
+});
+/** The clock in the heartbeat is that of the target, or differs by a part of a second. */
+const imitatedReport = fc.record({
+    kind: fc.constant("imitated-report" as const),
+    target,
+    fields: fc.record({
+        id: fc.constantFrom("t0", "t1", "x0"),
+        address: fc.constantFrom("10.0.0.1:80", "10.0.0.9:80"),
+        incarnation: fc.constantFrom(0, 1, 2, 3, 1e300),
+        pool: fc.constant("batch"),
+        state: fc.constant(ReportedTargetState.Draining),
+    }, { requiredKeys: [] }),
+    sequence: fc.constantFrom(0, lastSequence),
+    aheadMs: fc.integer({ min: -900, max: 900 }),
+});
+const foreignLeave = fc.record({
+    kind: fc.constant("foreign-leave" as const),
+    target,
+    incarnation: fc.constantFrom(undefined, 1, 2, 3),
+});
+
+const actionOrForeignReport = fc.oneof(
+    { weight: 12, arbitrary: actionOrRestart },
+    { weight: 4, arbitrary: foreignReport },
+    { weight: 2, arbitrary: imitatedReport },
+    { weight: 1, arbitrary: foreignLeave },
+);
+
 type ArbitraryValue<Arbitrary> = Arbitrary extends fc.Arbitrary<infer Value> ? Value : never;
 type Action =
     | ArbitraryValue<typeof actionOrRelayFault>
     | ArbitraryValue<typeof actionOrCrash>
+    | ArbitraryValue<typeof actionOrForeignReport>
     | ArbitraryValue<typeof actionOrResize>;
 
 async function runAction(fleet: SimulatedFleet, step: Action): Promise<void> {
@@ -234,6 +280,15 @@
         case "resize":
             disturbed.setCapacity({ ...disturbed.record.capacity, cpu: step.cpu });
             break;
+        case "foreign-report":
+            fleet.sendForeignReport(disturbed, step.fields, step.sequence, step.clockMs);
+            break;
+        case "imitated-report":
+            fleet.sendForeignReport(disturbed, step.fields, step.sequence, disturbed.readClock() + step.aheadMs);
+            break;
+        case "foreign-leave":
+            fleet.sendForeignLeave(disturbed, step.incarnation);
+            break;
         case "delay-heartbeats":
             fleet.setHeartbeatDelay(disturbed, step.ms);
             break;
@@ -270,6 +325,11 @@
 const scenarioWithRestarts = fc.asyncProperty(fc.nat(), fc.array(actionOrRestart, length), runDirectly);
 const scenarioWithCrashes = fc.asyncProperty(fc.nat(), fc.array(actionOrCrash, length), runDirectly);
 const scenarioWithResizes = fc.asyncProperty(fc.nat(), fc.array(actionOrResize, length), runDirectly);
+const scenarioWithForeignReports = fc.asyncProperty(
+    fc.nat(),
+    fc.array(actionOrForeignReport, length),
+    (random, steps) => runScenario(random, steps, { isRelayed: random % 2 === 0 }),
+);
 const scenarioWithRelays = fc.asyncProperty(
     fc.nat(),
     fc.array(actionOrRelayFault, length),
@@ -313,6 +373,12 @@
             Math.max(60_000, runs * runTimeoutMs),
         );
 
+        it(
+            "runs each task once while another writer sends heartbeats and announcements to leave",
+            () => fc.assert(scenarioWithForeignReports, { numRuns: runs, seed, endOnFailure: true }),
+            Math.max(60_000, runs * runTimeoutMs),
+        );
+
         // Runs whose ends were not listed yet counted as gone, were recorded as stopped and started again.
         it(
             "runs each task once while targets list only a few ends at a time",
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -284,6 +284,15 @@
         void this.reports.handleReport({ record, sequence, clockMs, remainingMs: undefined });
     }
 
+    /**
+     * Sends an announcement of another writer that a target is leaving.
+     * @param target - the target
+     * @param incarnation - the incarnation that it names
+     */
+    sendForeignLeave(target: SimulatedTarget, incarnation: number | undefined): void {
+        void this.reports.handleLeave({ id: target.record.id, incarnation });
+    }
+
     /** Ends all faults, except for requests and heartbeats that are already delayed. */
     stopFaults(): void {
         this.relays.stopFaults();
