--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -32,6 +32,7 @@
 import { Scheduler } from "./scheduler.js";
 import { SharedFailureDetector } from "./shared-failure-detector.js";
 import { StalledTaskRegistry } from "./stalled-task-registry.js";
+import { TargetClaimVerifier } from "./target-claim-verifier.js";
 import { TargetEnding } from "./target-ending.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 import { TargetSessions } from "./target-sessions.js";
@@ -77,8 +78,10 @@
         const startScheduling = () => this.scheduler.startRound();
         this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
             collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
+            findAnsweredClock: (id, incarnation) => this.sessions.findAnsweredClock(id, incarnation),
+            noteLeaving: (id, incarnation) => this.sessions.noteLeaving(id, incarnation),
             noteRunEnds: ends => this.sessions.noteRunEnds(ends),
-        });
+        }, new TargetClaimVerifier(client, leadership, clock));
         const vmLeases = new VmLeaseTracker({
             leadership,
             vms,
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -7,6 +7,7 @@
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { Resources } from "@daisylock/core/resources/resources.js";
+import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
@@ -38,6 +39,7 @@
     let isCommitting = true;
     let isActive = true;
     let lastReportAt: number | undefined;
+    let reportLeadMs = 0;
     let ending: TargetEnding | undefined;
     let handleLogLine: (kind: DecisionKind, fields: LineFields) => void = () => undefined;
     const record = state.fleet.targets.get("t0");
@@ -64,7 +66,7 @@
                         incarnation: 1,
                         sequence: 1,
                         at: lastReportAt ?? clock.readMonotonic(),
-                        clockMs: clock.readMonotonic() + clockOffsetMs,
+                        clockMs: clock.readMonotonic() + clockOffsetMs + reportLeadMs,
                     }
                     : { incarnation: 1, sequence: 1, at: 0, clockMs: options.oldReportClockMs },
         },
@@ -111,6 +113,13 @@
         addSuspect: (suspect: string) => state.fleet.suspectTasks.add(suspect),
         setCapacity: (capacity: Resources) => state.fleet.targets.set("t0", { ...record, capacity }),
         requestVm: (atMs: number) => state.fleet.vmOrders.set("vm0", { token: 1, holder: "core-1", atMs }),
+        setDraining: (isDraining: boolean) => {
+            const reported = isDraining ? ReportedTargetState.Draining : ReportedTargetState.Ready;
+            state.fleet.targets.set("t0", { ...record, state: reported });
+        },
+        setReportLead: (leadMs: number) => {
+            reportLeadMs = leadMs;
+        },
         stopReports: () => {
             lastReportAt = clock.readMonotonic();
         },
@@ -153,7 +162,87 @@
         });
     });
 
+    describe("records of other writers on disk", () => {
+        it("are removed although their heartbeats go on, once the target has not responded for some time", async () => {
+            const fixture = createFixture();
+            fixture.client.isResponding = false;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(15_000);
+            expect(session.isUsable()).toBe(false);
+            expect(session.isOpen()).toBe(true);
+            await fixture.clock.runFor(8_000);
+            expect(session.isOpen()).toBe(false);
+        });
+
+        it("are removed if another incarnation responds", async () => {
+            const fixture = createFixture();
+            fixture.client.incarnation = 2;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(23_000);
+            expect(session.isOpen()).toBe(false);
+        });
+
+        it("do not end runs before their lease expires if another target responds at the address", async () => {
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.client.isResponding = false;
+            fixture.client.unansweredResult = TargetRequestResult.WrongTarget;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(leaseExpiryMs - 500);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            await fixture.clock.runFor(2_000);
+            expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+            expect(session.isOpen()).toBe(false);
+        });
+    });
+
+    describe("announcements to leave", () => {
+        async function runLeave(unansweredResult: TargetRequestResult, endMs: number, isDraining = true) {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(6_000);
+            fixture.setDraining(isDraining);
+            session.noteLeaving();
+            await fixture.clock.runFor(endMs);
+            fixture.client.isResponding = false;
+            fixture.client.unansweredResult = unansweredResult;
+            await fixture.clock.runFor(1_000);
+            session.close();
+            return fixture.readPhase();
+        }
+
+        it("end the runs of a target whose process ends a moment later", async () => {
+            expect(await runLeave(TargetRequestResult.NotSent, 700)).toBe(TaskPhase.Waiting);
+        });
+
+        it("do not end the runs of a target that goes on, or that may only be cut off", async () => {
+            expect(await runLeave(TargetRequestResult.NotSent, 5_000)).toBe(TaskPhase.Placed);
+            expect(await runLeave(TargetRequestResult.Unanswered, 700)).toBe(TaskPhase.Placed);
+            expect(await runLeave(TargetRequestResult.NotSent, 700, false)).toBe(TaskPhase.Placed);
+        });
+    });
+
     describe("ends", () => {
+        // Guards against a task that is started again under a lease that a heartbeat of another writer made seem over.
+        it("does not count a lease as expired by the clock in a heartbeat", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(8_000);
+            fixture.setReportLead(900);
+            fixture.client.isResponding = false;
+            await fixture.clock.runFor(maxLeaseMs * 0.75 - 500);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            await fixture.clock.runFor(2_000);
+            expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+            session.close();
+        });
+
         it("waits for a lease that the session of an earlier incarnation may have granted to the new one", async () => {
             const fixture = createFixture();
             fixture.recordStart();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -10,6 +10,7 @@
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
+import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { FaultListener } from "../../containment/fault-listener.js";
@@ -26,6 +27,7 @@
 import type { TargetResponse } from "../targets/target-response.js";
 import { minClockRate } from "./min-clock-rate.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
+import { reportTimeoutMs } from "./report-timeout-ms.js";
 import { RunRequestSender } from "./run-request-sender.js";
 import { RunRequestTracker } from "./run-request-tracker.js";
 import type { SessionDependencies } from "./session-dependencies.js";
@@ -47,8 +49,6 @@
 const probationCheckMs = 110;
 /** Interval at which the renewal loop checks an idle target for new runs and overdue heartbeats, milliseconds. */
 const idleIntervalMs = 500;
-/** Time without heartbeats after which an idle target is probed, milliseconds. */
-const reportTimeoutMs = 3_500;
 /** Delay after a failed request, milliseconds. */
 const retryDelayMs = 120;
 /** Delay after a fault of the session, milliseconds. */
@@ -57,9 +57,14 @@
 const faultBackoffMs = 2 * faultDelayMs;
 /** Shortest time between two checks of the progress of a target's tasks, milliseconds. */
 const healthCheckIntervalMs = 100;
+/** Time for which an announcement to leave tells that a target that cannot be reached has ended, milliseconds. */
+const leavingMs = 3_000;
 /** Margin added to the lease expiry for the time between two readings of a clock, milliseconds. */
 const leaseExpiryMarginMs = 50;
-/** Time after which a target that neither responds nor sends heartbeats is removed, milliseconds. */
+/**
+ * Time without a response after which a target is removed, milliseconds. The heartbeats of one that has responded before
+ * prolong it; those of one that never has may be another writer's.
+ */
 const removalTimeoutMs = 20_000;
 
 /**
@@ -94,6 +99,8 @@
     private isBeingChecked = false;
     /** Whether a check of the runs on probation is scheduled. */
     private isProbationCheckPlanned = false;
+    /** Until when the target is expected to end, as it is said to leave, monotonic milliseconds. */
+    private leavingUntil = 0;
     /** Time before which no task is started on the target, monotonic milliseconds. */
     private startBackoffUntil = 0;
 
@@ -144,6 +151,20 @@
         return !this.isClosed;
     }
 
+    /**
+     * Reads the clock of the target as its answers state it.
+     * @returns the clock, or `undefined` until the first answer of this incarnation
+     */
+    readAnsweredClock(): TargetClock | undefined {
+        return this.targetClock.isKnown() ? this.targetClock : undefined;
+    }
+
+    /** Takes note that the target is said to leave: it has, once no process can be reached at its address. */
+    noteLeaving(): void {
+        this.leavingUntil = this.readNow() + leavingMs;
+        this.startRenewal();
+    }
+
     /** Closes the session without waiting for requests in flight. */
     close(): void {
         this.isClosed = true;
@@ -377,7 +398,7 @@
         const load = this.readLoad();
         // An unreachable target is probed until it responds, also while nothing runs on it.
         const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
-            && !this.isReportOverdue(this.readNow());
+            && !this.isReportOverdue(this.readNow()) && this.readNow() >= this.leavingUntil;
         if (isIdle || !this.dependencies.leadership.isActive()) {
             await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
             return;
@@ -426,13 +447,23 @@
             case TargetRequestResult.Done:
                 return await this.handleRenewal(response, sentAt) ? 0 : retryDelayMs;
             case TargetRequestResult.WrongTarget:
-                await this.removeTarget("another target responds at its address", true);
+                if (this.isSynced || this.readLoad().runs.size === 0) {
+                    await this.removeTarget("another target responds at its address", true);
+                    return retryDelayMs;
+                }
+                // The address may be wrong in a record of an earlier version, and the runs be elsewhere.
+                this.noteUnreachable(response.result);
+                await this.handleUnreachable();
                 return retryDelayMs;
             case TargetRequestResult.Fenced:
                 this.noteUnreachable(response.result);
                 return idleIntervalMs;
             default:
                 this.noteUnreachable(response.result);
+                if (response.result === TargetRequestResult.NotSent && this.isLeaving()) {
+                    await this.removeTarget("it announced that it is leaving", false);
+                    return retryDelayMs;
+                }
                 await this.handleUnreachable();
                 return retryDelayMs;
         }
@@ -448,6 +479,9 @@
             await this.handleUnreachable();
             return false;
         }
+        if (response.clockMs !== undefined) {
+            this.targetClock.noteAnswer(response.clockMs, this.readNow());
+        }
         this.noteReachable();
         this.running.clear();
         response.running.forEach(task => this.running.set(task.task, task));
@@ -548,6 +582,12 @@
         return recorded !== undefined;
     }
 
+    /** A target drains before it leaves; one that does not and has runs may only be cut off. */
+    private isLeaving(): boolean {
+        const mayLeave = this.readRecord().state === ReportedTargetState.Draining || this.readLoad().runs.size === 0;
+        return mayLeave && this.readNow() < this.leavingUntil;
+    }
+
     private async handleUnreachable(): Promise<void> {
         const now = this.readNow();
         const { log, findTargetEnding } = this.dependencies;
@@ -577,9 +617,12 @@
         }
         if (
             this.unreachableSince !== undefined && now - this.unreachableSince > removalTimeoutMs
-            && this.isReportOverdue(now)
+            && (!this.isSynced || this.isReportOverdue(now))
         ) {
-            await this.removeTarget("it neither responds nor sends heartbeats", false);
+            const reason = this.isSynced
+                ? "it neither responds nor sends heartbeats"
+                : "it has never responded to this leader";
+            await this.removeTarget(reason, false);
         }
     }
 
@@ -642,10 +685,8 @@
     }
 
     private noteClock({ result, clockMs }: TargetResponse): void {
-        if (clockMs !== undefined) {
-            this.targetClock.noteReading(clockMs, this.readNow());
-        }
         if (clockMs !== undefined && result !== TargetRequestResult.WrongTarget) {
+            this.targetClock.noteReading(clockMs, this.readNow());
             this.requests.noteAlive(clockMs);
         }
     }
@@ -658,7 +699,7 @@
     private noteReportedClock(): void {
         const report = this.dependencies.reports.findReport(this.record.id, this.record.incarnation);
         if (report?.clockMs !== undefined) {
-            this.targetClock.noteReading(report.clockMs, report.at);
+            this.targetClock.noteReport(report.clockMs, report.at);
         }
     }
 
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -6,6 +6,7 @@
 import { WorkKind } from "../../containment/work-kind.js";
 import { createFaultListener } from "../logging/create-fault-listener.js";
 import type { SessionDependencies } from "./session-dependencies.js";
+import type { TargetClock } from "./target-clock.js";
 import { TargetSession } from "./target-session.js";
 
 /** Number of other targets of an availability zone that are checked after a target left a request unanswered. */
@@ -69,6 +70,29 @@
         return this.sessions.get(id);
     }
 
+    /**
+     * Finds the clock of a target incarnation as its answers state it.
+     * @param id - id of the target
+     * @param incarnation - the incarnation
+     * @returns the clock, or `undefined` until the incarnation has answered this leadership
+     */
+    findAnsweredClock(id: string, incarnation: number): TargetClock | undefined {
+        const session = this.sessions.get(id);
+        return session?.record.incarnation === incarnation ? session.readAnsweredClock() : undefined;
+    }
+
+    /**
+     * Watches for the end of a target that is said to leave and still answers.
+     * @param id - id of the target
+     * @param incarnation - the incarnation
+     */
+    noteLeaving(id: string, incarnation: number): void {
+        const session = this.sessions.get(id);
+        if (session?.record.incarnation === incarnation) {
+            session.noteLeaving();
+        }
+    }
+
     /**
      * Lists the sessions.
      * @returns the sessions by target id
