Play bursts with a leader that can start few tasks a second

The pool simulation takes a number of starts a second and an order of starts, and says how often the largest jobs are served.

--- a/packages/core/src/testing/run-pool-simulation.ts
+++ b/packages/core/src/testing/run-pool-simulation.ts
@@ -18,6 +18,7 @@
 import { buildTestStep } from "./build-test-step.js";
 import type { PlanRound } from "./plan-round.js";
 import type { SimulatedJob } from "./simulated-job.js";
+import type { SimulatedLeader } from "./simulated-leader.js";
 import type { SimulatedOutage } from "./simulated-outage.js";
 import type { SimulatedPool } from "./simulated-pool.js";
 import type { SimulationResult } from "./simulation-result.js";
@@ -54,6 +55,7 @@
  * @param jobs - the load
  * @param plan - plans the moves of VMs
  * @param outage - a period without a leader; none by default
+ * @param leader - how many tasks the leader can start and in which order; without limit by default
  * @returns the shares of the job weight that ended on time, the VM-seconds and the number of moves
  */
 export function runPoolSimulation(
@@ -61,8 +63,9 @@
     jobs: readonly SimulatedJob[],
     plan: PlanRound,
     outage: SimulatedOutage = { atMs: 0, durationMs: 0 },
+    leader: SimulatedLeader = { startsPerSecond: Number.POSITIVE_INFINITY },
 ): SimulationResult {
-    return new PoolSimulation(pools, jobs, outage).run(plan);
+    return new PoolSimulation(pools, jobs, outage, leader).run(plan);
 }
 
 class PoolSimulation {
@@ -74,6 +77,8 @@
     private readonly endedAt = new Map<string, number>();
     private readonly jobsById: Map<string, SimulatedJob>;
     private targetCount = 0;
+    /** Starts that the leader can make now; at most one that it leaves unused is saved up. */
+    private startsLeft = 0;
     private vmSeconds = 0;
     private moves = 0;
 
@@ -81,6 +86,7 @@
         private readonly pools: readonly SimulatedPool[],
         private readonly jobs: readonly SimulatedJob[],
         private readonly outage: SimulatedOutage,
+        private readonly leader: SimulatedLeader,
     ) {
         this.jobsById = new Map(jobs.map(job => [job.id, job]));
         const queue = { priority: 0, maxAttempts: 3, stretch: 1.6, objectiveMs: 600, timeoutMs: 3_000 };
@@ -207,7 +213,11 @@
     private startTasks(now: number): void {
         const { fleet } = this.state;
         const targets = buildPlacementTargets(fleet, () => Number.POSITIVE_INFINITY);
-        const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), targets);
+        const { startsPerSecond, compare } = this.leader;
+        this.startsLeft = Math.min(1, this.startsLeft) + startsPerSecond * stepMs / 1_000;
+        const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), targets, compare && { compare })
+            .slice(0, Math.floor(this.startsLeft));
+        this.startsLeft -= starts.length;
         for (const start of applyRecordStarts(this.state, { kind: CommandKind.RecordStarts, starts })) {
             const key = decodeTaskKey(start.task);
             const durationMs = this.jobsById.get(key?.job ?? "")?.durationsMs[key?.step ?? 0];
@@ -276,11 +286,24 @@
             worstPoolShare: Math.min(
                 ...names.map(name => computeOnTimeShare(this.jobs.filter(({ pool }) => pool === name))),
             ),
+            worstSizeRatio: Math.min(
+                ...names.map(name => this.computeSizeRatio(this.jobs.filter(({ pool }) => pool === name))),
+            ),
             vmSeconds: this.vmSeconds,
             moves: this.moves,
         };
     }
 
+    /** Compares how many of the largest tenth of jobs, and of the fifth below it, earn credit with how many of all do. */
+    private computeSizeRatio(jobs: readonly SimulatedJob[]): number {
+        const sorted = [...jobs].sort((a, b) => b.weight - a.weight);
+        const computeServedShare = (group: readonly SimulatedJob[]): number =>
+            group.filter(job => this.computeCredit(job) > 0).length / Math.max(1, group.length);
+        const [tenth, third] = [Math.ceil(jobs.length / 10), Math.ceil(jobs.length * 3 / 10)];
+        const groups = [sorted.slice(0, tenth), sorted.slice(tenth, third)];
+        return Math.min(...groups.map(computeServedShare)) / Math.max(Number.EPSILON, computeServedShare(jobs));
+    }
+
     private computeCredit({ id, atMs, durationsMs, weight }: SimulatedJob): number {
         const tookMs = (this.endedAt.get(id) ?? Number.POSITIVE_INFINITY) - atMs;
         const objectiveMs = 1.6 * durationsMs.reduce((sum, value) => sum + value, 0) + 600;
--- /dev/null
+++ b/packages/core/src/testing/simulated-leader.ts
@@ -0,0 +1,9 @@
+import type { StepCandidate } from "../queueing/step-candidate.js";
+
+/** Limits of the simulated leader. */
+export interface SimulatedLeader {
+    /** Number of tasks that it can start in a second, in all pools together. */
+    readonly startsPerSecond: number;
+    /** Order in which steps start; the production order by default. */
+    readonly compare?: (a: StepCandidate, b: StepCandidate) => number;
+}
--- a/packages/core/src/testing/simulation-result.ts
+++ b/packages/core/src/testing/simulation-result.ts
@@ -6,6 +6,11 @@
     readonly worstWindowsShare: number;
     /** The same share over the jobs of the worst pool. */
     readonly worstPoolShare: number;
+    /**
+     * Served share of the largest tenth of a pool's jobs, or of the fifth below it, relative to that of all its jobs;
+     * the lowest of all pools. Jobs that end too late to earn anything do not count as served.
+     */
+    readonly worstSizeRatio: number;
     /** VM-seconds of powered-on VMs, including VMs on their way to a pool that is not spare. */
     readonly vmSeconds: number;
     /** Number of VM moves that were started. */
