Start steps before their slack is used up

Callers saw short jobs late throughout a burst that the leader could not place in time. Cause: steps that can be on time start by least slack, and count as such until their slack is 30 % of the remaining time below zero. In a backlog deeper than a job's slack every step starts when its slack is used up, so that each estimation error and each later step makes its job late (the known collapse of earliest deadline first under overload).

Change: a step whose slack is below 15 % of its remaining time is uncertain and starts after those that are surer; slack weighs half as much against size and completed steps.

--- a/packages/core/src/queueing/compare-candidates.ts
+++ b/packages/core/src/queueing/compare-candidates.ts
@@ -4,14 +4,20 @@
 enum Urgency {
     /** Long-running: serves its users only while it runs. */
     LongRunning = 0,
-    /** Can still finish on time. */
+    /** Can still finish on time, even if it takes somewhat longer than estimated. */
     OnTime = 1,
+    /** Finishes on time only if it takes no longer than estimated. */
+    Uncertain = 2,
     /** Is late already, or cannot finish on time. */
-    Late = 2,
+    Late = 3,
 }
 
-/** Lateness, as a share of the remaining time, up to which a step counts as on time: allows for estimation errors. */
+/** Slack, as a share of the remaining time, from which a step counts as on time: allows for estimation errors. */
+const slackMargin = 0.15;
+/** Lateness, as a share of the remaining time, up to which a step may still be on time: allows for estimation errors. */
 const slackTolerance = 0.3;
+/** Weight of the slack of a step that can finish on time, against its size and its completed steps. */
+const slackWeight = 0.5;
 /** Head start of a small job over one of mean size, milliseconds: small jobs leave capacity for more callers. */
 const sizeWeightMs = 300;
 /** Head start for each completed step, milliseconds: the work already spent on a job is wasted if the job ends late. */
@@ -22,10 +28,11 @@
 /**
  * Compares steps by the order in which they start. The order is designed for bursts, in which demand exceeds the
  * capacity of a pool for some seconds:
- * - Long-running steps come first, then steps that can still finish on time, then late steps, so that late steps do not
- *   delay those that can finish on time.
+ * - Long-running steps come first, then steps that can still finish on time, then those with too little slack for an
+ *   estimation error, then late steps, so that none delays those that are likelier to finish on time. Without the class
+ *   in between, every step of a deep backlog would start when its slack is used up.
  * - Within such a class, the priority of the queue decides.
- * - Steps that can finish on time start by least slack. Small jobs and partly completed jobs get a head start, because
+ * - Steps that can finish on time start by least slack, uncertain ones by most slack. Small jobs and partly completed jobs get a head start, because
  *   under a deep backlog least slack alone makes every job slightly late. Accounts above their weighted share get a
  *   penalty, so that a burst of one account delays the others little.
  * - Late steps start by the remaining work of their job, least first.
@@ -46,14 +53,19 @@
 }
 
 /** Computes the slack with head starts and penalties, milliseconds; the lowest starts first. */
-function computeRank({ slackMs, relativeWork, shareExcess, stepsDone }: StepCandidate): number {
+function computeRank(candidate: StepCandidate): number {
+    const { slackMs, relativeWork, shareExcess, stepsDone } = candidate;
+    const slackTermMs = computeUrgency(candidate) === Urgency.Uncertain ? -slackMs : slackWeight * Math.max(0, slackMs);
     const shareMs = shareWeightMs * Math.min(1, shareExcess);
-    return Math.max(0, slackMs) + sizeWeightMs * Math.sqrt(relativeWork) + shareMs - stepWeightMs * stepsDone;
+    return slackTermMs + sizeWeightMs * Math.sqrt(relativeWork) + shareMs - stepWeightMs * stepsDone;
 }
 
 function computeUrgency(candidate: StepCandidate): Urgency {
     if (candidate.definition.isLongRunning) {
         return Urgency.LongRunning;
     }
-    return candidate.slackMs >= -slackTolerance * candidate.remainingMs ? Urgency.OnTime : Urgency.Late;
+    if (candidate.slackMs >= slackMargin * candidate.remainingMs) {
+        return Urgency.OnTime;
+    }
+    return candidate.slackMs >= -slackTolerance * candidate.remainingMs ? Urgency.Uncertain : Urgency.Late;
 }
