--- a/packages/core/src/queueing/collect-pool-loads.ts
+++ b/packages/core/src/queueing/collect-pool-loads.ts
@@ -1,7 +1,9 @@
 import type { FleetState } from "../fleet/fleet-state.js";
 import { isSuspect } from "../placement/is-suspect.js";
+import { computeUrgency } from "./compute-urgency.js";
 import type { PoolLoad } from "./pool-load.js";
 import type { StepCandidate } from "./step-candidate.js";
+import { Urgency } from "./urgency.js";
 
 /**
  * Collects the load of each pool and the tasks waiting for it.
@@ -23,6 +25,9 @@
             usedLongRunning: sum(targets.map(target => fleet.targetLoads.get(target.id)?.servingCpu ?? 0)),
             waiting: sum(waitingSteps.map(step => step.waiting.length)),
             wanted: sum(waitingSteps.map(step => step.waiting.length * step.definition.needs.cpu)),
+            uncertain: sum(
+                waitingSteps.map(step => computeUrgency(step) === Urgency.Uncertain ? step.waiting.length : 0),
+            ),
             late: sum(waitingSteps.map(step => step.slackMs < 0 ? step.waiting.length : 0)),
             suspects: fleet.suspectTasks.size === 0 ? 0 : sum(waitingSteps.map(countSuspects)),
         };
--- a/packages/core/src/queueing/compare-candidates.ts
+++ b/packages/core/src/queueing/compare-candidates.ts
@@ -1,21 +1,7 @@
+import { computeUrgency } from "./compute-urgency.js";
 import type { StepCandidate } from "./step-candidate.js";
+import { Urgency } from "./urgency.js";
 
-/** Class of urgency of a step; the lowest starts first. */
-enum Urgency {
-    /** Long-running: serves its users only while it runs. */
-    LongRunning = 0,
-    /** Can still finish on time, even if it takes somewhat longer than estimated. */
-    OnTime = 1,
-    /** Finishes on time only if it takes no longer than estimated. */
-    Uncertain = 2,
-    /** Is late already, or cannot finish on time. */
-    Late = 3,
-}
-
-/** Slack, as a share of the remaining time, from which a step counts as on time: allows for estimation errors. */
-const slackMargin = 0.15;
-/** Lateness, as a share of the remaining time, up to which a step may still be on time: allows for estimation errors. */
-const slackTolerance = 0.3;
 /** Weight of the slack of a step that can finish on time, against its size and its completed steps. */
 const slackWeight = 0.5;
 /** Head start of a small job over one of mean size, milliseconds: small jobs leave capacity for more callers. */
@@ -59,13 +45,3 @@
     const shareMs = shareWeightMs * Math.min(1, shareExcess);
     return slackTermMs + sizeWeightMs * Math.sqrt(relativeWork) + shareMs - stepWeightMs * stepsDone;
 }
-
-function computeUrgency(candidate: StepCandidate): Urgency {
-    if (candidate.definition.isLongRunning) {
-        return Urgency.LongRunning;
-    }
-    if (candidate.slackMs >= slackMargin * candidate.remainingMs) {
-        return Urgency.OnTime;
-    }
-    return candidate.slackMs >= -slackTolerance * candidate.remainingMs ? Urgency.Uncertain : Urgency.Late;
-}
--- a/packages/core/src/queueing/pool-load.ts
+++ b/packages/core/src/queueing/pool-load.ts
@@ -13,6 +13,8 @@
     readonly waiting: number;
     /** Thousandths of a core that the waiting tasks need. */
     readonly wanted: number;
+    /** Number of waiting tasks whose job finishes on time only if it takes no longer than estimated. */
+    readonly uncertain: number;
     /** Number of waiting tasks whose job is estimated to finish late. */
     readonly late: number;
     /** Number of waiting tasks under which targets have crashed and that have to run apart from others. */
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -12,6 +12,8 @@
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
 import { computePoolTargetSummary } from "@daisylock/core/queueing/compute-pool-target-summary.js";
+import { computeUrgency } from "@daisylock/core/queueing/compute-urgency.js";
+import { PlacementCounter } from "@daisylock/core/queueing/placement-counter.js";
 import type { StepCandidate } from "@daisylock/core/queueing/step-candidate.js";
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
@@ -59,6 +61,7 @@
 /** Starts and stops tasks while this process is the active leader. A start is committed before its request is sent. */
 export class Scheduler extends PeriodicWorker {
     override readonly name = "scheduler";
+    private readonly placementCounter = new PlacementCounter();
     private nextDropAt = 0;
     private nextLoadLogAt = 0;
     private isLeading = false;
@@ -132,15 +135,21 @@
         if (starts.length === 0) {
             return;
         }
-        const lateSteps = collectLateSteps(candidates);
+        const stepsByKey = new Map(
+            candidates.map(step => [encodeStepKey(step.job.id, step.occurrence, step.step), step]),
+        );
         const recorded = yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordStarts, starts }));
         for (const { task, run, target } of recorded ?? []) {
+            const step = stepsByKey.get(parseStepKey(task));
+            if (step !== undefined) {
+                this.placementCounter.noteStart(step.queue?.pool ?? step.job.pool, computeUrgency(step));
+            }
             log.record(DecisionKind.TaskPlaced, {
                 task,
                 run,
                 target,
                 waitMs: this.computeStartWaitMs(fleet, task, run),
-                late: lateSteps.has(parseStepKey(task)),
+                late: step !== undefined && step.slackMs < 0 && !step.definition.isLongRunning,
             });
             sessions.find(target)?.startTask(task, run);
         }
@@ -200,7 +209,12 @@
                 poolLoad.pool,
                 target => this.readTargetStatus(target),
             );
-            log.record(DecisionKind.PoolLoad, { ...poolLoad, ...summary, ...excluded });
+            log.record(DecisionKind.PoolLoad, {
+                ...poolLoad,
+                ...this.placementCounter.takeCounts(poolLoad.pool),
+                ...summary,
+                ...excluded,
+            });
         }
     }
 
@@ -230,11 +244,3 @@
         }
     }
 }
-
-/** Collects the keys of the steps whose jobs cannot be on time any more. */
-function collectLateSteps(candidates: readonly StepCandidate[]): ReadonlySet<string> {
-    return new Set(
-        candidates.filter(({ slackMs, definition }) => slackMs < 0 && !definition.isLongRunning)
-            .map(({ job, occurrence, step }) => encodeStepKey(job.id, occurrence, step)),
-    );
-}
