--- a/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
@@ -7,11 +7,28 @@
         const meter = new LoadMeter();
         meter.noteRound(4);
         meter.noteRound(11);
-        meter.noteRequest();
+        meter.noteRequest("sent log");
         expect(meter.takeInterval()).toMatchObject({ rounds: 2, roundMs: 15, longestRoundMs: 11, requests: 1 });
         expect(meter.takeInterval()).toMatchObject({ rounds: 0, roundMs: 0, longestRoundMs: 0, requests: 0 });
     });
 
+    it("names the most frequent kinds of requests", () => {
+        const meter = new LoadMeter();
+        ["sent log", "received report", "sent log"].forEach(kind => meter.noteRequest(kind));
+        expect(meter.takeInterval().requestKinds).toBe("sent log 2, received report 1");
+        expect(meter.takeInterval().requestKinds).toBe("");
+    });
+
+    it("reports the collections of garbage", async () => {
+        const meter = new LoadMeter();
+        let kept: number[][] = [];
+        for (let index = 0; index < 200_000; index++) {
+            kept = index % 1_000 === 0 ? [] : [...kept.slice(-50), Array.from({ length: 50 }, () => index)];
+        }
+        await new Promise(resolve => setTimeout(resolve, 20));
+        expect(meter.takeInterval().gcs).toBeGreaterThan(0);
+    });
+
     it("reports the processor time of the interval", () => {
         const meter = new LoadMeter();
         const endsAt = performance.now() + 60;
--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -1,7 +1,9 @@
-import { type EventLoopUtilization, performance } from "node:perf_hooks";
+import { type EventLoopUtilization, performance, PerformanceObserver } from "node:perf_hooks";
 
 const microsecondsPerMs = 1_000;
 const percent = 100;
+/** Number of kinds of requests that are named in one interval. */
+const namedKinds = 8;
 
 /** What this process did in one interval, as logged by the leader. */
 interface LoadInterval {
@@ -15,6 +17,11 @@
     readonly longestRoundMs: number;
     /** Requests that were sent to and received from other processes. */
     readonly requests: number;
+    /** The most frequent kinds of these requests with their numbers, most frequent first. */
+    readonly requestKinds: string;
+    /** Time for which the collector of garbage stopped the program, milliseconds, and how often. */
+    readonly gcMs: number;
+    readonly gcs: number;
 }
 
 /** Measures what a process spends its time on, from one reading to the next. */
@@ -24,7 +31,19 @@
     private rounds = 0;
     private roundMs = 0;
     private longestRoundMs = 0;
-    private requests = 0;
+    private readonly requestKinds = new Map<string, number>();
+    private gcMs = 0;
+    private gcs = 0;
+
+    constructor() {
+        const observer = new PerformanceObserver(list => {
+            for (const { duration } of list.getEntries()) {
+                this.gcMs += duration;
+                this.gcs += 1;
+            }
+        });
+        observer.observe({ entryTypes: ["gc"] });
+    }
 
     /**
      * Records a scheduling round.
@@ -36,9 +55,12 @@
         this.longestRoundMs = Math.max(this.longestRoundMs, durationMs);
     }
 
-    /** Records a request that was sent to or received from another process. */
-    noteRequest(): void {
-        this.requests += 1;
+    /**
+     * Records a request that was sent to or received from another process.
+     * @param kind - its direction and kind
+     */
+    noteRequest(kind: string): void {
+        this.requestKinds.set(kind, (this.requestKinds.get(kind) ?? 0) + 1);
     }
 
     /**
@@ -48,20 +70,26 @@
     takeInterval(): LoadInterval {
         const cpu = process.cpuUsage(this.cpu);
         const utilization = performance.eventLoopUtilization(this.utilization);
+        const kinds = [...this.requestKinds].sort(([, a], [, b]) => b - a);
         const interval = {
             cpuMs: Math.round((cpu.user + cpu.system) / microsecondsPerMs),
             busyPercent: Math.round(utilization.utilization * percent),
             rounds: this.rounds,
             roundMs: Math.round(this.roundMs),
             longestRoundMs: Math.round(this.longestRoundMs),
-            requests: this.requests,
+            requests: kinds.reduce((sum, [, count]) => sum + count, 0),
+            requestKinds: kinds.slice(0, namedKinds).map(([kind, count]) => `${kind} ${count}`).join(", "),
+            gcMs: Math.round(this.gcMs),
+            gcs: this.gcs,
         };
         this.cpu = process.cpuUsage();
         this.utilization = performance.eventLoopUtilization();
         this.rounds = 0;
         this.roundMs = 0;
         this.longestRoundMs = 0;
-        this.requests = 0;
+        this.requestKinds.clear();
+        this.gcMs = 0;
+        this.gcs = 0;
         return interval;
     }
 }
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -78,6 +78,7 @@
      * @param relays - picks the relay of each target
      * @param log - decision log
      * @param clock - monotonic and wall clock
+     * @param noteRelayed - called for each request that a relay is asked to send, with its kind
      */
     constructor(
         private readonly direct: Pick<TargetRequestSender, "send" | "close">,
@@ -85,6 +86,7 @@
         private readonly relays: Pick<RelayDirectory, "pickRelay" | "noteFailure">,
         private readonly log: Pick<DecisionLog, "record">,
         private readonly clock: Clock,
+        private readonly noteRelayed: (kind: TargetRequestKind) => void = () => undefined,
     ) {
         super();
     }
@@ -136,6 +138,7 @@
             return this.direct.send(kind, target, content);
         }
         const { id, address } = target;
+        this.noteRelayed(kind);
         const body: RelayedRequest = { target: { id, address }, sentAtMs: this.clock.readWall(), ...content };
         const reply = await this.peers.send({
             address: relay,
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -157,7 +157,7 @@
     }
 
     private noteRequest(direction: RequestDirection, kind: string): void {
-        this.load.noteRequest();
+        this.load.noteRequest(`${direction} ${kind}`);
         this.metrics.addCount(MetricName.PeerRequests, { direction, kind });
     }
 
@@ -190,6 +190,7 @@
         const { settings, clock, log } = this;
         const { node, listen, cluster, limits } = settings;
         const noteSent = (kind: string) => this.noteRequest(RequestDirection.Sent, kind);
+        const noteRelayed = (kind: string) => this.noteRequest(RequestDirection.Relayed, kind);
         const noteReceived = (kind: string) => this.noteRequest(RequestDirection.Received, kind);
         const sender = new RaftSender(this.peerClient, listen.peers, this.metrics);
         const keeper = new Keeper({
@@ -216,7 +217,7 @@
         const leader = new LeaderComponents({
             settings,
             leadership,
-            client: new RelayedTargetClient(targetSender, this.peerClient, relays, log, clock),
+            client: new RelayedTargetClient(targetSender, this.peerClient, relays, log, clock, noteRelayed),
             vms: this.adapter.createVmService(settings),
             advice: this.adapter.createAdviceService(settings),
             clock,
