--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -33,6 +33,7 @@
     CallRefused = "call-refused",
     PoolLoad = "pool-load",
     LeaderLoad = "leader-load",
+    LeaderRehearsed = "leader-rehearsed",
     TaskPlaced = "task-placed",
     TaskStarted = "task-started",
     TaskEnded = "task-ended",
