--- a/packages/core/src/jobs/decode-task-key.ts
+++ b/packages/core/src/jobs/decode-task-key.ts
@@ -1,17 +1,15 @@
 import type { TaskKey } from "./task-key.js";
 
+const taskKeyPattern = /^([^.]*)\.(\d+)\.(\d+)\.(\d+)$/;
+
 /**
  * Decodes a task key.
  * @param text - the output of encodeTaskKey
  * @returns the key, or `undefined` when the text is not a task key
  */
 export function decodeTaskKey(text: string): TaskKey | undefined {
-    const [job, ...numbers] = text.split(".");
-    const [occurrence, step, index] = numbers.map(Number);
-    if (job === undefined || occurrence === undefined || step === undefined || index === undefined) {
-        return undefined;
-    }
-    return numbers.length === 3 && numbers.every(part => /^\d+$/.test(part))
-        ? { job, occurrence, step, index }
-        : undefined;
+    const [, job, occurrence, step, index] = taskKeyPattern.exec(text) ?? [];
+    return job === undefined
+        ? undefined
+        : { job, occurrence: Number(occurrence), step: Number(step), index: Number(index) };
 }
--- a/packages/core/src/placement/plan-starts.ts
+++ b/packages/core/src/placement/plan-starts.ts
@@ -3,6 +3,8 @@
 import { compareCandidates } from "../queueing/compare-candidates.js";
 import type { StepCandidate } from "../queueing/step-candidate.js";
 import { encodeStepKey } from "./encode-step-key.js";
+import { FullPools } from "./full-pools.js";
+import { isStartWithinCap } from "./is-start-within-cap.js";
 import { isSuspect } from "./is-suspect.js";
 import { PlacementRound } from "./placement-round.js";
 import type { PlacementTarget } from "./placement-target.js";
@@ -45,14 +47,22 @@
     const sorted = [...candidates].sort(compare);
     const hasSuspects = fleet.suspectTasks.size > 0;
     const heldSteps = hasSuspects ? planSuspects(round, sorted, probation) : new Set();
+    const fullPools = new FullPools();
     for (const candidate of sorted) {
         if (round.starts.length >= maxStartsPerRound) {
             break;
         }
-        const { job, occurrence, step, waiting } = candidate;
+        const { job, occurrence, step, waiting, definition } = candidate;
+        if (fullPools.isFull(candidate)) {
+            continue;
+        }
         if (!heldSteps.has(encodeStepKey(job.id, occurrence, step))) {
             const others = hasSuspects ? waiting.filter(index => !isSuspect(candidate, index)) : waiting;
-            planStep(round, candidate, others, round.listTargets(candidate));
+            const planned = planStep(round, candidate, others, round.listTargets(candidate));
+            // A gang may have given room back, and a limit of its account may be what has stopped a step.
+            if (planned.length < others.length && !definition.isGang && isStartWithinCap(round, candidate)) {
+                fullPools.noteNoRoom(candidate);
+            }
         }
     }
     if (hasSuspects) {
