--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -34,6 +34,8 @@
 import { PeerRequestHandler } from "./peers/peer-request-handler.js";
 import { PeerServer } from "./peers/peer-server.js";
 import { RaftSender } from "./peers/raft-sender.js";
+import { LeaderRehearsal } from "./rehearsal/leader-rehearsal.js";
+import { RehearsalWorker } from "./rehearsal/rehearsal-worker.js";
 import { RelayDirectory } from "./relay/relay-directory.js";
 import { RelayedTargetClient } from "./relay/relayed-target-client.js";
 import { TargetRequestRelay } from "./relay/target-request-relay.js";
@@ -179,7 +181,7 @@
     }
 
     private noteRequest(direction: RequestDirection, kind: string): void {
-        this.load.noteRequest();
+        this.load.noteRequest(`${direction} ${kind}`);
         this.metrics.addCount(MetricName.PeerRequests, { direction, kind });
     }
 
@@ -215,6 +217,7 @@
         const { settings, clock, log } = this;
         const { node, listen, cluster, limits } = settings;
         const noteSent = (kind: string) => this.noteRequest(RequestDirection.Sent, kind);
+        const noteRelayed = (kind: string) => this.noteRequest(RequestDirection.Relayed, kind);
         const noteReceived = (kind: string) => this.noteRequest(RequestDirection.Received, kind);
         const sender = new RaftSender(this.peerClient, listen.peers, this.metrics, this.noteFault);
         const keeper = new Keeper({
@@ -242,7 +245,7 @@
         const leader = new LeaderComponents({
             settings,
             leadership,
-            client: new RelayedTargetClient(targetSender, this.peerClient, relays, log, clock),
+            client: new RelayedTargetClient(targetSender, this.peerClient, relays, log, clock, noteRelayed),
             vms: this.adapter.createVmService(settings),
             advice: this.adapter.createAdviceService(settings),
             clock,
@@ -278,6 +281,10 @@
             { name: "member-manager", create: () => memberManager },
             ...leader.listChildren(),
             { name: "control-listener", create: () => this.adapter.createControlListener(settings, controlApi, log) },
+            {
+                name: "leader-rehearsal",
+                create: () => new RehearsalWorker(() => new LeaderRehearsal(settings, raftTiming, clock), log, clock),
+            },
         ];
     }
 }
