--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -11,24 +11,33 @@
 import type { Clock } from "../../clock/clock.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
+import { ClaimOutcome } from "./claim-outcome.js";
+import { clockAheadMarginMs } from "./clock-ahead-margin-ms.js";
+import { compareReports } from "./compare-reports.js";
 import type { Leadership } from "./leadership.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
+import type { ReportMark } from "./report-mark.js";
+import { ReportOrder } from "./report-order.js";
+import { reportTimeoutMs } from "./report-timeout-ms.js";
+import type { TargetClaimVerifier } from "./target-claim-verifier.js";
 import type { TargetSessions } from "./target-sessions.js";
 
+/** Age of a heartbeat from which its claim is not believed, as the target has sent others meanwhile, milliseconds. */
+const maxClaimAgeMs = 10_000;
+
 /** Latest heartbeat of one target incarnation. */
-interface LatestReport {
+interface LatestReport extends ReportMark {
     readonly incarnation: number;
-    /** Number of the heartbeat, which increases within an incarnation. */
-    readonly sequence: number;
     /** When the heartbeat arrived, monotonic milliseconds. */
     readonly at: number;
-    /** The target's clock in the heartbeat, milliseconds. */
-    readonly clockMs: number | undefined;
     /** Whether the heartbeat is committed or needed no commit. A repeat of one that is not has to be committed too. */
     readonly isRecorded: boolean;
 }
 
-/** Handles heartbeats of targets, on the leader. */
+/**
+ * Handles heartbeats of targets, on the leader. Any writer may send one, so that a heartbeat that would record a target, or
+ * displace one that is recorded, only tells where to ask; the answer of the target decides.
+ */
 export class TargetReportHandler {
     private readonly latestReports = new Map<string, LatestReport>();
 
@@ -38,13 +47,18 @@
      * @param log - decision log
      * @param startScheduling - called when a target has changed
      * @param sessions - sessions of the targets, which know the runs on an incarnation that is replaced or leaves
+     * @param claims - asks targets whether they are where a heartbeat claims
      */
     constructor(
         private readonly leadership: Leadership,
         private readonly clock: Clock,
         private readonly log: Pick<DecisionLog, "record">,
         private readonly startScheduling: () => void,
-        private readonly sessions: Pick<TargetSessions, "collectCrashedRuns" | "noteRunEnds">,
+        private readonly sessions: Pick<
+            TargetSessions,
+            "collectCrashedRuns" | "findAnsweredClock" | "noteLeaving" | "noteRunEnds"
+        >,
+        private readonly claims: Pick<TargetClaimVerifier, "readAnswer" | "verifyClaim">,
     ) {}
 
     /**
@@ -55,70 +69,40 @@
      */
     handleReport(report: TargetReport): Promise<LeaderReply<{ isNewest: boolean }>> {
         return this.leadership.serveCall(async () => {
-            const { record, sequence, clockMs } = report;
-            const known = this.leadership.readFleet().targets.get(record.id);
-            if (this.isOutdated(report, known) || !this.isPoolKnown(record, known)) {
+            const { record } = report;
+            if (!this.isPoolKnown(record, this.readRecord(record.id)) || !this.isClockPossible(report)) {
                 return { isNewest: false };
             }
-            const isChanged = isTargetChanged(known, record);
-            const latest: LatestReport = {
-                incarnation: record.incarnation,
-                sequence,
-                at: this.clock.readMonotonic(),
-                clockMs,
-                isRecorded: !isChanged,
-            };
-            this.latestReports.set(record.id, latest);
-            if (!isChanged) {
-                return { isNewest: true };
-            }
-            const crashes = this.collectCrashes(record);
-            const recording = await this.leadership.recordCommand({
-                kind: CommandKind.RecordTarget,
-                record,
-                sequence,
-                crashes,
-                atMs: this.clock.readWall(),
-            });
-            if (recording === undefined) {
-                return undefined;
+            const isConfirmedClaim = isClaim(this.readRecord(record.id), record);
+            if (isConfirmedClaim && !await this.isClaimConfirmed(report)) {
+                return { isNewest: false };
             }
-            const { isNewest, ends, poisonTasks } = recording;
-            this.sessions.noteRunEnds(ends);
-            recordPoisonTasks(this.log, poisonTasks, record.id);
-            if (this.latestReports.get(record.id) === latest) {
-                this.latestReports.set(record.id, { ...latest, isRecorded: true });
+            if (isConfirmedClaim && this.isAddressHeld(record)) {
+                return { isNewest: false };
             }
-            const kind = record.state === ReportedTargetState.Draining
-                ? DecisionKind.TargetDraining
-                : DecisionKind.TargetRecorded;
-            this.log.record(kind, {
-                target: record.id,
-                vm: record.vm,
-                pool: record.pool,
-                sequence,
-                newest: isNewest,
-                crashes: isNewest && crashes.length > 0 ? crashes.length : undefined,
-            });
-            this.startScheduling();
-            return { isNewest };
+            const order = this.computeOrder(report, isConfirmedClaim);
+            return order === ReportOrder.Outdated || !this.isPlaceKept(record, this.readRecord(record.id))
+                ? { isNewest: false }
+                : this.recordReport(report, isConfirmedClaim || order === ReportOrder.NewestByClock);
         });
     }
 
     /**
      * Handles the announcement of a target that it is leaving. An announcement may be delayed until a newer incarnation
-     * runs under the same id, whose tasks must not be started elsewhere. One that names no incarnation is therefore
-     * believed only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
+     * runs under the same id, or come from another writer, and the tasks of a target that runs must not be started
+     * elsewhere. It is therefore believed once no process can be reached at its address, and of a target with runs only if it drains,
+     * as targets do before they leave: the address of any other may only be cut off. One that names no incarnation is believed
+     * only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
      * @param request - id of the target and the incarnation that is leaving
-     * @returns whether that incarnation was known, or a not-leader reply
+     * @returns whether that incarnation was known and has left, or a not-leader reply
      */
     handleLeave({ id, incarnation }: TargetLeave): Promise<LeaderReply<{ isKnown: boolean }>> {
         return this.leadership.serveCall(async () => {
-            const known = this.leadership.readFleet().targets.get(id);
+            const known = this.readRecord(id);
             const isLeaving = incarnation === undefined
                 ? known?.state === ReportedTargetState.Draining
                 : known?.incarnation === incarnation;
-            if (known === undefined || !isLeaving) {
+            if (known === undefined || !isLeaving || !await this.isGone(known)) {
                 return { isKnown: false };
             }
             const removal = await this.leadership.recordCommand({
@@ -142,6 +126,26 @@
         });
     }
 
+    /** A target whose process has not ended yet is watched by its session. */
+    private async isGone(known: TargetRecord): Promise<boolean> {
+        const { outcome } = await this.claims.readAnswer(known);
+        const hasRuns = (this.leadership.readFleet().targetLoads.get(known.id)?.runs.size ?? 0) > 0;
+        const isUnreachable = outcome === ClaimOutcome.Unreachable;
+        const isGone = outcome === ClaimOutcome.Refuted
+            || (isUnreachable && (!hasRuns || known.state === ReportedTargetState.Draining))
+            || (outcome === ClaimOutcome.Unanswered && !hasRuns);
+        if (!isGone) {
+            this.sessions.noteLeaving(known.id, known.incarnation);
+            this.recordRefusal(
+                known,
+                outcome === ClaimOutcome.Confirmed
+                    ? "it is said to leave and still answers"
+                    : "it is said to leave and may be cut off with its tasks",
+            );
+        }
+        return isGone;
+    }
+
     /**
      * Finds the latest heartbeat of a target incarnation.
      * @param id - id of the target
@@ -153,6 +157,139 @@
         return latest?.incarnation === incarnation ? latest : undefined;
     }
 
+    /** Returns `undefined` when the report may not have been committed. */
+    private async recordReport(
+        { record, sequence, clockMs }: TargetReport,
+        isVerified: boolean,
+    ): Promise<{ isNewest: boolean } | undefined> {
+        const isChanged = isTargetChanged(this.readRecord(record.id), record);
+        const latest: LatestReport = {
+            incarnation: record.incarnation,
+            sequence,
+            at: this.clock.readMonotonic(),
+            clockMs,
+            isRecorded: !isChanged,
+        };
+        this.latestReports.set(record.id, latest);
+        if (!isChanged) {
+            return { isNewest: true };
+        }
+        const crashes = this.collectCrashes(record);
+        const recording = await this.leadership.recordCommand({
+            kind: CommandKind.RecordTarget,
+            record,
+            sequence,
+            clockMs,
+            isVerified,
+            crashes,
+            atMs: this.clock.readWall(),
+        });
+        if (recording === undefined) {
+            return undefined;
+        }
+        const { isNewest, ends, poisonTasks } = recording;
+        this.sessions.noteRunEnds(ends);
+        recordPoisonTasks(this.log, poisonTasks, record.id);
+        if (this.latestReports.get(record.id) === latest) {
+            this.latestReports.set(record.id, { ...latest, isRecorded: true });
+        }
+        const kind = record.state === ReportedTargetState.Draining
+            ? DecisionKind.TargetDraining
+            : DecisionKind.TargetRecorded;
+        this.log.record(kind, {
+            target: record.id,
+            vm: record.vm,
+            pool: record.pool,
+            sequence,
+            newest: isNewest,
+            crashes: isNewest && crashes.length > 0 ? crashes.length : undefined,
+        });
+        this.startScheduling();
+        return { isNewest };
+    }
+
+    private async isClaimConfirmed({ record, clockMs }: TargetReport): Promise<boolean> {
+        const answer = await this.claims.verifyClaim(record);
+        if (answer.outcome === ClaimOutcome.Refuted) {
+            this.recordRefusal(record, "another target or incarnation answers at the address");
+        }
+        else if (answer.outcome === ClaimOutcome.Unanswered || answer.outcome === ClaimOutcome.Unreachable) {
+            this.recordRefusal(record, "no answer at the address confirms it");
+        }
+        if (answer.outcome !== ClaimOutcome.Confirmed) {
+            return false;
+        }
+        if (answer.clockMs === undefined || clockMs === undefined) {
+            return true;
+        }
+        const ageMs = answer.clockMs - clockMs;
+        const isOfTarget = ageMs >= -clockAheadMarginMs && ageMs < maxClaimAgeMs;
+        if (!isOfTarget) {
+            this.recordRefusal(record, "its clock is not the one that the target answers with");
+        }
+        return isOfTarget;
+    }
+
+    /**
+     * Tells whether a record at the address has runs and has not answered this leader. It may be wrong on a disk of an
+     * earlier version, and its runs be elsewhere: its session removes it once their lease has expired.
+     */
+    private isAddressHeld(record: TargetRecord): boolean {
+        const { targets, targetLoads } = this.leadership.readFleet();
+        const holder = [...targets.values()].find(other =>
+            other.id !== record.id && other.address === record.address && targetLoads.has(other.id)
+            && this.sessions.findAnsweredClock(other.id, other.incarnation) === undefined
+        );
+        if (holder !== undefined) {
+            this.recordRefusal(record, `the lease of ${holder.id} at the address has to expire first`);
+        }
+        return holder !== undefined;
+    }
+
+    /** Tells whether an incarnation whose clock the answers state can have sent a heartbeat with this reading. */
+    private isClockPossible({ record, clockMs }: TargetReport): boolean {
+        const clock = this.sessions.findAnsweredClock(record.id, record.incarnation);
+        if (clock === undefined) {
+            return true;
+        }
+        if (clockMs === undefined) {
+            const isClockStated = this.findReport(record.id, record.incarnation)?.clockMs !== undefined;
+            if (isClockStated) {
+                this.recordRefusal(record, "it states no clock, as other heartbeats of the target do");
+            }
+            return !isClockStated;
+        }
+        const isAhead = clock.isAhead(clockMs, this.clock.readMonotonic());
+        if (isAhead) {
+            this.recordRefusal(record, "its clock is ahead of the one that the target answers with");
+        }
+        return !isAhead;
+    }
+
+    /**
+     * An incarnation keeps its pool, its VM and its place, none of which an answer states. A heartbeat that differs is
+     * believed once those that agree with the record have ceased, as the record may be of another writer.
+     */
+    private isPlaceKept(record: TargetRecord, known: TargetRecord | undefined): boolean {
+        if (known?.incarnation !== record.incarnation || describePlace(known) === describePlace(record)) {
+            return true;
+        }
+        const agreedAt = this.findReport(record.id, record.incarnation)?.at ?? this.leadership.readStartedAt();
+        const isCeased = this.clock.readMonotonic() - agreedAt > reportTimeoutMs;
+        if (!isCeased) {
+            this.recordRefusal(record, "an incarnation keeps its pool, VM, zone and labels");
+        }
+        return isCeased;
+    }
+
+    private recordRefusal({ id, incarnation, pool, address }: TargetRecord, reason: string): void {
+        this.log.record(DecisionKind.ReportRefused, { target: id, incarnation, pool, address, reason });
+    }
+
+    private readRecord(id: string): TargetRecord | undefined {
+        return this.leadership.readFleet().targets.get(id);
+    }
+
     /** Only the target itself may go on naming a pool that the configuration no longer has. */
     private isPoolKnown({ id, pool, address }: TargetRecord, known: TargetRecord | undefined): boolean {
         const { configuration } = this.leadership.readFleet();
@@ -178,12 +315,40 @@
     }
 
     /** The record is compared too, as a report may have been delayed until another process leads. */
-    private isOutdated({ record, sequence }: TargetReport, known: TargetRecord | undefined): boolean {
+    private computeOrder(report: TargetReport, isConfirmedClaim: boolean): ReportOrder {
+        const { record, sequence, clockMs } = report;
         const latest = this.latestReports.get(record.id);
-        const newest = Math.max(latest?.incarnation ?? 0, known?.incarnation ?? 0);
-        const isOvertaken = latest?.incarnation === record.incarnation
-            && (sequence < latest.sequence || (sequence === latest.sequence && latest.isRecorded));
-        const isBeforeRecord = known?.incarnation === record.incarnation && sequence < (known.reportSequence ?? 0);
-        return record.incarnation < newest || isOvertaken || isBeforeRecord;
+        const isSameIncarnation = latest?.incarnation === record.incarnation;
+        if (latest?.isRecorded === false && !isSameIncarnation && !isConfirmedClaim) {
+            // An answer has confirmed the other incarnation, which is being committed.
+            return ReportOrder.Outdated;
+        }
+        const isRepeat = isSameIncarnation && sequence === latest.sequence && clockMs === latest.clockMs;
+        if (isRepeat && latest.isRecorded) {
+            return ReportOrder.Outdated;
+        }
+        const known = this.readRecord(record.id);
+        const marks: ReportMark[] = [
+            ...isSameIncarnation ? [latest] : [],
+            ...known?.incarnation === record.incarnation
+                ? [{ sequence: known.reportSequence ?? 0, clockMs: known.reportClockMs }]
+                : [],
+        ];
+        const clock = this.sessions.findAnsweredClock(record.id, record.incarnation);
+        const orders = marks.map(mark => compareReports(report, mark, clock, this.clock.readMonotonic()));
+        if (orders.includes(ReportOrder.Outdated)) {
+            return ReportOrder.Outdated;
+        }
+        return orders.includes(ReportOrder.NewestByClock) ? ReportOrder.NewestByClock : ReportOrder.Newest;
     }
 }
+
+/** Describes what stays the same for the life of an incarnation and is not proven by its answers. */
+function describePlace({ pool, vm, zone, rack, labels }: TargetRecord): string {
+    return JSON.stringify([pool, vm, zone, rack, labels]);
+}
+
+/** Tells whether a report claims more than that the recorded incarnation is where it was. */
+function isClaim(known: TargetRecord | undefined, { incarnation, address }: TargetRecord): boolean {
+    return known?.incarnation !== incarnation || known.address !== address;
+}
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -111,14 +111,6 @@
         },
     );
 
-    it("sends a request itself when the call of the relay throws", async () => {
-        const { own, client, failures, state, lines } = createFixture();
-        state.isThrowing = true;
-        expect(await client.sendLeaseRenewal(target, renewal)).toMatchObject({ incarnation: 1, running: [] });
-        expect([own.sent.length, failures]).toEqual([1, ["k1:70"]]);
-        expect(lines).toContainEqual(expect.objectContaining({ kind: "work-failed", work: "peer-call" }));
-    });
-
     it.each([
         ["a negative clock", { clockMs: -1 }],
         ["a clock beyond all times", { clockMs: 1e300 }],
@@ -132,6 +124,14 @@
         expect(v.is(schema, { ...reply, ...fields })).toBe(false);
     });
 
+    it("sends a request itself when the call of the relay throws", async () => {
+        const { own, client, failures, state, lines } = createFixture();
+        state.isThrowing = true;
+        expect(await client.sendLeaseRenewal(target, renewal)).toMatchObject({ incarnation: 1, running: [] });
+        expect([own.sent.length, failures]).toEqual([1, ["k1:70"]]);
+        expect(lines).toContainEqual(expect.objectContaining({ kind: "work-failed", work: "peer-call" }));
+    });
+
     it("sends a request itself when the relay fails, with the same run number", async () => {
         const { own, client, failures, state, lines } = createFixture();
         state.isDown = true;
