--- a/packages/daemon/src/job-scheduler/rehearsal/leader-rehearsal.ts
+++ b/packages/daemon/src/job-scheduler/rehearsal/leader-rehearsal.ts
@@ -179,7 +179,7 @@
     }
 
     private sendCall(name: string, request: unknown): void {
-        void this.handler.handleRequest(`${peerPaths.call}${name}`, Buffer.from(JSON.stringify(request))).catch(
+        this.handler.handleRequest(`${peerPaths.call}${name}`, Buffer.from(JSON.stringify(request))).catch(
             (error: unknown) => {
                 this.failure ??= buildError(error);
             },
