Random runs with the loss of the leader's process

A change of term left the sessions and heartbeats that the process had received; a leader whose power fails leaves only what is recorded.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -190,6 +190,13 @@
     { weight: 4, arbitrary: foreignReport },
     { weight: 2, arbitrary: imitatedReport },
     { weight: 1, arbitrary: foreignLeave },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            kind: fc.constant("stop-leader" as const),
+            ms: fc.integer({ min: 50, max: 2_000 }),
+        }),
+    },
 );
 
 type ArbitraryValue<Arbitrary> = Arbitrary extends fc.Arbitrary<infer Value> ? Value : never;
@@ -232,6 +239,9 @@
         case "term":
             keeper.startTerm(step.ms);
             break;
+        case "stop-leader":
+            fleet.stopLeader(step.ms);
+            break;
         case "busy":
             keeper.busyProbability = step.percent / 100;
             break;
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -12,7 +12,10 @@
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 
+import Result from "true-myth/result";
+
 import { runGoroutine } from "../../concurrency/run-goroutine.js";
+import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { Leadership } from "../leader/leadership.js";
 import { LoadMeter } from "../leader/load-meter.js";
 import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
@@ -25,6 +28,7 @@
 import { TaskDurationEstimator } from "../leader/task-duration-estimator.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { RelayedTargetClient } from "../relay/relayed-target-client.js";
+import type { TargetClient } from "../targets/target-client.js";
 import { TargetRequestSender } from "../targets/target-request-sender.js";
 import { HeldClock } from "./held-clock.js";
 import { ManualClock } from "./manual-clock.js";
@@ -50,6 +54,8 @@
 /** Number of macrotask rounds within which all goroutines that can proceed have done so. */
 const macrotaskRounds = 5;
 
+const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
+
 /** Fault of the network between the leader and one target. */
 interface RequestFault {
     readonly fate: RequestFate;
@@ -72,8 +78,11 @@
     /** Whether the VM service tells which targets have ended. */
     isVmServiceUp = false;
     private readonly state: ControlState;
-    private readonly scheduler: Scheduler;
-    private readonly reports: TargetReportHandler;
+    private readonly targetClient: TargetClient;
+    private scheduler: Scheduler;
+    private reports: TargetReportHandler;
+    /** Number of the process that leads. */
+    private leaderProcess = 0;
     private readonly requestFaults = new Map<string, RequestFault>();
     private readonly heartbeatDelaysMs = new Map<string, number>();
     private readonly crashingJobs = new Set<string>();
@@ -108,9 +117,6 @@
         this.targets.forEach(target => {
             target.handleCrash = () => this.stopTarget(target, this.crashDownMs);
         });
-        const leadership = new Leadership(this.keeper, 1);
-        const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
-        const startScheduling = () => this.startRound();
         const client = new SimulatedTargetClient(
             new Map(this.targets.map(target => [target.record.id, target])),
             this.clock,
@@ -123,10 +129,18 @@
             pickRelay: (target: string) => this.relays.names[target.charCodeAt(1) % this.relays.names.length],
             noteFailure: () => undefined,
         };
-        const targetClient = isRelayed
+        this.targetClient = isRelayed
             ? new RelayedTargetClient(sender, this.relays, directory, log, this.clock)
             : client;
-        this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
+        [this.reports, this.scheduler] = this.createLeader();
+    }
+
+    /** Creates the components of a leader, which know only what is recorded. */
+    private createLeader(): [TargetReportHandler, Scheduler] {
+        const { targetClient } = this;
+        const leadership = new Leadership(this.createKeeperProcess(), 1);
+        const startScheduling = () => this.startRound();
+        const reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
             collectCrashedRuns: id => sessions.collectCrashedRuns(id),
             findAnsweredClock: (id, incarnation) => sessions.findAnsweredClock(id, incarnation),
             noteLeaving: (id, incarnation) => sessions.noteLeaving(id, incarnation),
@@ -135,7 +149,7 @@
         const sessions: TargetSessions = new TargetSessions({
             leadership,
             client: targetClient,
-            reports: this.reports,
+            reports,
             clock: this.clock,
             log,
             maxLeaseMs: this.maxLeaseMs,
@@ -149,7 +163,7 @@
             startScheduling,
             handleRunEnd: () => undefined,
         });
-        this.scheduler = new Scheduler({
+        const scheduler = new Scheduler({
             metrics: { recordTime: () => undefined },
             load: new LoadMeter(),
             leadership,
@@ -162,10 +176,45 @@
             clock: this.roundClock,
             keepStateMs,
         });
+        return [reports, scheduler];
+    }
+
+    /** Creates access to the keeper that ends when the next leader process starts. */
+    private createKeeperProcess(): ConstructorParameters<typeof Leadership>[0] {
+        const { keeper } = this;
+        const process = ++this.leaderProcess;
+        const isRunning = () => process === this.leaderProcess;
+        return {
+            isActiveLeader: () => isRunning() && keeper.isActiveLeader(),
+            readControl: () => keeper.readControl(),
+            readView: () => keeper.readView(),
+            readTerm: () => keeper.readTerm(),
+            countVoters: () => keeper.countVoters(),
+            sendCommand: async command =>
+                isRunning()
+                    ? keeper.sendCommand(command)
+                    : Result.err({ kind: ProposeFailureKind.Unknown }),
+        };
     }
 
     /** Starts the scheduler and the heartbeats. */
     start(): void {
+        this.startScheduler();
+        this.targets.forEach(target => this.sendHeartbeats(target));
+    }
+
+    /**
+     * Cuts the power of the leader. The next one starts in another process and knows only what is recorded.
+     * @param forMs - time without a leader, milliseconds
+     */
+    stopLeader(forMs: number): void {
+        this.scheduler.stop();
+        this.keeper.startTerm(forMs);
+        [this.reports, this.scheduler] = this.createLeader();
+        this.startScheduler();
+    }
+
+    private startScheduler(): void {
         runGoroutine(() => this.scheduler.run(), error => {
             if (error !== undefined) {
                 this.monitor.violations.push(
@@ -173,7 +222,6 @@
                 );
             }
         });
-        this.targets.forEach(target => this.sendHeartbeats(target));
     }
 
     /** Stops the scheduler and closes the sessions. */
