--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -22,6 +22,8 @@
     /** Time for which the collector of garbage stopped the program, milliseconds, and how often. */
     readonly gcMs: number;
     readonly gcs: number;
+    /** Resident memory of the process at the end of the interval. */
+    readonly residentBytes: number;
 }
 
 /** Measures what a process spends its time on, from one reading to the next. */
@@ -81,6 +83,7 @@
             requestKinds: kinds.slice(0, namedKinds).map(([kind, count]) => `${kind} ${count}`).join(", "),
             gcMs: Math.round(this.gcMs),
             gcs: this.gcs,
+            residentBytes: process.memoryUsage.rss(),
         };
         this.cpu = process.cpuUsage();
         this.utilization = performance.eventLoopUtilization();
