--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -1,4 +1,7 @@
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { applyRecordStarts } from "@daisylock/core/jobs/apply-record-starts.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
@@ -7,39 +10,88 @@
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { FakeKeeper } from "../testing/fake-keeper.js";
 import { ManualClock } from "../testing/manual-clock.js";
+import { ClaimOutcome } from "./claim-outcome.js";
 import { Leadership } from "./leadership.js";
+import { TargetClock } from "./target-clock.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 
-function createFixture() {
+function createFixture({ hasRun = true } = {}) {
     const state = buildTestFleet(1, { cpu: 2_000, memory: 1_000, gpu: 0 });
     addTestJob(state, "a", [buildTestStep()]);
+    applyRecordStarts(state, {
+        kind: CommandKind.RecordStarts,
+        starts: hasRun ? [{ task: "a.0.0.0", run: 1, target: "t0" }] : [],
+    });
     const record = state.fleet.targets.get("t0");
     if (record === undefined) {
         throw new TypeError("the test fleet has no target");
     }
     const keeper = new FakeKeeper(state);
+    const questions: TargetRecord[] = [];
+    const clock = new ManualClock();
+    const leavingTargets: string[] = [];
+    let answeredClock: TargetClock | undefined;
+    let pickOutcome: (claim: TargetRecord) => ClaimOutcome = () => ClaimOutcome.Confirmed;
     const createHandler = () =>
         new TargetReportHandler(
             new Leadership(keeper, 1),
-            new ManualClock(),
+            clock,
             { record: () => undefined },
             () => undefined,
-            { collectCrashedRuns: () => [], noteRunEnds: () => undefined },
+            {
+                collectCrashedRuns: () => [],
+                findAnsweredClock: () => answeredClock,
+                noteLeaving: id => leavingTargets.push(id),
+                noteRunEnds: () => undefined,
+            },
+            {
+                readAnswer: async claim => ({ outcome: pickOutcome(claim), clockMs: undefined }),
+                verifyClaim: async claim => {
+                    questions.push(claim);
+                    return { outcome: pickOutcome(claim), clockMs: undefined };
+                },
+            },
         );
-    const buildReport = (handler: TargetReportHandler) => (sequence: number, fields: Partial<typeof record> = {}) =>
-        handler.handleReport({
-            record: { ...record, ...fields },
-            sequence,
-            clockMs: undefined,
-            remainingMs: undefined,
-        });
+    const buildReport =
+        (handler: TargetReportHandler) => (sequence: number, fields: Partial<typeof record> = {}, clockMs?: number) =>
+            handler.handleReport({
+                record: { ...record, ...fields },
+                sequence,
+                clockMs,
+                remainingMs: undefined,
+            });
     const handler = createHandler();
     return {
         state,
         keeper,
         handler,
+        questions,
+        leavingTargets,
+        leave: (incarnation: number | undefined) => handler.handleLeave({ id: "t0", incarnation }),
+        setOutcome: (outcome: ClaimOutcome) => {
+            pickOutcome = () => outcome;
+        },
+        runFor: (ms: number) => clock.runFor(ms),
+        /** Lets the target answer the leader with a reading of its clock. */
+        setAnsweredClock: (clockMs: number) => {
+            answeredClock = new TargetClock();
+            answeredClock.noteReading(clockMs, clock.readMonotonic());
+            answeredClock.noteAnswer(clockMs, clock.readMonotonic());
+        },
+        /** Lets one incarnation answer at its address, and nothing anywhere else. */
+        setAnswering: (incarnation: number, address = record.address) => {
+            pickOutcome = claim => {
+                if (claim.address !== address) {
+                    return ClaimOutcome.Unanswered;
+                }
+                return claim.id === record.id && claim.incarnation === incarnation
+                    ? ClaimOutcome.Confirmed
+                    : ClaimOutcome.Refuted;
+            };
+        },
         report: buildReport(handler),
         replaceLeader: () => buildReport(createHandler()),
+        readRunCount: () => state.fleet.targetLoads.get("t0")?.runs.size,
         readState: () => state.fleet.targets.get("t0")?.state,
         readCapacity: () => state.fleet.targets.get("t0")?.capacity,
     };
@@ -76,6 +128,120 @@
             expect([...state.fleet.targets.keys()]).toEqual(["t0"]);
         });
 
+        // Guards against tasks that are started again while they run on the target that is displaced.
+        it("displace no target that answers", async () => {
+            const { state, report, setAnswering, readRunCount } = createFixture();
+            setAnswering(1);
+            const isOutdated = { isLeader: true, value: { isNewest: false } };
+            const farFuture = 4_000_000_000_000;
+            expect(await report(5, { incarnation: farFuture })).toEqual(isOutdated);
+            expect(await report(5, { incarnation: farFuture, pool: "batch" })).toEqual(isOutdated);
+            expect(await report(5, { id: "agent-1", incarnation: 7 })).toEqual(isOutdated);
+            expect(await report(5, { address: "10.9.9.9:80" })).toEqual(isOutdated);
+            expect([...state.fleet.targets]).toMatchObject([["t0", { incarnation: 1, address: "10.0.0.1:80" }]]);
+            expect(readRunCount()).toBe(1);
+            expect(await report(6)).toEqual({ isLeader: true, value: { isNewest: true } });
+        });
+
+        it("record no target that does not answer, so that it counts as no capacity", async () => {
+            const { state, report, setAnswering } = createFixture();
+            setAnswering(1);
+            expect(await report(5, { id: "agent-1", address: "10.9.9.9:80" })).toMatchObject({
+                value: { isNewest: false },
+            });
+            expect([...state.fleet.targets.keys()]).toEqual(["t0"]);
+        });
+
+        it("that are on disk do not keep the target out: its answer counts more than a later incarnation", async () => {
+            const { state, report, setAnswering, readRunCount } = createFixture();
+            const recorded = state.fleet.targets.get("t0");
+            if (recorded !== undefined) {
+                state.fleet.targets.set("t0", { ...recorded, incarnation: 1e300, reportSequence: 2 ** 53 - 1 });
+            }
+            setAnswering(1);
+            expect(await report(5)).toEqual({ isLeader: true, value: { isNewest: true } });
+            expect(state.fleet.targets.get("t0")).toMatchObject({ incarnation: 1, reportSequence: 5 });
+            expect(readRunCount()).toBe(1);
+        });
+
+        it("with a number that no later one passes do not make the target's own outdated", async () => {
+            const { report, runFor, setAnsweredClock, readCapacity } = createFixture();
+            const last = 2 ** 53 - 1;
+            const foreign = { capacity: { cpu: 1, memory: 1, gpu: 0 } };
+            setAnsweredClock(10_000);
+            await report(5, {}, 10_000);
+            expect(await report(last, foreign, 482_113)).toMatchObject({ value: { isNewest: false } });
+            expect(await report(last, foreign)).toMatchObject({ value: { isNewest: false } });
+            expect(await report(last, foreign, 9_000)).toMatchObject({ value: { isNewest: false } });
+            expect(await report(last, foreign, 10_500)).toMatchObject({ value: { isNewest: true } });
+            await runFor(1_000);
+            expect(await report(6, {}, 11_000)).toMatchObject({ value: { isNewest: true } });
+            expect(readCapacity()).toEqual({ cpu: 2_000, memory: 1_000, gpu: 0 });
+        });
+
+        it("that are on disk with such a number do not make the target's own outdated", async () => {
+            const { state, report, setAnsweredClock, readCapacity } = createFixture();
+            const recorded = state.fleet.targets.get("t0");
+            if (recorded !== undefined) {
+                const capacity = { cpu: 1, memory: 1, gpu: 0 };
+                state.fleet.targets.set("t0", { ...recorded, capacity, reportSequence: 2 ** 53 - 1 });
+            }
+            setAnsweredClock(10_000);
+            expect(await report(6, {}, 10_000)).toMatchObject({ value: { isNewest: true } });
+            expect(readCapacity()).toEqual({ cpu: 2_000, memory: 1_000, gpu: 0 });
+        });
+
+        it("do not make a target drain that says later that it is ready", async () => {
+            const { report, runFor, setAnsweredClock, readState } = createFixture();
+            setAnsweredClock(10_000);
+            await report(5, {}, 10_000);
+            await report(9, { state: ReportedTargetState.Draining }, 10_500);
+            await runFor(1_000);
+            await report(6, {}, 11_000);
+            expect(readState()).toBe(ReportedTargetState.Ready);
+        });
+
+        it("move no target to another pool, VM, zone or kind while its own go on", async () => {
+            const { state, report, runFor } = createFixture();
+            const changes = [{ pool: "batch" }, { vm: "vm9" }, { zone: "b" }, { labels: ["b", "r9"], rack: "r9" }];
+            let sequence = 5;
+            for (const fields of changes) {
+                await report(sequence++);
+                await runFor(1_000);
+                expect(await report(sequence++, fields)).toMatchObject({ value: { isNewest: false } });
+            }
+            expect(state.fleet.targets.get("t0")).toMatchObject({ pool: "web", vm: "vm0", zone: "a", rack: "r0" });
+        });
+
+        // Guards against tasks that are started again while they run at another address than the one on disk.
+        it("that are on disk with the address of another target do not end runs before their lease expires", async () => {
+            const { state, report, setAnsweredClock, readRunCount } = createFixture();
+            const other = { id: "t9", incarnation: 7 };
+            expect(await report(5, other)).toMatchObject({ value: { isNewest: false } });
+            expect(readRunCount()).toBe(1);
+            setAnsweredClock(10_000);
+            expect(await report(5, other)).toMatchObject({ value: { isNewest: true } });
+            expect([...state.fleet.targets.keys()]).toEqual(["t9"]);
+        });
+
+        it("that are on disk do not bind the target to another zone", async () => {
+            const { state, report, runFor } = createFixture();
+            const recorded = state.fleet.targets.get("t0");
+            if (recorded !== undefined) {
+                state.fleet.targets.set("t0", { ...recorded, zone: "b" });
+            }
+            await runFor(4_000);
+            expect(await report(6)).toMatchObject({ value: { isNewest: true } });
+            expect(state.fleet.targets.get("t0")?.zone).toBe("a");
+        });
+
+        it("cost the recorded target no question with each heartbeat", async () => {
+            const { report, questions } = createFixture();
+            await report(5);
+            await report(6, { state: ReportedTargetState.Draining });
+            expect(questions).toEqual([]);
+        });
+
         it("are told from those of a target whose pool the configuration no longer has", async () => {
             const { state, report, readState } = createFixture();
             const { configuration } = state.fleet;
@@ -87,6 +253,18 @@
         });
     });
 
+    describe("heartbeats with the target's clock", () => {
+        it("do not make a draining target ready again if they are delayed, also until the next leader", async () => {
+            const { report, replaceLeader, runFor, setAnsweredClock, readState } = createFixture();
+            setAnsweredClock(10_000);
+            await runFor(1_000);
+            await report(6, { state: ReportedTargetState.Draining }, 11_000);
+            await report(5, {}, 10_900);
+            expect(await replaceLeader()(5, {}, 10_900)).toMatchObject({ value: { isNewest: false } });
+            expect(readState()).toBe(ReportedTargetState.Draining);
+        });
+    });
+
     describe("a capacity that shrinks and grows", () => {
         const full = { cpu: 2_000, memory: 1_000, gpu: 0 };
         const shrunk = { cpu: 500, memory: 1_000, gpu: 0 };
@@ -122,13 +300,36 @@
         });
 
         it("removes the announced incarnation, or one that drains if the announcement names none", async () => {
-            const named = createFixture();
-            await named.handler.handleLeave({ id: "t0", incarnation: 1 });
+            const named = createFixture({ hasRun: false });
+            named.setOutcome(ClaimOutcome.Unreachable);
+            expect(await named.leave(1)).toEqual({ isLeader: true, value: { isKnown: true } });
             expect(named.readState()).toBeUndefined();
             const draining = createFixture();
             await draining.report(1, { state: ReportedTargetState.Draining });
-            await draining.handler.handleLeave({ id: "t0", incarnation: undefined });
+            draining.setOutcome(ClaimOutcome.Unreachable);
+            await draining.leave(undefined);
             expect(draining.readState()).toBeUndefined();
         });
+
+        // Guards against tasks that are started again while they run, on the word of another writer.
+        it("does not remove a target that goes on answering", async () => {
+            const { leave, leavingTargets, report, readState, readRunCount } = createFixture();
+            const isUnknown = { isLeader: true, value: { isKnown: false } };
+            expect(await leave(1)).toEqual(isUnknown);
+            await report(1, { state: ReportedTargetState.Draining });
+            expect(await leave(undefined)).toEqual(isUnknown);
+            expect(readState()).toBe(ReportedTargetState.Draining);
+            expect(readRunCount()).toBe(1);
+            expect(leavingTargets).toEqual(["t0", "t0"]);
+        });
+
+        it("leaves the runs of a target that may be cut off until its lease expires", async () => {
+            const { leave, readRunCount, setOutcome } = createFixture();
+            for (const outcome of [ClaimOutcome.Unanswered, ClaimOutcome.Unreachable]) {
+                setOutcome(outcome);
+                expect(await leave(1)).toEqual({ isLeader: true, value: { isKnown: false } });
+                expect(readRunCount()).toBe(1);
+            }
+        });
     });
 });
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -2,7 +2,11 @@
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import type { SessionDependencies } from "./session-dependencies.js";
+import type { TargetClock } from "./target-clock.js";
 import { TargetSession } from "./target-session.js";
 
 /** Number of other targets of an availability zone that are checked after a target left a request unanswered. */
@@ -66,6 +70,29 @@
         return this.sessions.get(id);
     }
 
+    /**
+     * Finds the clock of a target incarnation as its answers state it.
+     * @param id - id of the target
+     * @param incarnation - the incarnation
+     * @returns the clock, or `undefined` until the incarnation has answered this leadership
+     */
+    findAnsweredClock(id: string, incarnation: number): TargetClock | undefined {
+        const session = this.sessions.get(id);
+        return session?.record.incarnation === incarnation ? session.readAnsweredClock() : undefined;
+    }
+
+    /**
+     * Watches for the end of a target that is said to leave and still answers.
+     * @param id - id of the target
+     * @param incarnation - the incarnation
+     */
+    noteLeaving(id: string, incarnation: number): void {
+        const session = this.sessions.get(id);
+        if (session?.record.incarnation === incarnation) {
+            session.noteLeaving();
+        }
+    }
+
     /**
      * Lists the sessions.
      * @returns the sessions by target id
@@ -80,11 +107,22 @@
      * @param target - the target
      */
     async checkZoneReachable({ id, zone }: Pick<TargetRecord, "id" | "zone">): Promise<void> {
-        void this.sessions.get(id)?.checkReachable();
+        const work = { work: WorkKind.ReachabilityCheck, subject: id };
+        const noteFault = createFaultListener(this.dependencies.log);
+        startContained(noteFault, work, () => this.sessions.get(id)?.checkReachable());
         if (this.checkedZones.has(zone)) {
             return;
         }
         this.checkedZones.add(zone);
+        try {
+            await this.checkSample(id, zone);
+        }
+        finally {
+            this.checkedZones.delete(zone);
+        }
+    }
+
+    private async checkSample(id: string, zone: string): Promise<void> {
         const others = [...this.sessions.values()].filter(session =>
             session.record.zone === zone && session.record.id !== id && session.isResponding()
         );
@@ -93,7 +131,6 @@
         if (responses.filter(isReachable => isReachable === false).length >= zoneFailureCount) {
             await Promise.all(others.map(session => session.checkReachable()));
         }
-        this.checkedZones.delete(zone);
     }
 
     private pickSample(sessions: readonly TargetSession[]): TargetSession[] {
