--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -37,7 +37,6 @@
     CallRefused = "call-refused",
     PoolLoad = "pool-load",
     LeaderLoad = "leader-load",
-    LeaderRehearsed = "leader-rehearsed",
     TaskPlaced = "task-placed",
     TaskStarted = "task-started",
     TaskEnded = "task-ended",
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -34,8 +34,6 @@
 import { PeerRequestHandler } from "./peers/peer-request-handler.js";
 import { PeerServer } from "./peers/peer-server.js";
 import { RaftSender } from "./peers/raft-sender.js";
-import { LeaderRehearsal } from "./rehearsal/leader-rehearsal.js";
-import { RehearsalWorker } from "./rehearsal/rehearsal-worker.js";
 import { RelayDirectory } from "./relay/relay-directory.js";
 import { RelayedTargetClient } from "./relay/relayed-target-client.js";
 import { TargetRequestRelay } from "./relay/target-request-relay.js";
@@ -281,10 +279,6 @@
             { name: "member-manager", create: () => memberManager },
             ...leader.listChildren(),
             { name: "control-listener", create: () => this.adapter.createControlListener(settings, controlApi, log) },
-            {
-                name: "leader-rehearsal",
-                create: () => new RehearsalWorker(() => new LeaderRehearsal(settings, raftTiming, clock), log, clock),
-            },
         ];
     }
 }
