Let steps wait for their slack while the backlog is on time

The class of uncertain steps takes effect only while steps that cannot finish on time wait for the same pool; any other backlog is worked off within the slack of its jobs, where least slack first serves all of them. Cause: in a backlog that is just worked off in time the margin made steps late that would have been on time.

--- a/packages/core/src/queueing/collect-candidates.test.ts
+++ b/packages/core/src/queueing/collect-candidates.test.ts
@@ -46,11 +46,18 @@
 /** Collects the candidates step by step, with each value computed anew from the state. */
 function collectCandidatesPerStep(fleet: FleetState, now: number, estimator: WorkEstimator): StepCandidate[] {
     const jobs = [...fleet.activeJobs].flatMap(id => fleet.jobs.get(id) ?? []).filter(job => !isJobFinished(job));
-    return jobs.flatMap(job =>
+    const candidates = jobs.flatMap(job =>
         Array.from({ length: Math.max(1, job.times) }).flatMap((_, occurrence) =>
             job.steps.flatMap((__, step) => buildCandidate(fleet, now, estimator, { job, occurrence, step }))
         )
     );
+    const isLate = ({ definition, slackMs, remainingMs }: StepCandidate): boolean =>
+        !definition.isLongRunning && slackMs < -0.3 * remainingMs;
+    const readPool = ({ queue, job }: StepCandidate): string => queue?.pool ?? job.pool;
+    return candidates.map(step => ({
+        ...step,
+        isBacklogLate: candidates.some(other => isLate(other) && readPool(other) === readPool(step)),
+    }));
 }
 
 function buildCandidate(
@@ -86,6 +93,7 @@
         slackMs: dueAt + budgetMs - now - remainingMs,
         remainingMs,
         relativeWork: computeRemainingWork(job, occurrence, computeStepMs) / readMeanJobWork(job),
+        isBacklogLate: false,
         // A job that is not counted itself has the excess of its account's other jobs in the pool, if any.
         shareExcess: used === undefined || !(isCounted || used.has(job.account))
             ? 0
--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -8,7 +8,9 @@
 import { computeCriticalPath } from "./compute-critical-path.js";
 import { computeRemainingWork } from "./compute-remaining-work.js";
 import { computeShareExcesses } from "./compute-share-excesses.js";
+import { computeUrgency } from "./compute-urgency.js";
 import type { StepCandidate } from "./step-candidate.js";
+import { Urgency } from "./urgency.js";
 import type { WorkEstimator } from "./work-estimator.js";
 
 /** Number of occurrences of a job that may begin in one round, so that a round does not grow with those that are overdue. */
@@ -45,7 +47,14 @@
             }
         }
     }
-    return candidates;
+    return updateLateBacklogs(candidates);
+}
+
+/** Marks the steps for whose pool late steps wait. */
+function updateLateBacklogs(candidates: readonly StepCandidate[]): StepCandidate[] {
+    const readPool = ({ queue, job }: StepCandidate): string => queue?.pool ?? job.pool;
+    const latePools = new Set(candidates.filter(step => computeUrgency(step) === Urgency.Late).map(readPool));
+    return candidates.map(step => latePools.has(readPool(step)) ? { ...step, isBacklogLate: true } : step);
 }
 
 type ShareExcesses = ReturnType<typeof computeShareExcesses>;
@@ -73,7 +82,7 @@
         const waiting = listWaitingTasks(job, occurrence, step);
         if (waiting.length > 0) {
             estimated ??= computeEstimate(context, dueAt);
-            candidates.push({ job, queue, occurrence, step, definition, waiting, ...estimated });
+            candidates.push({ job, queue, occurrence, step, definition, waiting, isBacklogLate: false, ...estimated });
             readyCount += 1;
         }
         if (readyCount >= maxReadySteps) {
--- a/packages/core/src/queueing/placement-counter.test.ts
+++ b/packages/core/src/queueing/placement-counter.test.ts
@@ -10,7 +10,7 @@
         const counter = new PlacementCounter();
         const definition = buildTestStep();
         [300, 100, 0, -200, -400, -9_000].forEach(slackMs =>
-            counter.noteStart("web", computeUrgency({ definition, slackMs, remainingMs: 1_000 }))
+            counter.noteStart("web", computeUrgency({ definition, slackMs, remainingMs: 1_000, isBacklogLate: true }))
         );
         counter.noteStart("web", Urgency.LongRunning);
         expect(counter.takeCounts("web")).toEqual({ placedOnTime: 2, placedUncertain: 3, placedLate: 2 });
--- a/packages/core/src/queueing/start-limit.test.ts
+++ b/packages/core/src/queueing/start-limit.test.ts
@@ -24,11 +24,11 @@
     { name: "off", vms: 39, isSpare: true, longRunning: 0 },
 ];
 
-/** Plays bursts on a large fleet with a leader that can start so many tasks a second. */
-function runBursts(seed: number, startsPerSecond: number): ReturnType<typeof runPoolSimulation> {
+/** Plays bursts on a large fleet, or on a part of its VMs, with a leader that can start so many tasks a second. */
+function runBursts(seed: number, startsPerSecond: number, vmShare = 1): ReturnType<typeof runPoolSimulation> {
     const planner = new VmMovePlanner(moveMs);
     return runPoolSimulation(
-        pools,
+        pools.map(pool => ({ ...pool, vms: Math.round(pool.vms * vmShare) })),
         buildRotatingBursts(queues, burstMs, lengthMs, seed),
         (statuses, now) => planner.planRound(statuses, now),
         undefined,
@@ -61,4 +61,12 @@
             expect(worstWindowsShare).toBeGreaterThan(0.98);
         }
     });
+
+    it("finish most job weight on time when a backlog is just worked off within the slack of its jobs", () => {
+        for (const seed of seeds) {
+            const { onTimeShare, worstWindowsShare } = runBursts(seed, Number.POSITIVE_INFINITY, 0.4);
+            expect(onTimeShare).toBeGreaterThan(0.94);
+            expect(worstWindowsShare).toBeGreaterThan(0.84);
+        }
+    });
 });
--- a/packages/core/src/queueing/step-candidate.ts
+++ b/packages/core/src/queueing/step-candidate.ts
@@ -21,6 +21,8 @@
     readonly relativeWork: number;
     /** Excess of the client account over its weighted share of the pool: 0 up to the share, 1 at twice the share. */
     readonly shareExcess: number;
+    /** Whether steps that cannot finish on time wait for the same pool, which tells that its backlog exceeds the slack. */
+    readonly isBacklogLate: boolean;
     /** Number of completed steps of the occurrence. */
     readonly stepsDone: number;
 }
