--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -6,9 +6,12 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { Clock } from "../../clock/clock.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import type { Metrics } from "../../metrics/metrics.js";
 import type { ChildSpec } from "../../supervision/child-spec.js";
 import type { AdviceService } from "../advice/advice-service.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { FleetHandlers } from "../peers/fleet-handlers.js";
@@ -29,6 +32,7 @@
 import { Scheduler } from "./scheduler.js";
 import { SharedFailureDetector } from "./shared-failure-detector.js";
 import { StalledTaskRegistry } from "./stalled-task-registry.js";
+import { TargetClaimVerifier } from "./target-claim-verifier.js";
 import { TargetEnding } from "./target-ending.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 import { TargetSessions } from "./target-sessions.js";
@@ -74,12 +78,15 @@
         const startScheduling = () => this.scheduler.startRound();
         this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
             collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
+            findAnsweredClock: (id, incarnation) => this.sessions.findAnsweredClock(id, incarnation),
+            noteLeaving: (id, incarnation) => this.sessions.noteLeaving(id, incarnation),
             noteRunEnds: ends => this.sessions.noteRunEnds(ends),
-        });
+        }, new TargetClaimVerifier(client, leadership, clock));
         const vmLeases = new VmLeaseTracker({
             leadership,
             vms,
             clock,
+            log,
             holder: settings.node.name,
             holderLeaseMs: settings.vms.holder_lease_ms,
         });
@@ -96,7 +103,10 @@
             estimateTask: task => this.computeTaskMs(leadership.readFleet(), task),
             findTicket: (task, target) => this.tickets.findTicket(parseStepKey(task), target) ?? "",
             handleRejectedTicket: (task, target) => this.tickets.dropTicket(parseStepKey(task), target),
-            handleUnansweredRequest: target => void this.sessions.checkZoneReachable(target),
+            handleUnansweredRequest: target => {
+                const work = { work: WorkKind.ReachabilityCheck, subject: target.zone };
+                startContained(createFaultListener(log), work, () => this.sessions.checkZoneReachable(target));
+            },
             startScheduling,
             handleRunEnd: (task, how, durationMs) => this.noteRunEnd(leadership.readFleet(), task, how, durationMs),
         });
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -10,6 +10,7 @@
 import { ManualClock } from "../testing/manual-clock.js";
 import { runWorker } from "../testing/run-worker.js";
 import { VmRequestResult } from "../vms/vm-request-result.js";
+import { ClaimOutcome } from "./claim-outcome.js";
 import { Leadership } from "./leadership.js";
 import { PoolBalancer } from "./pool-balancer.js";
 import { TargetReportHandler } from "./target-report-handler.js";
@@ -31,11 +32,18 @@
         const vms = new FakeVmService();
         records.forEach(({ vm, pool, id }) => vms.addVm(vm, pool, id));
         const log = { record: () => undefined };
-        const sessions = { collectCrashedRuns: () => [], noteRunEnds: () => undefined };
-        const reports = new TargetReportHandler(leadership, clock, log, () => undefined, sessions);
+        const sessions = {
+            collectCrashedRuns: () => [],
+            findAnsweredClock: () => undefined,
+            noteLeaving: () => undefined,
+            noteRunEnds: () => undefined,
+        };
+        const readAnswer = async () => ({ outcome: ClaimOutcome.Confirmed, clockMs: undefined });
+        const claims = { readAnswer, verifyClaim: readAnswer };
+        const reports = new TargetReportHandler(leadership, clock, log, () => undefined, sessions, claims);
         balancer = new PoolBalancer({
             leadership,
-            vmLeases: new VmLeaseTracker({ leadership, vms, clock, holder: "k0", holderLeaseMs: 3_000 }),
+            vmLeases: new VmLeaseTracker({ leadership, vms, clock, log, holder: "k0", holderLeaseMs: 3_000 }),
             vms,
             estimator: { computeStepMs: () => 500, readMeanJobWork: () => 1 },
             isInMaintenance,
@@ -122,4 +130,21 @@
         await runFor(5_000);
         expect(readRequests()).toContain("vm9 web");
     });
+
+    // A fault of the VM service's client ended the process.
+    it("goes on with other VMs when a request for one throws", async () => {
+        const { state, vms, runFor, readRequests } = createFixture();
+        vms.addVm("vm8", "off", "");
+        vms.addVm("vm9", "off", "");
+        addTestJob(state, "b", [buildTestStep({ count: 20 })]);
+        vms.handleRequest = vm => {
+            if (vm === "vm8") {
+                throw new RangeError("bad port");
+            }
+            return VmRequestResult.Done;
+        };
+        await runFor(5_000);
+        expect(readRequests()).toEqual(expect.arrayContaining(["vm8 web", "vm9 web"]));
+        expect(readRequests().filter(request => request === "vm8 web").length).toBeLessThan(4);
+    });
 });
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -3,6 +3,9 @@
 import { ChannelClient } from "../channel/channel-client.js";
 import type { Clock } from "../clock/clock.js";
 import { runGoroutine } from "../concurrency/run-goroutine.js";
+import type { FaultListener } from "../containment/fault-listener.js";
+import { startContained } from "../containment/start-contained.js";
+import { WorkKind } from "../containment/work-kind.js";
 import { EventLog } from "../events/event-log.js";
 import { HttpClient } from "../http-client/http-client.js";
 import { MetricName } from "../metrics/metric-name.js";
@@ -20,6 +23,7 @@
 import { LeaderComponents } from "./leader/leader-components.js";
 import { Leadership } from "./leader/leadership.js";
 import { LoadMeter } from "./leader/load-meter.js";
+import { createFaultListener } from "./logging/create-fault-listener.js";
 import { DecisionKind } from "./logging/decision-kind.js";
 import { DecisionLog } from "./logging/decision-log.js";
 import { FleetMetrics } from "./metrics/fleet-metrics.js";
@@ -30,6 +34,8 @@
 import { PeerRequestHandler } from "./peers/peer-request-handler.js";
 import { PeerServer } from "./peers/peer-server.js";
 import { RaftSender } from "./peers/raft-sender.js";
+import { LeaderRehearsal } from "./rehearsal/leader-rehearsal.js";
+import { RehearsalWorker } from "./rehearsal/rehearsal-worker.js";
 import { RelayDirectory } from "./relay/relay-directory.js";
 import { RelayedTargetClient } from "./relay/relayed-target-client.js";
 import { TargetRequestRelay } from "./relay/target-request-relay.js";
@@ -58,6 +64,7 @@
 /** One process of the job scheduler: builds its components and runs the root of their supervisor tree. */
 export class SchedulerDaemon {
     private readonly log: DecisionLog;
+    private readonly noteFault: FaultListener;
     private readonly metrics = new FleetMetrics();
     private readonly events: EventLog;
     private readonly peerClient: ChannelClient;
@@ -83,6 +90,7 @@
     ) {
         const { node, log } = settings;
         this.log = new DecisionLog(node.name, log.level);
+        this.noteFault = createFaultListener(this.log);
         this.log.addListener({
             noteDecision: (kind, fields) => this.metrics.noteDecision(kind, fields),
             noteDroppedLine: () => this.metrics.noteDroppedLine(),
@@ -90,7 +98,7 @@
         this.events = new EventLog(node.name, node.zone, clock, eventCapacity);
         this.seeds = listSeeds(settings);
         this.peerClient = new ChannelClient(new HttpClient(maxPeerConnections), clock);
-        this.leaderClient = new LeaderClient(this.peerClient, this.seeds, clock);
+        this.leaderClient = new LeaderClient(this.peerClient, this.seeds, clock, this.noteFault);
         this.settingsWatcher = new SettingsWatcher(file, settings, next => this.applySettings(next), this.log, clock);
         const children = [
             { name: "settings-watch", create: () => this.settingsWatcher },
@@ -136,7 +144,15 @@
      */
     stop(): void {
         this.log.record(DecisionKind.ProcessStopping, {});
-        void this.releaseDuties().finally(() => this.rootSupervisor.stop());
+        const work = { work: WorkKind.Departure, subject: this.settings.node.name };
+        startContained(this.noteFault, work, async () => {
+            try {
+                await this.releaseDuties();
+            }
+            finally {
+                this.rootSupervisor.stop();
+            }
+        });
     }
 
     /** Hands over the leadership and the vote of a keeper. */
@@ -165,7 +181,7 @@
     }
 
     private noteRequest(direction: RequestDirection, kind: string): void {
-        this.load.noteRequest();
+        this.load.noteRequest(`${direction} ${kind}`);
         this.metrics.addCount(MetricName.PeerRequests, { direction, kind });
     }
 
@@ -178,7 +194,7 @@
         const { metrics } = this.settings.listen;
         return metrics === ""
             ? []
-            : [{ name: "metrics-listener", create: () => new MetricsListener(metrics, this.metrics) }];
+            : [{ name: "metrics-listener", create: () => new MetricsListener(metrics, this.metrics, this.noteFault) }];
     }
 
     private listEntryChildren(): ChildSpec[] {
@@ -186,10 +202,13 @@
         const monitor = new LeaderMonitor(this.leaderClient, this.log, this.clock);
         return [
             { name: "leader-watch", create: () => monitor },
-            { name: "caller-listener", create: () => this.adapter.createCallerListener(this.settings, gateway) },
+            {
+                name: "caller-listener",
+                create: () => this.adapter.createCallerListener(this.settings, gateway, this.log),
+            },
             {
                 name: "ready-listener",
-                create: () => this.adapter.createReadyListener(this.settings, () => monitor.isReady()),
+                create: () => this.adapter.createReadyListener(this.settings, () => monitor.isReady(), this.log),
             },
         ];
     }
@@ -198,8 +217,9 @@
         const { settings, clock, log } = this;
         const { node, listen, cluster, limits } = settings;
         const noteSent = (kind: string) => this.noteRequest(RequestDirection.Sent, kind);
+        const noteRelayed = (kind: string) => this.noteRequest(RequestDirection.Relayed, kind);
         const noteReceived = (kind: string) => this.noteRequest(RequestDirection.Received, kind);
-        const sender = new RaftSender(this.peerClient, listen.peers, this.metrics);
+        const sender = new RaftSender(this.peerClient, listen.peers, this.metrics, this.noteFault);
         const keeper = new Keeper({
             storage: new FileKeeperStorage(node.data, node.name),
             clock,
@@ -225,7 +245,7 @@
         const leader = new LeaderComponents({
             settings,
             leadership,
-            client: new RelayedTargetClient(targetSender, this.peerClient, relays, log, clock),
+            client: new RelayedTargetClient(targetSender, this.peerClient, relays, log, clock, noteRelayed),
             vms: this.adapter.createVmService(settings),
             advice: this.adapter.createAdviceService(settings),
             clock,
@@ -255,11 +275,16 @@
                             new TargetRequestRelay(targetSender, clock),
                             noteReceived,
                         ),
+                        this.noteFault,
                     ),
             },
             { name: "member-manager", create: () => memberManager },
             ...leader.listChildren(),
             { name: "control-listener", create: () => this.adapter.createControlListener(settings, controlApi, log) },
+            {
+                name: "leader-rehearsal",
+                create: () => new RehearsalWorker(() => new LeaderRehearsal(settings, raftTiming, clock), log, clock),
+            },
         ];
     }
 }
