--- a/packages/core/src/queueing/pool-load.ts
+++ b/packages/core/src/queueing/pool-load.ts
@@ -13,7 +13,7 @@
     readonly waiting: number;
     /** Thousandths of a core that the waiting tasks need. */
     readonly wanted: number;
-    /** Number of waiting tasks whose job finishes on time only if it takes no longer than estimated. */
+    /** Number of waiting tasks whose job finishes on time only if it takes no longer than estimated; 0 while none is late. */
     readonly uncertain: number;
     /** Number of waiting tasks whose job is estimated to finish late. */
     readonly late: number;
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metric-name.ts
@@ -29,6 +29,7 @@
     PoolUsed = "daisylock_pool_used_cores",
     PoolWaiting = "daisylock_pool_waiting_tasks",
     PoolLate = "daisylock_pool_late_tasks",
+    PoolUncertain = "daisylock_pool_uncertain_tasks",
     PoolSuspects = "daisylock_pool_suspect_tasks",
     PoolUsableTargets = "daisylock_pool_usable_targets",
     PoolExcludedTargets = "daisylock_pool_excluded_targets",
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.test.ts
@@ -56,9 +56,17 @@
 
     it("shows the load of each pool in cores", async () => {
         const metrics = new FleetMetrics();
-        metrics.noteDecision(DecisionKind.PoolLoad, { pool: "web", capacity: 64_000, used: 500, waiting: 3, late: 1 });
+        metrics.noteDecision(DecisionKind.PoolLoad, {
+            pool: "web",
+            capacity: 64_000,
+            used: 500,
+            waiting: 3,
+            uncertain: 2,
+            late: 1,
+        });
         const text = await metrics.describeAll();
         expect(text).toContain("daisylock_pool_capacity_cores{pool=\"web\"} 64");
+        expect(text).toContain("daisylock_pool_uncertain_tasks{pool=\"web\"} 2");
         expect(text).toContain("daisylock_pool_waiting_tasks{pool=\"web\"} 3");
     });
 
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -61,6 +61,11 @@
     private readonly late = this.createGauge(FleetMetricName.PoolLate, "Tasks that wait and can't be on time", [
         "pool",
     ]);
+    private readonly uncertain = this.createGauge(
+        FleetMetricName.PoolUncertain,
+        "Tasks that wait with too little slack for an estimation error while late tasks wait too",
+        ["pool"],
+    );
     private readonly suspects = this.createGauge(
         FleetMetricName.PoolSuspects,
         "Tasks that wait to run apart from others, as targets crashed under them",
@@ -215,6 +220,7 @@
         this.used.set(labels, Number(fields["used"]) / millicoresPerCore);
         this.waiting.set(labels, Number(fields["waiting"]));
         this.late.set(labels, Number(fields["late"]));
+        this.uncertain.set(labels, Number(fields["uncertain"]));
         this.suspects.set(labels, Number(fields["suspects"]));
         this.usableTargets.set(labels, Number(fields["usable"]));
         for (const reason of Object.values(TargetExclusion)) {
