--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -17,9 +17,13 @@
 import type { MaintenanceWave } from "@daisylock/core/vm-maintenance/maintenance-wave.js";
 import { planMaintenance } from "@daisylock/core/vm-maintenance/plan-maintenance.js";
 
+import { InvariantViolation } from "@daisylock/core/invariants/invariant-violation.js";
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
+import { runContained } from "../../containment/run-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { VmLease } from "../vms/vm-lease.js";
@@ -36,6 +40,8 @@
 const readyPercent = 100;
 /** Delay before maintenance of a busy VM is requested again, milliseconds; another VM of the wave goes first. */
 const busyRetryDelayMs = 1_500;
+/** Time for which a wave waits after a fault, milliseconds. */
+const faultDelayMs = 1_000;
 /** Time for which a VM that cannot be emptied is not drained, milliseconds: for the tasks that waited to start there. */
 const postponementMs = 5_000;
 
@@ -64,6 +70,8 @@
 export class MaintenanceRunner extends PeriodicWorker {
     override readonly name = "upkeep-runner";
     private token = 0;
+    /** Time until which a wave waits after a fault, wall-clock milliseconds, by number. */
+    private readonly faultyUntil = new Map<number, number>();
     /** Earliest time at which maintenance of a VM is requested again, wall-clock milliseconds. */
     private readonly retryAt = new Map<string, number>();
     /** When the first of the latest requests that all found a VM busy was sent, monotonic milliseconds. */
@@ -124,7 +132,7 @@
         this.noteLeadership(lease);
         const draining = new Map<string, number>();
         for (const wave of waves) {
-            yield* this.runWave(fleet, wave, draining);
+            yield* this.runWaveContained(fleet, wave, draining);
         }
         this.drainingSince = draining;
         return intervalMs;
@@ -143,12 +151,45 @@
             .forEach(({ vm }) => this.maintenanceStartedAt.set(vm, clock.readWall()));
     }
 
+    /** After a fault, the wave waits for a while; VMs that drain for it stay cordoned meanwhile. */
+    private *runWaveContained(
+        fleet: FleetState,
+        wave: MaintenanceWave,
+        draining: Map<string, number>,
+    ): Generator<unknown, void, unknown> {
+        const { log, clock } = this.dependencies;
+        if (clock.readWall() < (this.faultyUntil.get(wave.number) ?? 0)) {
+            this.restoreDraining(wave, draining);
+            return;
+        }
+        try {
+            yield* this.runWave(fleet, wave, draining);
+        }
+        catch (error) {
+            if (error instanceof InvariantViolation) {
+                throw error;
+            }
+            createFaultListener(log)({ work: WorkKind.VmMaintenance, subject: `wave ${wave.number}`, error });
+            this.faultyUntil.set(wave.number, clock.readWall() + faultDelayMs);
+            this.restoreDraining(wave, draining);
+        }
+    }
+
+    private restoreDraining({ vms }: MaintenanceWave, draining: Map<string, number>): void {
+        for (const vm of vms) {
+            const since = this.drainingSince.get(vm);
+            if (since !== undefined) {
+                draining.set(vm, since);
+            }
+        }
+    }
+
     private *runWave(
         fleet: FleetState,
         wave: MaintenanceWave,
         draining: Map<string, number>,
     ): Generator<unknown, void, unknown> {
-        const { clock, sessions, maintenanceMs, leadership, vmLeases, isMoving } = this.dependencies;
+        const { clock, sessions, maintenanceMs, leadership, vmLeases, isMoving, log } = this.dependencies;
         const now = clock.readWall();
         const targets = collectTargetsByVm(fleet);
         const plan = planMaintenance({
@@ -173,7 +214,15 @@
             sessions.find(target)?.stopTask(run.task, run.run);
         }
         if (leadership.isActive()) {
-            yield* waitFor(Promise.all(plan.vmsToStart.map(vm => this.startMaintenance(wave, vm, targets.get(vm)))));
+            const noteFault = createFaultListener(log);
+            yield* waitFor(Promise.all(plan.vmsToStart.map(vm =>
+                runContained(
+                    noteFault,
+                    { work: WorkKind.VmMaintenance, subject: vm },
+                    () => this.startMaintenance(wave, vm, targets.get(vm)),
+                    () => this.handleFault(vm),
+                )
+            )));
         }
     }
 
@@ -192,6 +241,13 @@
         });
     }
 
+    /** The request may have been sent, so that the VM counts as down, like after a request without an answer. */
+    private handleFault(vm: string): void {
+        const now = this.dependencies.clock.readWall();
+        this.maintenanceStartedAt.set(vm, now);
+        this.retryAt.set(vm, now + busyRetryDelayMs);
+    }
+
     private async startMaintenance(
         wave: MaintenanceWave,
         vm: string,
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -10,15 +10,24 @@
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
+import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
+import type { FaultListener } from "../../containment/fault-listener.js";
+import { reportUncaught } from "../../containment/report-uncaught.js";
+import { runContained } from "../../containment/run-contained.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
+import { ContainedTargetClient } from "../targets/contained-target-client.js";
 import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
 import type { RunningTask } from "../targets/running-task.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
 import { minClockRate } from "./min-clock-rate.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
+import { reportTimeoutMs } from "./report-timeout-ms.js";
 import { RunRequestSender } from "./run-request-sender.js";
 import { RunRequestTracker } from "./run-request-tracker.js";
 import type { SessionDependencies } from "./session-dependencies.js";
@@ -40,15 +49,22 @@
 const probationCheckMs = 110;
 /** Interval at which the renewal loop checks an idle target for new runs and overdue heartbeats, milliseconds. */
 const idleIntervalMs = 500;
-/** Time without heartbeats after which an idle target is probed, milliseconds. */
-const reportTimeoutMs = 3_500;
 /** Delay after a failed request, milliseconds. */
 const retryDelayMs = 120;
+/** Delay after a fault of the session, milliseconds. */
+const faultDelayMs = 1_000;
+/** Time for which no task is started on the target after a fault, milliseconds: beyond the next renewal. */
+const faultBackoffMs = 2 * faultDelayMs;
 /** Shortest time between two checks of the progress of a target's tasks, milliseconds. */
 const healthCheckIntervalMs = 100;
+/** Time for which an announcement to leave tells that a target that cannot be reached has ended, milliseconds. */
+const leavingMs = 3_000;
 /** Margin added to the lease expiry for the time between two readings of a clock, milliseconds. */
 const leaseExpiryMarginMs = 50;
-/** Time after which a target that neither responds nor sends heartbeats is removed, milliseconds. */
+/**
+ * Time without a response after which a target is removed, milliseconds. The heartbeats of one that has responded before
+ * prolong it; those of one that never has may be another writer's.
+ */
 const removalTimeoutMs = 20_000;
 
 /**
@@ -59,6 +75,8 @@
 export class TargetSession {
     /** Running tasks as last reported by the target, by encoded task key. */
     readonly running = new Map<string, RunningTask>();
+    private readonly dependencies: SessionDependencies;
+    private readonly noteFault: FaultListener;
     private readonly targetClock = new TargetClock();
     private readonly requests: RunRequestTracker;
     private readonly requestSender: RunRequestSender;
@@ -81,6 +99,8 @@
     private isBeingChecked = false;
     /** Whether a check of the runs on probation is scheduled. */
     private isProbationCheckPlanned = false;
+    /** Until when the target is expected to end, as it is said to leave, monotonic milliseconds. */
+    private leavingUntil = 0;
     /** Time before which no task is started on the target, monotonic milliseconds. */
     private startBackoffUntil = 0;
 
@@ -93,9 +113,12 @@
     constructor(
         readonly record: TargetRecord,
         private readonly fencingToken: number,
-        private readonly dependencies: SessionDependencies,
+        dependencies: SessionDependencies,
         isRestarted = false,
     ) {
+        this.noteFault = createFaultListener(dependencies.log);
+        const client = new ContainedTargetClient(dependencies.client, this.noteFault);
+        this.dependencies = { ...dependencies, client };
         this.inheritedRuns = new Map(isRestarted ? this.readLoad().runs : []);
         this.openedAt = dependencies.clock.readMonotonic();
         this.requests = new RunRequestTracker(dependencies.clock);
@@ -115,9 +138,9 @@
             removeTarget: (reason, isStopped) => this.removeTarget(reason, isStopped),
             startRenewal: () => this.startRenewal(),
             checkProbation: () => this.checkProbation(),
-        }, dependencies);
+        }, this.dependencies);
         this.healthMonitor = new TargetHealthMonitor(record, dependencies);
-        void this.runRenewals();
+        this.runRenewals().catch(reportUncaught);
     }
 
     /**
@@ -128,6 +151,20 @@
         return !this.isClosed;
     }
 
+    /**
+     * Reads the clock of the target as its answers state it.
+     * @returns the clock, or `undefined` until the first answer of this incarnation
+     */
+    readAnsweredClock(): TargetClock | undefined {
+        return this.targetClock.isKnown() ? this.targetClock : undefined;
+    }
+
+    /** Takes note that the target is said to leave: it has, once no process can be reached at its address. */
+    noteLeaving(): void {
+        this.leavingUntil = this.readNow() + leavingMs;
+        this.startRenewal();
+    }
+
     /** Closes the session without waiting for requests in flight. */
     close(): void {
         this.isClosed = true;
@@ -314,15 +351,24 @@
             return;
         }
         this.isProbationCheckPlanned = true;
+        const work = { work: WorkKind.ReachabilityCheck, subject: this.record.id };
         this.dependencies.clock.schedule(probationCheckMs, () => {
             this.isProbationCheckPlanned = false;
-            if (!this.isClosed && this.countOnProbation() > 0) {
-                void this.checkReachable().then(() => this.countOnProbation() > 0 && this.checkProbation());
-            }
+            startContained(this.noteFault, work, () => this.runProbationCheck());
             this.dependencies.startScheduling();
         });
     }
 
+    private async runProbationCheck(): Promise<void> {
+        if (this.isClosed || this.countOnProbation() === 0) {
+            return;
+        }
+        await this.checkReachable();
+        if (this.countOnProbation() > 0) {
+            this.checkProbation();
+        }
+    }
+
     private findExclusion(): TargetExclusion | undefined {
         const now = this.readNow();
         if (!this.isSynced) {
@@ -341,25 +387,43 @@
     }
 
     private async runRenewals(): Promise<void> {
+        const work = { work: WorkKind.TargetSession, subject: this.record.id };
         while (!this.isClosed) {
-            const load = this.readLoad();
-            // An unreachable target is probed until it responds, also while nothing runs on it.
-            const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
-                && !this.isReportOverdue(this.readNow());
-            if (isIdle || !this.dependencies.leadership.isActive()) {
-                await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
-                continue;
-            }
-            const delayMs = await this.sendRenewal(load);
-            if (delayMs > 0) {
-                await this.waitForRenewal(delayMs);
-            }
-            else if (this.readLoad().runs.size === 0) {
-                await this.waitForRenewal(idleIntervalMs);
-            }
+            await runContained(this.noteFault, work, () => this.runRenewal(), () => this.handleFault());
         }
     }
 
+    /** Renews the lease once, unless nothing calls for it, and waits until the next renewal is due. */
+    private async runRenewal(): Promise<void> {
+        const load = this.readLoad();
+        // An unreachable target is probed until it responds, also while nothing runs on it.
+        const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
+            && !this.isReportOverdue(this.readNow()) && this.readNow() >= this.leavingUntil;
+        if (isIdle || !this.dependencies.leadership.isActive()) {
+            await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
+            return;
+        }
+        const delayMs = await this.sendRenewal(load);
+        if (delayMs > 0) {
+            await this.waitForRenewal(delayMs);
+        }
+        else if (this.readLoad().runs.size === 0) {
+            await this.waitForRenewal(idleIntervalMs);
+        }
+    }
+
+    /** Treats the target as one that does not respond, so that it takes no start and is removed in time. */
+    private async handleFault(): Promise<void> {
+        if (this.isClosed) {
+            return;
+        }
+        const work = { work: WorkKind.TargetSession, subject: this.record.id };
+        this.noteUnreachable(TargetRequestResult.Unanswered);
+        this.startBackoffUntil = this.readNow() + faultBackoffMs;
+        await runContained(this.noteFault, work, () => this.handleUnreachable(), () => undefined);
+        await this.waitForRenewal(faultDelayMs);
+    }
+
     /** Returns the delay before the next renewal, milliseconds: 0 after one that succeeded. */
     private async sendRenewal(load: Pick<TargetLoad, "runs">): Promise<number> {
         this.noteReportedClock();
@@ -383,13 +447,23 @@
             case TargetRequestResult.Done:
                 return await this.handleRenewal(response, sentAt) ? 0 : retryDelayMs;
             case TargetRequestResult.WrongTarget:
-                await this.removeTarget("another target responds at its address", true);
+                if (this.isSynced || this.readLoad().runs.size === 0) {
+                    await this.removeTarget("another target responds at its address", true);
+                    return retryDelayMs;
+                }
+                // The address may be wrong in a record of an earlier version, and the runs be elsewhere.
+                this.noteUnreachable(response.result);
+                await this.handleUnreachable();
                 return retryDelayMs;
             case TargetRequestResult.Fenced:
                 this.noteUnreachable(response.result);
                 return idleIntervalMs;
             default:
                 this.noteUnreachable(response.result);
+                if (response.result === TargetRequestResult.NotSent && this.isLeaving()) {
+                    await this.removeTarget("it announced that it is leaving", false);
+                    return retryDelayMs;
+                }
                 await this.handleUnreachable();
                 return retryDelayMs;
         }
@@ -405,6 +479,9 @@
             await this.handleUnreachable();
             return false;
         }
+        if (response.clockMs !== undefined) {
+            this.targetClock.noteAnswer(response.clockMs, this.readNow());
+        }
         this.noteReachable();
         this.running.clear();
         response.running.forEach(task => this.running.set(task.task, task));
@@ -505,6 +582,12 @@
         return recorded !== undefined;
     }
 
+    /** A target drains before it leaves; one that does not and has runs may only be cut off. */
+    private isLeaving(): boolean {
+        const mayLeave = this.readRecord().state === ReportedTargetState.Draining || this.readLoad().runs.size === 0;
+        return mayLeave && this.readNow() < this.leavingUntil;
+    }
+
     private async handleUnreachable(): Promise<void> {
         const now = this.readNow();
         const { log, findTargetEnding } = this.dependencies;
@@ -534,9 +617,12 @@
         }
         if (
             this.unreachableSince !== undefined && now - this.unreachableSince > removalTimeoutMs
-            && this.isReportOverdue(now)
+            && (!this.isSynced || this.isReportOverdue(now))
         ) {
-            await this.removeTarget("it neither responds nor sends heartbeats", false);
+            const reason = this.isSynced
+                ? "it neither responds nor sends heartbeats"
+                : "it has never responded to this leader";
+            await this.removeTarget(reason, false);
         }
     }
 
@@ -599,10 +685,8 @@
     }
 
     private noteClock({ result, clockMs }: TargetResponse): void {
-        if (clockMs !== undefined) {
-            this.targetClock.noteReading(clockMs, this.readNow());
-        }
         if (clockMs !== undefined && result !== TargetRequestResult.WrongTarget) {
+            this.targetClock.noteReading(clockMs, this.readNow());
             this.requests.noteAlive(clockMs);
         }
     }
@@ -615,7 +699,7 @@
     private noteReportedClock(): void {
         const report = this.dependencies.reports.findReport(this.record.id, this.record.incarnation);
         if (report?.clockMs !== undefined) {
-            this.targetClock.noteReading(report.clockMs, report.at);
+            this.targetClock.noteReport(report.clockMs, report.at);
         }
     }
 
--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -3,6 +3,7 @@
 import { performance } from "node:perf_hooks";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+import { WorkKind } from "../../containment/work-kind.js";
 import { MessageDropReason } from "../../metrics/message-drop-reason.js";
 import { MetricName } from "../../metrics/metric-name.js";
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
@@ -38,6 +39,11 @@
     private readonly runTime = this.createHistogram(FleetMetricName.RunTime, "From the order to the end of a run", [
         "how",
     ]);
+    private readonly workFaults = this.createCounter(
+        FleetMetricName.WorkFaults,
+        "Faults that ended work for one target, call, VM or peer",
+        ["work"],
+    );
     private readonly targetCrashes = this.createCounter(
         FleetMetricName.TargetCrashes,
         "Targets that ended without an announcement",
@@ -55,6 +61,11 @@
     private readonly late = this.createGauge(FleetMetricName.PoolLate, "Tasks that wait and can't be on time", [
         "pool",
     ]);
+    private readonly uncertain = this.createGauge(
+        FleetMetricName.PoolUncertain,
+        "Tasks that wait with too little slack for an estimation error while late tasks wait too",
+        ["pool"],
+    );
     private readonly suspects = this.createGauge(
         FleetMetricName.PoolSuspects,
         "Tasks that wait to run apart from others, as targets crashed under them",
@@ -99,6 +110,7 @@
     private readonly term = this.createGauge(FleetMetricName.Term, "Term of the replicated log", []);
 
     constructor() {
+        Object.values(WorkKind).forEach(work => this.workFaults.inc({ work }, 0));
         this.addProcessMetrics();
     }
 
@@ -131,6 +143,9 @@
                     this.targetCrashes.inc();
                 }
                 break;
+            case DecisionKind.WorkFailed:
+                this.workFaults.inc({ work: String(fields["work"]) });
+                break;
             case DecisionKind.JobEnded:
                 recordDuration(this.jobTime, fields["afterMs"], { phase: String(fields["phase"]) });
                 break;
@@ -205,6 +220,7 @@
         this.used.set(labels, Number(fields["used"]) / millicoresPerCore);
         this.waiting.set(labels, Number(fields["waiting"]));
         this.late.set(labels, Number(fields["late"]));
+        this.uncertain.set(labels, Number(fields["uncertain"]));
         this.suspects.set(labels, Number(fields["suspects"]));
         this.usableTargets.set(labels, Number(fields["usable"]));
         for (const reason of Object.values(TargetExclusion)) {
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -8,21 +8,27 @@
 import type { JobStep } from "@daisylock/core/jobs/job-step.js";
 import type { Job } from "@daisylock/core/jobs/job.js";
 import { TaskPhase } from "@daisylock/core/jobs/task-phase.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 
+import Result from "true-myth/result";
+
 import { runGoroutine } from "../../concurrency/run-goroutine.js";
+import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { Leadership } from "../leader/leadership.js";
 import { LoadMeter } from "../leader/load-meter.js";
 import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
 import { Scheduler } from "../leader/scheduler.js";
 import { StalledTaskRegistry } from "../leader/stalled-task-registry.js";
+import { TargetClaimVerifier } from "../leader/target-claim-verifier.js";
 import { TargetEnding } from "../leader/target-ending.js";
 import { TargetReportHandler } from "../leader/target-report-handler.js";
 import { TargetSessions } from "../leader/target-sessions.js";
 import { TaskDurationEstimator } from "../leader/task-duration-estimator.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { RelayedTargetClient } from "../relay/relayed-target-client.js";
+import type { TargetClient } from "../targets/target-client.js";
 import { TargetRequestSender } from "../targets/target-request-sender.js";
 import { HeldClock } from "./held-clock.js";
 import { ManualClock } from "./manual-clock.js";
@@ -48,6 +54,8 @@
 /** Number of macrotask rounds within which all goroutines that can proceed have done so. */
 const macrotaskRounds = 5;
 
+const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
+
 /** Fault of the network between the leader and one target. */
 interface RequestFault {
     readonly fate: RequestFate;
@@ -70,8 +78,11 @@
     /** Whether the VM service tells which targets have ended. */
     isVmServiceUp = false;
     private readonly state: ControlState;
-    private readonly scheduler: Scheduler;
-    private readonly reports: TargetReportHandler;
+    private readonly targetClient: TargetClient;
+    private scheduler: Scheduler;
+    private reports: TargetReportHandler;
+    /** Number of the process that leads. */
+    private leaderProcess = 0;
     private readonly requestFaults = new Map<string, RequestFault>();
     private readonly heartbeatDelaysMs = new Map<string, number>();
     private readonly crashingJobs = new Set<string>();
@@ -106,13 +117,6 @@
         this.targets.forEach(target => {
             target.handleCrash = () => this.stopTarget(target, this.crashDownMs);
         });
-        const leadership = new Leadership(this.keeper, 1);
-        const log = { record: () => undefined } as Partial<DecisionLog> as DecisionLog;
-        const startScheduling = () => this.startRound();
-        this.reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
-            collectCrashedRuns: id => sessions.collectCrashedRuns(id),
-            noteRunEnds: ends => sessions.noteRunEnds(ends),
-        });
         const client = new SimulatedTargetClient(
             new Map(this.targets.map(target => [target.record.id, target])),
             this.clock,
@@ -125,10 +129,27 @@
             pickRelay: (target: string) => this.relays.names[target.charCodeAt(1) % this.relays.names.length],
             noteFailure: () => undefined,
         };
+        this.targetClient = isRelayed
+            ? new RelayedTargetClient(sender, this.relays, directory, log, this.clock)
+            : client;
+        [this.reports, this.scheduler] = this.createLeader();
+    }
+
+    /** Creates the components of a leader, which know only what is recorded. */
+    private createLeader(): [TargetReportHandler, Scheduler] {
+        const { targetClient } = this;
+        const leadership = new Leadership(this.createKeeperProcess(), 1);
+        const startScheduling = () => this.startRound();
+        const reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
+            collectCrashedRuns: id => sessions.collectCrashedRuns(id),
+            findAnsweredClock: (id, incarnation) => sessions.findAnsweredClock(id, incarnation),
+            noteLeaving: (id, incarnation) => sessions.noteLeaving(id, incarnation),
+            noteRunEnds: ends => sessions.noteRunEnds(ends),
+        }, new TargetClaimVerifier(targetClient, leadership, this.clock));
         const sessions: TargetSessions = new TargetSessions({
             leadership,
-            client: isRelayed ? new RelayedTargetClient(sender, this.relays, directory, log, this.clock) : client,
-            reports: this.reports,
+            client: targetClient,
+            reports,
             clock: this.clock,
             log,
             maxLeaseMs: this.maxLeaseMs,
@@ -142,7 +163,7 @@
             startScheduling,
             handleRunEnd: () => undefined,
         });
-        this.scheduler = new Scheduler({
+        const scheduler = new Scheduler({
             metrics: { recordTime: () => undefined },
             load: new LoadMeter(),
             leadership,
@@ -155,10 +176,45 @@
             clock: this.roundClock,
             keepStateMs,
         });
+        return [reports, scheduler];
+    }
+
+    /** Creates access to the keeper that ends when the next leader process starts. */
+    private createKeeperProcess(): ConstructorParameters<typeof Leadership>[0] {
+        const { keeper } = this;
+        const process = ++this.leaderProcess;
+        const isRunning = () => process === this.leaderProcess;
+        return {
+            isActiveLeader: () => isRunning() && keeper.isActiveLeader(),
+            readControl: () => keeper.readControl(),
+            readView: () => keeper.readView(),
+            readTerm: () => keeper.readTerm(),
+            countVoters: () => keeper.countVoters(),
+            sendCommand: async command =>
+                isRunning()
+                    ? keeper.sendCommand(command)
+                    : Result.err({ kind: ProposeFailureKind.Unknown }),
+        };
     }
 
     /** Starts the scheduler and the heartbeats. */
     start(): void {
+        this.startScheduler();
+        this.targets.forEach(target => this.sendHeartbeats(target));
+    }
+
+    /**
+     * Cuts the power of the leader. The next one starts in another process and knows only what is recorded.
+     * @param forMs - time without a leader, milliseconds
+     */
+    stopLeader(forMs: number): void {
+        this.scheduler.stop();
+        this.keeper.startTerm(forMs);
+        [this.reports, this.scheduler] = this.createLeader();
+        this.startScheduler();
+    }
+
+    private startScheduler(): void {
         runGoroutine(() => this.scheduler.run(), error => {
             if (error !== undefined) {
                 this.monitor.violations.push(
@@ -166,7 +222,6 @@
                 );
             }
         });
-        this.targets.forEach(target => this.sendHeartbeats(target));
     }
 
     /** Stops the scheduler and closes the sessions. */
@@ -260,6 +315,32 @@
         });
     }
 
+    /**
+     * Sends a heartbeat of another writer, which is not repeated.
+     * @param target - the target that it resembles
+     * @param fields - fields of the record that differ
+     * @param sequence - number of the heartbeat
+     * @param clockMs - reading of a clock in the heartbeat, milliseconds
+     */
+    sendForeignReport(
+        target: SimulatedTarget,
+        fields: Partial<TargetRecord>,
+        sequence: number,
+        clockMs: number | undefined,
+    ): void {
+        const record = { ...target.record, ...fields };
+        void this.reports.handleReport({ record, sequence, clockMs, remainingMs: undefined });
+    }
+
+    /**
+     * Sends an announcement of another writer that a target is leaving.
+     * @param target - the target
+     * @param incarnation - the incarnation that it names
+     */
+    sendForeignLeave(target: SimulatedTarget, incarnation: number | undefined): void {
+        void this.reports.handleLeave({ id: target.record.id, incarnation });
+    }
+
     /** Ends all faults, except for requests and heartbeats that are already delayed. */
     stopFaults(): void {
         this.relays.stopFaults();
