Count the visits of a round after it, not before

The test of FullPools passed with and without the change, as it read the counter before the round ran.

--- a/packages/core/src/placement/full-pools.test.ts
+++ b/packages/core/src/placement/full-pools.test.ts
@@ -30,7 +30,8 @@
             },
         });
     }
-    return { visits, starts: planStarts(state.fleet, collectCandidates(state.fleet, 0, estimator), pools).length };
+    const starts = planStarts(state.fleet, collectCandidates(state.fleet, 0, estimator), pools).length;
+    return { visits, starts };
 }
 
 describe("a placement round", () => {
@@ -40,6 +41,7 @@
     it("visits no more targets for a longer backlog that finds no room", () => {
         const few = planBacklog(Array.from({ length: 10 }, () => tooLarge));
         const many = planBacklog(Array.from({ length: 500 }, () => tooLarge));
+        expect(few.visits).toBe(targetCount);
         expect(many.visits).toBe(few.visits);
     });
 
