--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -16,6 +16,7 @@
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { FleetHandlers } from "../peers/fleet-handlers.js";
 import type { FleetSettings } from "../settings/fleet-settings.js";
+import { ContainedTargetClient } from "../targets/contained-target-client.js";
 import type { TargetClient } from "../targets/target-client.js";
 import type { VmService } from "../vms/vm-service.js";
 import { ConfigurationHandler } from "./configuration-handler.js";
@@ -76,12 +77,13 @@
     constructor(private readonly dependencies: LeaderDependencies) {
         const { settings, leadership, client, vms, advice, clock, log } = dependencies;
         const startScheduling = () => this.scheduler.startRound();
+        const containedClient = new ContainedTargetClient(client, createFaultListener(log));
         this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
             collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
             findAnsweredClock: (id, incarnation) => this.sessions.findAnsweredClock(id, incarnation),
             noteLeaving: (id, incarnation) => this.sessions.noteLeaving(id, incarnation),
             noteRunEnds: ends => this.sessions.noteRunEnds(ends),
-        }, new TargetClaimVerifier(client, leadership, clock));
+        }, new TargetClaimVerifier(containedClient, leadership, clock));
         const vmLeases = new VmLeaseTracker({
             leadership,
             vms,
