A step that no target can run does not change the order of the others

What callers saw: nothing yet; a fresh review showed it. Steps with little slack start after surer ones while late steps wait for their pool. A task larger than every target waits for ever and is soon late, so that this order stayed in force without any backlog. Only late steps that an empty target could run count. Before: both cases of collect-candidates.test.ts failed (order third, second, first). After: 21 of 21 of core/queueing pass, start-limit.test.ts among them.

--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -3,8 +3,10 @@
 import { countOccurrences } from "../jobs/count-occurrences.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
 import { isStepReady } from "../jobs/is-step-ready.js";
+import type { JobStep } from "../jobs/job-step.js";
 import type { Job } from "../jobs/job.js";
 import { TaskPhase } from "../jobs/task-phase.js";
+import { isWithin } from "../resources/is-within.js";
 import { computeCriticalPath } from "./compute-critical-path.js";
 import { computeRemainingWork } from "./compute-remaining-work.js";
 import { computeShareExcesses } from "./compute-share-excesses.js";
@@ -47,14 +49,39 @@
             }
         }
     }
-    return updateLateBacklogs(candidates);
+    return updateLateBacklogs(fleet, candidates);
 }
 
-/** Marks the steps for whose pool late steps wait. */
-function updateLateBacklogs(candidates: readonly StepCandidate[]): StepCandidate[] {
-    const readPool = ({ queue, job }: StepCandidate): string => queue?.pool ?? job.pool;
-    const latePools = new Set(candidates.filter(step => computeUrgency(step) === Urgency.Late).map(readPool));
-    return candidates.map(step => latePools.has(readPool(step)) ? { ...step, isBacklogLate: true } : step);
+/**
+ * Marks the steps for whose pool late steps wait. A step that no target of the pool can run waits for ever and says nothing of the
+ * backlog.
+ */
+function updateLateBacklogs(fleet: FleetState, candidates: StepCandidate[]): StepCandidate[] {
+    const latePools = new Set<string>();
+    for (const step of candidates) {
+        const pool = readPool(step);
+        if (!latePools.has(pool) && computeUrgency(step) === Urgency.Late && isRunnable(fleet, pool, step.definition)) {
+            latePools.add(pool);
+        }
+    }
+    return latePools.size === 0
+        ? candidates
+        : candidates.map(step => latePools.has(readPool(step)) ? { ...step, isBacklogLate: true } : step);
+}
+
+function readPool({ queue, job }: StepCandidate): string {
+    return queue?.pool ?? job.pool;
+}
+
+/** Tells whether an empty target of the pool could run a task of the step. */
+function isRunnable({ targets }: FleetState, pool: string, { needs, requiredLabel }: JobStep): boolean {
+    for (const target of targets.values()) {
+        const hasLabel = requiredLabel === undefined || target.labels.includes(requiredLabel);
+        if (target.pool === pool && hasLabel && isWithin(needs, target.capacity)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 type ShareExcesses = ReturnType<typeof computeShareExcesses>;
