--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -191,6 +191,21 @@
         expect([own.sent.length, other.sent.length]).toEqual([0, 20]);
     });
 
+    // A target that only the leader reached was registered after some twenty seconds.
+    it("lists the runs of a target itself at once when the relay does not reach it", async () => {
+        const { own, other, client } = createFixture({ result: TargetRequestResult.NotSent, clockMs: undefined });
+        const list = { ...renewal, leaseUntilMs: undefined, waitMs: 0 };
+        expect(await client.sendLeaseRenewal(target, list)).toMatchObject({ result: TargetRequestResult.Done });
+        expect([other.sent.length, own.sent.length]).toEqual([1, 1]);
+    });
+
+    // The renewals of one record with an impossible address took all relays out of use in turn.
+    it("goes on using a relay that refuses a request because of its target", async () => {
+        const { own, client, failures } = createFixture();
+        await client.sendLeaseRenewal({ ...target, address: "10.0.0.9:99999" }, renewal);
+        expect([own.sent.length, failures]).toEqual([1, []]);
+    });
+
     it("checks a target itself only when the relay does not reach it", async () => {
         const reached = createFixture();
         await reached.client.checkReachable(target, renewal);
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -47,8 +47,10 @@
     TargetRequestResult.NotSent,
 ]);
 const successStatus = 200;
+/** Status with which a relay refuses a request that it cannot carry out, for example because of the target's address. */
+const refusedStatus = 400;
 /** Statuses with which a relay says that it has not sent the request. */
-const notSentStatuses: ReadonlySet<number> = new Set([400, 404, 503]);
+const notSentStatuses: ReadonlySet<number> = new Set([refusedStatus, 404, 503]);
 /**
  * Results of the leader's own attempt that hold although a relay may still send the same request. After any other, the
  * request must not count as refused or as not sent.
@@ -118,7 +120,12 @@
 
     override async sendLeaseRenewal(target: TargetRecord, request: LeaseRenewalRequest): Promise<LeaseRenewalResponse> {
         const timeoutMs = request.waitMs + relayTimeoutMs;
-        const response = await this.sendRequest(TargetRequestKind.Renew, target, { request }, timeoutMs);
+        const wasDirect = this.isDirect(target.id);
+        const relayed = await this.sendRequest(TargetRequestKind.Renew, target, { request }, timeoutMs);
+        // A target that the relay does not reach may be reachable from here. A renewal that the relay may still send is left to the next round.
+        const response = request.leaseUntilMs === undefined && !wasDirect && this.isDirect(target.id)
+            ? await this.direct.send(TargetRequestKind.Renew, target, { request })
+            : relayed;
         const renewal = response as Omit<LeaseRenewalResponse, "areAllEndsListed"> & Partial<LeaseRenewalResponse>;
         // Without the relay's word, only an empty list is certain to be whole.
         return { ...renewal, areAllEndsListed: renewal.areAllEndsListed ?? renewal.ended.length === 0 };
@@ -188,7 +195,9 @@
         relay: string,
         reply: Result<HttpResponse, CallFailure>,
     ): Promise<TargetResponse> {
-        this.relays.noteFailure(relay);
+        if (!isRequestRefused(reply)) {
+            this.relays.noteFailure(relay);
+        }
         const isUncertain = isPossiblySent(reply);
         const detail = reply.isErr ? reply.error.detail : `status ${reply.value.status}`;
         this.log.record(DecisionKind.RelayFailed, {
@@ -233,3 +242,7 @@
 function isPossiblySent(reply: Result<HttpResponse, CallFailure>): boolean {
     return reply.isErr ? reply.error.kind === CallFailureKind.Unanswered : !notSentStatuses.has(reply.value.status);
 }
+
+function isRequestRefused(reply: Result<HttpResponse, CallFailure>): boolean {
+    return reply.isOk && reply.value.status === refusedStatus;
+}
