Bound the clock of a target by its latest answer

What callers would see: with a clock 2 % slow and a session of ten minutes, a heartbeat of another writer 12 s ahead was believed, and held off the target's own, its drain included, for as long. Cause: the bound was the largest lead of the whole session. Before: target-clock.test.ts failed.

--- a/packages/daemon/src/job-scheduler/leader/target-clock.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-clock.ts
@@ -12,7 +12,7 @@
     private readingReceivedAt = 0;
     private reading: number | undefined;
     private latestLeaseEnd = 0;
-    /** Largest lead of the target's clock over the leader's in an answer. The lead never grows, as no target's clock is fast. */
+    /** Lead of the target's clock over the leader's in the latest answer. It only shrinks afterwards, as no target's clock is fast. */
     private lead: number | undefined;
 
     /**
@@ -33,7 +33,7 @@
      * @param receivedAt - when it arrived, on the leader's monotonic clock
      */
     noteAnswer(clockMs: number, receivedAt: number): void {
-        this.lead = Math.max(this.lead ?? -Infinity, clockMs - receivedAt);
+        this.lead = clockMs - receivedAt;
     }
 
     /**
