Hold the runs of a replaced target only where its address was never verified

What callers would see: after a change of leader, tasks of a target that crashed and whose address is reused waited for its lease (some 4.6 s) instead of starting at once. The reason, addresses on the disks of earlier versions, holds only for records without a verified address. A question that is put off is logged, and target-recorded names address and incarnation. Before: the new cases of target-session.test.ts and target-report-handler.test.ts failed.

--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -224,6 +224,16 @@
             expect([...state.fleet.targets.keys()]).toEqual(["t9"]);
         });
 
+        it("replace one whose address was verified at once, also under a leader that it has not answered", async () => {
+            const { state, report } = createFixture();
+            const recorded = state.fleet.targets.get("t0");
+            if (recorded !== undefined) {
+                state.fleet.targets.set("t0", { ...recorded, reportClockMs: 1 });
+            }
+            expect(await report(5, { id: "t9", incarnation: 7 })).toMatchObject({ value: { isNewest: true } });
+            expect([...state.fleet.targets.keys()]).toEqual(["t9"]);
+        });
+
         it("that are on disk do not bind the target to another zone", async () => {
             const { state, report, runFor } = createFixture();
             const recorded = state.fleet.targets.get("t0");
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -1,6 +1,7 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import { isEndUnplanned } from "@daisylock/core/crashes/is-end-unplanned.js";
 import type { TargetCrash } from "@daisylock/core/crashes/target-crash.js";
+import { isAddressVerified } from "@daisylock/core/targets/is-address-verified.js";
 import { isTargetChanged } from "@daisylock/core/targets/is-target-changed.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
@@ -198,6 +199,8 @@
             : DecisionKind.TargetRecorded;
         this.log.record(kind, {
             target: record.id,
+            incarnation: record.incarnation,
+            address: record.address,
             vm: record.vm,
             pool: record.pool,
             sequence,
@@ -216,6 +219,12 @@
         else if (answer.outcome === ClaimOutcome.Unanswered || answer.outcome === ClaimOutcome.Unreachable) {
             this.recordRefusal(record, "no answer at the address confirms it");
         }
+        else if (answer.outcome === ClaimOutcome.Deferred) {
+            this.recordRefusal(
+                record,
+                "the address is not asked yet: a recent question failed, or too many are in flight",
+            );
+        }
         if (answer.outcome !== ClaimOutcome.Confirmed) {
             return false;
         }
@@ -238,6 +247,7 @@
         const { targets, targetLoads } = this.leadership.readFleet();
         const holder = [...targets.values()].find(other =>
             other.id !== record.id && other.address === record.address && targetLoads.has(other.id)
+            && !isAddressVerified(other)
             && this.sessions.findAnsweredClock(other.id, other.incarnation) === undefined
         );
         if (holder !== undefined) {
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -92,6 +92,7 @@
         durations,
         recordStart,
         cancelJob: () => applyCommand(state, { kind: CommandKind.CancelJob, id: "a", atMs: 0 }),
+        setVerified: () => state.fleet.targets.set("t0", { ...record, reportClockMs: 1 }),
         openSession: (fencingToken = 3, isRestarted = false) => {
             const session = new TargetSession(record, fencingToken, dependencies, isRestarted);
             sessions.push(session);
@@ -194,6 +195,18 @@
             expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
             expect(session.isOpen()).toBe(false);
         });
+
+        it("end runs at once if another target responds at an address that was verified", async () => {
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.setVerified();
+            fixture.client.isResponding = false;
+            fixture.client.unansweredResult = TargetRequestResult.WrongTarget;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(500);
+            expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
+            expect(session.isOpen()).toBe(false);
+        });
     });
 
     describe("announcements to leave", () => {
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -9,6 +9,7 @@
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
+import { isAddressVerified } from "@daisylock/core/targets/is-address-verified.js";
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
@@ -447,7 +448,7 @@
             case TargetRequestResult.Done:
                 return await this.handleRenewal(response, sentAt) ? 0 : retryDelayMs;
             case TargetRequestResult.WrongTarget:
-                if (this.isSynced || this.readLoad().runs.size === 0) {
+                if (this.isSynced || this.readLoad().runs.size === 0 || isAddressVerified(this.readRecord())) {
                     await this.removeTarget("another target responds at its address", true);
                     return retryDelayMs;
                 }
