--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -53,8 +53,8 @@
 }
 
 /**
- * Marks the steps for whose pool late steps wait. A step that no target of the pool can run waits for ever and says nothing of the
- * backlog.
+ * Marks the steps for whose pool late steps wait. A step that no target of the pool can run waits for ever, so it is no
+ * sign of a backlog.
  */
 function updateLateBacklogs(fleet: FleetState, candidates: StepCandidate[]): StepCandidate[] {
     const latePools = new Set<string>();
--- a/packages/core/src/targets/apply-record-target.ts
+++ b/packages/core/src/targets/apply-record-target.ts
@@ -12,8 +12,8 @@
 /**
  * Records a target. An older incarnation at the same address is removed, and its runs are ended. So is one under the same
  * id, except that its runs are kept while it serves the same pool: their starts may have reached the new incarnation
- * before its first report did, and only its own list tells which of them it runs. A report that an answer of the target has verified
- * replaces whatever is recorded; any other gives way to a later incarnation or report.
+ * before its first report did, and only its own list tells which of them it runs. A report that an answer of the target
+ * has verified replaces whatever is recorded; any other gives way to a later incarnation or report.
  * @param control - the replicated state
  * @param command - the command
  * @returns whether it was recorded, which it is not for a report of an older incarnation, and what became of runs on
--- a/packages/daemon/src/job-scheduler/leader/compare-reports.ts
+++ b/packages/daemon/src/job-scheduler/leader/compare-reports.ts
@@ -3,8 +3,8 @@
 import type { TargetClock } from "./target-clock.js";
 
 /**
- * Orders two heartbeats of a target incarnation. Another writer may use any number; the clock is known from the target's
- * answers and orders its heartbeats as their numbers do.
+ * Orders two heartbeats of a target incarnation. An untrusted sender may use any number; the clock is known from the
+ * target's answers and orders its heartbeats as their numbers do.
  * @param report - the heartbeat
  * @param mark - the earlier heartbeat
  * @param clock - clock of the incarnation as its answers state it; without it, the numbers decide
--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -384,7 +384,7 @@
         );
 
         it(
-            "runs each task once while another writer sends heartbeats and announcements to leave",
+            "runs each task once while an untrusted sender sends heartbeats and announcements to leave",
             () => fc.assert(scenarioWithForeignReports, { numRuns: runs, seed, endOnFailure: true }),
             Math.max(60_000, runs * runTimeoutMs),
         );
--- a/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
@@ -23,7 +23,7 @@
 
 /**
  * Asks the address that a heartbeat claims for a target whether that incarnation is there. A heartbeat proves nothing
- * of itself, as any writer may send one; a target refuses requests that are meant for another, and states its incarnation.
+ * of itself, as anyone may send one; a target refuses requests that are meant for another, and states its incarnation.
  */
 export class TargetClaimVerifier {
     private readonly inFlight = new Map<string, Promise<ClaimAnswer>>();
--- a/packages/daemon/src/job-scheduler/leader/target-clock.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-clock.test.ts
@@ -3,7 +3,7 @@
 import { TargetClock } from "./target-clock.js";
 
 describe("the clock of a target", () => {
-    // A bound kept from the first answer let another writer be ahead by 2 % of the age of the session.
+    // A bound kept from the first answer let an untrusted sender be ahead by 2 % of the age of the session.
     it("is bounded by the latest answer, also when it is slow", () => {
         const clock = new TargetClock();
         for (let at = 0; at <= 600_000; at += 1_000) {
--- a/packages/daemon/src/job-scheduler/leader/target-clock.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-clock.ts
@@ -12,7 +12,7 @@
     private readingReceivedAt = 0;
     private reading: number | undefined;
     private latestLeaseEnd = 0;
-    /** Lead of the target's clock over the leader's in the latest answer. It only shrinks afterwards, as no target's clock is fast. */
+    /** Lead of the target's clock over the leader's in the latest answer. No target's clock is fast, so it never grows. */
     private lead: number | undefined;
 
     /**
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -119,7 +119,7 @@
         });
     });
 
-    describe("heartbeats of other writers", () => {
+    describe("heartbeats of untrusted senders", () => {
         // Guards against a task that is started again while it runs on a target whose address such a heartbeat names.
         it("replace no target if they name a pool that no configuration has", async () => {
             const { state, report } = createFixture();
@@ -321,7 +321,7 @@
             expect(draining.readState()).toBeUndefined();
         });
 
-        // Guards against tasks that are started again while they run, on the word of another writer.
+        // Guards against tasks that are started again while they run, on the word of an untrusted sender.
         it("does not remove a target that goes on answering", async () => {
             const { leave, leavingTargets, report, readState, readRunCount } = createFixture();
             const isUnknown = { isLeader: true, value: { isKnown: false } };
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -36,7 +36,7 @@
 }
 
 /**
- * Handles heartbeats of targets, on the leader. Any writer may send one, so that a heartbeat that would record a target, or
+ * Handles heartbeats of targets, on the leader. Anyone may send one, so that a heartbeat that would record a target, or
  * displace one that is recorded, only tells where to ask; the answer of the target decides.
  */
 export class TargetReportHandler {
@@ -89,11 +89,10 @@
     }
 
     /**
-     * Handles the announcement of a target that it is leaving. An announcement may be delayed until a newer incarnation
-     * runs under the same id, or come from another writer, and the tasks of a target that runs must not be started
-     * elsewhere. It is therefore believed once no process can be reached at its address, and of a target with runs only if it drains,
-     * as targets do before they leave: the address of any other may only be cut off. One that names no incarnation is believed
-     * only of a draining target, as a target drains before it leaves; the lease of any other has to expire.
+     * Handles the deregistration of a target. It may be delayed until a newer incarnation runs under the same id, or come
+     * from an untrusted sender, and tasks that still run must not be started elsewhere. It is believed when the address
+     * refuses connections. The runs of a target that has not drained, or of which no incarnation is named, end with their
+     * lease only.
      * @param request - id of the target and the incarnation that is leaving
      * @returns whether that incarnation was known and has left, or a not-leader reply
      */
@@ -140,8 +139,8 @@
             this.recordRefusal(
                 known,
                 outcome === ClaimOutcome.Confirmed
-                    ? "it is said to leave and still answers"
-                    : "it is said to leave and may be cut off with its tasks",
+                    ? "a deregistration came, and the target still answers"
+                    : "a deregistration came, and the target may be cut off with its tasks",
             );
         }
         return isGone;
@@ -278,7 +277,7 @@
 
     /**
      * An incarnation keeps its pool, its VM and its place, none of which an answer states. A heartbeat that differs is
-     * believed once those that agree with the record have ceased, as the record may be of another writer.
+     * believed once those that agree with the record have ceased, as the record may be of an untrusted sender.
      */
     private isPlaceKept(record: TargetRecord, known: TargetRecord | undefined): boolean {
         if (known?.incarnation !== record.incarnation || describePlace(known) === describePlace(record)) {
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -163,7 +163,7 @@
         });
     });
 
-    describe("records of other writers on disk", () => {
+    describe("records of untrusted senders on disk", () => {
         it("are removed although their heartbeats go on, once the target has not responded for some time", async () => {
             const fixture = createFixture();
             fixture.client.isResponding = false;
@@ -239,7 +239,7 @@
     });
 
     describe("ends", () => {
-        // Guards against a task that is started again under a lease that a heartbeat of another writer made seem over.
+        // Guards against a task that is started again under a lease that a heartbeat of an untrusted sender made seem over.
         it("does not count a lease as expired by the clock in a heartbeat", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -64,7 +64,7 @@
 const leaseExpiryMarginMs = 50;
 /**
  * Time without a response after which a target is removed, milliseconds. The heartbeats of one that has responded before
- * prolong it; those of one that never has may be another writer's.
+ * prolong it; those of one that never has may be an untrusted sender's.
  */
 const removalTimeoutMs = 20_000;
 
@@ -100,7 +100,7 @@
     private isBeingChecked = false;
     /** Whether a check of the runs on probation is scheduled. */
     private isProbationCheckPlanned = false;
-    /** Until when the target is expected to end, as it is said to leave, monotonic milliseconds. */
+    /** Until when the target is expected to end, after a deregistration, monotonic milliseconds. */
     private leavingUntil = 0;
     /** Time before which no task is started on the target, monotonic milliseconds. */
     private startBackoffUntil = 0;
@@ -160,7 +160,7 @@
         return this.targetClock.isKnown() ? this.targetClock : undefined;
     }
 
-    /** Takes note that the target is said to leave: it has, once no process can be reached at its address. */
+    /** Takes note of a deregistration of the target: it has left once no process can be reached at its address. */
     noteLeaving(): void {
         this.leavingUntil = this.readNow() + leavingMs;
         this.startRenewal();
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -82,7 +82,7 @@
     }
 
     /**
-     * Watches for the end of a target that is said to leave and still answers.
+     * Watches for the end of a target that was deregistered and still answers.
      * @param id - id of the target
      * @param incarnation - the incarnation
      */
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.ts
@@ -122,7 +122,8 @@
         const timeoutMs = request.waitMs + relayTimeoutMs;
         const wasDirect = this.isDirect(target.id);
         const relayed = await this.sendRequest(TargetRequestKind.Renew, target, { request }, timeoutMs);
-        // A target that the relay does not reach may be reachable from here. A renewal that the relay may still send is left to the next round.
+        // A target that the relay does not reach may be reachable from here. Only a list is repeated, as the relay may
+        // still send a renewal.
         const response = request.leaseUntilMs === undefined && !wasDirect && this.isDirect(target.id)
             ? await this.direct.send(TargetRequestKind.Renew, target, { request })
             : relayed;
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -316,7 +316,7 @@
     }
 
     /**
-     * Sends a heartbeat of another writer, which is not repeated.
+     * Sends a heartbeat of an untrusted sender, which is not repeated.
      * @param target - the target that it resembles
      * @param fields - fields of the record that differ
      * @param sequence - number of the heartbeat
@@ -333,7 +333,7 @@
     }
 
     /**
-     * Sends an announcement of another writer that a target is leaving.
+     * Sends an announcement of an untrusted sender that a target is leaving.
      * @param target - the target
      * @param incarnation - the incarnation that it names
      */
--- a/packages/daemon/src/process-failure/describe-error.ts
+++ b/packages/daemon/src/process-failure/describe-error.ts
@@ -10,7 +10,7 @@
     /** Class of the error; the type of a thrown value that is no error. */
     readonly error: string;
     readonly message: string;
-    /** First stack frames of the error or its cause, separated by line ends; `undefined` for a thrown value that is no error. */
+    /** First stack frames of the error or its cause, separated by line ends; `undefined` if no error was thrown. */
     readonly stack: string | undefined;
 }
 
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -482,7 +482,7 @@
         this.proposals.settle(entry, term, result);
     }
 
-    /** Every keeper ends that applies an entry by which its state would differ from the others'; the error names the entry. */
+    /** A keeper that skipped an entry would differ from the others, so a failure ends the process; it names the entry. */
     private applyCommand(entry: LogEntry): ReturnType<typeof applyCommand> {
         try {
             return applyCommand(this.control, JSON.parse(entry.payload) as ControlCommand);
