A deregistration ends no runs where another target answers at an address that was never verified

What callers would see: tasks of a target whose stored address is false (disks of earlier versions) start a second time when it is deregistered, as another target answers at that address. The session already keeps such runs until their lease.

--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -335,7 +335,8 @@
 
         it("leaves the runs of a target that may be cut off until its lease expires", async () => {
             const { leave, readRunCount, setOutcome } = createFixture();
-            for (const outcome of [ClaimOutcome.Unanswered, ClaimOutcome.Unreachable]) {
+            // Its address was recorded without a question, so that another target may answer there.
+            for (const outcome of [ClaimOutcome.Unanswered, ClaimOutcome.Unreachable, ClaimOutcome.Refuted]) {
                 setOutcome(outcome);
                 expect(await leave(1)).toEqual({ isLeader: true, value: { isKnown: false } });
                 expect(readRunCount()).toBe(1);
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -74,17 +74,14 @@
             if (!this.isPoolKnown(record, this.readRecord(record.id)) || !this.isClockPossible(report)) {
                 return { isNewest: false };
             }
-            const isConfirmedClaim = isClaim(this.readRecord(record.id), record);
-            if (isConfirmedClaim && !await this.isClaimConfirmed(report)) {
+            const isNewClaim = isClaim(this.readRecord(record.id), record);
+            if (isNewClaim && (!await this.isClaimConfirmed(report) || this.isAddressHeld(record))) {
                 return { isNewest: false };
             }
-            if (isConfirmedClaim && this.isAddressHeld(record)) {
-                return { isNewest: false };
-            }
-            const order = this.computeOrder(report, isConfirmedClaim);
+            const order = this.computeOrder(report, isNewClaim);
             return order === ReportOrder.Outdated || !this.isPlaceKept(record, this.readRecord(record.id))
                 ? { isNewest: false }
-                : this.recordReport(report, isConfirmedClaim || order === ReportOrder.NewestByClock);
+                : this.recordReport(report, isNewClaim || order === ReportOrder.NewestByClock);
         });
     }
 
@@ -130,10 +127,10 @@
     private async isGone(known: TargetRecord): Promise<boolean> {
         const { outcome } = await this.claims.readAnswer(known);
         const hasRuns = (this.leadership.readFleet().targetLoads.get(known.id)?.runs.size ?? 0) > 0;
-        const isUnreachable = outcome === ClaimOutcome.Unreachable;
-        const isGone = outcome === ClaimOutcome.Refuted
-            || (isUnreachable && (!hasRuns || known.state === ReportedTargetState.Draining))
-            || (outcome === ClaimOutcome.Unanswered && !hasRuns);
+        // An address that was not verified may be another target's, and the runs be elsewhere.
+        const isGone = (!hasRuns && outcome !== ClaimOutcome.Confirmed && outcome !== ClaimOutcome.Deferred)
+            || (outcome === ClaimOutcome.Refuted && isAddressVerified(known))
+            || (outcome === ClaimOutcome.Unreachable && known.state === ReportedTargetState.Draining);
         if (!isGone) {
             this.sessions.noteLeaving(known.id, known.incarnation);
             this.recordRefusal(
@@ -324,11 +321,11 @@
     }
 
     /** The record is compared too, as a report may have been delayed until another process leads. */
-    private computeOrder(report: TargetReport, isConfirmedClaim: boolean): ReportOrder {
+    private computeOrder(report: TargetReport, isNewClaim: boolean): ReportOrder {
         const { record, sequence, clockMs } = report;
         const latest = this.latestReports.get(record.id);
         const isSameIncarnation = latest?.incarnation === record.incarnation;
-        if (latest?.isRecorded === false && !isSameIncarnation && !isConfirmedClaim) {
+        if (latest?.isRecorded === false && !isSameIncarnation && !isNewClaim) {
             // An answer has confirmed the other incarnation, which is being committed.
             return ReportOrder.Outdated;
         }
