--- a/packages/core/src/placement/full-pools.ts
+++ b/packages/core/src/placement/full-pools.ts
@@ -1,4 +1,5 @@
 import { computeReservedResources } from "../fleet/compute-reserved-resources.js";
+import { readPool } from "../queueing/read-pool.js";
 import type { StepCandidate } from "../queueing/step-candidate.js";
 import { isWithin } from "../resources/is-within.js";
 import type { Resources } from "../resources/resources.js";
@@ -47,10 +48,6 @@
     }
 }
 
-function readPool({ queue, job }: StepCandidate): string {
-    return queue?.pool ?? job.pool;
-}
-
 /** Tells whether there is no room for `required` because there is none for `missing`. */
 function isImplied(required: MissingRoom, missing: MissingRoom): boolean {
     return (missing.label === undefined || missing.label === required.label)
--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -11,6 +11,7 @@
 import { computeRemainingWork } from "./compute-remaining-work.js";
 import { computeShareExcesses } from "./compute-share-excesses.js";
 import { computeUrgency } from "./compute-urgency.js";
+import { readPool } from "./read-pool.js";
 import type { StepCandidate } from "./step-candidate.js";
 import { Urgency } from "./urgency.js";
 import type { WorkEstimator } from "./work-estimator.js";
@@ -69,10 +70,6 @@
         : candidates.map(step => latePools.has(readPool(step)) ? { ...step, isBacklogLate: true } : step);
 }
 
-function readPool({ queue, job }: StepCandidate): string {
-    return queue?.pool ?? job.pool;
-}
-
 /** Tells whether an empty target of the pool could run a task of the step. */
 function isRunnable({ targets }: FleetState, pool: string, { needs, requiredLabel }: JobStep): boolean {
     for (const target of targets.values()) {
@@ -176,7 +173,7 @@
         slackMs: dueAt + budgetMs - now - remainingMs,
         remainingMs,
         relativeWork: computeRemainingWork(job, occurrence, estimate) / estimator.readMeanJobWork(job),
-        shareExcess: readExcesses().get(queue?.pool ?? job.pool)?.get(job.account) ?? 0,
+        shareExcess: readExcesses().get(readPool({ queue, job }))?.get(job.account) ?? 0,
         stepsDone,
     };
 }
--- a/packages/core/src/queueing/collect-pool-loads.ts
+++ b/packages/core/src/queueing/collect-pool-loads.ts
@@ -2,6 +2,7 @@
 import { isSuspect } from "../placement/is-suspect.js";
 import { computeUrgency } from "./compute-urgency.js";
 import type { PoolLoad } from "./pool-load.js";
+import { readPool } from "./read-pool.js";
 import type { StepCandidate } from "./step-candidate.js";
 import { Urgency } from "./urgency.js";
 
@@ -15,7 +16,7 @@
     const pools = fleet.configuration?.pools ?? [];
     return pools.filter(pool => !pool.isSpare).map(({ name }) => {
         const targets = [...fleet.targets.values()].filter(target => target.pool === name);
-        const waitingSteps = candidates.filter(({ queue, job }) => (queue?.pool ?? job.pool) === name);
+        const waitingSteps = candidates.filter(candidate => readPool(candidate) === name);
         const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
         return {
             pool: name,
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -19,6 +19,7 @@
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 
+import { readPool } from "@daisylock/core/queueing/read-pool.js";
 import type { Clock } from "../../clock/clock.js";
 import { waitFor } from "../../concurrency/wait-for.js";
 import { MetricName } from "../../metrics/metric-name.js";
@@ -142,7 +143,7 @@
         for (const { task, run, target } of recorded ?? []) {
             const step = stepsByKey.get(parseStepKey(task));
             if (step !== undefined) {
-                this.placementCounter.noteStart(step.queue?.pool ?? step.job.pool, computeUrgency(step));
+                this.placementCounter.noteStart(readPool(step), computeUrgency(step));
             }
             log.record(DecisionKind.TaskPlaced, {
                 task,
@@ -162,7 +163,7 @@
 
     private planRound(fleet: FleetState, candidates: readonly StepCandidate[]): readonly TaskStart[] {
         const { sessions, tickets, isCordoned } = this.dependencies;
-        const neededPools = new Set(candidates.map(({ queue, job }) => queue?.pool ?? job.pool));
+        const neededPools = new Set(candidates.map(readPool));
         const pools = buildPlacementTargets(
             fleet,
             id => isCordoned(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0,
