Build keys only for the steps that start, and mark late backlogs in place

Late steps that no target can run visited all targets of the fleet; now those of their pool. No decision changes: jest core/src/queueing core/src/placement leader/scheduler.test, 40 of 40 pass, the oracle of collect-candidates.test.ts among them.

--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -7,6 +7,7 @@
 import type { Job } from "../jobs/job.js";
 import { TaskPhase } from "../jobs/task-phase.js";
 import { isWithin } from "../resources/is-within.js";
+import type { TargetRecord } from "../targets/target-record.js";
 import { computeCriticalPath } from "./compute-critical-path.js";
 import { computeRemainingWork } from "./compute-remaining-work.js";
 import { computeShareExcesses } from "./compute-share-excesses.js";
@@ -36,7 +37,7 @@
     estimator: WorkEstimator,
     isMemoryFull = false,
 ): StepCandidate[] {
-    const candidates: StepCandidate[] = [];
+    const candidates: MarkedCandidate[] = [];
     let excesses: ShareExcesses | undefined;
     // Computed at the first waiting step, as most rounds under light load find none.
     const readExcesses = (): ShareExcesses => excesses ??= computeShareExcesses(fleet);
@@ -50,37 +51,55 @@
             }
         }
     }
-    return updateLateBacklogs(fleet, candidates);
+    updateLateBacklogs(fleet, candidates);
+    return candidates;
 }
 
 /**
  * Marks the steps for whose pool late steps wait. A step that no target of the pool can run waits for ever, so it is no
  * sign of a backlog.
  */
-function updateLateBacklogs(fleet: FleetState, candidates: StepCandidate[]): StepCandidate[] {
+function updateLateBacklogs({ targets }: FleetState, candidates: readonly MarkedCandidate[]): void {
     const latePools = new Set<string>();
+    let targetsByPool: ReadonlyMap<string, readonly TargetRecord[]> | undefined;
     for (const step of candidates) {
         const pool = readPool(step);
-        if (!latePools.has(pool) && computeUrgency(step) === Urgency.Late && isRunnable(fleet, pool, step.definition)) {
-            latePools.add(pool);
+        if (!latePools.has(pool) && computeUrgency(step) === Urgency.Late) {
+            targetsByPool ??= collectTargetsByPool(targets.values());
+            if (targetsByPool.get(pool)?.some(target => isRunnable(step.definition, target)) === true) {
+                latePools.add(pool);
+            }
         }
     }
-    return latePools.size === 0
-        ? candidates
-        : candidates.map(step => latePools.has(readPool(step)) ? { ...step, isBacklogLate: true } : step);
+    if (latePools.size > 0) {
+        candidates.forEach(step => {
+            step.isBacklogLate = latePools.has(readPool(step));
+        });
+    }
 }
 
-/** Tells whether an empty target of the pool could run a task of the step. */
-function isRunnable({ targets }: FleetState, pool: string, { needs, requiredLabel }: JobStep): boolean {
-    for (const target of targets.values()) {
-        const hasLabel = requiredLabel === undefined || target.labels.includes(requiredLabel);
-        if (target.pool === pool && hasLabel && isWithin(needs, target.capacity)) {
-            return true;
+function collectTargetsByPool(targets: Iterable<TargetRecord>): ReadonlyMap<string, readonly TargetRecord[]> {
+    const targetsByPool = new Map<string, TargetRecord[]>();
+    for (const target of targets) {
+        const others = targetsByPool.get(target.pool);
+        if (others === undefined) {
+            targetsByPool.set(target.pool, [target]);
+        }
+        else {
+            others.push(target);
         }
     }
-    return false;
+    return targetsByPool;
 }
 
+/** Tells whether an empty target could run a task of the step. */
+function isRunnable({ needs, requiredLabel }: JobStep, { labels, capacity }: TargetRecord): boolean {
+    return (requiredLabel === undefined || labels.includes(requiredLabel)) && isWithin(needs, capacity);
+}
+
+/** A candidate whose mark of a late backlog is set when all are collected. */
+type MarkedCandidate = StepCandidate & { isBacklogLate: boolean };
+
 type ShareExcesses = ReturnType<typeof computeShareExcesses>;
 
 interface OccurrenceContext {
@@ -97,7 +116,7 @@
     "slackMs" | "remainingMs" | "relativeWork" | "shareExcess" | "stepsDone"
 >;
 
-function addCandidates(candidates: StepCandidate[], context: OccurrenceContext): void {
+function addCandidates(candidates: MarkedCandidate[], context: OccurrenceContext): void {
     const { job, queue, occurrence } = context;
     const dueAt = computeDueTime(job, occurrence);
     let estimated: OccurrenceEstimate | undefined;
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -136,9 +136,7 @@
         if (starts.length === 0) {
             return;
         }
-        const stepsByKey = new Map(
-            candidates.map(step => [encodeStepKey(step.job.id, step.occurrence, step.step), step]),
-        );
+        const stepsByKey = collectStartedSteps(candidates, starts);
         const recorded = yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordStarts, starts }));
         for (const { task, run, target } of recorded ?? []) {
             const step = stepsByKey.get(parseStepKey(task));
@@ -245,3 +243,15 @@
         }
     }
 }
+
+/** Collects the steps of some starts by their keys. Keys of other steps are not built, as a backlog has thousands. */
+function collectStartedSteps(
+    candidates: readonly StepCandidate[],
+    starts: readonly TaskStart[],
+): ReadonlyMap<string, StepCandidate> {
+    const jobs = new Set(starts.map(({ task }) => task.slice(0, task.indexOf("."))));
+    return new Map(
+        candidates.filter(({ job }) => jobs.has(job.id))
+            .map(step => [encodeStepKey(step.job.id, step.occurrence, step.step), step]),
+    );
+}
