A drain that is not believed yet has to be sent again

What callers would see: a target that says that it drains, and whose heartbeat is not believed (no answer bears it out, or its clock seems ahead), got 200 and was started on (DRAIN). Before: the new case of target-report-handler.test.ts fails to match, as the reply had no such field.

--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -252,6 +252,19 @@
             expect(questions).toEqual([]);
         });
 
+        // A drain that is not believed was acknowledged, after which tasks were started on a target that was to leave.
+        it("are not acknowledged while they say that a known target drains and are not believed", async () => {
+            const { report, setAnsweredClock, setOutcome } = createFixture();
+            const refused = { isLeader: true, value: { isNewest: false, isRepeatNeeded: true } };
+            const draining = { state: ReportedTargetState.Draining };
+            setAnsweredClock(10_000);
+            expect(await report(5, draining, 20_000)).toEqual(refused);
+            setOutcome(ClaimOutcome.Unanswered);
+            expect(await report(5, { ...draining, incarnation: 9 })).toEqual(refused);
+            expect(await report(5, { ...draining, id: "unknown", address: "10.0.0.77:80" }))
+                .toEqual({ isLeader: true, value: { isNewest: false } });
+        });
+
         it("are told from those of a target whose pool the configuration no longer has", async () => {
             const { state, report, readState } = createFixture();
             const { configuration } = state.fleet;
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -7,6 +7,7 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import type { TargetReport } from "@daisylock/core/targets/target-report.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
+import type { ReportReply } from "@daisylock/protocol/fleet/report-reply.js";
 import type { TargetLeave } from "@daisylock/protocol/fleet/target-leave.js";
 
 import type { Clock } from "../../clock/clock.js";
@@ -68,23 +69,32 @@
      * @param report - the heartbeat
      * @returns whether it was the newest, or a not-leader reply
      */
-    handleReport(report: TargetReport): Promise<LeaderReply<{ isNewest: boolean }>> {
+    handleReport(report: TargetReport): Promise<LeaderReply<ReportReply>> {
         return this.leadership.serveCall(async () => {
             const { record } = report;
-            if (!this.isPoolKnown(record, this.readRecord(record.id)) || !this.isClockPossible(report)) {
-                return { isNewest: false };
-            }
             const isNewClaim = isClaim(this.readRecord(record.id), record);
-            if (isNewClaim && (!await this.isClaimConfirmed(report) || this.isAddressHeld(record))) {
-                return { isNewest: false };
+            const isProven = this.isPoolKnown(record, this.readRecord(record.id)) && this.isClockPossible(report)
+                && (!isNewClaim || (await this.isClaimConfirmed(report) && !this.isAddressHeld(record)));
+            if (!isProven) {
+                return this.refuseReport(record);
             }
             const order = this.computeOrder(report, isNewClaim);
-            return order === ReportOrder.Outdated || !this.isPlaceKept(record, this.readRecord(record.id))
-                ? { isNewest: false }
-                : this.recordReport(report, isNewClaim || order === ReportOrder.NewestByClock);
+            if (order === ReportOrder.Outdated) {
+                return { isNewest: false };
+            }
+            return this.isPlaceKept(record, this.readRecord(record.id))
+                ? this.recordReport(report, isNewClaim || order === ReportOrder.NewestByClock)
+                : this.refuseReport(record);
         });
     }
 
+    /** A target that believes its drain to be acknowledged expects no further starts. */
+    private refuseReport({ id, state }: TargetRecord): ReportReply {
+        const known = this.readRecord(id);
+        const isRepeatNeeded = state === ReportedTargetState.Draining && known?.state === ReportedTargetState.Ready;
+        return isRepeatNeeded ? { isNewest: false, isRepeatNeeded } : { isNewest: false };
+    }
+
     /**
      * Handles the deregistration of a target. It may be delayed until a newer incarnation runs under the same id, or come
      * from an untrusted sender, and tasks that still run must not be started elsewhere. It is believed when the address
@@ -158,7 +168,7 @@
     private async recordReport(
         { record, sequence, clockMs }: TargetReport,
         isVerified: boolean,
-    ): Promise<{ isNewest: boolean } | undefined> {
+    ): Promise<ReportReply | undefined> {
         const isChanged = isTargetChanged(this.readRecord(record.id), record);
         const latest: LatestReport = {
             incarnation: record.incarnation,
--- a/packages/protocol/src/fleet/leader-calls.ts
+++ b/packages/protocol/src/fleet/leader-calls.ts
@@ -7,6 +7,7 @@
 import type { JobReply } from "./job-reply.js";
 import type { MaintenanceWaveProgress } from "./maintenance-wave-progress.js";
 import type { MaintenanceWaveRequest } from "./maintenance-wave-request.js";
+import type { ReportReply } from "./report-reply.js";
 import type { TargetLeave } from "./target-leave.js";
 
 /** Request and reply types of the calls that only the leader serves. All of them are idempotent. */
@@ -14,7 +15,7 @@
     job: { request: JobCall; reply: JobReply };
     putConfiguration: { request: FleetConfiguration; reply: ConfigurationReply };
     readConfiguration: { request: Record<string, never>; reply: { source: string | undefined } };
-    report: { request: TargetReport; reply: { isNewest: boolean } };
+    report: { request: TargetReport; reply: ReportReply };
     leave: { request: TargetLeave; reply: { isKnown: boolean } };
     startUpkeep: { request: MaintenanceWaveRequest; reply: { isNew: boolean } };
     readUpkeep: { request: { number: number }; reply: MaintenanceWaveProgress };
