Targets that register at the same time wait for their question instead of being dropped

First questions wait for one of the 64 in flight, up to 1,024; repeated ones are put off while none is free.

--- a/packages/daemon/src/job-scheduler/leader/target-claim-verifier.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-claim-verifier.test.ts
@@ -73,6 +73,27 @@
             expect(client.renewals.length / records.length / 60).toBeLessThan(0.25);
         });
 
+        it("confirms all targets of a fleet that register at the same time", async () => {
+            const { clock, records, verifier } = createFixture();
+            const answers = Promise.all(records.map(record => verifier.verifyClaim(record)));
+            await clock.runFor(400);
+            expect(new Set((await answers).map(({ outcome }) => outcome))).toEqual(new Set([ClaimOutcome.Confirmed]));
+        });
+
+        it("asks about a new claim beside many that are not confirmed", async () => {
+            const { client, clock, records, record, verifier } = createFixture();
+            client.isResponding = false;
+            const others = records.filter(other => other !== record);
+            for (let round = 0; round < 10; round++) {
+                others.forEach(other => void verifier.verifyClaim(other));
+                await clock.runFor(600);
+            }
+            client.isResponding = true;
+            const answer = verifier.verifyClaim(record);
+            await clock.runFor(400);
+            expect((await answer).outcome).toBe(ClaimOutcome.Confirmed);
+        });
+
         it("forgets failures once the claim is confirmed", async () => {
             const { client, clock, verify } = createFixture();
             client.isResponding = false;
--- a/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
@@ -12,6 +12,8 @@
 const maxRetryMs = 5_000;
 /** Maximum number of questions in flight, so that claims at silent addresses hold only few connections. */
 const maxInFlight = 64;
+/** Maximum number of first questions that wait for one of these; all targets of a fleet may register at the same time. */
+const maxWaiting = 1_024;
 /** Maximum number of remembered failures; the oldest are dropped. */
 const maxFailures = 1_024;
 
@@ -28,6 +30,8 @@
 export class TargetClaimVerifier {
     private readonly inFlight = new Map<string, Promise<ClaimAnswer>>();
     private readonly failures = new Map<string, FailedClaim>();
+    private freeSlots = maxInFlight;
+    private readonly slotWaits: (() => void)[] = [];
 
     /**
      * @param client - sends requests to targets
@@ -51,8 +55,11 @@
         if (pending !== undefined) {
             return pending;
         }
-        const isTooEarly = (this.failures.get(key)?.retryAt ?? 0) > this.clock.readMonotonic();
-        if (isTooEarly || this.inFlight.size >= maxInFlight) {
+        const failure = this.failures.get(key);
+        const isTooEarly = failure !== undefined && failure.retryAt > this.clock.readMonotonic();
+        // Claims that were not confirmed before leave the waiting to those that are new.
+        const isQueueFull = this.freeSlots === 0 && (failure !== undefined || this.slotWaits.length >= maxWaiting);
+        if (isTooEarly || isQueueFull) {
             return Promise.resolve({ outcome: ClaimOutcome.Deferred, clockMs: undefined });
         }
         const answer = this.sendQuestion(key, record);
@@ -61,16 +68,36 @@
     }
 
     private async sendQuestion(key: string, record: TargetRecord): Promise<ClaimAnswer> {
+        await this.takeSlot();
         try {
             const answer = await this.readAnswer(record);
             this.noteOutcome(key, answer.outcome);
             return answer;
         }
         finally {
+            this.releaseSlot();
             this.inFlight.delete(key);
         }
     }
 
+    private takeSlot(): Promise<void> {
+        if (this.freeSlots > 0) {
+            this.freeSlots -= 1;
+            return Promise.resolve();
+        }
+        return new Promise(resolve => this.slotWaits.push(resolve));
+    }
+
+    private releaseSlot(): void {
+        const startNext = this.slotWaits.shift();
+        if (startNext === undefined) {
+            this.freeSlots += 1;
+        }
+        else {
+            startNext();
+        }
+    }
+
     /**
      * Asks a target at once, however recent the last failure is.
      * @param record - the claimed record
