Read the running tasks of a busy target four times a second, not at each end

Cause (one of several): the response to each renewal lists every running task of its target. On a target with 18 tasks, each end had the leader parse, check and compare 17 others, though one had changed. Class: work for a message grows with what has not changed.

Change: the leader allows a relay to leave the running tasks out of a response that lists ends when it has read them within 250 ms. Responses without an end, those after a stop or an unanswered start and those of an earlier version list them. Nothing is concluded from a list that was left out.

target-session.test.ts, 100 ends in 2 s: 100 lists read before, at most 10 now; the three new tests failed on the code before.

--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -57,6 +57,8 @@
     readonly removeTarget: (reason: string, isStopped: boolean) => Promise<void>;
     /** Wakes the renewal loop, which fetches the target's lists of running tasks and ended runs. */
     readonly startRenewal: () => void;
+    /** The same, with the running tasks also when runs have ended. */
+    readonly startListing: () => void;
     /** Called when the target has confirmed a start. */
     readonly checkProbation: () => void;
 }
@@ -220,6 +222,7 @@
         }
         if (response.result === TargetRequestResult.Unanswered) {
             request.isStartUnanswered = true;
+            this.session.startListing();
             this.session.setStartBackoff(refusalBackoffMs);
             this.dependencies.handleUnansweredRequest(this.session.readRecord());
             return false;
@@ -272,7 +275,7 @@
             if (response.result === TargetRequestResult.Done || response.result === TargetRequestResult.AlreadyEnded) {
                 request.isStopConfirmed = true;
                 request.confirmedAt = this.readNow();
-                this.session.startRenewal();
+                this.session.startListing();
                 return;
             }
             if (!this.session.isRunAssigned(task, request.run) && response.result !== TargetRequestResult.Unanswered) {
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -165,6 +165,61 @@
         });
     });
 
+    describe("renewals of a busy target", () => {
+        // Each end of a task cost the leader the list of all other tasks of its target, which it parsed and compared.
+        it("read the list of its running tasks a few times a second, however often a run ends", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(100);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(1_000);
+            const before = fixture.client.renewals.length;
+            for (let number = 1; number <= 100; number++) {
+                fixture.client.ended.push({ number, task: `b.0.0.${number}`, run: 1, how: RunOutcome.Done, saved: "" });
+                await fixture.clock.runFor(20);
+            }
+            const renewals = fixture.client.renewals.slice(before);
+            expect(renewals.length).toBeGreaterThan(20);
+            expect(renewals.filter(({ mayOmitRunning }) => mayOmitRunning !== true).length).toBeLessThanOrEqual(10);
+            session.close();
+        });
+
+        it("do not take recorded runs for lost when the running tasks are left out", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(100);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(1_000);
+            fixture.client.areRunningListed = false;
+            fixture.client.ended.push({ number: 1, task: "b.0.0.1", run: 1, how: RunOutcome.Done, saved: "" });
+            await fixture.clock.runFor(1_000);
+            expect(fixture.client.stops).toEqual([]);
+            expect(fixture.readPhase()).toBe(TaskPhase.Placed);
+            expect(session.running.has(task)).toBe(true);
+            session.close();
+        });
+
+        it("read the list at once after a stop, which frees the capacity of its run", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(100);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(1_000);
+            const endRun = async (number: number) => {
+                fixture.client.ended.push({ number, task: `b.0.0.${number}`, run: 1, how: RunOutcome.Done, saved: "" });
+                await fixture.clock.runFor(20);
+                return fixture.client.renewals.at(-1)?.mayOmitRunning;
+            };
+            expect([await endRun(1), await endRun(2)]).toEqual([true, true]);
+            session.stopTask(task, 1);
+            expect(await endRun(3)).toBe(false);
+            session.close();
+        });
+    });
+
     describe("records of untrusted senders on disk", () => {
         it("are removed although their heartbeats go on, once the target has not responded for some time", async () => {
             const fixture = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -23,6 +23,7 @@
 import { DecisionKind } from "../logging/decision-kind.js";
 import { ContainedTargetClient } from "../targets/contained-target-client.js";
 import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
+import type { ListedRenewalResponse } from "../targets/listed-renewal-response.js";
 import type { RunningTask } from "../targets/running-task.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
@@ -59,6 +60,8 @@
 const faultDelayMs = 1_000;
 /** Time for which no task is started on the target after a fault, milliseconds: beyond the next renewal. */
 const faultBackoffMs = 2 * faultDelayMs;
+/** Time for which the list of running tasks of a target on which runs end is not read again, milliseconds. */
+const listIntervalMs = 250;
 /** Shortest time between two checks of the progress of a target's tasks, milliseconds. */
 const healthCheckIntervalMs = 100;
 /** Time for which an announcement to leave tells that a target that cannot be reached has ended, milliseconds. */
@@ -97,6 +100,10 @@
     private isClosed = false;
     /** Monotonic milliseconds. */
     private nextHealthCheckAt = 0;
+    /** When the list of running tasks is to be read again, monotonic milliseconds. */
+    private nextListAt = 0;
+    /** When a list was last asked for that has to reflect what happened before, monotonic milliseconds. */
+    private listRequestedAt = 0;
     /** Monotonic milliseconds; `undefined` while the target responds. */
     private unreachableSince: number | undefined;
     private readonly probes: ProbeSchedule;
@@ -143,6 +150,7 @@
             recordRunEnds: ends => this.recordRunEnds(ends),
             removeTarget: (reason, isStopped) => this.removeTarget(reason, isStopped),
             startRenewal: () => this.startRenewal(),
+            startListing: () => this.startListing(),
             checkProbation: () => this.checkProbation(),
         }, this.dependencies);
         this.healthMonitor = new TargetHealthMonitor(record, dependencies);
@@ -455,6 +463,7 @@
             fencingToken: this.fencingToken,
             lastSeen: this.lastCommittedEnd,
             waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 ? longPollTimeoutMs : 0,
+            mayOmitRunning: this.isSynced && this.isResponding() && sentAt < this.nextListAt,
         });
         if (this.isClosed) {
             return 0;
@@ -501,14 +510,22 @@
             this.targetClock.noteAnswer(response.clockMs, this.readNow());
         }
         this.noteReachable();
-        this.running.clear();
-        response.running.forEach(task => this.running.set(task.task, task));
+        const { running } = response;
+        if (running !== undefined) {
+            this.running.clear();
+            running.forEach(task => this.running.set(task.task, task));
+        }
         if (response.ended.length > 0 && !await this.recordListedEnds(response)) {
             return false;
         }
-        this.isSynced = true;
-        await this.syncRuns(response, sentAt);
-        this.checkHealth(response.running);
+        if (running !== undefined) {
+            this.isSynced = true;
+            if (sentAt >= this.listRequestedAt) {
+                this.nextListAt = this.readNow() + listIntervalMs;
+            }
+            await this.syncRuns({ ...response, running }, sentAt);
+            this.checkHealth(running);
+        }
         this.requests.dropEndedRuns(this.readLoad().runs);
         return true;
     }
@@ -540,7 +557,7 @@
 
     /** Reconciles the runs that the target reports with the committed ones. */
     private async syncRuns(
-        { running, ended, areAllEndsListed, clockMs }: LeaseRenewalResponse,
+        { running, ended, areAllEndsListed, clockMs }: ListedRenewalResponse,
         sentAt: number,
     ): Promise<void> {
         const list = { running, ended, isComplete: areAllEndsListed, requestedAt: sentAt };
@@ -783,6 +800,13 @@
         });
     }
 
+    /** Makes the next renewal list the running tasks, also when runs have ended. */
+    private startListing(): void {
+        this.listRequestedAt = this.readNow();
+        this.nextListAt = 0;
+        this.startRenewal();
+    }
+
     private startRenewal(): void {
         [...this.wakeups].forEach(settle => settle());
     }
--- a/packages/daemon/src/job-scheduler/relay/relayed-response-schemas.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-response-schemas.ts
@@ -37,7 +37,7 @@
     [TargetRequestKind.Renew]: v.object({
         ...response.entries,
         incarnation: v.optional(whole),
-        running: v.array(runningTask),
+        running: v.optional(v.array(runningTask)),
         ended: v.pipe(v.array(endedRun), v.maxLength(maxEndedRuns)),
         /** Absent in responses of relays of earlier versions. */
         areAllEndsListed: v.optional(v.boolean()),
--- a/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relayed-target-client.test.ts
@@ -1,3 +1,4 @@
+import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { describe, expect, it } from "@jest/globals";
@@ -206,6 +207,27 @@
         expect([own.sent.length, failures]).toEqual([1, []]);
     });
 
+    // A target with many tasks listed all of them to the leader each time one of them ended.
+    it("leaves the running tasks out of a response with ended runs only if the leader has read them recently", async () => {
+        const tasks = Array.from({ length: 18 }, (_, index) => ({
+            task: `j.0.0.${index}`,
+            run: 1,
+            saved: "",
+            percent: 40,
+            load: 0,
+        }));
+        const ended = [{ number: 3, task: "j.0.0.18", run: 1, how: RunOutcome.Done, saved: "" }];
+        const send = (ends: typeof ended, mayOmitRunning: boolean) =>
+            createFixture(
+                { result: TargetRequestResult.Done, clockMs: 5, running: tasks, ended: ends } as TargetResponse,
+            )
+                .client.sendLeaseRenewal(target, { ...renewal, mayOmitRunning });
+        expect((await send(ended, false)).running).toHaveLength(18);
+        expect((await send([], true)).running).toHaveLength(18);
+        expect(await send(ended, true)).toMatchObject({ ended });
+        expect((await send(ended, true)).running).toBeUndefined();
+    });
+
     it("checks a target itself only when the relay does not reach it", async () => {
         const reached = createFixture();
         await reached.client.checkReachable(target, renewal);
--- a/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
+++ b/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
@@ -3,8 +3,11 @@
 import type { Clock } from "../../clock/clock.js";
 import type { HttpResponse } from "../../http-client/http-response.js";
 import { parseJsonBody } from "../../http/parse-json-body.js";
+import type { LeaseRenewalRequest } from "../targets/lease-renewal-request.js";
+import type { LeaseRenewalResponse } from "../targets/lease-renewal-response.js";
 import { TargetRequestKind } from "../targets/target-request-kind.js";
 import type { TargetRequestSender } from "../targets/target-request-sender.js";
+import type { TargetResponse } from "../targets/target-response.js";
 import { relayedRequestSchema } from "./relayed-request-schema.js";
 import type { RelayedRequest } from "./relayed-request.js";
 
@@ -45,6 +48,15 @@
             return expired;
         }
         const response = await this.sender.send(kind as TargetRequestKind, call.target as TargetRecord, call);
-        return { status: 200, body: Buffer.from(JSON.stringify(response)) };
+        return { status: 200, body: Buffer.from(JSON.stringify(dropRunning(call, response))) };
     }
 }
+
+/** Leaves the running tasks out of a renewal's response if the leader allows it. */
+function dropRunning({ request }: RelayedRequest, response: TargetResponse): TargetResponse {
+    const { ended } = response as Partial<LeaseRenewalResponse>;
+    const { mayOmitRunning } = request as Partial<LeaseRenewalRequest>;
+    return mayOmitRunning === true && ended !== undefined && ended.length > 0
+        ? { ...response, running: undefined } as TargetResponse
+        : response;
+}
--- a/packages/daemon/src/job-scheduler/targets/lease-renewal-request.ts
+++ b/packages/daemon/src/job-scheduler/targets/lease-renewal-request.ts
@@ -7,4 +7,9 @@
     readonly lastSeen: number;
     /** Longest time for which the target may delay the response until a run ends, whole milliseconds. */
     readonly waitMs: number;
+    /**
+     * Whether a response that lists ended runs may leave out the running tasks, which the leader has read recently. It is a
+     * permission; absent in requests of earlier versions.
+     */
+    readonly mayOmitRunning?: boolean;
 }
--- a/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
@@ -12,6 +12,8 @@
 import type { TargetResponse } from "../targets/target-response.js";
 
 const roundTripMs = 2;
+/** Interval at which a renewal that waits looks for ended runs, milliseconds. */
+const pollMs = 6;
 /** Time beyond its wait for an end after which a renewal counts as unanswered, milliseconds. */
 const renewalTimeoutMs = 250;
 
@@ -30,6 +32,8 @@
     /** Incarnation that responds. */
     incarnation = 1;
     readonly running: RunningTask[] = [];
+    /** Whether running tasks are listed beside ended runs. */
+    areRunningListed = true;
     readonly ended: EndedRun[] = [];
     areAllEndsListed = true;
     readonly starts: StartTaskRequest[] = [];
@@ -77,16 +81,19 @@
         request: LeaseRenewalRequest,
     ): Promise<LeaseRenewalResponse> {
         this.renewals.push(request);
-        // A target responds at once while it lists runs whose end the leader has not committed.
-        const hasEnded = this.isResponding && this.ended.some(({ number }) => number > request.lastSeen);
         const isLost = !this.isResponding && this.unansweredResult === TargetRequestResult.Unanswered;
-        await this.waitFor(Math.max(roundTripMs, hasEnded ? 0 : request.waitMs) + (isLost ? renewalTimeoutMs : 0));
+        const hasEnded = () => this.isResponding && this.ended.some(({ number }) => number > request.lastSeen);
+        await this.waitFor(roundTripMs + (isLost ? request.waitMs + renewalTimeoutMs : 0));
+        // A target responds at once while it lists runs whose end the leader has not committed.
+        for (let waitedMs = roundTripMs; !isLost && waitedMs < request.waitMs && !hasEnded(); waitedMs += pollMs) {
+            await this.waitFor(pollMs);
+        }
         return this.isResponding
             ? {
                 result: TargetRequestResult.Done,
                 clockMs: this.readClock(),
                 incarnation: this.incarnation,
-                running: [...this.running],
+                running: hasEnded() && !this.areRunningListed ? undefined : [...this.running],
                 ended: this.ended.filter(({ number }) => number > request.lastSeen),
                 areAllEndsListed: this.areAllEndsListed,
             }
