Compare targets without a list of scores for each

Cause: for each task of a round the scores of every target of its pool were collected in a new list and compared with a callback.

--- a/packages/core/src/placement/pick-task-target.ts
+++ b/packages/core/src/placement/pick-task-target.ts
@@ -1,6 +1,5 @@
 import type { JobStep } from "../jobs/job-step.js";
 import type { TaskRecord } from "../jobs/task-record.js";
-import { compareScores } from "./compare-scores.js";
 import { isAntiAffinityMet } from "./filters/is-anti-affinity-met.js";
 import { isCapacityLeft } from "./filters/is-capacity-left.js";
 import { isLabelMatching } from "./filters/is-label-matching.js";
@@ -27,24 +26,29 @@
     targets: readonly PlacementTarget[],
 ): PlacementTarget | undefined {
     let best: PlacementTarget | undefined;
-    let bestScores: readonly number[] = [];
+    // Called for each task of a round with all targets of its pool, so that scores are not collected in lists.
     for (const target of targets) {
         const isFit = isStartAllowed(target) && isCapacityLeft(step, target)
             && isLabelMatching(step, target)
             && isAntiAffinityMet(step, stepKey, target);
-        if (!isFit) {
-            continue;
-        }
-        const scores = [
-            computeRetryPenalty(task, target),
-            computeLocalityPenalty(step, target),
-            computeInterferencePenalty(step, target),
-            computePackingPenalty(step, stepKey, target),
-        ];
-        if (best === undefined || compareScores(scores, bestScores) < 0) {
+        if (isFit && (best === undefined || isBetter(step, stepKey, task, target, best))) {
             best = target;
-            bestScores = scores;
         }
     }
     return best;
 }
+
+/** Compares two targets by their scores in order; equal ones are not better. */
+function isBetter(
+    step: JobStep,
+    stepKey: string,
+    task: TaskRecord | undefined,
+    target: PlacementTarget,
+    other: PlacementTarget,
+): boolean {
+    const difference = computeRetryPenalty(task, target) - computeRetryPenalty(task, other)
+        || computeLocalityPenalty(step, target) - computeLocalityPenalty(step, other)
+        || computeInterferencePenalty(step, target) - computeInterferencePenalty(step, other)
+        || computePackingPenalty(step, stepKey, target) - computePackingPenalty(step, stepKey, other);
+    return difference < 0;
+}
