Index a configuration once instead of going through it in each round and call

Class: work for a message or round grows with the size of the configuration. Elsewhere: the submission of a job on every keeper, the search for room in a wave.

--- a/packages/core/src/configuration/find-queue.ts
+++ b/packages/core/src/configuration/find-queue.ts
@@ -1,5 +1,6 @@
 import type { FleetConfiguration } from "./fleet-configuration.js";
 import type { QueueConfiguration } from "./queue-configuration.js";
+import { readConfigurationIndex } from "./read-configuration-index.js";
 
 /**
  * Finds the queue of a request: among the queues of its host, the one with the longest matching path prefix.
@@ -13,13 +14,6 @@
     host: string,
     path: string,
 ): QueueConfiguration | undefined {
-    const lowerCaseHost = host.toLowerCase();
-    let best: QueueConfiguration | undefined;
-    for (const queue of configuration.queues) {
-        const isMatch = queue.host.toLowerCase() === lowerCaseHost && path.startsWith(queue.pathPrefix);
-        if (isMatch && (best === undefined || queue.pathPrefix.length > best.pathPrefix.length)) {
-            best = queue;
-        }
-    }
-    return best;
+    const sameHost = readConfigurationIndex(configuration).queuesByHost.get(host.toLowerCase());
+    return sameHost?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
 }
--- a/packages/core/src/fleet/is-within-account-cap.ts
+++ b/packages/core/src/fleet/is-within-account-cap.ts
@@ -1,3 +1,4 @@
+import { readConfigurationIndex } from "../configuration/read-configuration-index.js";
 import type { Resources } from "../resources/resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
 import type { FleetState } from "./fleet-state.js";
@@ -10,7 +11,9 @@
  * @returns false when a limit of the account would be exceeded; true for an unknown account
  */
 export function isWithinAccountCap(state: FleetState, account: string, total: Resources): boolean {
-    const cap = state.configuration?.accounts.find(({ name }) => name === account)?.cap ?? zeroResources;
+    const { configuration } = state;
+    const accounts = configuration === undefined ? undefined : readConfigurationIndex(configuration).accountsByName;
+    const cap = accounts?.get(account)?.cap ?? zeroResources;
     return isWithinLimit(total.cpu, cap.cpu) && isWithinLimit(total.memory, cap.memory)
         && isWithinLimit(total.gpu, cap.gpu);
 }
--- a/packages/core/src/jobs/apply-submit-job.ts
+++ b/packages/core/src/jobs/apply-submit-job.ts
@@ -1,3 +1,4 @@
+import { readConfigurationIndex } from "../configuration/read-configuration-index.js";
 import type { ControlState } from "../control/control-state.js";
 import type { SubmitJobCommand } from "../control/submit-job-command.js";
 import { SubmitJobOutcome } from "../control/submit-job-outcome.js";
@@ -18,7 +19,9 @@
             ? SubmitJobOutcome.AlreadyAccepted
             : SubmitJobOutcome.IdInUse;
     }
-    const queueConfiguration = fleet.configuration?.queues.find(({ name }) => name === queue);
+    const queueConfiguration = fleet.configuration === undefined
+        ? undefined
+        : readConfigurationIndex(fleet.configuration).queuesByName.get(queue);
     if (queueConfiguration === undefined) {
         return SubmitJobOutcome.UnknownQueue;
     }
--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -1,4 +1,5 @@
 import type { QueueConfiguration } from "../configuration/queue-configuration.js";
+import { readConfigurationIndex } from "../configuration/read-configuration-index.js";
 import type { FleetState } from "../fleet/fleet-state.js";
 import { countOccurrences } from "../jobs/count-occurrences.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
@@ -41,11 +42,12 @@
     let excesses: ShareExcesses | undefined;
     // Computed at the first waiting step, as most rounds under light load find none.
     const readExcesses = (): ShareExcesses => excesses ??= computeShareExcesses(fleet);
-    const queues = new Map(fleet.configuration?.queues.map(queue => [queue.name, queue]));
+    const { configuration } = fleet;
+    const queues = configuration === undefined ? undefined : readConfigurationIndex(configuration).queuesByName;
     for (const id of fleet.activeJobs) {
         const job = fleet.jobs.get(id);
         if (job !== undefined && !isJobFinished(job)) {
-            const queue = queues.get(job.queue);
+            const queue = queues?.get(job.queue);
             for (const occurrence of listDueOccurrences(job, now, isMemoryFull)) {
                 addCandidates(candidates, { job, queue, occurrence, now, estimator, readExcesses });
             }
--- a/packages/core/src/queueing/compute-share-excesses.ts
+++ b/packages/core/src/queueing/compute-share-excesses.ts
@@ -1,3 +1,4 @@
+import { readConfigurationIndex } from "../configuration/read-configuration-index.js";
 import type { FleetState } from "../fleet/fleet-state.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
 
@@ -10,28 +11,27 @@
  * @returns the excess by pool and account: 0 up to the share, 1 at twice the share
  */
 export function computeShareExcesses(fleet: FleetState): Map<string, Map<string, number>> {
-    const weights = new Map(fleet.configuration?.accounts.map(({ name, weight }) => [name, weight]));
-    const poolByQueue = new Map(fleet.configuration?.queues.map(({ name, pool }) => [name, pool]));
+    const index = fleet.configuration === undefined ? undefined : readConfigurationIndex(fleet.configuration);
+    const findWeight = (account: string): number => Math.max(1, index?.accountsByName.get(account)?.weight ?? 1);
     const usedByPool = new Map<string, Map<string, number>>();
     for (const id of fleet.activeJobs) {
         const job = fleet.jobs.get(id);
         if (job === undefined || isJobFinished(job) || job.steps.some(step => step.isLongRunning)) {
             continue;
         }
-        const pool = poolByQueue.get(job.queue) ?? job.pool;
+        const pool = index?.queuesByName.get(job.queue)?.pool ?? job.pool;
         const usedByAccount = usedByPool.get(pool) ?? new Map<string, number>();
         const runningCpu = fleet.jobCpus.get(id) ?? 0;
         usedByAccount.set(job.account, (usedByAccount.get(job.account) ?? 0) + runningCpu);
         usedByPool.set(pool, usedByAccount);
     }
-    return new Map([...usedByPool].map(([pool, usedByAccount]) => [pool, computeExcesses(usedByAccount, weights)]));
+    return new Map([...usedByPool].map(([pool, usedByAccount]) => [pool, computeExcesses(usedByAccount, findWeight)]));
 }
 
 function computeExcesses(
     used: ReadonlyMap<string, number>,
-    weights: ReadonlyMap<string, number>,
+    findWeight: (account: string) => number,
 ): Map<string, number> {
-    const findWeight = (account: string): number => Math.max(1, weights.get(account) ?? 1);
     const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
     const totalUsed = sum([...used.values()]);
     const totalWeight = sum([...used.keys()].map(findWeight));
--- a/packages/daemon/src/job-scheduler/leader/job-call-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/job-call-handler.ts
@@ -1,5 +1,7 @@
 import { findQueue } from "@daisylock/core/configuration/find-queue.js";
+import type { FleetConfiguration } from "@daisylock/core/configuration/fleet-configuration.js";
 import type { QueueConfiguration } from "@daisylock/core/configuration/queue-configuration.js";
+import { readConfigurationIndex } from "@daisylock/core/configuration/read-configuration-index.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import { SubmitJobOutcome } from "@daisylock/core/control/submit-job-outcome.js";
 import { countJobBytes } from "@daisylock/core/fleet/count-job-bytes.js";
@@ -76,7 +78,7 @@
         }
         const account = queue.isPublic
             ? ""
-            : configuration.accounts.find(({ keys }) => call.key !== "" && keys.includes(call.key))?.name;
+            : findAccount(configuration, call.key);
         if (account === undefined) {
             return { outcome: JobOutcome.Unauthorized };
         }
@@ -235,3 +237,8 @@
         return pending;
     }
 }
+
+/** Finds the name of the account that a key belongs to. */
+function findAccount(configuration: FleetConfiguration, key: string): string | undefined {
+    return key === "" ? undefined : readConfigurationIndex(configuration).accountsByKey.get(key)?.name;
+}
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -1,3 +1,4 @@
+import { readConfigurationIndex } from "@daisylock/core/configuration/read-configuration-index.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
 import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
@@ -318,6 +319,8 @@
     /** Builds the search for room; the targets are listed when it is first needed, as most rounds move no task. */
     private buildRoomTaker(fleet: FleetState): (run: AffectedRun, cordoned: ReadonlySet<string>) => boolean {
         const { sessions, isMoving } = this.dependencies;
+        const { configuration } = fleet;
+        const queues = configuration === undefined ? undefined : readConfigurationIndex(configuration).queuesByName;
         const finders = new Map<string, RoomFinder>();
         const buildFinder = (pool: string, cordoned: ReadonlySet<string>): RoomFinder => {
             const countStartsLeft = (id: string): number => {
@@ -330,7 +333,7 @@
             const key = decodeTaskKey(task);
             const job = key === undefined ? undefined : fleet.jobs.get(key.job);
             const step = key === undefined ? undefined : job?.steps[key.step];
-            const pool = fleet.configuration?.queues.find(({ name }) => name === job?.queue)?.pool ?? job?.pool;
+            const pool = queues?.get(job?.queue ?? "")?.pool ?? job?.pool;
             if (step === undefined || pool === undefined) {
                 return false;
             }
