Hand the labels of frequent counters over when the metrics are read

Cause (one of several): three decisions and two requests for each start each built and sorted a set of labels for their counters. Change: decisions, placed tasks and requests are counted by their label values and given to the registry when it is read. Names and labels are the same.

--- a/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
+++ b/packages/daemon/src/job-scheduler/metrics/fleet-metrics.ts
@@ -13,6 +13,8 @@
 const msPerSecond = 1_000;
 const microsecondsPerSecond = 1_000_000;
 const millicoresPerCore = 1_000;
+/** Between the label values in the key of a count. */
+const labelSeparator = " ";
 /** Upper bounds of the histogram buckets, seconds: from the delay of one message to the longest objective of a job. */
 const histogramBucketsS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16];
 
@@ -25,7 +27,7 @@
  */
 export class FleetMetrics {
     private readonly registry = new Registry();
-    private readonly decisions = this.createCounter(FleetMetricName.Decisions, "Decisions by kind", ["kind"]);
+    private readonly decisionCounts = this.createCounts(FleetMetricName.Decisions, "Decisions by kind", ["kind"]);
     private readonly dropped = this.createCounter(FleetMetricName.DroppedLines, "Log lines left out", []);
     private readonly logSync = this.createHistogram(FleetMetricName.LogSync, "Writes of the log to disk", []);
     private readonly tickDelay = this.createHistogram(FleetMetricName.TickDelay, "Lateness of the keeper's timer", []);
@@ -101,11 +103,16 @@
         "Scheduling rounds without the wait for their commits",
         [],
     );
-    private readonly placedTasks = this.createCounter(
+    private readonly placedCounts = this.createCounts(
         FleetMetricName.PlacedTasks,
         "Tasks placed, by whether their job could still be on time",
         ["urgency"],
     );
+    private readonly peerRequestCounts = this.createCounts(
+        FleetMetricName.PeerRequests,
+        "Requests between this process and others",
+        ["direction", "kind"],
+    );
     private readonly leading = this.createGauge(FleetMetricName.Leading, "1 while this process leads", []);
     private readonly term = this.createGauge(FleetMetricName.Term, "Term of the replicated log", []);
 
@@ -120,11 +127,11 @@
      * @param fields - the fields of its log line
      */
     noteDecision(kind: DecisionKind, fields: Fields): void {
-        this.decisions.inc({ kind });
+        addTo(this.decisionCounts, kind);
         switch (kind) {
             case DecisionKind.TaskPlaced:
                 recordDuration(this.startWait, fields["waitMs"]);
-                this.placedTasks.inc({ urgency: fields["late"] === true ? "late" : "on-time" });
+                addTo(this.placedCounts, fields["late"] === true ? "late" : "on-time");
                 break;
             case DecisionKind.TaskStarted:
                 recordDuration(this.startRequest, fields["tookMs"]);
@@ -192,6 +199,10 @@
      * @param count - the increment
      */
     addCount(name: MetricName, tags: Readonly<Record<string, string>> = {}, count = 1): void {
+        if (name === MetricName.PeerRequests) {
+            addTo(this.peerRequestCounts, `${tags["direction"]}${labelSeparator}${tags["kind"]}`, count);
+            return;
+        }
         this.logCounters.get(name)?.inc(tags, count);
     }
 
@@ -297,13 +308,6 @@
                 MetricName.BytesSent,
                 this.createCounter(FleetMetricName.BytesSent, "Bytes of log messages sent to other keepers", []),
             ],
-            [
-                MetricName.PeerRequests,
-                this.createCounter(FleetMetricName.PeerRequests, "Requests between this process and others", [
-                    "direction",
-                    "kind",
-                ]),
-            ],
             [MetricName.MessagesDropped, dropped],
             [MetricName.CommandsRefused, refused],
             [
@@ -317,6 +321,28 @@
         return new Counter({ name, help, labelNames, registers: [this.registry] });
     }
 
+    /**
+     * Creates a counter whose labels are handed over when the metrics are asked for: a labelled increment for each
+     * decision or request costs the leader several times as much.
+     */
+    private createCounts(name: FleetMetricName, help: string, labelNames: readonly string[]): Map<string, number> {
+        const counts = new Map<string, number>();
+        new Counter({
+            name,
+            help,
+            labelNames: [...labelNames],
+            registers: [this.registry],
+            collect() {
+                this.reset();
+                for (const [key, count] of counts) {
+                    const values = key.split(labelSeparator);
+                    this.inc(Object.fromEntries(labelNames.map((label, index) => [label, values[index] ?? ""])), count);
+                }
+            },
+        });
+        return counts;
+    }
+
     private createGauge(name: FleetMetricName, help: string, labelNames: string[]): Gauge {
         return new Gauge({ name, help, labelNames, registers: [this.registry] });
     }
@@ -332,3 +358,7 @@
         histogram.observe(labels, milliseconds / msPerSecond);
     }
 }
+
+function addTo(counts: Map<string, number>, key: string, count = 1): void {
+    counts.set(key, (counts.get(key) ?? 0) + count);
+}
