Judge the progress of a target's tasks without decoding their keys and sorting each time

Cause (one of several): each list of running tasks had the key of every task decoded three times, and the slowdowns of the jobs of four seconds copied and sorted for one quantile. Change: keys are decoded when a task is first listed, and the quantile is a count of the jobs below the threshold; the result is the same.

--- a/packages/core/src/targets/slow-target-detector.ts
+++ b/packages/core/src/targets/slow-target-detector.ts
@@ -51,14 +51,17 @@
      * @returns true when the tasks of most jobs take much longer than expected; false while there are too few jobs
      */
     isSlow(now: number): boolean {
-        for (const [job, { at }] of this.observations) {
+        let fastJobs = 0;
+        for (const [job, { at, slowdown }] of this.observations) {
             if (now - at > observationWindowMs) {
                 this.observations.delete(job);
             }
+            else if (slowdown < slowdownThreshold) {
+                fastJobs += 1;
+            }
         }
-        const slowdowns = [...this.observations.values()].map(({ slowdown }) => slowdown).sort((a, b) => a - b);
-        const slowdown = slowdowns[Math.floor(slowdowns.length * slowdownQuantile)] ?? 0;
-        return slowdowns.length >= minJobs && slowdown >= slowdownThreshold;
+        const jobs = this.observations.size;
+        return jobs >= minJobs && fastJobs <= Math.floor(jobs * slowdownQuantile);
     }
 }
 
--- a/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
@@ -20,6 +20,8 @@
     private readonly slowDetector = new SlowTargetDetector();
     /** Whether the target is ejected because it is slow. */
     isSlow = false;
+    /** Jobs of the running tasks, by encoded task key; `undefined` for tasks that are not expected to advance. */
+    private jobsByTask: ReadonlyMap<string, string | undefined> = new Map();
 
     /**
      * @param target - record of the target
@@ -76,8 +78,9 @@
         isStopping: (task: string, run: number) => boolean,
     ): RunningTask[] {
         const now = this.dependencies.clock.readMonotonic();
+        this.updateAdvancing(running);
         const stalled = running.filter(({ task, run, percent }) =>
-            this.isProgressExpected(task) && this.stallDetector.checkStalled(task, run, percent, now)
+            this.jobsByTask.get(task) !== undefined && this.stallDetector.checkStalled(task, run, percent, now)
             && !isStopping(task, run)
         );
         for (const { task, run, percent } of stalled) {
@@ -90,8 +93,7 @@
                 this.dependencies.log.record(DecisionKind.TaskStalled, fields);
             }
         }
-        const runningTasks = new Set(running.map(({ task }) => task));
-        this.stallDetector.dropEndedTasks(task => runningTasks.has(task));
+        this.stallDetector.dropEndedTasks(task => this.jobsByTask.has(task));
         return stalled;
     }
 
@@ -106,9 +108,10 @@
         readElapsed: (task: string, run: number) => number | undefined,
     ): RunningTask[] {
         const now = this.dependencies.clock.readMonotonic();
-        const advancing = running.filter(({ task }) => this.isProgressExpected(task));
+        this.updateAdvancing(running);
+        const advancing = running.filter(({ task }) => this.jobsByTask.get(task) !== undefined);
         for (const { task, run, percent } of advancing) {
-            this.noteSpeed(task, readElapsed(task, run), percent);
+            this.noteSpeed(task, this.jobsByTask.get(task) ?? task, readElapsed(task, run), percent);
         }
         const wasSlow = this.isSlow;
         this.isSlow = this.slowDetector.isSlow(now) && (wasSlow || this.dependencies.mayEjectSlow(this.target));
@@ -128,9 +131,8 @@
         return tasksToMove;
     }
 
-    private noteSpeed(task: string, elapsedMs: number | undefined, percent: number): void {
+    private noteSpeed(task: string, job: string, elapsedMs: number | undefined, percent: number): void {
         const expectedMs = this.dependencies.estimateTask(task);
-        const job = decodeTaskKey(task)?.job ?? task;
         if (expectedMs !== undefined && elapsedMs !== undefined) {
             this.slowDetector.recordProgress(
                 { job, expectedMs, elapsedMs, percent },
@@ -139,11 +141,20 @@
         }
     }
 
-    /** False for long-running tasks, which stay at one percentage, and for gangs, whose members wait for each other. */
-    private isProgressExpected(task: string): boolean {
+    /** Looks up the jobs of tasks that have not been listed before, and forgets the tasks that are not listed any more. */
+    private updateAdvancing(running: readonly RunningTask[]): void {
+        const jobs = running.map(({ task }) => [task, this.jobsByTask.get(task) ?? this.findJob(task)] as const);
+        this.jobsByTask = new Map(jobs);
+    }
+
+    /**
+     * Finds the job of a task that is expected to advance; `undefined` for long-running tasks, which stay at one percentage,
+     * and for gangs, whose members wait for each other.
+     */
+    private findJob(task: string): string | undefined {
         const key = decodeTaskKey(task);
         const { jobs } = this.dependencies.leadership.readFleet();
         const step = key === undefined ? undefined : jobs.get(key.job)?.steps[key.step];
-        return step !== undefined && !step.isLongRunning && !step.isGang;
+        return step !== undefined && !step.isLongRunning && !step.isGang ? key?.job : undefined;
     }
 }
