leader-load tells the time of the main thread for the most expensive kinds of work

The time of requests by kind, starts, renewals, lists, their progress and ends is measured without that of work within it, and the ten most expensive are named.

--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -96,6 +96,7 @@
             leadership,
             client,
             reports: this.targetReports,
+            measure: (work, run) => dependencies.load.measure(work, run),
             clock,
             log,
             maxLeaseMs: settings.tasks.max_lease_ms,
--- a/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
@@ -19,6 +19,28 @@
         expect(meter.takeInterval().requestKinds).toBe("");
     });
 
+    // The lines told how many requests of each kind there were, but not which of them took the processor time.
+    it("reports the time of each kind of work without that of other work within it", () => {
+        const meter = new LoadMeter();
+        const runFor = (ms: number) => {
+            for (const endsAt = performance.now() + ms; performance.now() < endsAt;) {
+                // Keeps the processor busy.
+            }
+        };
+        meter.measure("renewals", () => {
+            runFor(5);
+            meter.measure("starts", () => runFor(40));
+        });
+        expect(() =>
+            meter.measure("received job", () => {
+                throw new RangeError("fault");
+            })
+        ).toThrow("fault");
+        const works = meter.takeInterval().workMs.split(", ");
+        expect(works.map(work => work.replace(/ \d+$/, ""))).toEqual(["starts", "renewals", "received job"]);
+        expect(meter.takeInterval().workMs).toBe("");
+    });
+
     it("reports the collections of garbage", async () => {
         const meter = new LoadMeter();
         let kept: number[][] = [];
--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -4,6 +4,8 @@
 const percent = 100;
 /** Number of kinds of requests that are named in one interval. */
 const namedKinds = 8;
+/** Number of kinds of work that are named in one interval. */
+const namedWork = 10;
 
 /** What this process did in one interval, as logged by the leader. */
 interface LoadInterval {
@@ -19,6 +21,8 @@
     readonly requests: number;
     /** The most frequent kinds of these requests with their numbers, most frequent first. */
     readonly requestKinds: string;
+    /** Time of the main thread for the most expensive kinds of measured work, most expensive first, milliseconds. */
+    readonly workMs: string;
     /** Time for which the collector of garbage stopped the program, milliseconds, and how often. */
     readonly gcMs: number;
     readonly gcs: number;
@@ -34,6 +38,9 @@
     private roundMs = 0;
     private longestRoundMs = 0;
     private readonly requestKinds = new Map<string, number>();
+    private readonly workMs = new Map<string, number>();
+    /** Time of work within the work that is being measured, milliseconds. */
+    private nestedMs = 0;
     private gcMs = 0;
     private gcs = 0;
 
@@ -65,6 +72,26 @@
         this.requestKinds.set(kind, (this.requestKinds.get(kind) ?? 0) + 1);
     }
 
+    /**
+     * Runs synchronous work and records its time, without that of other measured work within it.
+     * @param work - name of the work
+     * @param run - runs it
+     * @returns its result
+     */
+    measure<Value>(work: string, run: () => Value): Value {
+        const outerNestedMs = this.nestedMs;
+        this.nestedMs = 0;
+        const startedAt = performance.now();
+        try {
+            return run();
+        }
+        finally {
+            const tookMs = performance.now() - startedAt;
+            this.workMs.set(work, (this.workMs.get(work) ?? 0) + tookMs - this.nestedMs);
+            this.nestedMs = outerNestedMs + tookMs;
+        }
+    }
+
     /**
      * Ends the interval and begins the next one.
      * @returns the figures of the interval that ends
@@ -81,6 +108,7 @@
             longestRoundMs: Math.round(this.longestRoundMs),
             requests: kinds.reduce((sum, [, count]) => sum + count, 0),
             requestKinds: kinds.slice(0, namedKinds).map(([kind, count]) => `${kind} ${count}`).join(", "),
+            workMs: this.describeWork(),
             gcMs: Math.round(this.gcMs),
             gcs: this.gcs,
             residentBytes: process.memoryUsage.rss(),
@@ -91,8 +119,14 @@
         this.roundMs = 0;
         this.longestRoundMs = 0;
         this.requestKinds.clear();
+        this.workMs.clear();
         this.gcMs = 0;
         this.gcs = 0;
         return interval;
     }
+
+    private describeWork(): string {
+        const works = [...this.workMs].sort(([, a], [, b]) => b - a).slice(0, namedWork);
+        return works.map(([work, ms]) => `${work} ${Math.round(ms)}`).join(", ");
+    }
 }
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -6,6 +6,7 @@
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { TargetClient } from "../targets/target-client.js";
 import type { Leadership } from "./leadership.js";
+import type { MeasureWork } from "./measure-work.js";
 import type { ProbeBudget } from "./probe-budget.js";
 import type { StalledTaskRegistry } from "./stalled-task-registry.js";
 import type { TargetEnding } from "./target-ending.js";
@@ -19,6 +20,8 @@
     /** Budget of all sessions for probes of targets that show no sign of life. */
     readonly probeBudget: Pick<ProbeBudget, "takeProbe">;
     readonly clock: Clock;
+    /** Runs work and records its time. */
+    readonly measure: MeasureWork;
     readonly log: Pick<DecisionLog, "record">;
     /** Longest lease that a target accepts, milliseconds. */
     readonly maxLeaseMs: number;
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -72,6 +72,7 @@
                     : { incarnation: 1, sequence: 1, at: 0, clockMs: options.oldReportClockMs },
         },
         probeBudget: new ProbeBudget(50, clock),
+        measure: (_work, run) => run(),
         clock,
         log: { record: (kind, fields) => handleLogLine(kind, fields) },
         maxLeaseMs,
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -263,7 +263,7 @@
      * @param run - run number
      */
     startTask(task: string, run: number): void {
-        this.requestSender.startTask(task, run);
+        this.dependencies.measure("starts", () => this.requestSender.startTask(task, run));
     }
 
     /**
@@ -458,13 +458,15 @@
         const leaseUntilMs = this.unreachableSince === undefined
             ? this.targetClock.computeLeaseEnd(sentAt, this.readLeaseMs())
             : undefined;
-        const response = await this.dependencies.client.sendLeaseRenewal(this.readRecord(), {
+        const request = {
             leaseUntilMs,
             fencingToken: this.fencingToken,
             lastSeen: this.lastCommittedEnd,
             waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 ? longPollTimeoutMs : 0,
             mayOmitRunning: this.isSynced && this.isResponding() && sentAt < this.nextListAt,
-        });
+        };
+        const { client, measure } = this.dependencies;
+        const response = await measure("renewals", () => client.sendLeaseRenewal(this.readRecord(), request));
         if (this.isClosed) {
             return 0;
         }
@@ -523,8 +525,8 @@
             if (sentAt >= this.listRequestedAt) {
                 this.nextListAt = this.readNow() + listIntervalMs;
             }
-            await this.syncRuns({ ...response, running }, sentAt);
-            this.checkHealth(running);
+            await this.dependencies.measure("lists", () => this.syncRuns({ ...response, running }, sentAt));
+            this.dependencies.measure("progress", () => this.checkHealth(running));
         }
         this.requests.dropEndedRuns(this.readLoad().runs);
         return true;
@@ -612,7 +614,7 @@
             })),
             atMs: this.dependencies.clock.readWall(),
         });
-        this.noteRunEnds(recorded ?? []);
+        this.dependencies.measure("ends", () => this.noteRunEnds(recorded ?? []));
         startScheduling();
         return recorded !== undefined;
     }
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -30,8 +30,12 @@
     /**
      * @param dependencies - services and callbacks passed to each session
      */
-    constructor(dependencies: Omit<SessionDependencies, "probeBudget">) {
-        this.dependencies = { ...dependencies, probeBudget: new ProbeBudget(probesPerSecond, dependencies.clock) };
+    constructor(dependencies: Omit<SessionDependencies, "probeBudget" | "measure"> & Partial<SessionDependencies>) {
+        this.dependencies = {
+            probeBudget: new ProbeBudget(probesPerSecond, dependencies.clock),
+            measure: (_work, run) => run(),
+            ...dependencies,
+        };
     }
 
     /**
--- a/packages/daemon/src/job-scheduler/peers/peer-request-handler.ts
+++ b/packages/daemon/src/job-scheduler/peers/peer-request-handler.ts
@@ -7,6 +7,7 @@
 
 import type { HttpResponse } from "../../http-client/http-response.js";
 import { parseJsonBody } from "../../http/parse-json-body.js";
+import type { MeasureWork } from "../leader/measure-work.js";
 import type { TargetRequestRelay } from "../relay/target-request-relay.js";
 import type { FleetHandlers } from "./fleet-handlers.js";
 import { peerPaths } from "./peer-paths.js";
@@ -23,12 +24,14 @@
      * @param handlers - handlers by name of the call
      * @param relay - handles requests to targets that the leader asks this process to send
      * @param noteRequest - called for each request with its kind: the name of the call, or `log`
+     * @param measure - runs work and records its time
      */
     constructor(
         private readonly receive: (messages: readonly RaftMessage[], from: string) => void,
         private readonly handlers: FleetHandlers,
         private readonly relay: Pick<TargetRequestRelay, "handleRequest">,
         private readonly noteRequest: (kind: string) => void,
+        private readonly measure: MeasureWork = (_work, run) => run(),
     ) {}
 
     /**
@@ -40,7 +43,7 @@
     async handleRequest(path: string, body: Buffer): Promise<HttpResponse> {
         if (path === peerPaths.raft) {
             this.noteRequest("log");
-            return this.handleRaftMessages(body);
+            return this.measure("received log", () => this.handleRaftMessages(body));
         }
         if (path.startsWith(peerPaths.relay)) {
             this.noteRequest("relay");
@@ -51,7 +54,7 @@
             return unknownPath;
         }
         this.noteRequest(name);
-        return this.handleCall(name, body);
+        return this.measure(`received ${name}`, () => this.handleCall(name, body));
     }
 
     private handleRaftMessages(body: Buffer): HttpResponse {
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -220,7 +220,7 @@
             snapshotEntries: limits.snapshot_entries,
             send: (address, messages) => {
                 noteSent("log");
-                sender.sendMessages(address, messages);
+                this.load.measure("sent log", () => sender.sendMessages(address, messages));
             },
             handleApplied: () => leader.startScheduling(),
             handleLoaded: loaded => this.log.record(DecisionKind.LogLoaded, { ...loaded }),
@@ -264,6 +264,7 @@
                             handlers,
                             new TargetRequestRelay(targetSender, clock),
                             noteReceived,
+                            (work, run) => this.load.measure(work, run),
                         ),
                         this.noteFault,
                     ),
