--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -96,7 +96,6 @@
             leadership,
             client,
             reports: this.targetReports,
-            measure: (work, run) => dependencies.load.measure(work, run),
             clock,
             log,
             maxLeaseMs: settings.tasks.max_lease_ms,
@@ -112,7 +111,7 @@
             },
             startScheduling,
             handleRunEnd: (task, how, durationMs) => this.noteRunEnd(leadership.readFleet(), task, how, durationMs),
-        });
+        }, (work, run) => dependencies.load.measure(work, run));
         this.balancer = new PoolBalancer({
             leadership,
             vmLeases,
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -5,6 +5,7 @@
 import { startContained } from "../../containment/start-contained.js";
 import { WorkKind } from "../../containment/work-kind.js";
 import { createFaultListener } from "../logging/create-fault-listener.js";
+import type { MeasureWork } from "./measure-work.js";
 import { ProbeBudget } from "./probe-budget.js";
 import type { SessionDependencies } from "./session-dependencies.js";
 import type { TargetClock } from "./target-clock.js";
@@ -29,13 +30,14 @@
 
     /**
      * @param dependencies - services and callbacks passed to each session
+     * @param measure - runs work of the sessions and records its time
      */
-    constructor(dependencies: Omit<SessionDependencies, "probeBudget" | "measure"> & Partial<SessionDependencies>) {
-        this.dependencies = {
-            probeBudget: new ProbeBudget(probesPerSecond, dependencies.clock),
-            measure: (_work, run) => run(),
-            ...dependencies,
-        };
+    constructor(
+        dependencies: Omit<SessionDependencies, "probeBudget" | "measure">,
+        measure: MeasureWork = (_work, run) => run(),
+    ) {
+        const probeBudget = new ProbeBudget(probesPerSecond, dependencies.clock);
+        this.dependencies = { ...dependencies, probeBudget, measure };
     }
 
     /**
