A keeper that is elected while it leaves hands over before it ends

A leader cannot replace itself, so it answered its own departure with 'no successor' and ended. Two of four voters remain: no leader for ever. Class: a role that is taken up while the process gives up its duties. Change: such a leader hands over the leadership and then has itself replaced.

--- a/packages/daemon/src/job-scheduler/keeper/member-manager.test.ts
+++ b/packages/daemon/src/job-scheduler/keeper/member-manager.test.ts
@@ -82,6 +82,15 @@
         expect(await isCommitting()).toBe(true);
     });
 
+    // A keeper that was elected while it left found no successor for itself and ended with a vote that was needed.
+    it("replaces a keeper that leads when it is about to release its vote", async () => {
+        await addLearner("d");
+        const leaving = group.findLeaderName();
+        await group.findLeader()?.manager.releaseVote();
+        await group.waitUntil(() => group.findLeader() !== undefined);
+        expect([...group.listVoters()].sort()).toEqual(["a", "b", "c", "d"].filter(name => name !== leaving));
+    });
+
     it("replaces a keeper that ends halfway through its departure", async () => {
         await addLearner("d");
         const leaving = ["a", "b", "c"].find(name => name !== group.findLeaderName()) ?? "";
--- a/packages/daemon/src/job-scheduler/keeper/member-manager.ts
+++ b/packages/daemon/src/job-scheduler/keeper/member-manager.ts
@@ -143,6 +143,9 @@
         const endsAt = this.clock.readMonotonic() + maxDepartureMs;
         while (id !== undefined && this.clock.readMonotonic() < endsAt) {
             const reply = await this.leaderClient.send("depart", { id }, departureTimeoutMs);
+            if (reply.isOk && reply.value.state === DepartureState.NoSuccessor && await this.isHandedOver()) {
+                continue;
+            }
             if (reply.isOk && reply.value.state !== DepartureState.Pending) {
                 this.log.record(DecisionKind.MemberLeaving, { id, state: reply.value.state });
                 return;
@@ -154,6 +157,11 @@
         this.log.record(DecisionKind.MemberLeaving, { id, state: "timeout", waitedMs: maxDepartureMs });
     }
 
+    /** A leader cannot replace itself: one that was elected while it leaves first hands over the leadership. */
+    private async isHandedOver(): Promise<boolean> {
+        return this.keeper.isActiveLeader() && await this.keeper.startLeadershipTransfer() !== undefined;
+    }
+
     protected override *tick(): Generator<unknown, number, unknown> {
         const view = this.keeper.readView();
         if (view === undefined) {
