Tell what the move planner sees and plans, and what the leader's event loop handles

Change: a line pool-forecast a second and pool; loops, events, starts and commits in leader-load, and the planning of moves in its workMs. No decision changes. Tests: pool-balancer.test.ts and load-meter.test.ts; both fail without the change, as the fields do not exist.

--- a/packages/core/src/pools/vm-move-planner.ts
+++ b/packages/core/src/pools/vm-move-planner.ts
@@ -9,6 +9,7 @@
 export class VmMovePlanner {
     private readonly trends = new Map<string, DemandTrend>();
     private readonly bursts = new BurstHistory();
+    private forecasts: readonly PoolForecast[] = [];
 
     /**
      * @param moveMs - time from the request for a move until the VM serves, milliseconds
@@ -37,7 +38,16 @@
     planRound(statuses: readonly PoolStatus[], now: number): VmMove[] {
         this.recordDemands(statuses, now);
         const names = statuses.filter(({ isSpare }) => !isSpare).map(({ name }) => name);
-        return planMoves(statuses.map(status => this.buildForecast(status, names, now)));
+        this.forecasts = statuses.map(status => this.buildForecast(status, names, now));
+        return planMoves(this.forecasts);
+    }
+
+    /**
+     * Reads the forecasts on which the last round was planned.
+     * @returns one forecast for each pool
+     */
+    readForecasts(): readonly PoolForecast[] {
+        return this.forecasts;
     }
 
     private buildForecast(status: PoolStatus, names: readonly string[], now: number): PoolForecast {
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -120,6 +120,7 @@
             isInMaintenance: vm => this.maintenance.isInMaintenance(vm),
             isUsable: target => this.sessions.find(target)?.isUsable() === true,
             log,
+            measure: (work, run) => dependencies.load.measure(work, run),
             clock,
             moveMs: settings.vms.move_s * msPerSecond,
         });
--- a/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
@@ -12,6 +12,19 @@
         expect(meter.takeInterval()).toMatchObject({ rounds: 0, roundMs: 0, longestRoundMs: 0, requests: 0 });
     });
 
+    // Two codes could not be compared by what a start, a commit or an event costs.
+    it("reports the starts, the commits and the events of the event loop of each interval apart", async () => {
+        const meter = new LoadMeter();
+        meter.noteStarts(7);
+        meter.noteStarts(2);
+        meter.noteCommit();
+        await new Promise(resolve => setTimeout(resolve, 5));
+        const interval = meter.takeInterval();
+        expect(interval).toMatchObject({ starts: 9, commits: 1 });
+        expect(interval.loops).not.toBe(0);
+        expect(meter.takeInterval()).toMatchObject({ starts: 0, commits: 0, loops: interval.loops && 0 });
+    });
+
     it("names the most frequent kinds of requests", () => {
         const meter = new LoadMeter();
         ["sent log", "received report", "sent log"].forEach(kind => meter.noteRequest(kind));
--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -17,6 +17,13 @@
     /** Time spent in scheduling rounds without the wait for their commits, milliseconds. */
     readonly roundMs: number;
     readonly longestRoundMs: number;
+    /** Iterations of the event loop and the events that it handled; `undefined` where the runtime does not count them. */
+    readonly loops: number | undefined;
+    readonly events: number | undefined;
+    /** Tasks whose start was recorded. */
+    readonly starts: number;
+    /** Groups of entries of the replicated log that were committed together. */
+    readonly commits: number;
     /** Requests that were sent to and received from other processes. */
     readonly requests: number;
     /** The most frequent kinds of these requests with their numbers, most frequent first. */
@@ -37,6 +44,9 @@
     private rounds = 0;
     private roundMs = 0;
     private longestRoundMs = 0;
+    private starts = 0;
+    private commits = 0;
+    private loopCounts = readLoopCounts();
     private readonly requestKinds = new Map<string, number>();
     private readonly workMs = new Map<string, number>();
     /** Time of work within the work that is being measured, milliseconds. */
@@ -64,6 +74,19 @@
         this.longestRoundMs = Math.max(this.longestRoundMs, durationMs);
     }
 
+    /**
+     * Records starts of tasks.
+     * @param count - number of recorded starts
+     */
+    noteStarts(count: number): void {
+        this.starts += count;
+    }
+
+    /** Records that entries of the replicated log were committed and applied together. */
+    noteCommit(): void {
+        this.commits += 1;
+    }
+
     /**
      * Records a request that was sent to or received from another process.
      * @param kind - its direction and kind
@@ -99,6 +122,7 @@
     takeInterval(): LoadInterval {
         const cpu = process.cpuUsage(this.cpu);
         const utilization = performance.eventLoopUtilization(this.utilization);
+        const loopCounts = readLoopCounts();
         const kinds = [...this.requestKinds].sort(([, a], [, b]) => b - a);
         const interval = {
             cpuMs: Math.round((cpu.user + cpu.system) / microsecondsPerMs),
@@ -106,6 +130,10 @@
             rounds: this.rounds,
             roundMs: Math.round(this.roundMs),
             longestRoundMs: Math.round(this.longestRoundMs),
+            loops: computeDifference(loopCounts.loopCount, this.loopCounts.loopCount),
+            events: computeDifference(loopCounts.events, this.loopCounts.events),
+            starts: this.starts,
+            commits: this.commits,
             requests: kinds.reduce((sum, [, count]) => sum + count, 0),
             requestKinds: kinds.slice(0, namedKinds).map(([kind, count]) => `${kind} ${count}`).join(", "),
             workMs: this.describeWork(),
@@ -118,6 +146,9 @@
         this.rounds = 0;
         this.roundMs = 0;
         this.longestRoundMs = 0;
+        this.starts = 0;
+        this.commits = 0;
+        this.loopCounts = loopCounts;
         this.requestKinds.clear();
         this.workMs.clear();
         this.gcMs = 0;
@@ -130,3 +161,18 @@
         return works.map(([work, ms]) => `${work} ${Math.round(ms)}`).join(", ");
     }
 }
+
+/** Counters of the event loop since the start of the process; `undefined` in releases of the runtime before 20.18. */
+interface LoopCounts {
+    readonly loopCount: number | undefined;
+    readonly events: number | undefined;
+}
+
+function readLoopCounts(): LoopCounts {
+    const { uvMetricsInfo }: { uvMetricsInfo?: { loopCount: number; events: number } } = performance.nodeTiming;
+    return { loopCount: uvMetricsInfo?.loopCount, events: uvMetricsInfo?.events };
+}
+
+function computeDifference(newer: number | undefined, older: number | undefined): number | undefined {
+    return newer === undefined || older === undefined ? undefined : newer - older;
+}
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -5,6 +5,7 @@
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 import { afterEach, describe, expect, it } from "@jest/globals";
 
+import { DecisionKind } from "../logging/decision-kind.js";
 import { FakeKeeper } from "../testing/fake-keeper.js";
 import { FakeVmService } from "../testing/fake-vm-service.js";
 import { ManualClock } from "../testing/manual-clock.js";
@@ -31,7 +32,12 @@
         const leadership = new Leadership(keeper, 1);
         const vms = new FakeVmService();
         records.forEach(({ vm, pool, id }) => vms.addVm(vm, pool, id));
-        const log = { record: () => undefined };
+        const lines: { kind: DecisionKind; fields: Record<string, unknown> }[] = [];
+        const log = {
+            record: (kind: DecisionKind, fields: Record<string, unknown>) => {
+                lines.push({ kind, fields });
+            },
+        };
         const sessions = {
             collectCrashedRuns: () => [],
             findAnsweredClock: () => undefined,
@@ -49,6 +55,7 @@
             isInMaintenance,
             isUsable: () => true,
             log,
+            measure: (_, run) => run(),
             clock,
             moveMs,
         });
@@ -57,6 +64,7 @@
             state,
             keeper,
             vms,
+            lines,
             runFor: runWorker(balancer, clock),
             sendHeartbeats: async (isSending: (vm: string) => boolean = () => true) => {
                 sequence += 1;
@@ -131,6 +139,21 @@
         expect(readRequests()).toContain("vm9 web");
     });
 
+    // Nothing told whether a pool that was short of VMs had none ordered, had them under way, or gave others back.
+    it("tells once a second what it expects of each pool, and which VMs are idle, under way or returned", async () => {
+        const { lines, runFor, sendHeartbeats } = createFixture();
+        await sendHeartbeats();
+        await runFor(2_050);
+        const forecasts = lines.filter(({ kind }) => kind === DecisionKind.PoolForecast).map(({ fields }) => fields);
+        const ofWeb = forecasts.filter(({ pool }) => pool === "web");
+        expect(ofWeb.length).toBeGreaterThanOrEqual(2);
+        expect(ofWeb.length).toBeLessThanOrEqual(3);
+        expect(ofWeb[0]).toMatchObject({ isSpare: false, used: 0, wanted: 0, expected: 0, idle: 2, incoming: 0 });
+        const returned = ofWeb.reduce((sum, { movesReturned }) => sum + Number(movesReturned), 0);
+        expect(returned).toBe(1);
+        expect(forecasts.filter(({ pool }) => pool === "off").some(({ incoming }) => incoming === 1)).toBe(true);
+    });
+
     // A fault of the VM service's client ended the process.
     it("goes on with other VMs when a request for one throws", async () => {
         const { state, vms, runFor, readRequests } = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -22,11 +22,15 @@
 import type { VmService } from "../vms/vm-service.js";
 import { VmState } from "../vms/vm-state.js";
 import type { Leadership } from "./leadership.js";
+import type { MeasureWork } from "./measure-work.js";
+import { MoveCounter } from "./move-counter.js";
 import type { VmLeaseTracker } from "./vm-lease-tracker.js";
 
 const intervalMs = 100;
 /** Time between two records of the demand by a process that does not lead, milliseconds. */
 const demandRecordIntervalMs = 500;
+/** Time between two log lines about the forecast of a pool, milliseconds. */
+const forecastLogIntervalMs = 1_000;
 /** Time after the end of a move for which a VM that has not reported yet still counts as moving, milliseconds. */
 const arrivalTimeoutMs = 2_000;
 
@@ -44,6 +48,7 @@
     /** Whether tasks may be started on a target. */
     readonly isUsable: (target: string) => boolean;
     readonly log: Pick<DecisionLog, "record">;
+    readonly measure: MeasureWork;
     readonly clock: Clock;
     /** Time that the platform takes to move a VM, milliseconds. */
     readonly moveMs: number;
@@ -75,8 +80,11 @@
     /** Spare pool of each VM that this leader has powered off by moving it there; the cached VM list may be older. */
     private readonly poweredOffVms = new Map<string, string>();
     private readonly planner: VmMovePlanner;
+    private readonly moveCounter = new MoveCounter();
     /** Monotonic milliseconds. */
     private nextDemandRecordAt = 0;
+    /** Monotonic milliseconds. */
+    private nextForecastLogAt = 0;
 
     /**
      * @param dependencies - leadership, VM service, estimator, clock and log
@@ -96,7 +104,7 @@
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
-        const { leadership, vmLeases, clock, log } = this.dependencies;
+        const { leadership, vmLeases, clock, log, measure } = this.dependencies;
         vmLeases.noteRequests();
         const fleet = leadership.readFleet();
         const now = clock.readMonotonic();
@@ -105,7 +113,9 @@
             return intervalMs;
         }
         this.dropArrived(fleet);
-        const moves = this.planner.planRound(this.collectPools(fleet), now);
+        const moves = measure("moves", () => this.planner.planRound(this.collectPools(fleet), now));
+        this.moveCounter.noteMoves(moves);
+        this.writeForecastLines(now);
         // Moves are not awaited, so that a slow VM service does not delay the next round.
         for (const move of moves) {
             const work = { work: WorkKind.VmMove, subject: move.vm };
@@ -115,6 +125,32 @@
         return intervalMs;
     }
 
+    /** Logs one line per second and pool, which tells why VMs were moved, or why they were not. */
+    private writeForecastLines(now: number): void {
+        if (now < this.nextForecastLogAt) {
+            return;
+        }
+        this.nextForecastLogAt = now + forecastLogIntervalMs;
+        const forecasts = this.planner.readForecasts();
+        const spares = new Set(forecasts.filter(({ isSpare }) => isSpare).map(({ name }) => name));
+        const counts = this.moveCounter.takeCounts(forecasts.map(({ name }) => name), pool => spares.has(pool));
+        for (const { name, isSpare, capacity, used, wanted, expected, peak, reserve, idleVms } of forecasts) {
+            this.dependencies.log.record(DecisionKind.PoolForecast, {
+                pool: name,
+                isSpare,
+                capacity,
+                used,
+                wanted,
+                expected: Math.round(expected),
+                peak,
+                reserve: Math.round(reserve),
+                idle: idleVms.length,
+                incoming: [...this.movingVms.values()].filter(({ to }) => to === name).length,
+                ...counts.get(name),
+            });
+        }
+    }
+
     private recordDemands(fleet: FleetState, now: number): void {
         if (now >= this.nextDemandRecordAt) {
             this.nextDemandRecordAt = now + demandRecordIntervalMs;
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -138,6 +138,7 @@
         }
         const stepsByKey = collectStartedSteps(candidates, starts);
         const recorded = yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordStarts, starts }));
+        load.noteStarts(recorded?.length ?? 0);
         for (const { task, run, target } of recorded ?? []) {
             const step = stepsByKey.get(parseStepKey(task));
             if (step !== undefined) {
--- a/packages/daemon/src/job-scheduler/logging/decision-kind.ts
+++ b/packages/daemon/src/job-scheduler/logging/decision-kind.ts
@@ -36,6 +36,7 @@
     CallUnanswered = "call-unanswered",
     CallRefused = "call-refused",
     PoolLoad = "pool-load",
+    PoolForecast = "pool-forecast",
     LeaderLoad = "leader-load",
     TaskPlaced = "task-placed",
     TaskStarted = "task-started",
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -222,7 +222,10 @@
                 noteSent("log");
                 this.load.measure("sent log", () => sender.sendMessages(address, messages));
             },
-            handleApplied: () => leader.startScheduling(),
+            handleApplied: () => {
+                this.load.noteCommit();
+                leader.startScheduling();
+            },
             handleLoaded: loaded => this.log.record(DecisionKind.LogLoaded, { ...loaded }),
         });
         this.keeper = keeper;
