--- a/packages/core/src/pools/plan-moves.test.ts
+++ b/packages/core/src/pools/plan-moves.test.ts
@@ -1,8 +1,10 @@
 import { describe, expect, it } from "@jest/globals";
 
+import { createRandom } from "../testing/create-random.js";
 import { DemandTrend } from "./demand-trend.js";
 import { planMoves } from "./plan-moves.js";
 import type { PoolForecast } from "./pool-forecast.js";
+import type { VmMove } from "./vm-move.js";
 
 const vmCpu = 32_000;
 
@@ -11,6 +13,7 @@
         name,
         isSpare: false,
         capacity: vms * vmCpu,
+        incoming: 0,
         used: 0,
         wanted: 0,
         expected: 0,
@@ -45,8 +48,55 @@
         const short = buildPool("busy", 1, 0, { used: vmCpu, wanted: 100 * vmCpu });
         const falling = buildPool("falling", 15, 8, { used: 6.5 * vmCpu, expected: 6.5 * vmCpu, reserve: vmCpu });
         expect(planMoves([short, falling]).filter(({ from }) => from === "falling")).toHaveLength(7);
-        const waiting = buildPool("waiting", 15, 8, { used: 6.5 * vmCpu, wanted: 1, reserve: vmCpu });
-        expect(planMoves([short, waiting])).toEqual([]);
+    });
+
+    it("lends VMs down to the demand of a lending pool in which tasks wait, and none while that fills the pool", () => {
+        const short = buildPool("busy", 1, 0, { used: vmCpu, wanted: 100 * vmCpu });
+        const countLent = (wantedVms: number) => {
+            const wanted = wantedVms * vmCpu;
+            const expected = 6.5 * vmCpu + wanted;
+            const waiting = buildPool("waiting", 15, 8, { used: 6.5 * vmCpu, wanted, expected, reserve: vmCpu });
+            return planMoves([short, waiting]).filter(({ from, to }) => from === "waiting" && to === "busy").length;
+        };
+        expect([0.1, 2, 4, 6.25].map(countLent)).toEqual([7, 5, 2, 0]);
+    });
+
+    // A pool in which a few tasks waited lent nothing, but gave its VMs back, which reached the short pool 1.5 s later.
+    it("returns no VM to the spare pool while another pool is short of VMs", () => {
+        const random = createRandom(7);
+        for (let round = 0; round < 500; round++) {
+            const pools = ["a", "b", "c", "d"].map(name => {
+                const vms = 1 + Math.floor(random() * 40);
+                const used = random() * vms * vmCpu;
+                const wanted = random() < 0.3 ? 0 : random() ** 4 * 200 * vmCpu;
+                return buildPool(name, vms, Math.floor(random() * (vms - used / vmCpu)), {
+                    used,
+                    wanted,
+                    expected: used + wanted,
+                    peak: used + wanted,
+                    reserve: random() * 0.4 * vms * vmCpu,
+                });
+            });
+            const moves = planMoves([...pools, spare]);
+            const isShort = pools.some(({ name, capacity, used, wanted }) => {
+                const countMoves = (isCounted: (move: VmMove) => boolean) => moves.filter(isCounted).length;
+                const gained = countMoves(({ to }) => to === name) - countMoves(({ from }) => from === name);
+                return used + wanted > 0.75 * (capacity + gained * vmCpu);
+            });
+            const returned = moves.filter(({ to }) => to === spare.name);
+            expect(isShort ? returned : []).toEqual([]);
+        }
+    });
+
+    // A pool in its burst gave back VMs that had just arrived, as those under way covered its demand, while tasks waited.
+    it("neither returns nor lends idle VMs of a pool whose demand only the VMs under way to it cover", () => {
+        const demand = { used: 50 * vmCpu, wanted: 40 * vmCpu, expected: 90 * vmCpu, peak: 90 * vmCpu, reserve: 0 };
+        const bursting = buildPool("bursting", 190, 12, { ...demand, incoming: 128 * vmCpu });
+        expect(planMoves([bursting, spare])).toEqual([]);
+        const short = buildPool("short", 4, 0, { used: 4 * vmCpu, wanted: 20 * vmCpu });
+        expect(planMoves([bursting, short])).toEqual([]);
+        const arrived = buildPool("bursting", 190, 12, { ...demand, incoming: 10 * vmCpu });
+        expect(planMoves([arrived, spare])).toHaveLength(12);
     });
 
     it("keeps one VM in a pool without a reserve", () => {
--- a/packages/core/src/pools/pool-status.ts
+++ b/packages/core/src/pools/pool-status.ts
@@ -7,6 +7,8 @@
     readonly isSpare: boolean;
     /** Capacity of its targets and of the VMs that are moving to it. */
     readonly capacity: number;
+    /** The part of `capacity` that is moving to it. */
+    readonly incoming: number;
     /** Resources that may be in use. */
     readonly used: number;
     /** The part of `used` that long-running tasks hold. */
--- a/packages/core/src/testing/run-pool-simulation.ts
+++ b/packages/core/src/testing/run-pool-simulation.ts
@@ -236,12 +236,13 @@
             const load = loads.get(name);
             const targets = [...fleet.targets.values()].filter(({ pool }) => pool === name);
             const idle = targets.filter(({ id }) => (fleet.targetLoads.get(id)?.runs.size ?? 0) === 0);
-            const incoming = this.arrivals.filter(({ pool }) => pool === name).length;
+            const incoming = vmCpu * this.arrivals.filter(({ pool }) => pool === name).length;
             const poweredOff = [...this.poweredOff].filter(([, pool]) => pool === name).map(([vm]) => vm);
             return {
                 name,
                 isSpare,
-                capacity: (load?.capacity ?? 0) + incoming * vmCpu,
+                capacity: (load?.capacity ?? 0) + incoming,
+                incoming,
                 used: load?.used ?? 0,
                 usedLongRunning: load?.usedLongRunning ?? 0,
                 wanted: load?.wanted ?? 0,
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -195,12 +195,13 @@
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
             const load = loads.get(name);
             const cordoned = cordonedLoads.get(name);
-            const incoming = [...this.movingVms.values()].filter(({ to }) => to === name);
+            const incoming = [...this.movingVms.values()].filter(({ to }) => to === name)
+                .reduce((sum, { cpu }) => sum + cpu, 0);
             return {
                 name,
                 isSpare,
-                capacity: (load?.capacity ?? 0) - (cordoned?.capacity ?? 0)
-                    + incoming.reduce((sum, { cpu }) => sum + cpu, 0),
+                capacity: (load?.capacity ?? 0) - (cordoned?.capacity ?? 0) + incoming,
+                incoming,
                 used: (load?.used ?? 0) - (cordoned?.usedShortRunning ?? 0),
                 usedLongRunning: load?.usedLongRunning ?? 0,
                 wanted: load?.wanted ?? 0,
