Let a pool lend VMs while tasks wait in it, down to what it needs itself

Cause: a pool lent nothing while any task waited in it, and a pool of 1,000 starts a second nearly always has a few (late ones, tasks that must not share a target); what it returns to the spare pool did not depend on that. So it returned what it was not allowed to lend. Change: waiting tasks count towards what a lender keeps, like its running ones. It keeps less to lend (85 %) than to return (70 %), so no VM is returned while a pool is short that could have it. Ruled out: that the short pool ordered too little (it wants 202 to 1,301 % of its capacity from 11 to 14 s).

--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -69,17 +69,16 @@
 }
 
 /**
- * Tells whether a pool may lend a VM. A spare pool may while it has an idle VM; another pool only while no task waits
- * in it and the capacity left covers its reserve and its current and forecast demand.
+ * Tells whether a pool may lend a VM. A spare pool may while it has an idle VM; another pool while the capacity left
+ * covers its reserve, its tasks (waiting ones too) and its forecast demand.
  */
 function isLender({ pool, capacity, idle }: PlannedPool): boolean {
     const left = capacity - (idle[0]?.cpu ?? 0);
     const needed = Math.max(
         computeMinCapacity(pool),
-        pool.used / maxLenderUtilization,
-        pool.expected / maxLenderUtilization,
+        Math.max(pool.used + pool.wanted, pool.expected) / maxLenderUtilization,
     );
-    return idle.length > 0 && (pool.isSpare || (pool.wanted === 0 && left >= needed));
+    return idle.length > 0 && (pool.isSpare || left >= needed);
 }
 
 /** Computes the capacity that a pool always keeps: its reserve, and at least one VM when it is the home of any. */
