Keep the VMs that have arrived in a pool whose demand is to be covered by others under way

Cause: the capacity of a pool counts the VMs under way to it, also for what it gives away. When the forecast of its growth falls, capacity under way exceeds the demand, and VMs that have just arrived, idle until the next round, were returned. Change: what a pool lends or returns has to be covered by the capacity that has arrived. What it borrows still counts both.

--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -13,7 +13,10 @@
 /** A pool with its capacity and idle VMs after the moves that the round has planned so far. */
 interface PlannedPool {
     readonly pool: PoolForecast;
+    /** With the VMs that are under way to it. */
     capacity: number;
+    /** Without them. */
+    arrivedCapacity: number;
     readonly idle: PoolForecast["idleVms"][number][];
 }
 
@@ -21,12 +24,18 @@
  * Plans which VMs change their pool. Demand exceeds the capacity of one pool after another, so idle VMs of the spare
  * pool and of calm pools move to the pool that is short. A pool lends VMs as long as it keeps enough capacity for its
  * own demand and its reserve. It returns the idle VMs that are left then, except those that its recent peak, its
- * forecast demand or its reserve needs. Only VMs on which nothing runs move, so that no task is aborted.
+ * forecast demand or its reserve needs. VMs under way to a pool do not count for what it gives away, as its tasks wait for
+ * them and can start on those that have arrived. Only VMs on which nothing runs move, so that no task is aborted.
  * @param pools - all pools
  * @returns the moves
  */
 export function planMoves(pools: readonly PoolForecast[]): VmMove[] {
-    const planned = pools.map(pool => ({ pool, capacity: pool.capacity, idle: [...pool.idleVms] }));
+    const planned = pools.map(pool => ({
+        pool,
+        capacity: pool.capacity,
+        arrivedCapacity: pool.capacity - pool.incoming,
+        idle: [...pool.idleVms],
+    }));
     const byShortage = planned.filter(item => !item.pool.isSpare && computeShortage(item) > 0)
         .sort((a, b) => computeShortage(b) - computeShortage(a));
     const moves: VmMove[] = [];
@@ -55,6 +64,7 @@
         const [idle] = position < 0 ? [] : lender.idle.splice(position, 1);
         if (idle !== undefined) {
             lender.capacity -= idle.cpu;
+            lender.arrivedCapacity -= idle.cpu;
             borrower.capacity += idle.cpu;
             return { vm: idle.vm, from: lender.pool.name, to: borrower.pool.name };
         }
@@ -70,10 +80,10 @@
 
 /**
  * Tells whether a pool may lend a VM. A spare pool may while it has an idle VM; another pool while the capacity left
- * covers its reserve, its tasks (waiting ones too) and its forecast demand.
+ * without VMs under way covers its reserve, its tasks (waiting ones too) and its forecast demand.
  */
-function isLender({ pool, capacity, idle }: PlannedPool): boolean {
-    const left = capacity - (idle[0]?.cpu ?? 0);
+function isLender({ pool, arrivedCapacity, idle }: PlannedPool): boolean {
+    const left = arrivedCapacity - (idle[0]?.cpu ?? 0);
     const needed = Math.max(
         computeMinCapacity(pool),
         Math.max(pool.used + pool.wanted, pool.expected) / maxLenderUtilization,
@@ -99,7 +109,7 @@
     return planned.filter(({ pool }) => !pool.isSpare).flatMap(item =>
         item.idle.flatMap(({ vm, home, cpu }) => {
             const to = spare ?? home;
-            const left = item.capacity - cpu;
+            const left = item.arrivedCapacity - cpu;
             const needed = Math.max(
                 computeMinCapacity(item.pool),
                 Math.max(item.pool.peak, item.pool.expected) / surplusUtilization,
@@ -107,7 +117,7 @@
             if (left < needed || to === item.pool.name) {
                 return [];
             }
-            item.capacity = left;
+            item.arrivedCapacity = left;
             return [{ vm, from: item.pool.name, to }];
         })
     );
