Collect the demand of pools in one pass over targets and jobs, without estimates

Cause: ten times a second the pool balancer collected the scheduler's candidates, with the critical path and remaining work of each waiting job, and went through all targets for each pool. Change: collectPoolDemands adds up capacity, use and waiting cores in one pass over the targets and one over the waiting steps; idle VMs are collected in one pass as well. The lists of due occurrences and waiting steps are shared with the scheduler's candidates.

--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -1,29 +1,23 @@
 import type { QueueConfiguration } from "../configuration/queue-configuration.js";
 import { readConfigurationIndex } from "../configuration/read-configuration-index.js";
 import type { FleetState } from "../fleet/fleet-state.js";
-import { countOccurrences } from "../jobs/count-occurrences.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
-import { isStepReady } from "../jobs/is-step-ready.js";
 import type { JobStep } from "../jobs/job-step.js";
 import type { Job } from "../jobs/job.js";
-import { TaskPhase } from "../jobs/task-phase.js";
 import { isWithin } from "../resources/is-within.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import { computeCriticalPath } from "./compute-critical-path.js";
+import { computeDueTime } from "./compute-due-time.js";
 import { computeRemainingWork } from "./compute-remaining-work.js";
 import { computeShareExcesses } from "./compute-share-excesses.js";
 import { computeUrgency } from "./compute-urgency.js";
+import { listDueOccurrences } from "./list-due-occurrences.js";
+import { listWaitingSteps } from "./list-waiting-steps.js";
 import { readPool } from "./read-pool.js";
 import type { StepCandidate } from "./step-candidate.js";
 import { Urgency } from "./urgency.js";
 import type { WorkEstimator } from "./work-estimator.js";
 
-/** Number of occurrences of a job that may begin in one round, so that a round does not grow with those that are overdue. */
-const maxNewOccurrences = 16;
-
-/** Number of steps of an occurrence that may start in one round, so that a round does not grow with the size of a job. */
-const maxReadySteps = 64;
-
 /**
  * Collects the steps that have tasks to start.
  * @param fleet - the fleet state
@@ -120,62 +114,13 @@
 
 function addCandidates(candidates: MarkedCandidate[], context: OccurrenceContext): void {
     const { job, queue, occurrence } = context;
-    const dueAt = computeDueTime(job, occurrence);
-    let estimated: OccurrenceEstimate | undefined;
-    let readyCount = 0;
-    for (const [step, definition] of job.steps.entries()) {
-        const waiting = listWaitingTasks(job, occurrence, step);
-        if (waiting.length > 0) {
-            estimated ??= computeEstimate(context, dueAt);
-            candidates.push({ job, queue, occurrence, step, definition, waiting, isBacklogLate: false, ...estimated });
-            readyCount += 1;
-        }
-        if (readyCount >= maxReadySteps) {
-            break;
-        }
-    }
-}
-
-/** Lists the occurrences that have begun and are not done, and the next ones that are due. */
-function listDueOccurrences(job: Job, now: number, isMemoryFull: boolean): readonly number[] {
-    const occurrences = [...job.occurrences.keys()];
-    // The memory of one occurrence was counted when the job was accepted.
-    const maxNew = isMemoryFull ? Math.max(0, 1 - occurrences.length) : maxNewOccurrences;
-    const end = Math.min(countOccurrences(job), job.begunCount + maxNew);
-    for (let occurrence = job.begunCount; occurrence < end; occurrence++) {
-        if (job.times > 0 && now < computeDueTime(job, occurrence)) {
-            break;
-        }
-        occurrences.push(occurrence);
-    }
-    return occurrences;
-}
-
-function computeDueTime(job: Job, occurrence: number): number {
-    return job.times > 0 ? job.startAtMs + occurrence * job.intervalMs : job.acceptedAtMs;
-}
-
-/** Lists the indexes of the tasks of a step that may start now. */
-function listWaitingTasks(job: Job, occurrence: number, step: number): number[] {
-    const waiting: number[] = [];
-    const progress = job.occurrences.get(occurrence)?.[step];
-    if (progress === undefined) {
-        const { after, count } = job.steps[step] ?? { after: [], count: 0 };
-        for (let index = 0; after.length === 0 && index < count; index++) {
-            waiting.push(index);
-        }
-        return waiting;
-    }
-    if (progress.doneCount === progress.tasks.length) {
-        return waiting;
-    }
-    // Called for each step of each active job in every round; most tasks are running.
-    for (let index = 0; index < progress.tasks.length; index++) {
-        if (progress.tasks[index]?.phase === TaskPhase.Waiting) {
-            waiting.push(index);
+    const waitingSteps = listWaitingSteps(job, occurrence);
+    if (waitingSteps.length > 0) {
+        const estimated = computeEstimate(context, computeDueTime(job, occurrence));
+        for (const waitingStep of waitingSteps) {
+            candidates.push({ job, queue, occurrence, ...waitingStep, isBacklogLate: false, ...estimated });
         }
     }
-    return waiting.length > 0 && !isStepReady(job, occurrence, step) ? [] : waiting;
 }
 
 /** Computes what decides on the order of steps; it is the same for all steps of an occurrence. */
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -116,7 +116,6 @@
             leadership,
             vmLeases,
             vms,
-            estimator: this.estimator,
             isInMaintenance: vm => this.maintenance.isInMaintenance(vm),
             isUsable: target => this.sessions.find(target)?.isUsable() === true,
             log,
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -51,7 +51,6 @@
             leadership,
             vmLeases: new VmLeaseTracker({ leadership, vms, clock, log, holder: "k0", holderLeaseMs: 3_000 }),
             vms,
-            estimator: { computeStepMs: () => 500, readMeanJobWork: () => 1 },
             isInMaintenance,
             isUsable: () => true,
             log,
@@ -139,6 +138,47 @@
         expect(readRequests()).toContain("vm9 web");
     });
 
+    // A full leader spent as much time on the demand of pools, ten times a second, as on its scheduling rounds.
+    it("neither goes through the targets for each pool nor estimates the work that waits", async () => {
+        const { state, runFor, sendHeartbeats } = createFixture();
+        const { configuration, targets } = state.fleet;
+        if (configuration === undefined) {
+            throw new TypeError("the test fleet has no configuration");
+        }
+        let visits = 0;
+        let estimates = 0;
+        const countVisits = <Value>(iterator: MapIterator<Value>) => ({
+            *[Symbol.iterator]() {
+                for (const value of iterator) {
+                    visits += 1;
+                    yield value;
+                }
+            },
+        });
+        const originalValues = targets.values.bind(targets);
+        Object.assign(targets, { values: () => countVisits(originalValues()) });
+        const pools = Array.from(
+            { length: 30 },
+            (_, index) => ({ name: `p${index}`, isGuarded: true, isSpare: false }),
+        );
+        const queues = configuration.queues.map(queue => ({
+            ...queue,
+            get stretch() {
+                estimates += 1;
+                return 1.6;
+            },
+        }));
+        state.fleet.configuration = { ...configuration, pools: [...configuration.pools, ...pools], queues };
+        addTestJob(state, "b", [buildTestStep({ count: 20 })]);
+        await sendHeartbeats();
+        visits = 0;
+        estimates = 0;
+        await runFor(950);
+        const rounds = 10;
+        expect(visits / rounds / targets.size).toBeLessThan(10);
+        expect(estimates).toBe(0);
+    });
+
     // Nothing told whether a pool that was short of VMs had none ordered, had them under way, or gave others back.
     it("tells once a second what it expects of each pool, and which VMs are idle, under way or returned", async () => {
         const { lines, runFor, sendHeartbeats } = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -1,13 +1,12 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { collectPoolDemands } from "@daisylock/core/pools/collect-pool-demands.js";
 import { computeHomeCapacities } from "@daisylock/core/pools/compute-home-capacities.js";
+import type { IdleVm } from "@daisylock/core/pools/idle-vm.js";
 import type { PoolStatus } from "@daisylock/core/pools/pool-status.js";
 import { VmCapacityIndex } from "@daisylock/core/pools/vm-capacity-index.js";
 import { VmMovePlanner } from "@daisylock/core/pools/vm-move-planner.js";
 import type { VmMove } from "@daisylock/core/pools/vm-move.js";
-import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
-import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
-import type { WorkEstimator } from "@daisylock/core/queueing/work-estimator.js";
 import { zeroResources } from "@daisylock/core/resources/zero-resources.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 
@@ -42,7 +41,6 @@
     readonly leadership: Leadership;
     readonly vmLeases: VmLeaseTracker;
     readonly vms: VmService;
-    readonly estimator: WorkEstimator;
     /** Whether a VM is down or being drained for maintenance. */
     readonly isInMaintenance: (vm: string) => boolean;
     /** Whether tasks may be started on a target. */
@@ -186,27 +184,26 @@
     }
 
     private collectPools(fleet: FleetState): PoolStatus[] {
-        const { estimator, clock } = this.dependencies;
-        const candidates = collectCandidates(fleet, clock.readWall(), estimator);
-        const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
+        const demands = collectPoolDemands(fleet, this.dependencies.clock.readWall());
         const index = new VmCapacityIndex(fleet.targets.values());
         const homeCapacities = computeHomeCapacities(fleet, index);
         const cordonedLoads = this.computeCordonedLoads(fleet);
+        const idleVms = this.collectIdleVms(fleet);
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
-            const load = loads.get(name);
+            const demand = demands.get(name);
             const cordoned = cordonedLoads.get(name);
             const incoming = [...this.movingVms.values()].filter(({ to }) => to === name)
                 .reduce((sum, { cpu }) => sum + cpu, 0);
             return {
                 name,
                 isSpare,
-                capacity: (load?.capacity ?? 0) - (cordoned?.capacity ?? 0) + incoming,
+                capacity: (demand?.capacity ?? 0) - (cordoned?.capacity ?? 0) + incoming,
                 incoming,
-                used: (load?.used ?? 0) - (cordoned?.usedShortRunning ?? 0),
-                usedLongRunning: load?.usedLongRunning ?? 0,
-                wanted: load?.wanted ?? 0,
+                used: (demand?.used ?? 0) - (cordoned?.usedShortRunning ?? 0),
+                usedLongRunning: demand?.usedLongRunning ?? 0,
+                wanted: demand?.wanted ?? 0,
                 homeCapacity: homeCapacities.get(name) ?? 0,
-                idleVms: isSpare ? this.listSpareVms(fleet, index, name) : this.listIdleVms(fleet, name),
+                idleVms: isSpare ? this.listSpareVms(fleet, index, name) : idleVms.get(name) ?? [],
             };
         });
     }
@@ -231,16 +228,26 @@
         return loads;
     }
 
-    private listIdleVms(fleet: FleetState, pool: string): PoolStatus["idleVms"] {
+    /** Collects by pool the VMs on which nothing may be running and which may leave. */
+    private collectIdleVms(fleet: FleetState): ReadonlyMap<string, IdleVm[]> {
         const { isUsable, isInMaintenance, vmLeases } = this.dependencies;
-        return [...fleet.targets.values()]
-            .filter(target =>
-                target.pool === pool && target.vm !== "" && target.state === ReportedTargetState.Ready
-                && (fleet.targetLoads.get(target.id)?.runs.size ?? 0) === 0
-                && isUsable(target.id) && !isInMaintenance(target.vm) && !this.movingVms.has(target.vm)
-                && vmLeases.isLeaseAvailable(target.vm)
-            )
-            .map(({ vm, capacity }) => ({ vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: capacity.cpu }));
+        const idleVms = new Map<string, IdleVm[]>();
+        for (const { id, vm, pool, state, capacity } of fleet.targets.values()) {
+            const isIdle = vm !== "" && state === ReportedTargetState.Ready
+                && (fleet.targetLoads.get(id)?.runs.size ?? 0) === 0
+                && isUsable(id) && !isInMaintenance(vm) && !this.movingVms.has(vm) && vmLeases.isLeaseAvailable(vm);
+            if (isIdle) {
+                const idleVm = { vm, home: fleet.vmHomes.get(vm) ?? pool, cpu: capacity.cpu };
+                const others = idleVms.get(pool);
+                if (others === undefined) {
+                    idleVms.set(pool, [idleVm]);
+                }
+                else {
+                    others.push(idleVm);
+                }
+            }
+        }
+        return idleVms;
     }
 
     private listSpareVms(fleet: FleetState, index: VmCapacityIndex, pool: string): PoolStatus["idleVms"] {
