Check the targets that are kept for suspects, instead of each target with a start

Cause: while any task of the fleet was a suspect, each confirmed start had its target checked 110 ms later, in all pools, and again until nothing was on probation there. A check matters only where it lets a suspect start or clears one: on the target where it runs, and on one that the round keeps for it. Change: the round tells the targets that it keeps while runs on them are on probation; these and the targets of suspects are checked. Class: work for a failure that grows with the load of those that it does not concern. Tests: 'does not have its target checked for suspects elsewhere' and 'tells which target is kept ...' fail before.

--- a/packages/core/src/placement/plan-starts.ts
+++ b/packages/core/src/placement/plan-starts.ts
@@ -40,7 +40,7 @@
     {
         compare = compareCandidates,
         isAdvised = () => false,
-        probation = { isOnProbation: () => false, countOnProbation: () => 0 },
+        probation = { isOnProbation: () => false, countOnProbation: () => 0, noteKept: () => undefined },
     }: PlanOptions = {},
 ): TaskStart[] {
     const round = new PlacementRound(fleet, pools, isAdvised);
--- a/packages/core/src/placement/plan-suspects.test.ts
+++ b/packages/core/src/placement/plan-suspects.test.ts
@@ -18,7 +18,11 @@
 const estimator = { computeStepMs: (_: unknown, step: JobStep) => step.estimateMs, readMeanJobWork: () => 1_000 };
 
 /** Plans and records one round. All runs on the given targets count as on probation. */
-function runRound(state: ControlState, recentTargets: readonly string[] = []): readonly TaskStart[] {
+function runRound(
+    state: ControlState,
+    recentTargets: readonly string[] = [],
+    noteKept: (target: string) => void = () => undefined,
+): readonly TaskStart[] {
     const countRuns = (target: string): number => state.fleet.targetLoads.get(target)?.runs.size ?? 0;
     const starts = planStarts(
         state.fleet,
@@ -28,6 +32,7 @@
             probation: {
                 isOnProbation: (_task, _run, target) => recentTargets.includes(target),
                 countOnProbation: target => recentTargets.includes(target) ? countRuns(target) : 0,
+                noteKept,
             },
         },
     );
@@ -160,4 +165,18 @@
         stopTarget(state, "t0");
         expect(listTargets(runRound(state), "a")).toHaveLength(5);
     });
+
+    it("tells which target is kept until its runs have passed their probation, and no other", () => {
+        const state = buildTestFleet(2, capacity);
+        addTestJob(state, "a", [buildTestStep({ count: 4 })]);
+        runRound(state);
+        addTestJob(state, "b", [buildTestStep({ count: 2 })]);
+        runRound(state);
+        stopTarget(state, "t0");
+        const kept: string[] = [];
+        expect([runRound(state, ["t1"], target => kept.push(target)), kept]).toEqual([[], ["t1"]]);
+        kept.length = 0;
+        expect(runRound(state, [], target => kept.push(target))).not.toEqual([]);
+        expect(kept).toEqual([]);
+    });
 });
--- a/packages/core/src/placement/plan-suspects.ts
+++ b/packages/core/src/placement/plan-suspects.ts
@@ -66,6 +66,8 @@
         waiting.some(index => isRepeatedTask(candidate, index));
     [...suspectSteps.filter(suspect => !isRepeated(suspect)), ...suspectSteps.filter(isRepeated)]
         .forEach(({ candidate, waiting }) => planSuspectStep(round, candidate, waiting, quotas));
+    [...round.pools.values()].flat().filter(({ isQuarantined, recentRuns }) => isQuarantined && recentRuns > 0)
+        .forEach(({ record }) => probation.noteKept(record.id));
     return heldSteps;
 }
 
--- a/packages/core/src/placement/probation-view.ts
+++ b/packages/core/src/placement/probation-view.ts
@@ -4,4 +4,6 @@
     readonly isOnProbation: (task: string, run: number, target: string) => boolean;
     /** Counts the runs on a target that are on probation. */
     readonly countOnProbation: (target: string) => number;
+    /** Called for each target that is kept for suspects while runs on it are on probation. */
+    readonly noteKept: (target: string) => void;
 }
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -59,7 +59,7 @@
     readonly startRenewal: () => void;
     /** The same, with the running tasks also when runs have ended. */
     readonly startListing: () => void;
-    /** Called when the target has confirmed a start. */
+    /** Called when the target has confirmed the start of a suspect. */
     readonly checkProbation: () => void;
 }
 
@@ -198,7 +198,9 @@
             request.isStartUnanswered = false;
             if (response.result === TargetRequestResult.Done) {
                 request.confirmedClockMs ??= response.clockMs;
-                this.session.checkProbation();
+                if (this.dependencies.leadership.readFleet().suspectTasks.has(task)) {
+                    this.session.checkProbation();
+                }
             }
             log.record(DecisionKind.TaskStarted, {
                 task,
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -174,6 +174,7 @@
             probation: {
                 isOnProbation: (task, run, target) => sessions.find(target)?.isOnProbation(task, run) !== false,
                 countOnProbation: target => sessions.find(target)?.countOnProbation() ?? 0,
+                noteKept: target => sessions.find(target)?.checkProbation(),
             },
         });
     }
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -771,24 +771,38 @@
     });
 
     describe("a run on probation", () => {
-        it("has its target checked at its end while there are suspects, and not otherwise", async () => {
-            for (const hasSuspects of [true, false]) {
+        it("has its target checked at its end if it is a suspect, or if the target is kept for one", async () => {
+            for (const isKept of [false, true]) {
                 const fixture = createFixture();
                 const session = fixture.openSession();
                 await fixture.clock.runFor(200);
-                if (hasSuspects) {
-                    fixture.addSuspect("b.0.0.0");
-                }
+                fixture.addSuspect(isKept ? "b.0.0.0" : task);
                 fixture.recordStart();
                 session.startTask(task, 1);
                 await fixture.clock.runFor(60);
                 expect(session.isOnProbation(task, 1)).toBe(true);
-                await fixture.clock.runFor(80);
-                expect(session.isOnProbation(task, 1)).toBe(!hasSuspects);
-                expect(fixture.client.checkCount).toBe(hasSuspects ? 1 : 0);
+                if (isKept) {
+                    session.checkProbation();
+                }
+                await fixture.clock.runFor(isKept ? 120 : 80);
+                expect(session.isOnProbation(task, 1)).toBe(false);
+                expect(fixture.client.checkCount).toBe(1);
                 session.close();
             }
         });
+
+        // One suspect had every target with a start checked: 656 requests a second in the burst of another pool.
+        it("does not have its target checked for suspects elsewhere", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.addSuspect("b.0.0.0");
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(400);
+            expect(fixture.client.checkCount).toBe(0);
+            session.close();
+        });
     });
 
     describe("a capacity that has shrunk", () => {
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -332,6 +332,24 @@
         return [...this.readLoad().runs].filter(([task, run]) => this.isOnProbation(task, run)).length;
     }
 
+    /**
+     * Checks after the probation of a run whether the target is alive, unless another response tells so before. Called for
+     * targets on which a suspect is on probation or that are kept for one: runs on probation keep suspects from starting
+     * there, and a busy target may respond only later.
+     */
+    checkProbation(): void {
+        if (this.isProbationCheckPlanned) {
+            return;
+        }
+        this.isProbationCheckPlanned = true;
+        const work = { work: WorkKind.ReachabilityCheck, subject: this.record.id };
+        this.dependencies.clock.schedule(probationCheckMs, () => {
+            this.isProbationCheckPlanned = false;
+            startContained(this.noteFault, work, () => this.runProbationCheck());
+            this.dependencies.startScheduling();
+        });
+    }
+
     /**
      * Takes note of ends of runs that are recorded.
      * @param ends - the ends, all of runs on this target
@@ -355,30 +373,13 @@
         }
     }
 
-    /**
-     * Checks after the probation of a run whether the target is alive, unless another response tells so before. Runs on
-     * probation keep others from starting there while there are suspects, and a busy target may respond only later.
-     */
-    private checkProbation(): void {
-        const hasSuspects = this.dependencies.leadership.readFleet().suspectTasks.size > 0;
-        if (!hasSuspects || this.isProbationCheckPlanned) {
-            return;
-        }
-        this.isProbationCheckPlanned = true;
-        const work = { work: WorkKind.ReachabilityCheck, subject: this.record.id };
-        this.dependencies.clock.schedule(probationCheckMs, () => {
-            this.isProbationCheckPlanned = false;
-            startContained(this.noteFault, work, () => this.runProbationCheck());
-            this.dependencies.startScheduling();
-        });
-    }
-
     private async runProbationCheck(): Promise<void> {
         if (this.isClosed || this.countOnProbation() === 0) {
             return;
         }
         await this.checkReachable();
-        if (this.countOnProbation() > 0) {
+        const { suspectTasks } = this.dependencies.leadership.readFleet();
+        if ([...this.readLoad().runs].some(([task, run]) => suspectTasks.has(task) && this.isOnProbation(task, run))) {
             this.checkProbation();
         }
     }
