Ping the leader only while it replies to no other call

A message costs it .3 to .4 ms (1,171 events take 310 ms at 0 s, 2,206 take 801 ms at 25 s). Change: a reply to any call counts as contact; a ping follows 250 ms without one, and once a second in any case, as only its reply tells the keepers and whether there is a configuration. Readiness ends 1.2 s after the last reply as before.

--- a/packages/daemon/src/job-scheduler/entry/leader-monitor.ts
+++ b/packages/daemon/src/job-scheduler/entry/leader-monitor.ts
@@ -7,14 +7,21 @@
 
 const intervalMs = 250;
 const pingTimeoutMs = 600;
+/** Longest time between two pings, milliseconds, as only they tell the keepers and whether there is a configuration. */
+const maxPingIntervalMs = 1_000;
 /** Time for which an entry stays ready after the last reply of a leader; covers an election and its discovery. */
 const readinessTimeoutMs = 1_200;
 
-/** Monitors whether an entry (ingress process) can reach a leader that accepts jobs. */
+/**
+ * Monitors whether an entry (ingress process) can reach a leader that accepts jobs. Replies to calls show that as well, so
+ * a leader that is busy with calls is not pinged as often.
+ */
 export class LeaderMonitor extends PeriodicWorker {
     override readonly name = "leader-watch";
     private lastReplyAt: number | undefined;
     private wasReachable = false;
+    /** Monotonic milliseconds. */
+    private pingDueAt = 0;
 
     /**
      * @param leaderClient - client for calls to the leader
@@ -35,6 +42,15 @@
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
+        const now = this.clock.readMonotonic();
+        const repliedAt = this.leaderClient.readLastReplyTime();
+        if (this.wasReachable) {
+            this.lastReplyAt = repliedAt;
+            if (now - repliedAt < intervalMs && now < this.pingDueAt) {
+                return intervalMs;
+            }
+        }
+        this.pingDueAt = now + maxPingIntervalMs;
         yield* waitFor(this.leaderClient.updateLeader());
         const reply = yield* waitFor(this.leaderClient.send("ping", {}, pingTimeoutMs));
         const isReachable = reply.isOk && reply.value.hasConfiguration;
--- a/packages/daemon/src/job-scheduler/peers/leader-client.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.ts
@@ -35,6 +35,8 @@
 export class LeaderClient {
     private leader: string | undefined;
     private discovery: Promise<void> | undefined;
+    /** When a leader last replied to a call, monotonic milliseconds. */
+    private lastReplyAt = Number.NEGATIVE_INFINITY;
     private readonly reachability: KeeperReachability;
     /** Peer addresses of the voters as last reported by a leader; the seeds until then. */
     private voters: readonly string[];
@@ -81,6 +83,14 @@
         return this.leader;
     }
 
+    /**
+     * Reads when a leader last replied to a call.
+     * @returns monotonic milliseconds; negative infinity before the first reply
+     */
+    readLastReplyTime(): number {
+        return this.lastReplyAt;
+    }
+
     /**
      * Tells whether most keepers are unresponsive, so that a leader cannot be reached from here.
      * @returns true when no leader is known and most keepers are unresponsive
@@ -133,6 +143,7 @@
             const reply = await this.sendTo(address, name, request, attemptTimeoutMs);
             if (reply.isOk && reply.value.isLeader) {
                 this.leader = address;
+                this.lastReplyAt = this.clock.readMonotonic();
                 return Result.ok(reply.value.value);
             }
             if (reply.isErr) {
