Drop the leader in a test of the member manager only once all keepers have stored the new voters

The test 'bears the loss of a disk once the successor of a lost keeper has had its time' dropped the leader as soon as the leader itself listed the new voters, which is when it appends the change, before others have stored it. The keepers left then still need the lost one: two losses within the time of the successor, which the promise (4 s) does not cover.

--- a/packages/daemon/src/job-scheduler/keeper/member-manager.test.ts
+++ b/packages/daemon/src/job-scheduler/keeper/member-manager.test.ts
@@ -50,7 +50,9 @@
         await group.waitFor(1_000);
         const startedAt = performance.now();
         group.startKeeper("d", false);
-        await group.waitUntil(() => group.listVoters().includes("d") && !group.listVoters().includes(lost));
+        const voters = ["a", "b", "c", "d"].filter(name => name !== lost);
+        await group.waitUntil(() => group.isVoterListStored(voters));
+        expect(group.isVoterListStored(voters)).toBe(true);
         expect(performance.now() - startedAt).toBeLessThan(catchUpMs);
         group.dropKeeper(group.findLeaderName());
         await group.waitUntil(() => group.findLeader() !== undefined);
--- a/packages/daemon/src/job-scheduler/testing/keeper-group.ts
+++ b/packages/daemon/src/job-scheduler/testing/keeper-group.ts
@@ -122,6 +122,17 @@
         return this.listVoters().length;
     }
 
+    /**
+     * Tells whether every keeper of the group has stored the same voters.
+     * @param voters - their names, sorted
+     * @returns false while a change of members has not reached all of them
+     */
+    isVoterListStored(voters: readonly string[]): boolean {
+        return [...this.members.values()].every(({ keeper }) =>
+            Object.keys(keeper.readView()?.members.voters ?? {}).sort().join() === voters.join()
+        );
+    }
+
     /**
      * Waits until a condition holds, but not longer than for a check of it to fail.
      * @param check - the condition
