--- a/packages/daemon/src/job-scheduler/entry/leader-monitor.ts
+++ b/packages/daemon/src/job-scheduler/entry/leader-monitor.ts
@@ -22,6 +22,8 @@
     private wasReachable = false;
     /** Monotonic milliseconds. */
     private pingDueAt = 0;
+    /** When the last check ended, monotonic milliseconds. */
+    private checkedAt = 0;
 
     /**
      * @param leaderClient - client for calls to the leader
@@ -46,7 +48,8 @@
         const repliedAt = this.leaderClient.readLastReplyTime();
         if (this.wasReachable) {
             this.lastReplyAt = repliedAt;
-            if (now - repliedAt < intervalMs && now < this.pingDueAt) {
+            if (repliedAt > this.checkedAt && now < this.pingDueAt) {
+                this.checkedAt = now;
                 return intervalMs;
             }
         }
@@ -67,6 +70,7 @@
             });
             this.wasReachable = isReachable;
         }
+        this.checkedAt = this.clock.readMonotonic();
         return intervalMs;
     }
 }
