--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -1,5 +1,6 @@
 import { applyCommand } from "@daisylock/core/control/apply-command.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
@@ -19,13 +20,29 @@
 
 const moveMs = 1_000;
 
+/** Counts how many targets are visited when the targets are gone through. */
+function createVisitCounter(targets: FleetState["targets"]): () => number {
+    let visits = 0;
+    const readValues = targets.values.bind(targets);
+    const values = () => ({
+        *[Symbol.iterator]() {
+            for (const target of readValues()) {
+                visits += 1;
+                yield target;
+            }
+        },
+    });
+    Object.assign(targets, { values });
+    return () => visits;
+}
+
 describe("PoolBalancer", () => {
     let balancer: PoolBalancer;
     afterEach(() => balancer.stop());
 
-    /** Two idle VMs in a pool that needs one, so that the other is to be moved to the spare pool. */
-    function createFixture(isInMaintenance: (vm: string) => boolean = () => false) {
-        const state = buildTestFleet(2, { cpu: 4_000, memory: 1_000, gpu: 0 });
+    /** Idle VMs in a pool that needs one, so that the others are to be moved to the spare pool. */
+    function createFixture(isInMaintenance: (vm: string) => boolean = () => false, targetCount = 2) {
+        const state = buildTestFleet(targetCount, { cpu: 4_000, memory: 1_000, gpu: 0 });
         const records = [...state.fleet.targets.values()];
         const clock = new ManualClock();
         const keeper = new FakeKeeper(state);
@@ -145,18 +162,8 @@
         if (configuration === undefined) {
             throw new TypeError("the test fleet has no configuration");
         }
-        let visits = 0;
+        const countVisits = createVisitCounter(targets);
         let estimates = 0;
-        const countVisits = <Value>(iterator: MapIterator<Value>) => ({
-            *[Symbol.iterator]() {
-                for (const value of iterator) {
-                    visits += 1;
-                    yield value;
-                }
-            },
-        });
-        const originalValues = targets.values.bind(targets);
-        Object.assign(targets, { values: () => countVisits(originalValues()) });
         const pools = Array.from(
             { length: 30 },
             (_, index) => ({ name: `p${index}`, isGuarded: true, isSpare: false }),
@@ -171,14 +178,27 @@
         state.fleet.configuration = { ...configuration, pools: [...configuration.pools, ...pools], queues };
         addTestJob(state, "b", [buildTestStep({ count: 20 })]);
         await sendHeartbeats();
-        visits = 0;
+        const visitsBefore = countVisits();
         estimates = 0;
         await runFor(950);
         const rounds = 10;
-        expect(visits / rounds / targets.size).toBeLessThan(10);
+        expect((countVisits() - visitsBefore) / rounds / targets.size).toBeLessThan(10);
         expect(estimates).toBe(0);
     });
 
+    // The command that records a move goes through the targets once.
+    it("does not go through the targets for each VM that it moves, apart from recording the move", async () => {
+        const targetCount = 60;
+        const { state, runFor, sendHeartbeats, readRequests } = createFixture(undefined, targetCount);
+        const countVisits = createVisitCounter(state.fleet.targets);
+        await sendHeartbeats();
+        const visitsBefore = countVisits();
+        await runFor(150);
+        const moves = readRequests().length;
+        expect(moves).toBeGreaterThan(30);
+        expect((countVisits() - visitsBefore) / targetCount).toBeLessThan(moves + 20);
+    });
+
     // Nothing told whether a pool that was short of VMs had none ordered, had them under way, or gave others back.
     it("tells once a second what it expects of each pool, and which VMs are idle, under way or returned", async () => {
         const { lines, runFor, sendHeartbeats } = createFixture();
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -114,11 +114,13 @@
         const moves = measure("moves", () => this.planner.planRound(this.collectPools(fleet), now));
         this.moveCounter.noteMoves(moves);
         this.writeForecastLines(now);
+        const index = new VmCapacityIndex(moves.length > 0 ? fleet.targets.values() : []);
         // Moves are not awaited, so that a slow VM service does not delay the next round.
         for (const move of moves) {
+            const cpu = index.readCpu(move.vm);
             const work = { work: WorkKind.VmMove, subject: move.vm };
             // After a fault, the VM counts as moving until the time that a move takes has passed.
-            startContained(createFaultListener(log), work, () => this.runMove(move));
+            startContained(createFaultListener(log), work, () => this.runMove(move, cpu));
         }
         return intervalMs;
     }
@@ -156,9 +158,8 @@
         }
     }
 
-    private async runMove({ vm, from, to }: VmMove): Promise<void> {
+    private async runMove({ vm, from, to }: VmMove, cpu: number): Promise<void> {
         const { leadership, vmLeases, vms, log, clock } = this.dependencies;
-        const cpu = readVmCpu(leadership.readFleet(), vm);
         this.poweredOffVms.delete(vm);
         this.movingVms.set(vm, { to, cpu, since: clock.readMonotonic() });
         const token = leadership.readFencingToken();
@@ -283,8 +284,3 @@
         }
     }
 }
-
-/** Reads the CPU capacity of a VM, millicores. One that is powered off reports none and counts like the smallest. */
-function readVmCpu(fleet: FleetState, vm: string): number {
-    return new VmCapacityIndex(fleet.targets.values()).readCpu(vm);
-}
