--- a/packages/core/src/pools/collect-pool-demands.ts
+++ b/packages/core/src/pools/collect-pool-demands.ts
@@ -17,7 +17,7 @@
  */
 export function collectPoolDemands(fleet: FleetState, now: number): ReadonlyMap<string, PoolDemand> {
     const demands = new Map<string, Writable<PoolDemand>>();
-    const findDemand = (pool: string): Writable<PoolDemand> => {
+    const findOrCreateDemand = (pool: string): Writable<PoolDemand> => {
         const known = demands.get(pool);
         if (known !== undefined) {
             return known;
@@ -27,26 +27,34 @@
         return demand;
     };
     for (const { id, pool, capacity } of fleet.targets.values()) {
-        const demand = findDemand(pool);
+        const demand = findOrCreateDemand(pool);
         const load = fleet.targetLoads.get(id);
         demand.capacity += capacity.cpu;
         demand.used += load?.used.cpu ?? 0;
         demand.usedLongRunning += load?.servingCpu ?? 0;
     }
-    const queues = fleet.configuration === undefined
-        ? undefined
-        : readConfigurationIndex(fleet.configuration).queuesByName;
-    for (const id of fleet.activeJobs) {
-        const job = fleet.jobs.get(id);
+    for (const [pool, cpu] of collectWantedCpu(fleet, now)) {
+        findOrCreateDemand(pool).wanted = cpu;
+    }
+    return demands;
+}
+
+/** Adds up by pool the thousandths of a core that waiting tasks request. */
+function collectWantedCpu({ configuration, activeJobs, jobs }: FleetState, now: number): ReadonlyMap<string, number> {
+    const queues = configuration === undefined ? undefined : readConfigurationIndex(configuration).queuesByName;
+    const wanted = new Map<string, number>();
+    for (const id of activeJobs) {
+        const job = jobs.get(id);
         if (job === undefined || isJobFinished(job)) {
             continue;
         }
-        for (const occurrence of listDueOccurrences(job, now, false)) {
-            for (const { definition, waiting } of listWaitingSteps(job, occurrence)) {
-                findDemand(readPool({ queue: queues?.get(job.queue), job })).wanted += waiting.length
-                    * definition.needs.cpu;
-            }
+        const pool = readPool({ queue: queues?.get(job.queue), job });
+        const waitingSteps = listDueOccurrences(job, now, false).flatMap(occurrence =>
+            listWaitingSteps(job, occurrence)
+        );
+        for (const { definition, waiting } of waitingSteps) {
+            wanted.set(pool, (wanted.get(pool) ?? 0) + waiting.length * definition.needs.cpu);
         }
     }
-    return demands;
+    return wanted;
 }
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -85,7 +85,7 @@
     private nextForecastLogAt = 0;
 
     /**
-     * @param dependencies - leadership, VM service, estimator, clock and log
+     * @param dependencies - leadership, VM service, clock, log and the measurement of work
      */
     constructor(private readonly dependencies: BalancerDependencies) {
         super(dependencies.clock);
@@ -114,10 +114,10 @@
         const moves = measure("moves", () => this.planner.planRound(this.collectPools(fleet), now));
         this.moveCounter.noteMoves(moves);
         this.writeForecastLines(now);
-        const index = new VmCapacityIndex(moves.length > 0 ? fleet.targets.values() : []);
+        const capacities = new VmCapacityIndex(moves.length > 0 ? fleet.targets.values() : []);
         // Moves are not awaited, so that a slow VM service does not delay the next round.
         for (const move of moves) {
-            const cpu = index.readCpu(move.vm);
+            const cpu = capacities.readCpu(move.vm);
             const work = { work: WorkKind.VmMove, subject: move.vm };
             // After a fault, the VM counts as moving until the time that a move takes has passed.
             startContained(createFaultListener(log), work, () => this.runMove(move, cpu));
