Wait for an iteration of the event loop in a test of the load meter

The test waited 5 ms and took it for granted that the event loop had gone round meanwhile. What is checked is unchanged.

--- a/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
@@ -18,7 +18,10 @@
         meter.noteStarts(7);
         meter.noteStarts(2);
         meter.noteCommit();
-        await new Promise(resolve => setTimeout(resolve, 5));
+        // An immediate that is scheduled by another one runs in the next iteration.
+        for (let turn = 0; turn < 2; turn++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
         const interval = meter.takeInterval();
         expect(interval).toMatchObject({ starts: 9, commits: 1 });
         expect(interval.loops).not.toBe(0);
