leader-load tells how long starts and the log wait for the disk

Change: startCommits, startCommitMs and longestStartCommitMs, the commands that recorded starts and the time from their proposal to their result; writes and writeMs, the writes of the log to disk. No change of logic.

--- a/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
@@ -15,8 +15,8 @@
     // Two codes could not be compared by what a start, a commit or an event costs.
     it("reports the starts, the commits and the events of the event loop of each interval apart", async () => {
         const meter = new LoadMeter();
-        meter.noteStarts(7);
-        meter.noteStarts(2);
+        meter.noteStarts(7, 80);
+        meter.noteStarts(2, 30);
         meter.noteCommit();
         // An immediate that is scheduled by another one runs in the next iteration.
         for (let turn = 0; turn < 2; turn++) {
@@ -28,6 +28,23 @@
         expect(meter.takeInterval()).toMatchObject({ starts: 0, commits: 0, loops: interval.loops && 0 });
     });
 
+    // Nothing told whether a leader with room and waiting tasks was short of processor time or waited for its commits.
+    it("reports how long starts of tasks and the log wait for the disk", () => {
+        const meter = new LoadMeter();
+        meter.noteStarts(7, 80);
+        meter.noteStarts(2, 30);
+        meter.noteWrite(9);
+        meter.noteWrite(11);
+        expect(meter.takeInterval()).toMatchObject({
+            startCommits: 2,
+            startCommitMs: 110,
+            longestStartCommitMs: 80,
+            writes: 2,
+            writeMs: 20,
+        });
+        expect(meter.takeInterval()).toMatchObject({ startCommits: 0, startCommitMs: 0, writes: 0, writeMs: 0 });
+    });
+
     it("names the most frequent kinds of requests", () => {
         const meter = new LoadMeter();
         ["sent log", "received report", "sent log"].forEach(kind => meter.noteRequest(kind));
--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -22,6 +22,13 @@
     readonly events: number | undefined;
     /** Tasks whose start was recorded. */
     readonly starts: number;
+    /** Commands that recorded starts, and the time from their proposal to their result, milliseconds. */
+    readonly startCommits: number;
+    readonly startCommitMs: number;
+    readonly longestStartCommitMs: number;
+    /** Writes of the replicated log to disk and their time, milliseconds. */
+    readonly writes: number;
+    readonly writeMs: number;
     /** Groups of entries of the replicated log that were committed together. */
     readonly commits: number;
     /** Requests that were sent to and received from other processes. */
@@ -45,6 +52,11 @@
     private roundMs = 0;
     private longestRoundMs = 0;
     private starts = 0;
+    private startCommits = 0;
+    private startCommitMs = 0;
+    private longestStartCommitMs = 0;
+    private writes = 0;
+    private writeMs = 0;
     private commits = 0;
     private loopCounts = readLoopCounts();
     private readonly requestKinds = new Map<string, number>();
@@ -75,11 +87,24 @@
     }
 
     /**
-     * Records starts of tasks.
+     * Records the commit of starts of tasks.
      * @param count - number of recorded starts
+     * @param durationMs - time from the proposal to its result, milliseconds
      */
-    noteStarts(count: number): void {
+    noteStarts(count: number, durationMs: number): void {
         this.starts += count;
+        this.startCommits += 1;
+        this.startCommitMs += durationMs;
+        this.longestStartCommitMs = Math.max(this.longestStartCommitMs, durationMs);
+    }
+
+    /**
+     * Records a write of the replicated log to disk.
+     * @param durationMs - its duration, milliseconds
+     */
+    noteWrite(durationMs: number): void {
+        this.writes += 1;
+        this.writeMs += durationMs;
     }
 
     /** Records that entries of the replicated log were committed and applied together. */
@@ -133,6 +158,11 @@
             loops: computeDifference(loopCounts.loopCount, this.loopCounts.loopCount),
             events: computeDifference(loopCounts.events, this.loopCounts.events),
             starts: this.starts,
+            startCommits: this.startCommits,
+            startCommitMs: Math.round(this.startCommitMs),
+            longestStartCommitMs: Math.round(this.longestStartCommitMs),
+            writes: this.writes,
+            writeMs: Math.round(this.writeMs),
             commits: this.commits,
             requests: kinds.reduce((sum, [, count]) => sum + count, 0),
             requestKinds: kinds.slice(0, namedKinds).map(([kind, count]) => `${kind} ${count}`).join(", "),
@@ -147,6 +177,11 @@
         this.roundMs = 0;
         this.longestRoundMs = 0;
         this.starts = 0;
+        this.startCommits = 0;
+        this.startCommitMs = 0;
+        this.longestStartCommitMs = 0;
+        this.writes = 0;
+        this.writeMs = 0;
         this.commits = 0;
         this.loopCounts = loopCounts;
         this.requestKinds.clear();
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -137,8 +137,9 @@
             return;
         }
         const stepsByKey = collectStartedSteps(candidates, starts);
+        const proposedAt = clock.readMonotonic();
         const recorded = yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordStarts, starts }));
-        load.noteStarts(recorded?.length ?? 0);
+        load.noteStarts(recorded?.length ?? 0, clock.readMonotonic() - proposedAt);
         for (const { task, run, target } of recorded ?? []) {
             const step = stepsByKey.get(parseStepKey(task));
             if (step !== undefined) {
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -226,6 +226,7 @@
                 this.load.noteCommit();
                 leader.startScheduling();
             },
+            handleWritten: durationMs => this.load.noteWrite(durationMs),
             handleLoaded: loaded => this.log.record(DecisionKind.LogLoaded, { ...loaded }),
         });
         this.keeper = keeper;
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -98,6 +98,8 @@
     readonly send: (address: string, messages: readonly RaftMessage[]) => void;
     /** Called after each batch that changed the replicated state. */
     readonly handleApplied?: () => void;
+    /** Called after each write of log entries to disk with its duration, milliseconds. */
+    readonly handleWritten?: (durationMs: number) => void;
     /** Called once the stored log is loaded. */
     readonly handleLoaded?: (loaded: LoadedLog) => void;
 }
@@ -411,7 +413,9 @@
                     ? []
                     : raft.entries.slice(raft.firstUnpersistedIndex - raft.base.index - 1),
             }));
-            metrics.recordTime(MetricName.LogSync, clock.readMonotonic() - startedAt);
+            const durationMs = clock.readMonotonic() - startedAt;
+            metrics.recordTime(MetricName.LogSync, durationMs);
+            this.dependencies.handleWritten?.(durationMs);
         }
         else {
             return;
