--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -1,5 +1,8 @@
 import { applyCommand } from "@daisylock/core/control/apply-command.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { ControlCommand } from "@daisylock/core/control/control-command.js";
+import type { ControlState } from "@daisylock/core/control/control-state.js";
+import type { TaskStart } from "@daisylock/core/jobs/task-start.js";
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
@@ -35,6 +38,17 @@
         const state = buildTestFleet(3, { cpu: 4_000, memory: 1_000, gpu: 0 });
         addTestJob(state, "a", [buildTestStep()]);
         applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task: "a.0.0.0", run: 1, target: "t0" }] });
+        return startScheduler(state, id => {
+            const status = statuses[id];
+            return status === undefined ? undefined : { readStatus: () => status, countStartsLeft: () => 0 };
+        }, async () => undefined);
+    }
+
+    function startScheduler(
+        state: ControlState,
+        findSession: (id: string) => object | undefined,
+        recordCommand: (command: ControlCommand) => Promise<unknown>,
+    ) {
         const lines: { readonly kind: DecisionKind; readonly fields: Line }[] = [];
         const leadership = { isActive: true, term: 7 };
         const scheduler = new Scheduler({
@@ -44,16 +58,13 @@
                 isActive: () => leadership.isActive,
                 readFencingToken: () => leadership.term,
                 readFleet: () => state.fleet,
-                recordCommand: async () => undefined,
-            } as Partial<Leadership> as Leadership,
+                recordCommand,
+            } as Partial<Record<keyof Leadership, unknown>> as Leadership,
             sessions: {
                 update: () => undefined,
                 closeEarlier: () => undefined,
-                find: id => {
-                    const status = statuses[id];
-                    return status === undefined ? undefined : { readStatus: () => status, countStartsLeft: () => 0 };
-                },
-            } as Partial<TargetSessions> as TargetSessions,
+                find: findSession,
+            } as Partial<Record<keyof TargetSessions, unknown>> as TargetSessions,
             estimator: { computeStepMs: () => 500, readMeanJobWork: () => 500 },
             tickets: { updateTickets: () => undefined } as Partial<PlacementTicketFetcher> as PlacementTicketFetcher,
             isCordoned: target => target === "t2",
@@ -70,6 +81,36 @@
         return { leadership, findLines };
     }
 
+    describe("while the starts of a round are being committed", () => {
+        const capacity = { cpu: 100_000, memory: 10_000, gpu: 0 };
+        const status = { exclusion: undefined, unconfirmedRuns: [] };
+        const session = { countStartsLeft: () => Infinity, readStatus: () => status, startTask: () => undefined };
+
+        /** Runs a scheduler with more waiting tasks than a round starts; commits end when the test settles them. */
+        function createBacklog() {
+            const state = buildTestFleet(8, capacity);
+            for (let job = 0; job < 10; job++) {
+                addTestJob(state, `j${job}`, [buildTestStep({ count: 60 })]);
+            }
+            const proposed: TaskStart[][] = [];
+            const pending: (() => void)[] = [];
+            startScheduler(state, () => session, command => {
+                if (command.kind === CommandKind.RecordStarts) {
+                    proposed.push([...command.starts]);
+                }
+                return new Promise(resolve => pending.push(() => resolve(applyCommand(state, command))));
+            });
+            return { state, proposed, pending };
+        }
+
+        // Tasks waited beside free VMs, as a leader started 200 tasks for each commit that it waited for.
+        it("starts the tasks that still wait where there is room", async () => {
+            const { proposed } = createBacklog();
+            await waitUntil(() => proposed.flat().length === 600);
+            expect(new Set(proposed.flat().map(({ task }) => task)).size).toBe(600);
+        });
+    });
+
     it("logs the targets and unconfirmed runs of each pool with its load", async () => {
         const { findLines } = createFixture({
             t0: { exclusion: TargetExclusion.Overdue, unconfirmedRuns: [{ ageMs: 9_000, isInFlight: false }] },
--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -48,8 +48,40 @@
     return { counts, tickDelays, metrics };
 }
 
+/** Storage whose writes last until the test lets them end. */
+class HeldKeeperStorage extends MemoryKeeperStorage {
+    private readonly held: (() => void)[] = [];
+    private isHolding = false;
+
+    get heldWrites(): number {
+        return this.held.length;
+    }
+
+    stopWrites(): void {
+        this.isHolding = true;
+    }
+
+    releaseWrite(): void {
+        this.held.shift()?.();
+    }
+
+    releaseWrites(): void {
+        this.isHolding = false;
+        this.held.splice(0).forEach(release => release());
+    }
+
+    override async append(): Promise<void> {
+        if (this.isHolding) {
+            await new Promise<void>(resolve => this.held.push(resolve));
+            return;
+        }
+        await super.append();
+    }
+}
+
 describe("a cluster of keepers", () => {
     let keepers: Keeper[];
+    let storages: HeldKeeperStorage[];
     let counts: Map<string, number>;
     let isConnected: boolean;
     const findLeader = () => keepers.find(keeper => keeper.isActiveLeader());
@@ -59,9 +91,10 @@
         const created = createMetrics();
         counts = created.counts;
         isConnected = true;
-        keepers = addresses.map(address =>
+        storages = addresses.map(address => new HeldKeeperStorage(address));
+        keepers = addresses.map((address, position) =>
             new Keeper({
-                storage: new MemoryKeeperStorage(address),
+                storage: storages[position] ?? new HeldKeeperStorage(address),
                 clock,
                 random: Math.random,
                 timing,
@@ -118,6 +151,29 @@
         });
     });
 
+    describe("while the leader writes to disk", () => {
+        // Callers and the scheduler waited for three to four writes of the leader until a command was known to be committed.
+        it("reports a command as committed before the write that follows its own has ended", async () => {
+            const leader = findLeader();
+            const position = keepers.findIndex(keeper => keeper === leader);
+            const settled: string[] = [];
+            const propose = (name: string) =>
+                void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership }).then(() => settled.push(name));
+            // Commands are proposed all the time, so that the leader always has something to write.
+            storages[position]?.stopWrites();
+            propose("first");
+            await waitUntil(() => storages[position]?.heldWrites === 1);
+            propose("second");
+            await new Promise(resolve => setTimeout(resolve, 100));
+            storages[position]?.releaseWrite();
+            await waitUntil(() => storages[position]?.heldWrites === 1);
+            await new Promise(resolve => setTimeout(resolve, 20));
+            expect(settled).toEqual(["first"]);
+            storages[position]?.releaseWrites();
+            await waitUntil(() => settled.length === 2);
+        });
+    });
+
     describe("without connections", () => {
         it("counts the lapse of the leader's lease, and the commands whose outcome is unknown", async () => {
             expect(counts.get(MetricName.LeaseLapses)).toBeUndefined();
