Apply committed entries before the next write to disk

Cause: the keeper handled a batch, wrote to disk and only then applied. The replies that commit an entry arrive during a write of the leader, so that each entry also waited for the write of the batch that came with them: three to four writes instead of two. Class: a result that is known waits for work that it does not depend on. Change: a keeper applies what a batch has committed before it writes; entries that are not on its own disk are still not applied.

--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -104,7 +104,10 @@
     readonly handleLoaded?: (loaded: LoadedLog) => void;
 }
 
-/** Runs the replicated log of one keeper: handles events in batches, writes to disk, sends messages, then applies. */
+/**
+ * Runs the replicated log of one keeper: handles events in batches, applies what they have committed, writes to disk, sends
+ * messages, and applies what the write has committed.
+ */
 export class Keeper extends Worker {
     override readonly name = "keeper";
     private readonly mailbox = new Mailbox<KeeperEvent>(mailboxCapacity);
@@ -145,6 +148,8 @@
                 this.handleBatch(this.raft, event);
                 this.updateTransfer(this.raft);
                 this.sendAppends(this.raft);
+                // What the batch has committed need not wait for the write of later entries.
+                this.applyCommitted(this.raft);
                 yield* this.saveState(this.raft);
                 this.sendMessages(this.raft);
                 this.applyCommitted(this.raft);
