Plan starts while earlier ones are being committed

Class: a decision that waits for an acknowledgement that it does not need. Change: starts whose commit is under way count as recorded in later rounds (StartsUnderWay): their tasks do not wait, and they take capacity, places in anti-affinity, limits of accounts and quarantine. The replicated state checks each start as before, and a start is sent only once it is committed. Rounds pause 20 ms after a proposal and ten times their own duration, 100 ms at most; at most eight proposals are under way. The deletion of ended jobs, which waited in the same way, does not wait either.

--- a/packages/core/src/fleet/add-load.ts
+++ b/packages/core/src/fleet/add-load.ts
@@ -12,9 +12,15 @@
  * @param job - the job of the task
  * @param step - position of the step in the job
  * @param taskKey - encoded key of the task
- * @param task - the record of the task
+ * @param task - run and target of the task
  */
-export function addLoad(state: FleetState, job: Job, step: number, taskKey: string, task: TaskRecord): void {
+export function addLoad(
+    state: Pick<FleetState, "targetLoads" | "accountLoads" | "jobCpus">,
+    job: Job,
+    step: number,
+    taskKey: string,
+    task: Pick<TaskRecord, "run" | "target">,
+): void {
     const definition = job.steps[step];
     if (definition === undefined) {
         return;
--- a/packages/core/src/placement/plan-starts.ts
+++ b/packages/core/src/placement/plan-starts.ts
@@ -40,7 +40,12 @@
     {
         compare = compareCandidates,
         isAdvised = () => false,
-        probation = { isOnProbation: () => false, countOnProbation: () => 0, noteKept: () => undefined },
+        probation = {
+            isOnProbation: () => false,
+            findStartTarget: () => undefined,
+            countOnProbation: () => 0,
+            noteKept: () => undefined,
+        },
     }: PlanOptions = {},
 ): TaskStart[] {
     const round = new PlacementRound(fleet, pools, isAdvised);
--- a/packages/core/src/placement/plan-suspects.test.ts
+++ b/packages/core/src/placement/plan-suspects.test.ts
@@ -13,6 +13,7 @@
 import { buildTestStep } from "../testing/build-test-step.js";
 import { buildPlacementTargets } from "./build-placement-targets.js";
 import { planStarts } from "./plan-starts.js";
+import { StartsUnderWay } from "./starts-under-way.js";
 
 const capacity = { cpu: 4_000, memory: 4_000, gpu: 0 };
 const estimator = { computeStepMs: (_: unknown, step: JobStep) => step.estimateMs, readMeanJobWork: () => 1_000 };
@@ -22,21 +23,34 @@
     state: ControlState,
     recentTargets: readonly string[] = [],
     noteKept: (target: string) => void = () => undefined,
+): readonly TaskStart[] {
+    const starts = planRound(state, new StartsUnderWay(), recentTargets, noteKept);
+    return applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts });
+}
+
+/** Plans one round beside starts that are not committed yet. */
+function planRound(
+    state: ControlState,
+    underWay: StartsUnderWay,
+    recentTargets: readonly string[] = [],
+    noteKept: (target: string) => void = () => undefined,
 ): readonly TaskStart[] {
     const countRuns = (target: string): number => state.fleet.targetLoads.get(target)?.runs.size ?? 0;
-    const starts = planStarts(
-        state.fleet,
-        collectCandidates(state.fleet, 0, estimator),
-        buildPlacementTargets(state.fleet, () => Number.POSITIVE_INFINITY),
+    const view = underWay.buildView(state.fleet);
+    return planStarts(
+        view,
+        underWay.dropFrom(collectCandidates(view, 0, estimator)),
+        buildPlacementTargets(view, () => Number.POSITIVE_INFINITY),
         {
             probation: {
                 isOnProbation: (_task, _run, target) => recentTargets.includes(target),
-                countOnProbation: target => recentTargets.includes(target) ? countRuns(target) : 0,
+                findStartTarget: task => underWay.findTarget(task),
+                countOnProbation: target =>
+                    (recentTargets.includes(target) ? countRuns(target) : 0) + underWay.countOnTarget(target),
                 noteKept,
             },
         },
     );
-    return applyRecordStarts(state, { kind: CommandKind.RecordStarts, starts });
 }
 
 /** Crashes the target of a task, so that all tasks that run there become suspects. */
@@ -82,6 +96,22 @@
         expect(next.filter(({ target }) => suspectTargets.includes(target))).toEqual([]);
     });
 
+    // A round that did not see the starts under way put other tasks beside a task that may crash its target.
+    it("starts nothing beside suspects whose start is not committed yet", () => {
+        const state = buildTestFleet(9, capacity);
+        addTestJob(state, "a", [buildTestStep({ count: 2 })]);
+        const [first] = runRound(state);
+        stopTarget(state, first?.target ?? "");
+        const underWay = new StartsUnderWay();
+        const starts = planRound(state, underWay);
+        expect(listTargets(starts, "a")).toHaveLength(2);
+        underWay.addStarts(starts);
+        addTestJob(state, "b", [buildTestStep({ count: 28 })]);
+        const next = planRound(state, underWay);
+        expect(listTargets(next, "b")).toHaveLength(28);
+        expect(listTargets(next, "b")).not.toContain(listTargets(starts, "a")[0]);
+    });
+
     it("never puts more than half of a pool at risk at once", () => {
         const state = buildTestFleet(6, capacity);
         const jobs = ["a", "b", "c", "d"];
--- a/packages/core/src/placement/plan-suspects.ts
+++ b/packages/core/src/placement/plan-suspects.ts
@@ -85,10 +85,11 @@
         const task = key === undefined || job === undefined ? undefined : findTask(job, key);
         const isOnProbation = task?.phase === TaskPhase.Placed
             && probation.isOnProbation(encodedKey, task.run, task.target);
-        if (key === undefined || !isOnProbation) {
+        const targetId = probation.findStartTarget(encodedKey) ?? (isOnProbation ? task.target : undefined);
+        if (key === undefined || targetId === undefined) {
             continue;
         }
-        const target = targets.get(task.target);
+        const target = targets.get(targetId);
         if (target !== undefined) {
             target.isQuarantined = true;
         }
--- /dev/null
+++ b/packages/core/src/placement/starts-under-way.ts
@@ -0,0 +1,120 @@
+import { addLoad } from "../fleet/add-load.js";
+import type { FleetState } from "../fleet/fleet-state.js";
+import type { TargetLoad } from "../fleet/target-load.js";
+import { decodeTaskKey } from "../jobs/decode-task-key.js";
+import { encodeTaskKey } from "../jobs/encode-task-key.js";
+import type { TaskStart } from "../jobs/task-start.js";
+import type { StepCandidate } from "../queueing/step-candidate.js";
+
+/**
+ * Starts that the leader has proposed and whose commit is not known yet. Later rounds are planned as if they were
+ * committed, so that the scheduler need not wait for each commit (as Kubernetes' scheduler assumes pods before they are
+ * bound). The replicated state still checks each start when it is applied.
+ */
+export class StartsUnderWay {
+    /** By encoded task key. */
+    private readonly starts = new Map<string, TaskStart>();
+    private readonly countsByTarget = new Map<string, number>();
+
+    /**
+     * Adds starts that are proposed.
+     * @param starts - the starts, of tasks none of which is under way
+     */
+    addStarts(starts: readonly TaskStart[]): void {
+        for (const start of starts) {
+            this.starts.set(start.task, start);
+            this.countsByTarget.set(start.target, this.countOnTarget(start.target) + 1);
+        }
+    }
+
+    /**
+     * Removes starts that are committed, or that were not.
+     * @param starts - the starts, as they were added
+     */
+    removeStarts(starts: readonly TaskStart[]): void {
+        for (const { task, target } of starts) {
+            this.starts.delete(task);
+            const count = this.countOnTarget(target) - 1;
+            if (count > 0) {
+                this.countsByTarget.set(target, count);
+            }
+            else {
+                this.countsByTarget.delete(target);
+            }
+        }
+    }
+
+    /**
+     * Finds the target on which a task is about to start.
+     * @param task - encoded task key
+     * @returns id of the target; `undefined` when no start of the task is under way
+     */
+    findTarget(task: string): string | undefined {
+        return this.starts.get(task)?.target;
+    }
+
+    /**
+     * Counts the starts on a target.
+     * @param target - id of the target
+     * @returns number of starts under way
+     */
+    countOnTarget(target: string): number {
+        return this.countsByTarget.get(target) ?? 0;
+    }
+
+    /**
+     * Builds a view of the fleet in which the starts under way count towards the loads of targets and client accounts.
+     * @param fleet - the fleet state, which does not change
+     * @returns the view, which shares what the starts do not concern
+     */
+    buildView(fleet: FleetState): FleetState {
+        const missing = [...this.starts.values()].filter(({ task, run, target }) =>
+            fleet.targetLoads.get(target)?.runs.get(task) !== run
+        );
+        if (missing.length === 0) {
+            return fleet;
+        }
+        const view: FleetState = {
+            ...fleet,
+            targetLoads: new Map(fleet.targetLoads),
+            accountLoads: new Map(fleet.accountLoads),
+            jobCpus: new Map(fleet.jobCpus),
+        };
+        for (const target of new Set(missing.map(start => start.target))) {
+            const load = fleet.targetLoads.get(target);
+            if (load !== undefined) {
+                view.targetLoads.set(target, createLoadCopy(load));
+            }
+        }
+        for (const { task, run, target } of missing) {
+            const key = decodeTaskKey(task);
+            const job = key === undefined ? undefined : fleet.jobs.get(key.job);
+            if (key !== undefined && job !== undefined) {
+                addLoad(view, job, key.step, task, { run, target });
+            }
+        }
+        return view;
+    }
+
+    /**
+     * Leaves the tasks whose start is under way out of the steps that may start.
+     * @param candidates - the steps
+     * @returns the steps with the tasks that still wait; those without any are left out
+     */
+    dropFrom(candidates: readonly StepCandidate[]): StepCandidate[] {
+        if (this.starts.size === 0) {
+            return [...candidates];
+        }
+        return candidates.flatMap(candidate => {
+            const { job, occurrence, step } = candidate;
+            const waiting = candidate.waiting.filter(index =>
+                !this.starts.has(encodeTaskKey({ job: job.id, occurrence, step, index }))
+            );
+            return waiting.length === 0 ? [] : [{ ...candidate, waiting }];
+        });
+    }
+}
+
+function createLoadCopy(load: TargetLoad): TargetLoad {
+    return { ...load, runs: new Map(load.runs), stepCounts: new Map(load.stepCounts) };
+}
--- a/packages/daemon/src/containment/work-kind.ts
+++ b/packages/daemon/src/containment/work-kind.ts
@@ -6,6 +6,8 @@
     TargetRequest = "target-request",
     /** The start or stop of one run. */
     TargetRun = "target-run",
+    /** What the scheduler commits: starts of tasks, and that ended jobs are forgotten. */
+    Placement = "placement",
     ReachabilityCheck = "reachability-check",
     VmList = "vm-list",
     VmMove = "vm-move",
--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -109,6 +109,45 @@
             await waitUntil(() => proposed.flat().length === 600);
             expect(new Set(proposed.flat().map(({ task }) => task)).size).toBe(600);
         });
+
+        it("starts none of them on capacity that an earlier round has taken", async () => {
+            const { state, proposed, pending } = createBacklog();
+            await waitUntil(() => proposed.flat().length === 600);
+            pending.splice(0).forEach(settle => settle());
+            const { targetLoads, targets } = state.fleet;
+            await waitUntil(() => [...targetLoads.values()].reduce((sum, { runs }) => sum + runs.size, 0) === 600);
+            for (const [target, { used }] of targetLoads) {
+                expect(used.cpu).toBeLessThanOrEqual(targets.get(target)?.capacity.cpu ?? 0);
+            }
+        });
+
+        it("starts tasks again whose start was not committed", async () => {
+            const state = buildTestFleet(1, capacity);
+            addTestJob(state, "a", [buildTestStep()]);
+            const proposed: TaskStart[] = [];
+            startScheduler(state, () => session, async command => {
+                if (command.kind === CommandKind.RecordStarts) {
+                    proposed.push(...command.starts);
+                }
+                return undefined;
+            });
+            await waitUntil(() => proposed.length > 1);
+            expect(proposed[1]).toEqual(proposed[0]);
+        });
+
+        it("proposes no more than a few rounds ahead", async () => {
+            const state = buildTestFleet(40, capacity);
+            for (let job = 0; job < 100; job++) {
+                addTestJob(state, `j${job}`, [buildTestStep({ count: 40 })]);
+            }
+            let proposals = 0;
+            startScheduler(state, () => session, () => {
+                proposals += 1;
+                return new Promise(() => undefined);
+            });
+            await new Promise(resolve => setTimeout(resolve, 1_500));
+            expect(proposals).toBe(8);
+        });
     });
 
     it("logs the targets and unconfirmed runs of each pool with its load", async () => {
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -9,6 +9,7 @@
 import { encodeStepKey } from "@daisylock/core/placement/encode-step-key.js";
 import { parseStepKey } from "@daisylock/core/placement/parse-step-key.js";
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
+import { StartsUnderWay } from "@daisylock/core/placement/starts-under-way.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
 import { computePoolTargetSummary } from "@daisylock/core/queueing/compute-pool-target-summary.js";
@@ -21,10 +22,13 @@
 
 import { readPool } from "@daisylock/core/queueing/read-pool.js";
 import type { Clock } from "../../clock/clock.js";
-import { waitFor } from "../../concurrency/wait-for.js";
+import type { FaultListener } from "../../containment/fault-listener.js";
+import { startContained } from "../../containment/start-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
 import { MetricName } from "../../metrics/metric-name.js";
 import type { Metrics } from "../../metrics/metrics.js";
 import { PeriodicWorker } from "../../supervision/periodic-worker.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import type { Leadership } from "./leadership.js";
@@ -34,6 +38,13 @@
 
 /** Longest time between two rounds, milliseconds, as scheduled occurrences become due without an event. */
 const intervalMs = 50;
+/** Shortest time from a round that proposed starts to the next one, milliseconds, as each proposal costs an entry of the log. */
+const proposalIntervalMs = 20;
+/** Time after a round without another one, as a multiple of its duration, so that rounds leave time for what they started. */
+const pauseFactor = 10;
+const maxPauseMs = 100;
+/** Number of commands with starts whose commit may be under way. */
+const maxProposals = 8;
 const followerIntervalMs = 100;
 /** Time between two deletions of ended jobs, milliseconds. */
 const dropIntervalMs = 2_000;
@@ -59,10 +70,19 @@
     readonly keepStateMs: number;
 }
 
-/** Starts and stops tasks while this process is the active leader. A start is committed before its request is sent. */
+/**
+ * Starts and stops tasks while this process is the active leader. A start is committed before its request is sent; rounds
+ * go on while it is being committed.
+ */
 export class Scheduler extends PeriodicWorker {
     override readonly name = "scheduler";
     private readonly placementCounter = new PlacementCounter();
+    private readonly startsUnderWay = new StartsUnderWay();
+    private readonly noteFault: FaultListener;
+    /** Number of commands with starts whose commit is under way. */
+    private proposals = 0;
+    /** Monotonic milliseconds. */
+    private nextRoundAt = 0;
     private nextDropAt = 0;
     private nextLoadLogAt = 0;
     private isLeading = false;
@@ -76,20 +96,25 @@
      */
     constructor(private readonly dependencies: SchedulerDependencies) {
         super(dependencies.clock);
+        this.noteFault = createFaultListener(dependencies.log);
     }
 
     protected override *tick(): Generator<unknown, number, unknown> {
-        const { leadership, sessions } = this.dependencies;
+        const { leadership, sessions, clock } = this.dependencies;
         this.noteLeadership(leadership.isActive());
         if (!this.isLeading) {
             return followerIntervalMs;
         }
+        const pauseMs = this.nextRoundAt - clock.readMonotonic();
+        if (pauseMs > 0) {
+            return pauseMs;
+        }
         const fleet = leadership.readFleet();
         sessions.update(fleet.targets, leadership.readFencingToken());
         this.stopEndedJobs(fleet);
-        yield* this.startTasks(fleet);
+        this.startTasks(fleet);
         this.writeLoadLines(fleet);
-        yield* this.dropEndedJobs();
+        this.dropEndedJobs();
         return intervalMs;
     }
 
@@ -125,56 +150,89 @@
         }
     }
 
-    private *startTasks(fleet: FleetState): Generator<unknown, void, unknown> {
-        const { leadership, sessions, log, clock, load, metrics } = this.dependencies;
+    private startTasks(fleet: FleetState): void {
+        const { clock, load, metrics } = this.dependencies;
+        if (this.proposals >= maxProposals) {
+            return;
+        }
         const startedAt = clock.readMonotonic();
-        const candidates = this.collectCandidates(fleet);
-        const starts = candidates.length === 0 ? [] : this.planRound(fleet, candidates);
-        const durationMs = clock.readMonotonic() - startedAt;
+        const view = this.startsUnderWay.buildView(fleet);
+        const candidates = this.collectCandidates(view);
+        const starts = candidates.length === 0 ? [] : this.planRound(view, candidates);
+        const endedAt = clock.readMonotonic();
+        const durationMs = endedAt - startedAt;
         load.noteRound(durationMs);
         metrics.recordTime(MetricName.RoundTime, durationMs);
-        if (starts.length === 0) {
-            return;
+        const pauseMs = Math.min(maxPauseMs, durationMs * pauseFactor);
+        this.nextRoundAt = endedAt + (starts.length === 0 ? pauseMs : Math.max(proposalIntervalMs, pauseMs));
+        if (starts.length > 0) {
+            const steps = collectStartedSteps(candidates, starts);
+            const work = { work: WorkKind.Placement, subject: `${starts.length} starts` };
+            startContained(this.noteFault, work, () => this.recordStarts(starts, steps));
         }
-        const stepsByKey = collectStartedSteps(candidates, starts);
+    }
+
+    /** Commits planned starts and sends those that were recorded. */
+    private async recordStarts(
+        starts: readonly TaskStart[],
+        steps: ReadonlyMap<string, StepCandidate>,
+    ): Promise<void> {
+        const { leadership, clock, load } = this.dependencies;
         const proposedAt = clock.readMonotonic();
-        const recorded = yield* waitFor(leadership.recordCommand({ kind: CommandKind.RecordStarts, starts }));
+        this.startsUnderWay.addStarts(starts);
+        this.proposals += 1;
+        let recorded: readonly TaskStart[] | undefined;
+        try {
+            recorded = await leadership.recordCommand({ kind: CommandKind.RecordStarts, starts });
+        }
+        finally {
+            this.proposals -= 1;
+            this.startsUnderWay.removeStarts(starts);
+        }
         load.noteStarts(recorded?.length ?? 0, clock.readMonotonic() - proposedAt);
-        for (const { task, run, target } of recorded ?? []) {
-            const step = stepsByKey.get(parseStepKey(task));
-            if (step !== undefined) {
-                this.placementCounter.noteStart(readPool(step), computeUrgency(step));
-            }
-            log.record(DecisionKind.TaskPlaced, {
-                task,
-                run,
-                target,
-                waitMs: this.computeStartWaitMs(fleet, task, run),
-                late: step !== undefined && step.slackMs < 0 && !step.definition.isLongRunning,
-            });
-            sessions.find(target)?.startTask(task, run);
+        recorded?.forEach(start => this.sendStart(start, steps.get(parseStepKey(start.task))));
+        this.startRound();
+    }
+
+    private sendStart({ task, run, target }: TaskStart, step: StepCandidate | undefined): void {
+        const { leadership, sessions, log } = this.dependencies;
+        if (step !== undefined) {
+            this.placementCounter.noteStart(readPool(step), computeUrgency(step));
         }
+        log.record(DecisionKind.TaskPlaced, {
+            task,
+            run,
+            target,
+            waitMs: this.computeStartWaitMs(leadership.readFleet(), task, run),
+            late: step !== undefined && step.slackMs < 0 && !step.definition.isLongRunning,
+        });
+        sessions.find(target)?.startTask(task, run);
     }
 
     private collectCandidates(fleet: FleetState): StepCandidate[] {
         const { clock, estimator, isMemoryFull } = this.dependencies;
-        return collectCandidates(fleet, clock.readWall(), estimator, isMemoryFull(fleet));
+        return this.startsUnderWay.dropFrom(
+            collectCandidates(fleet, clock.readWall(), estimator, isMemoryFull(fleet)),
+        );
     }
 
     private planRound(fleet: FleetState, candidates: readonly StepCandidate[]): readonly TaskStart[] {
         const { sessions, tickets, isCordoned } = this.dependencies;
+        const underWay = this.startsUnderWay;
         const neededPools = new Set(candidates.map(readPool));
-        const pools = buildPlacementTargets(
-            fleet,
-            id => isCordoned(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0,
-            pool => neededPools.has(pool),
-        );
+        const countStartsLeft = (id: string): number => {
+            const startsLeft = isCordoned(id) ? 0 : sessions.find(id)?.countStartsLeft() ?? 0;
+            return Math.max(0, startsLeft - underWay.countOnTarget(id));
+        };
+        const pools = buildPlacementTargets(fleet, countStartsLeft, pool => neededPools.has(pool));
         tickets.updateTickets(candidates, pools);
         return planStarts(fleet, candidates, pools, {
             isAdvised: (step, target) => tickets.findTicket(step, target) !== undefined,
             probation: {
                 isOnProbation: (task, run, target) => sessions.find(target)?.isOnProbation(task, run) !== false,
-                countOnProbation: target => sessions.find(target)?.countOnProbation() ?? 0,
+                findStartTarget: task => underWay.findTarget(task),
+                countOnProbation: target =>
+                    (sessions.find(target)?.countOnProbation() ?? 0) + underWay.countOnTarget(target),
                 noteKept: target => sessions.find(target)?.checkProbation(),
             },
         });
@@ -204,8 +262,9 @@
             jobs: fleet.jobs.size,
             jobBytes: countJobBytes(fleet),
         });
-        const candidates = this.collectCandidates(fleet);
-        for (const poolLoad of collectPoolLoads(fleet, candidates)) {
+        const view = this.startsUnderWay.buildView(fleet);
+        const candidates = this.collectCandidates(view);
+        for (const poolLoad of collectPoolLoads(view, candidates)) {
             const { excluded, ...summary } = computePoolTargetSummary(
                 fleet,
                 poolLoad.pool,
@@ -233,7 +292,7 @@
         }
     }
 
-    private *dropEndedJobs(): Generator<unknown, void, unknown> {
+    private dropEndedJobs(): void {
         const { leadership, clock, keepStateMs } = this.dependencies;
         const endedBeforeMs = clock.readWall() - keepStateMs;
         if (clock.readMonotonic() < this.nextDropAt) {
@@ -242,7 +301,9 @@
         this.nextDropAt = clock.readMonotonic() + dropIntervalMs;
         const jobs = [...leadership.readFleet().jobs.values()];
         if (jobs.some(job => isJobFinished(job) && job.placedCount === 0 && job.endedAtMs < endedBeforeMs)) {
-            yield* waitFor(leadership.recordCommand({ kind: CommandKind.DropJobs, endedBeforeMs }));
+            const work = { work: WorkKind.Placement, subject: "ended jobs" };
+            const command = { kind: CommandKind.DropJobs as const, endedBeforeMs };
+            startContained(this.noteFault, work, () => leadership.recordCommand(command));
         }
     }
 }
