Lend VMs that only late work waits for to pools whose tasks can be on time

Callers saw: after a backlog of one pool, the tasks of the next pool's burst waited for seconds and became late one by one. Cause: a pool lent only what its own demand left, and late work counted in it as much as any. Late work earns the same a second later; the other work does not. The order of starts makes this difference, the moves of VMs did not. Change: loans are planned first for demand that can be on time, on both sides, and then for all demand. The scheduler tells the balancer what late tasks request; pool-forecast tells it as wantedLate. VMs are returned to the spare pool as before.

--- a/packages/core/src/pools/plan-moves.test.ts
+++ b/packages/core/src/pools/plan-moves.test.ts
@@ -9,6 +9,7 @@
 const vmCpu = 32_000;
 
 function buildPool(name: string, vms: number, idle: number, fields: Partial<PoolForecast> = {}): PoolForecast {
+    const { expected = 0 } = fields;
     return {
         name,
         isSpare: false,
@@ -16,7 +17,9 @@
         incoming: 0,
         used: 0,
         wanted: 0,
-        expected: 0,
+        wantedLate: 0,
+        expected,
+        expectedOnTime: expected,
         usedLongRunning: 0,
         peak: 0,
         reserve: 0.5 * vms * vmCpu,
@@ -99,6 +102,39 @@
         expect(planMoves([arrived, spare])).toHaveLength(12);
     });
 
+    // A backlog of late work kept 100 idle VMs for ten seconds, while the tasks of the next burst became late one by one.
+    describe("while only late work waits in a pool with idle VMs", () => {
+        const late = buildPool("late", 200, 100, {
+            used: 90 * vmCpu,
+            wanted: 400 * vmCpu,
+            wantedLate: 400 * vmCpu,
+            expected: 490 * vmCpu,
+            expectedOnTime: 90 * vmCpu,
+            reserve: 0,
+        });
+
+        it("lends them to a pool whose tasks can be on time", () => {
+            const burst = { used: 12 * vmCpu, wanted: 60 * vmCpu, expected: 72 * vmCpu };
+            const moves = planMoves([late, buildPool("burst", 12, 0, burst)]);
+            expect(moves).toHaveLength(84);
+            expect(moves.every(({ from, to }) => from === "late" && to === "burst")).toBe(true);
+        });
+
+        it("neither lends them to other late work nor returns them", () => {
+            const demand = { used: 12 * vmCpu, wanted: 60 * vmCpu, wantedLate: 60 * vmCpu, expected: 72 * vmCpu };
+            const other = buildPool("other", 12, 0, { ...demand, expectedOnTime: 12 * vmCpu });
+            expect(planMoves([late, other]).filter(({ from }) => from === "late").length).toBeLessThanOrEqual(4);
+            expect(planMoves([late, buildPool("off", 0, 0, { isSpare: true, homeCapacity: 0 })])).toEqual([]);
+        });
+
+        it("lends spare VMs to late work only after tasks that can be on time have them", () => {
+            const burst = { used: 4 * vmCpu, wanted: 2 * vmCpu, expected: 6 * vmCpu };
+            const tied = { ...late, idleVms: [] };
+            const moves = planMoves([tied, buildPool("burst", 4, 0, burst), spare]);
+            expect(moves.map(({ to }) => to)).toEqual(["burst", "burst", "burst", "burst"]);
+        });
+    });
+
     it("keeps one VM in a pool without a reserve", () => {
         expect(planMoves([buildPool("calm", 3, 3, { reserve: 0 }), spare])).toHaveLength(2);
     });
--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -10,6 +10,15 @@
 /** Maximum utilization of a pool after it has returned a VM; low enough that no VM moves back and forth. */
 const surplusUtilization = 0.7;
 
+/** Demand of a pool that a decision counts, thousandths of a core. */
+interface CountedDemand {
+    /** In use and waiting. */
+    readonly current: number;
+    readonly expected: number;
+}
+
+type ReadDemand = (pool: PoolForecast) => CountedDemand;
+
 /** A pool with its capacity and idle VMs after the moves that the round has planned so far. */
 interface PlannedPool {
     readonly pool: PoolForecast;
@@ -23,7 +32,8 @@
 /**
  * Plans which VMs change their pool. Demand exceeds the capacity of one pool after another, so idle VMs of the spare
  * pool and of calm pools move to the pool that is short. A pool lends VMs as long as it keeps enough capacity for its
- * own demand and its reserve. It returns the idle VMs that are left then, except those that its recent peak, its
+ * own demand and its reserve. Pools whose tasks can be on time come first: work that is late in any case neither borrows
+ * before them nor keeps VMs from them. It returns the idle VMs that are left then, except those that its recent peak, its
  * forecast demand or its reserve needs. VMs under way to a pool do not count for what it gives away, as its tasks wait for
  * them and can start on those that have arrived. Only VMs on which nothing runs move, so that no task is aborted.
  * @param pools - all pools
@@ -36,29 +46,42 @@
         arrivedCapacity: pool.capacity - pool.incoming,
         idle: [...pool.idleVms],
     }));
-    const byShortage = planned.filter(item => !item.pool.isSpare && computeShortage(item) > 0)
-        .sort((a, b) => computeShortage(b) - computeShortage(a));
+    return [...planLoans(planned, readOnTimeDemand), ...planLoans(planned, readDemand), ...planReturns(planned)];
+}
+
+function readDemand({ used, wanted, expected }: PoolForecast): CountedDemand {
+    return { current: used + wanted, expected };
+}
+
+function readOnTimeDemand({ used, wanted, wantedLate, expectedOnTime }: PoolForecast): CountedDemand {
+    return { current: used + wanted - wantedLate, expected: expectedOnTime };
+}
+
+/** Moves idle VMs to the pools whose counted demand exceeds their capacity, one VM to each in turn. */
+function planLoans(planned: readonly PlannedPool[], read: ReadDemand): VmMove[] {
+    const byShortage = planned.filter(item => !item.pool.isSpare && computeShortage(item, read) > 0)
+        .sort((a, b) => computeShortage(b, read) - computeShortage(a, read));
     const moves: VmMove[] = [];
     for (let hasLent = true; hasLent;) {
         hasLent = false;
         for (const borrower of byShortage) {
-            const move = computeShortage(borrower) > 0 ? takeVm(planned, borrower) : undefined;
+            const move = computeShortage(borrower, read) > 0 ? takeVm(planned, borrower, read) : undefined;
             if (move !== undefined) {
                 moves.push(move);
                 hasLent = true;
             }
         }
     }
-    return [...moves, ...planReturns(planned)];
+    return moves;
 }
 
-function computeShortage({ pool, capacity }: PlannedPool): number {
-    return Math.max((pool.used + pool.wanted) / shortageUtilization, pool.expected / expectedShortageUtilization)
-        - capacity;
+function computeShortage({ pool, capacity }: PlannedPool, read: ReadDemand): number {
+    const { current, expected } = read(pool);
+    return Math.max(current / shortageUtilization, expected / expectedShortageUtilization) - capacity;
 }
 
-function takeVm(planned: readonly PlannedPool[], borrower: PlannedPool): VmMove | undefined {
-    const lenders = planned.filter(item => item !== borrower && isLender(item)).sort(compareLenders);
+function takeVm(planned: readonly PlannedPool[], borrower: PlannedPool, read: ReadDemand): VmMove | undefined {
+    const lenders = planned.filter(item => item !== borrower && isLender(item, read)).sort(compareLenders);
     for (const lender of lenders) {
         const position = pickIdleVm(lender, borrower.pool.name);
         const [idle] = position < 0 ? [] : lender.idle.splice(position, 1);
@@ -80,14 +103,12 @@
 
 /**
  * Tells whether a pool may lend a VM. A spare pool may while it has an idle VM; another pool while the capacity left
- * without VMs under way covers its reserve, its tasks (waiting ones too) and its forecast demand.
+ * without VMs under way covers its reserve, its counted demand (of waiting tasks too) and the forecast of it.
  */
-function isLender({ pool, arrivedCapacity, idle }: PlannedPool): boolean {
+function isLender({ pool, arrivedCapacity, idle }: PlannedPool, read: ReadDemand): boolean {
     const left = arrivedCapacity - (idle[0]?.cpu ?? 0);
-    const needed = Math.max(
-        computeMinCapacity(pool),
-        Math.max(pool.used + pool.wanted, pool.expected) / maxLenderUtilization,
-    );
+    const { current, expected } = read(pool);
+    const needed = Math.max(computeMinCapacity(pool), Math.max(current, expected) / maxLenderUtilization);
     return idle.length > 0 && (pool.isSpare || left >= needed);
 }
 
--- a/packages/core/src/pools/pool-status.ts
+++ b/packages/core/src/pools/pool-status.ts
@@ -15,6 +15,8 @@
     readonly usedLongRunning: number;
     /** Resources that waiting tasks request. */
     readonly wanted: number;
+    /** The part of `wanted` of tasks that cannot be on time any more. */
+    readonly wantedLate: number;
     /** Capacity of the VMs whose home it is. */
     readonly homeCapacity: number;
     /** VMs on which nothing may be running and which may leave. */
--- a/packages/core/src/pools/vm-move-planner.test.ts
+++ b/packages/core/src/pools/vm-move-planner.test.ts
@@ -81,6 +81,7 @@
         used: 0,
         usedLongRunning: 0,
         wanted,
+        wantedLate: 0,
         homeCapacity: 10 * vmCpu,
         idleVms: Array.from({ length: 10 }, (_, index) => ({ vm: `${name}-${index}`, home: name, cpu: vmCpu })),
     });
--- a/packages/core/src/pools/vm-move-planner.ts
+++ b/packages/core/src/pools/vm-move-planner.ts
@@ -7,7 +7,7 @@
 
 /** Plans moves of VMs between pools from the demand of each pool, its growth, and which pool may burst next. */
 export class VmMovePlanner {
-    private readonly trends = new Map<string, DemandTrend>();
+    private readonly trends = new Map<string, { readonly all: DemandTrend; readonly onTime: DemandTrend }>();
     private readonly bursts = new BurstHistory();
     private forecasts: readonly PoolForecast[] = [];
 
@@ -51,13 +51,14 @@
     }
 
     private buildForecast(status: PoolStatus, names: readonly string[], now: number): PoolForecast {
-        const { name, isSpare, used, wanted, usedLongRunning, homeCapacity } = status;
-        const trend = this.trends.get(name) ?? new DemandTrend();
-        this.trends.set(name, trend);
-        const { expected, peak } = trend.addSample(now, used + wanted, this.moveMs);
+        const { name, isSpare, used, wanted, wantedLate, usedLongRunning, homeCapacity } = status;
+        const trends = this.trends.get(name) ?? { all: new DemandTrend(), onTime: new DemandTrend() };
+        this.trends.set(name, trends);
+        const { expected, peak } = trends.all.addSample(now, used + wanted, this.moveMs);
+        const onTime = trends.onTime.addSample(now, used + wanted - wantedLate, this.moveMs);
         const reserve = isSpare
             ? 0
             : usedLongRunning + this.bursts.computeReserve(name, names, now) * homeCapacity;
-        return { ...status, expected, peak, reserve };
+        return { ...status, expected, expectedOnTime: onTime.expected, peak, reserve };
     }
 }
--- a/packages/core/src/testing/run-pool-simulation.ts
+++ b/packages/core/src/testing/run-pool-simulation.ts
@@ -12,6 +12,7 @@
 import type { PoolStatus } from "../pools/pool-status.js";
 import type { VmMove } from "../pools/vm-move.js";
 import { collectCandidates } from "../queueing/collect-candidates.js";
+import { collectLateDemands } from "../queueing/collect-late-demands.js";
 import { collectPoolLoads } from "../queueing/collect-pool-loads.js";
 import { zeroResources } from "../resources/zero-resources.js";
 import { ReportedTargetState } from "../targets/reported-target-state.js";
@@ -229,9 +230,9 @@
 
     private buildPoolStatuses(now: number): PoolStatus[] {
         const { fleet } = this.state;
-        const loads = new Map(
-            collectPoolLoads(fleet, collectCandidates(fleet, now, estimator)).map(load => [load.pool, load]),
-        );
+        const candidates = collectCandidates(fleet, now, estimator);
+        const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
+        const lateDemands = collectLateDemands(candidates);
         return this.pools.map(({ name, isSpare, vms }) => {
             const load = loads.get(name);
             const targets = [...fleet.targets.values()].filter(({ pool }) => pool === name);
@@ -246,6 +247,7 @@
                 used: load?.used ?? 0,
                 usedLongRunning: load?.usedLongRunning ?? 0,
                 wanted: load?.wanted ?? 0,
+                wantedLate: lateDemands.get(name) ?? 0,
                 homeCapacity: vms * vmCpu,
                 idleVms: [...idle.map(({ vm }) => vm), ...poweredOff].map(vm => ({
                     vm,
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -118,6 +118,7 @@
             vms,
             isInMaintenance: vm => this.maintenance.isInMaintenance(vm),
             isUsable: target => this.sessions.find(target)?.isUsable() === true,
+            readLateDemands: () => this.scheduler.readLateDemands(),
             log,
             measure: (work, run) => dependencies.load.measure(work, run),
             clock,
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.test.ts
@@ -70,6 +70,7 @@
             vms,
             isInMaintenance,
             isUsable: () => true,
+            readLateDemands: () => new Map(),
             log,
             measure: (_, run) => run(),
             clock,
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -45,6 +45,8 @@
     readonly isInMaintenance: (vm: string) => boolean;
     /** Whether tasks may be started on a target. */
     readonly isUsable: (target: string) => boolean;
+    /** Reads by pool what waiting tasks request that cannot be on time any more, thousandths of a core. */
+    readonly readLateDemands: () => ReadonlyMap<string, number>;
     readonly log: Pick<DecisionLog, "record">;
     readonly measure: MeasureWork;
     readonly clock: Clock;
@@ -134,13 +136,16 @@
         const forecasts = this.planner.readForecasts();
         const spares = new Set(forecasts.filter(({ isSpare }) => isSpare).map(({ name }) => name));
         const counts = this.moveCounter.takeCounts(forecasts.map(({ name }) => name), pool => spares.has(pool));
-        for (const { name, isSpare, capacity, used, wanted, expected, peak, reserve, idleVms } of forecasts) {
+        for (
+            const { name, isSpare, capacity, used, wanted, wantedLate, expected, peak, reserve, idleVms } of forecasts
+        ) {
             this.dependencies.log.record(DecisionKind.PoolForecast, {
                 pool: name,
                 isSpare,
                 capacity,
                 used,
                 wanted,
+                wantedLate,
                 expected: Math.round(expected),
                 peak,
                 reserve: Math.round(reserve),
@@ -190,6 +195,7 @@
         const homeCapacities = computeHomeCapacities(fleet, index);
         const cordonedLoads = this.computeCordonedLoads(fleet);
         const idleVms = this.collectIdleVms(fleet);
+        const lateDemands = this.dependencies.readLateDemands();
         return (fleet.configuration?.pools ?? []).map(({ name, isSpare }) => {
             const demand = demands.get(name);
             const cordoned = cordonedLoads.get(name);
@@ -203,6 +209,8 @@
                 used: (demand?.used ?? 0) - (cordoned?.usedShortRunning ?? 0),
                 usedLongRunning: demand?.usedLongRunning ?? 0,
                 wanted: demand?.wanted ?? 0,
+                // They may be from before some of the tasks were started.
+                wantedLate: Math.min(demand?.wanted ?? 0, lateDemands.get(name) ?? 0),
                 homeCapacity: homeCapacities.get(name) ?? 0,
                 idleVms: isSpare ? this.listSpareVms(fleet, index, name) : idleVms.get(name) ?? [],
             };
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -11,6 +11,7 @@
 import { planStarts } from "@daisylock/core/placement/plan-starts.js";
 import { StartsUnderWay } from "@daisylock/core/placement/starts-under-way.js";
 import { collectCandidates } from "@daisylock/core/queueing/collect-candidates.js";
+import { collectLateDemands } from "@daisylock/core/queueing/collect-late-demands.js";
 import { collectPoolLoads } from "@daisylock/core/queueing/collect-pool-loads.js";
 import { computePoolTargetSummary } from "@daisylock/core/queueing/compute-pool-target-summary.js";
 import { computeUrgency } from "@daisylock/core/queueing/compute-urgency.js";
@@ -83,6 +84,7 @@
     private proposals = 0;
     /** Monotonic milliseconds. */
     private nextRoundAt = 0;
+    private lateDemands: ReadonlyMap<string, number> = new Map();
     private nextDropAt = 0;
     private nextLoadLogAt = 0;
     private isLeading = false;
@@ -99,6 +101,14 @@
         this.noteFault = createFaultListener(dependencies.log);
     }
 
+    /**
+     * Reads what waiting tasks requested in the last round that cannot be on time any more.
+     * @returns thousandths of a core by pool
+     */
+    readLateDemands(): ReadonlyMap<string, number> {
+        return this.lateDemands;
+    }
+
     protected override *tick(): Generator<unknown, number, unknown> {
         const { leadership, sessions, clock } = this.dependencies;
         this.noteLeadership(leadership.isActive());
@@ -158,6 +168,7 @@
         const startedAt = clock.readMonotonic();
         const view = this.startsUnderWay.buildView(fleet);
         const candidates = this.collectCandidates(view);
+        this.lateDemands = collectLateDemands(candidates);
         const starts = candidates.length === 0 ? [] : this.planRound(view, candidates);
         const endedAt = clock.readMonotonic();
         const durationMs = endedAt - startedAt;
