Go on with messages and heartbeats while the log is being written

Cause: a keeper handled no message while it wrote. A reply that commits an entry, or that renews the lease, waited for a write of later entries, and heartbeats were sent between two writes only. Class: a result that is known waits for work that it does not depend on. Change: a keeper handles events while one write is under way (as etcd's asynchronous storage writes). LogWriter, a part of the pure core, says what is written and which messages wait for it: all but a leader's appends wait for the write that covers what they promise, in their order. Commands that arrive during a write share the next one, so that there are no more appends than before. A keeper waits for a write of more than 150 ms, so that a leader whose disk hangs still loses its lease to a keeper whose disk works. Measured: a new test of heartbeats during a write of the leader fails before. The keepers of a test no longer reach those of the next one.

--- a/packages/core/src/raft/replicated-log.soak.test.ts
+++ b/packages/core/src/raft/replicated-log.soak.test.ts
@@ -100,9 +100,10 @@
                 fc.property(
                     fc.nat(),
                     fc.nat(20),
+                    fc.constantFrom(0, 30, 150),
                     fc.array(action, { minLength: 20, maxLength: 80 }),
-                    (random, loss, steps) => {
-                        const cluster = new SimulatedCluster(5, createRandom(random), loss);
+                    (random, loss, maxWriteMs, steps) => {
+                        const cluster = new SimulatedCluster(5, createRandom(random), loss, { maxWriteMs });
                         for (const id of ["k1", "k2"]) {
                             cluster.sendMemberChange(({ voters, learners }) => ({
                                 voters,
--- a/packages/core/src/testing/simulated-cluster.ts
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -1,12 +1,12 @@
 import { assertInvariant } from "../invariants/assert-invariant.js";
 import { Invariant } from "../invariants/invariant.js";
 import { addProposal } from "../raft/add-proposal.js";
-import { confirmPersisted } from "../raft/confirm-persisted.js";
 import { createRaftState } from "../raft/create-raft-state.js";
 import { createSnapshot } from "../raft/create-snapshot.js";
 import { isLeaseValid } from "../raft/is-lease-valid.js";
 import { LogEntryKind } from "../raft/log-entry-kind.js";
 import type { LogEntry } from "../raft/log-entry.js";
+import { LogWriter } from "../raft/log-writer.js";
 import { RaftMessageKind } from "../raft/raft-message-kind.js";
 import type { RaftMessage } from "../raft/raft-message.js";
 import { RaftRole } from "../raft/raft-role.js";
@@ -31,6 +31,8 @@
     readonly duplicatePercent: number;
     /** Applied entries after which a keeper takes a snapshot. */
     readonly snapshotEntries: number;
+    /** Longest duration of a write to disk, milliseconds. */
+    readonly maxWriteMs: number;
 }
 
 const defaultOptions: SimulationOptions = {
@@ -39,6 +41,7 @@
     maxDelayMs: 41,
     duplicatePercent: 5,
     snapshotEntries: 40,
+    maxWriteMs: 0,
 };
 
 interface Disk {
@@ -53,6 +56,9 @@
     disk: Disk;
     /** `undefined` while the process is down. */
     raft: RaftState | undefined;
+    writer: LogWriter | undefined;
+    /** The write that is under way, and when it ends. */
+    write: { readonly endsAt: number; readonly disk: Disk } | undefined;
     /** Payloads applied, in order; the state machine of the simulation. */
     applied: string[];
     /** While true, the process is stalled: its timers do not run and messages to it are lost. */
@@ -111,7 +117,15 @@
         const snapshot = { index: 0, term: 0, members, data: "[]" };
         const base = { index: 0, term: 0 };
         const disk: Disk = { hard: { term: 0, votedFor: undefined }, snapshot, base, entries: [] };
-        const node: Node = { id, disk, raft: undefined, applied: [], isFrozen: false };
+        const node: Node = {
+            id,
+            disk,
+            raft: undefined,
+            writer: undefined,
+            write: undefined,
+            applied: [],
+            isFrozen: false,
+        };
         this.nodes.push(node);
         this.startNode(node);
     }
@@ -130,15 +144,20 @@
             ...disk,
             entries: [...disk.entries],
         });
+        node.writer = new LogWriter(node.raft);
         node.applied = JSON.parse(disk.snapshot.data) as string[];
         node.isFrozen = false;
     }
 
     /**
-     * Kills a keeper; state that is not on its disk is lost.
+     * Kills a keeper; state that is not on its disk is lost. A write that is under way may or may not be on it.
      * @param node - the keeper
      */
     stopNode(node: Node): void {
+        if (node.write !== undefined && this.random() < 0.5) {
+            node.disk = node.write.disk;
+        }
+        node.write = undefined;
         node.raft = undefined;
     }
 
@@ -252,17 +271,29 @@
      * @param node - the keeper
      */
     runNode(node: Node): void {
-        const { raft } = node;
-        if (raft === undefined) {
+        const { raft, writer } = node;
+        if (raft === undefined || writer === undefined) {
             return;
         }
-        if (raft.isHardStateUnpersisted || raft.isSnapshotUnpersisted || raft.firstUnpersistedIndex !== undefined) {
-            node.disk = { hard: raft.hard, snapshot: raft.snapshot, base: raft.base, entries: [...raft.entries] };
-            confirmPersisted(raft);
+        for (let isWriting = true; isWriting;) {
+            if (node.write !== undefined && node.write.endsAt <= this.now) {
+                node.disk = node.write.disk;
+                node.write = undefined;
+                writer.confirmWrite().forEach(message => this.sendMessage(message));
+            }
+            writer.takeReadyMessages().forEach(message => this.sendMessage(message));
+            this.applyCommitted(node, raft);
+            const write = writer.startWrite();
+            if (write !== undefined) {
+                const endsAt = this.now + this.random() * this.options.maxWriteMs;
+                node.write = { endsAt, disk: applyWrite(node.disk, write) };
+            }
+            writer.takeReadyMessages().forEach(message => this.sendMessage(message));
+            isWriting = node.write !== undefined && node.write.endsAt <= this.now;
         }
-        const messages = raft.outbox;
-        raft.outbox = [];
-        messages.forEach(message => this.sendMessage(message));
+    }
+
+    private applyCommitted(node: Node, raft: RaftState): void {
         if (raft.snapshot.index > raft.appliedIndex) {
             node.applied = JSON.parse(raft.snapshot.data) as string[];
             raft.appliedIndex = raft.snapshot.index;
@@ -273,8 +304,6 @@
         this.confirmProposals(node, raft);
         if (raft.appliedIndex - raft.snapshot.index >= this.options.snapshotEntries) {
             createSnapshot(raft, JSON.stringify(node.applied), 8);
-            node.disk = { hard: raft.hard, snapshot: raft.snapshot, base: raft.base, entries: [...raft.entries] };
-            confirmPersisted(raft);
         }
     }
 
@@ -351,3 +380,15 @@
         }
     }
 }
+
+/** Applies a write to what is on a disk, as the storage of a keeper does. */
+function applyWrite(disk: Disk, write: NonNullable<ReturnType<LogWriter["startWrite"]>>): Disk {
+    const hard = write.hard ?? disk.hard;
+    if (write.snapshot !== undefined) {
+        return { hard, snapshot: write.snapshot, base: write.base, entries: [...write.entries] };
+    }
+    const kept = write.truncateFrom === undefined
+        ? disk.entries
+        : disk.entries.slice(0, write.truncateFrom - disk.base.index - 1);
+    return { ...disk, hard, entries: [...kept, ...write.entries] };
+}
--- a/packages/daemon/src/request-proxy/keeper/keeper-event-kind.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper-event-kind.ts
@@ -8,4 +8,6 @@
     Bootstrap = "bootstrap",
     /** Transfers the leadership of a leader that is about to stop. */
     TransferLeadership = "hand-over",
+    /** A write to disk has ended. */
+    Written = "written",
 }
--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -92,7 +92,8 @@
         counts = created.counts;
         isConnected = true;
         storages = addresses.map(address => new HeldKeeperStorage(address));
-        keepers = addresses.map((address, position) =>
+        // Messages of the keepers of an earlier test must not reach these.
+        const group: Keeper[] = addresses.map((address, position) =>
             new Keeper({
                 storage: storages[position] ?? new HeldKeeperStorage(address),
                 clock,
@@ -103,11 +104,12 @@
                 snapshotEntries: 10_000,
                 send: (to, messages) => {
                     if (isConnected) {
-                        setTimeout(() => keepers[addresses.indexOf(to)]?.receive(messages, address), 1);
+                        setTimeout(() => group[addresses.indexOf(to)]?.receive(messages, address), 1);
                     }
                 },
             })
         );
+        keepers = group;
         keepers.forEach(keeper => runGoroutine(() => keeper.run(), () => undefined));
         await keepers[0]?.startCluster("k0");
         await waitUntil(() => findLeader() !== undefined);
@@ -174,6 +176,43 @@
         });
     });
 
+    describe("while a write of the leader takes long", () => {
+        // Leases lapsed in bursts, as a leader neither sent nor handled heartbeats while it wrote.
+        it("goes on with heartbeats and their replies", async () => {
+            const leader = findLeader();
+            const position = keepers.findIndex(keeper => keeper === leader);
+            storages[position]?.stopWrites();
+            const readOldestContact = () =>
+                Math.max(...Object.values(leader?.readView()?.silentMs ?? { none: Infinity }));
+            void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership });
+            await waitUntil(() => storages[position]?.heldWrites === 1);
+            await new Promise(resolve => setTimeout(resolve, 130));
+            expect(readOldestContact()).toBeLessThan(100);
+            storages[position]?.releaseWrites();
+        });
+
+        it("hands the leadership to a keeper whose disk works when the write does not end", async () => {
+            const leader = findLeader();
+            const position = keepers.findIndex(keeper => keeper === leader);
+            storages[position]?.stopWrites();
+            void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership });
+            const maxMs = 2 * timing.maxElectionTimeoutMs;
+            await waitUntil(() => findLeader() !== undefined && findLeader() !== leader, maxMs);
+            storages[position]?.releaseWrites();
+        });
+
+        it("commits the commands that arrive meanwhile together afterwards", async () => {
+            const leader = findLeader();
+            const position = keepers.findIndex(keeper => keeper === leader);
+            storages[position]?.stopWrites();
+            const propose = async () => (await leader?.sendCommand({ kind: CommandKind.ConfirmLeadership }))?.isOk;
+            const commands = Array.from({ length: 20 }, propose);
+            await waitUntil(() => storages[position]?.heldWrites === 1);
+            storages[position]?.releaseWrites();
+            expect(await Promise.all(commands)).toEqual(commands.map(() => true));
+        });
+    });
+
     describe("without connections", () => {
         it("counts the lapse of the leader's lease, and the commands whose outcome is unknown", async () => {
             expect(counts.get(MetricName.LeaseLapses)).toBeUndefined();
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -8,15 +8,14 @@
 import { EventKind } from "@daisylock/core/events/event-kind.js";
 import { addProposal } from "@daisylock/core/raft/add-proposal.js";
 import { computeLeaseStart } from "@daisylock/core/raft/compute-lease-start.js";
-import { confirmPersisted } from "@daisylock/core/raft/confirm-persisted.js";
 import { createRaftState } from "@daisylock/core/raft/create-raft-state.js";
 import { createSnapshot } from "@daisylock/core/raft/create-snapshot.js";
 import { isLeaseValid } from "@daisylock/core/raft/is-lease-valid.js";
 import { LogEntryKind } from "@daisylock/core/raft/log-entry-kind.js";
 import type { LogEntry } from "@daisylock/core/raft/log-entry.js";
+import { LogWriter } from "@daisylock/core/raft/log-writer.js";
 import type { MemberChangeFault } from "@daisylock/core/raft/member-change-fault.js";
 import type { Members } from "@daisylock/core/raft/members.js";
-import { RaftMessageKind } from "@daisylock/core/raft/raft-message-kind.js";
 import type { RaftMessage } from "@daisylock/core/raft/raft-message.js";
 import { RaftRole } from "@daisylock/core/raft/raft-role.js";
 import type { RaftState } from "@daisylock/core/raft/raft-state.js";
@@ -52,8 +51,13 @@
 
 /** Maximum number of events queued while a batch is written. Beyond it, proposals are refused and messages dropped. */
 const mailboxCapacity = 900;
-/** Maximum number of events handled before one write to disk. */
+/** Maximum number of events handled before messages are sent. */
 const maxBatchEvents = 512;
+/**
+ * Duration of a write from which the keeper waits for it, milliseconds. A leader whose disk hangs then sends no heartbeats,
+ * so that a keeper with a working disk takes over.
+ */
+const maxConcurrentWriteMs = 150;
 /** Much shorter than the shortest heartbeat interval, so that elections and heartbeats start on time. */
 const tickMs = 25;
 /** Time for a successor to catch up; after it, the leader stops without a leadership transfer. */
@@ -65,6 +69,8 @@
 /** Payload of the entries applied since the last snapshot after which the next one is taken, characters. */
 const snapshotCharacters = 8 * 1024 * 1024;
 
+type CommandEvent = Extract<KeeperEvent, { kind: KeeperEventKind.Command }>;
+
 /** A leadership transfer in progress. */
 interface LeadershipTransfer {
     readonly resolve: (successor: string | undefined) => void;
@@ -104,15 +110,28 @@
     readonly handleLoaded?: (loaded: LoadedLog) => void;
 }
 
+/** A write to disk that has begun. */
+interface WriteUnderWay {
+    /** Rejected when the write has failed. */
+    readonly done: Promise<void>;
+    /** Monotonic milliseconds. */
+    readonly startedAt: number;
+    isDone: boolean;
+    hasFailed: boolean;
+}
+
 /**
- * Runs the replicated log of one keeper: handles events in batches, applies what they have committed, writes to disk, sends
- * messages, and applies what the write has committed.
+ * Runs the replicated log of one keeper: handles events in batches, sends messages and applies what is committed, while
+ * one write to disk at a time is under way.
  */
 export class Keeper extends Worker {
     override readonly name = "keeper";
     private readonly mailbox = new Mailbox<KeeperEvent>(mailboxCapacity);
     private readonly proposals = new PendingProposals();
     private raft: RaftState | undefined;
+    private write: WriteUnderWay | undefined;
+    /** Commands that arrived during a write. They share the next one. */
+    private waitingCommands: CommandEvent[] = [];
     private control: ControlState = createControlState();
     /** Peer addresses of keepers that have sent messages; a new member has no other addresses yet. */
     private readonly senderAddresses = new Map<string, string>();
@@ -137,7 +156,9 @@
 
     override *run(): Generator<unknown, void, unknown> {
         const { storage } = this.dependencies;
-        this.raft = yield* this.loadRaft();
+        const raft = yield* this.loadRaft();
+        const writer = new LogWriter(raft);
+        this.raft = raft;
         this.startTick();
         try {
             for (;;) {
@@ -145,15 +166,13 @@
                 if (event === undefined) {
                     break;
                 }
-                this.handleBatch(this.raft, event);
-                this.updateTransfer(this.raft);
-                this.sendAppends(this.raft);
-                // What the batch has committed need not wait for the write of later entries.
-                this.applyCommitted(this.raft);
-                yield* this.saveState(this.raft);
-                this.sendMessages(this.raft);
-                this.applyCommitted(this.raft);
-                this.reportRole(this.raft);
+                this.handleBatch(raft, event);
+                this.updateTransfer(raft);
+                yield* this.runWrites(raft, writer);
+            }
+            while (this.write !== undefined) {
+                yield* waitFor(this.write.done);
+                yield* this.runWrites(raft, writer);
             }
         }
         finally {
@@ -161,6 +180,9 @@
             this.raft = undefined;
             this.transfer?.resolve(undefined);
             this.proposals.settleAll();
+            this.waitingCommands.splice(0).forEach(({ resolve }) =>
+                resolve(Result.err({ kind: ProposeFailureKind.NotLeader }))
+            );
             // Every write was synced, so that a failure to close loses nothing.
             storage.close().catch(() => undefined);
         }
@@ -353,7 +375,7 @@
                 }
                 break;
             case KeeperEventKind.Command:
-                this.handleCommand(raft, event, now);
+                this.receiveCommand(raft, event, now);
                 break;
             case KeeperEventKind.ChangeMembers: {
                 const index = setMembers(raft, event.members, now);
@@ -366,6 +388,8 @@
             case KeeperEventKind.Bootstrap:
                 event.resolve(startBootstrap(raft, event.address, now));
                 break;
+            case KeeperEventKind.Written:
+                break;
         }
     }
 
@@ -383,11 +407,19 @@
         }
     }
 
-    private handleCommand(
-        raft: RaftState,
-        event: Extract<KeeperEvent, { kind: KeeperEventKind.Command }>,
-        now: number,
-    ): void {
+    private receiveCommand(raft: RaftState, event: CommandEvent, now: number): void {
+        if (this.write === undefined || raft.role !== RaftRole.Leader) {
+            this.handleCommand(raft, event, now);
+        }
+        else if (this.waitingCommands.length < mailboxCapacity) {
+            this.waitingCommands.push(event);
+        }
+        else {
+            event.resolve(Result.err({ kind: ProposeFailureKind.Busy }));
+        }
+    }
+
+    private handleCommand(raft: RaftState, event: CommandEvent, now: number): void {
         const index = this.transfer === undefined
             ? addProposal(raft, LogEntryKind.Command, JSON.stringify(event.command), now)
             : undefined;
@@ -399,55 +431,67 @@
         this.proposals.add(index, raft.hard.term, event.resolve);
     }
 
-    private *saveState(raft: RaftState): Generator<unknown, void, unknown> {
-        const { storage, clock, metrics } = this.dependencies;
-        const startedAt = clock.readMonotonic();
-        if (raft.isSnapshotUnpersisted) {
-            yield* waitFor(storage.saveSnapshot(raft.snapshot, raft.base, {
-                hard: raft.hard,
-                truncateFrom: undefined,
-                entries: raft.entries,
-            }));
-            this.dependencies.events.record(EventKind.SnapshotSaved, { detail: `index ${raft.snapshot.index}` });
+    /** Ends a write that is done, sends and applies what it or the events have made possible, and begins the next write. */
+    private *runWrites(raft: RaftState, writer: LogWriter): Generator<unknown, void, unknown> {
+        const { clock } = this.dependencies;
+        const { write } = this;
+        if (write !== undefined && !write.isDone && clock.readMonotonic() - write.startedAt > maxConcurrentWriteMs) {
+            yield* waitFor(write.done);
         }
-        else if (raft.isHardStateUnpersisted || raft.firstUnpersistedIndex !== undefined) {
-            yield* waitFor(storage.append({
-                hard: raft.isHardStateUnpersisted ? raft.hard : undefined,
-                truncateFrom: raft.firstUnpersistedIndex,
-                entries: raft.firstUnpersistedIndex === undefined
-                    ? []
-                    : raft.entries.slice(raft.firstUnpersistedIndex - raft.base.index - 1),
-            }));
-            const durationMs = clock.readMonotonic() - startedAt;
-            metrics.recordTime(MetricName.LogSync, durationMs);
-            this.dependencies.handleWritten?.(durationMs);
+        if (write?.isDone === true) {
+            if (write.hasFailed) {
+                yield* waitFor(write.done);
+            }
+            this.write = undefined;
+            this.sendMessages(raft, writer.confirmWrite());
+            const now = clock.readMonotonic();
+            this.waitingCommands.splice(0).forEach(event => this.handleCommand(raft, event, now));
         }
-        else {
+        this.sendMessages(raft, writer.takeReadyMessages());
+        this.applyCommitted(raft);
+        this.startWrite(writer);
+        this.sendMessages(raft, writer.takeReadyMessages());
+        this.reportRole(raft);
+    }
+
+    private startWrite(writer: LogWriter): void {
+        const { storage, clock } = this.dependencies;
+        const batch = writer.startWrite();
+        if (batch === undefined) {
             return;
         }
-        confirmPersisted(raft);
+        const { hard, snapshot, base, truncateFrom, entries } = batch;
+        const startedAt = clock.readMonotonic();
+        const done = snapshot === undefined
+            ? storage.append({ hard, truncateFrom, entries })
+            : storage.saveSnapshot(snapshot, base, { hard, truncateFrom, entries });
+        const write: WriteUnderWay = { done, startedAt, isDone: false, hasFailed: false };
+        this.write = write;
+        const handleEnd = (hasFailed: boolean): void => {
+            write.isDone = true;
+            write.hasFailed = hasFailed;
+            // A full mailbox wakes the goroutine as well; in a closed one the goroutine waits for the write.
+            this.mailbox.put({ kind: KeeperEventKind.Written });
+        };
+        done.then(() => {
+            this.reportWrite(clock.readMonotonic() - startedAt, snapshot?.index);
+            handleEnd(false);
+        }, () => handleEnd(true));
     }
 
-    /**
-     * Sends a leader's append messages before its own disk write, so that all keepers write to disk in parallel. The
-     * leader counts itself towards a quorum only once its own write is done (Ongaro's thesis, 10.2.1).
-     */
-    private sendAppends(raft: RaftState): void {
-        if (raft.role !== RaftRole.Leader || raft.isHardStateUnpersisted) {
+    private reportWrite(durationMs: number, snapshotIndex: number | undefined): void {
+        const { metrics, events, handleWritten } = this.dependencies;
+        if (snapshotIndex !== undefined) {
+            events.record(EventKind.SnapshotSaved, { detail: `index ${snapshotIndex}` });
             return;
         }
-        const isAppend = (message: RaftMessage): boolean => message.kind === RaftMessageKind.Append;
-        const otherMessages = raft.outbox.filter(message => !isAppend(message));
-        raft.outbox = raft.outbox.filter(isAppend);
-        this.sendMessages(raft);
-        raft.outbox = otherMessages;
+        metrics.recordTime(MetricName.LogSync, durationMs);
+        handleWritten?.(durationMs);
     }
 
-    private sendMessages(raft: RaftState): void {
+    private sendMessages(raft: RaftState, sent: readonly RaftMessage[]): void {
         const addresses: Record<string, string> = { ...raft.members.learners, ...raft.members.voters };
-        const byReceiver = collectByReceiver(raft.outbox);
-        raft.outbox = [];
-        for (const [receiver, messages] of byReceiver) {
+        for (const [receiver, messages] of collectByReceiver(sent)) {
             const address = addresses[receiver] ?? this.senderAddresses.get(receiver);
             if (address !== undefined) {
                 this.dependencies.send(address, messages);
