Check in the random runs of the log that no message is sent before its write

Cause: random runs of the replicated log did not notice when replies were sent before the write that they promise: it takes the loss of a majority's last writes at once until an entry is missing.

--- a/packages/core/src/testing/simulated-cluster.ts
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -279,16 +279,16 @@
             if (node.write !== undefined && node.write.endsAt <= this.now) {
                 node.disk = node.write.disk;
                 node.write = undefined;
-                writer.confirmWrite().forEach(message => this.sendMessage(message));
+                writer.confirmWrite().forEach(message => this.sendMessage(node, message));
             }
-            writer.takeReadyMessages().forEach(message => this.sendMessage(message));
+            writer.takeReadyMessages().forEach(message => this.sendMessage(node, message));
             this.applyCommitted(node, raft);
             const write = writer.startWrite();
             if (write !== undefined) {
                 const endsAt = this.now + this.random() * this.options.maxWriteMs;
                 node.write = { endsAt, disk: applyWrite(node.disk, write) };
             }
-            writer.takeReadyMessages().forEach(message => this.sendMessage(message));
+            writer.takeReadyMessages().forEach(message => this.sendMessage(node, message));
             isWriting = node.write !== undefined && node.write.endsAt <= this.now;
         }
     }
@@ -307,7 +307,12 @@
         }
     }
 
-    private sendMessage(message: RaftMessage): void {
+    private sendMessage({ id, disk }: Node, message: RaftMessage): void {
+        assertInvariant(
+            isPromiseDurable(disk, message),
+            Invariant.CommittedEntriesStay,
+            () => `${id} sends before its write: ${JSON.stringify(message)}`,
+        );
         this.recordTraffic(message);
         if (this.random() * 100 < this.lossPercent) {
             return;
@@ -392,3 +397,22 @@
         : disk.entries.slice(0, write.truncateFrom - disk.base.index - 1);
     return { ...disk, hard, entries: [...kept, ...write.entries] };
 }
+
+/** Tells whether a disk holds what a message promises: an acknowledged entry, or a vote. */
+function isPromiseDurable({ hard, snapshot, base, entries }: Disk, message: RaftMessage): boolean {
+    switch (message.kind) {
+        case RaftMessageKind.AppendReply: {
+            const isCovered = message.index <= snapshot.index || message.index <= base.index + entries.length;
+            return !message.isAccepted || hard.term >= message.term && isCovered;
+        }
+        case RaftMessageKind.VoteReply:
+            return !message.isGranted || hard.term === message.term && hard.votedFor === message.to;
+        case RaftMessageKind.SnapshotReply:
+            return !message.isInstalled || message.snapshotIndex <= base.index + entries.length;
+        case RaftMessageKind.Vote:
+        case RaftMessageKind.Append:
+            return hard.term >= message.term;
+        default:
+            return true;
+    }
+}
