Leave tasks of other jobs out of the search for starts under way

Cause: while starts are under way, each scheduling round built the key of every waiting task to look it up, and rounds are more frequent now; a backlog has thousands of tasks, of which few belong to jobs with starts under way. A scheduler with eight open commits also compared all targets and sessions at each event. Change: candidates of jobs without starts under way are passed on as they are; with eight commits open the scheduler waits for the end of one. Measured: the new test fails before (the step of another job is copied) and passes now; the tests of the scheduler and of suspects pass.

--- a/packages/core/src/placement/starts-under-way.test.ts
+++ b/packages/core/src/placement/starts-under-way.test.ts
@@ -38,6 +38,19 @@
         expect(planRound(state, underWay)).toEqual(starts);
     });
 
+    // The tasks of a backlog are gone through in each round.
+    it("visits only the tasks of jobs that have starts under way", () => {
+        const state = buildTestFleet(1, capacity);
+        addTestJob(state, "a", [buildTestStep({ count: 6 })]);
+        addTestJob(state, "b", [buildTestStep({ count: 500 })]);
+        const underWay = new StartsUnderWay();
+        underWay.addStarts([{ task: "a.0.0.0", run: 1, target: "t0" }]);
+        const candidates = collectCandidates(state.fleet, 0, estimator);
+        const dropped = underWay.dropFrom(candidates);
+        expect(dropped.find(({ job }) => job.id === "a")?.waiting).toEqual([1, 2, 3, 4, 5]);
+        expect(dropped.find(({ job }) => job.id === "b")).toBe(candidates.find(({ job }) => job.id === "b"));
+    });
+
     it("counts towards the limit of a client account", () => {
         const state = buildTestFleet(2, capacity, { cpu: 3_000, memory: 0, gpu: 0 });
         addTestJob(state, "a", [buildTestStep({ count: 2 })]);
--- a/packages/core/src/placement/starts-under-way.ts
+++ b/packages/core/src/placement/starts-under-way.ts
@@ -15,6 +15,7 @@
     /** By encoded task key. */
     private readonly starts = new Map<string, TaskStart>();
     private readonly countsByTarget = new Map<string, number>();
+    private readonly countsByJob = new Map<string, number>();
 
     /**
      * Adds starts that are proposed.
@@ -23,7 +24,8 @@
     addStarts(starts: readonly TaskStart[]): void {
         for (const start of starts) {
             this.starts.set(start.task, start);
-            this.countsByTarget.set(start.target, this.countOnTarget(start.target) + 1);
+            updateCount(this.countsByTarget, start.target, 1);
+            updateCount(this.countsByJob, readJobId(start), 1);
         }
     }
 
@@ -32,15 +34,10 @@
      * @param starts - the starts, as they were added
      */
     removeStarts(starts: readonly TaskStart[]): void {
-        for (const { task, target } of starts) {
-            this.starts.delete(task);
-            const count = this.countOnTarget(target) - 1;
-            if (count > 0) {
-                this.countsByTarget.set(target, count);
-            }
-            else {
-                this.countsByTarget.delete(target);
-            }
+        for (const start of starts) {
+            this.starts.delete(start.task);
+            updateCount(this.countsByTarget, start.target, -1);
+            updateCount(this.countsByJob, readJobId(start), -1);
         }
     }
 
@@ -102,11 +99,12 @@
      * @returns the steps with the tasks that still wait; those without any are left out
      */
     dropFrom(candidates: readonly StepCandidate[]): StepCandidate[] {
-        if (this.starts.size === 0) {
-            return [...candidates];
-        }
         return candidates.flatMap(candidate => {
             const { job, occurrence, step } = candidate;
+            // Keys of other jobs are not built, as a backlog has thousands of tasks.
+            if (!this.countsByJob.has(job.id)) {
+                return [candidate];
+            }
             const waiting = candidate.waiting.filter(index =>
                 !this.starts.has(encodeTaskKey({ job: job.id, occurrence, step, index }))
             );
@@ -115,6 +113,20 @@
     }
 }
 
+function readJobId({ task }: TaskStart): string {
+    return task.slice(0, task.indexOf("."));
+}
+
+function updateCount(counts: Map<string, number>, key: string, change: 1 | -1): void {
+    const count = (counts.get(key) ?? 0) + change;
+    if (count > 0) {
+        counts.set(key, count);
+    }
+    else {
+        counts.delete(key);
+    }
+}
+
 function createLoadCopy(load: TargetLoad): TargetLoad {
     return { ...load, runs: new Map(load.runs), stepCounts: new Map(load.stepCounts) };
 }
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -115,6 +115,10 @@
         if (!this.isLeading) {
             return followerIntervalMs;
         }
+        if (this.proposals >= maxProposals) {
+            // The end of a commit begins the next round.
+            return intervalMs;
+        }
         const pauseMs = this.nextRoundAt - clock.readMonotonic();
         if (pauseMs > 0) {
             return pauseMs;
@@ -162,9 +166,6 @@
 
     private startTasks(fleet: FleetState): void {
         const { clock, load, metrics } = this.dependencies;
-        if (this.proposals >= maxProposals) {
-            return;
-        }
         const startedAt = clock.readMonotonic();
         const view = this.startsUnderWay.buildView(fleet);
         const candidates = this.collectCandidates(view);
