Tell how long recorded ends of runs take to commit

Cause: a run counts as using cores from the proposal of its start until its end is committed. leader-load told what the first commit takes, but not the second, so that the logs could not tell a pool that is full from one whose runs have ended without the leader knowing. Change: leader-load has ends, endCommits, endCommitMs and longestEndCommitMs, from the answer of the target to the result of the command.

--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -111,6 +111,7 @@
             },
             startScheduling,
             handleRunEnd: (task, how, durationMs) => this.noteRunEnd(leadership.readFleet(), task, how, durationMs),
+            noteEnds: (count, durationMs) => dependencies.load.noteEnds(count, durationMs),
         }, (work, run) => dependencies.load.measure(work, run));
         this.balancer = new PoolBalancer({
             leadership,
--- a/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
@@ -45,6 +45,20 @@
         expect(meter.takeInterval()).toMatchObject({ startCommits: 0, startCommitMs: 0, writes: 0, writeMs: 0 });
     });
 
+    // Nothing told for how long runs that had ended counted as used capacity.
+    it("reports how long ends of runs wait until they are recorded", () => {
+        const meter = new LoadMeter();
+        meter.noteEnds(3, 120);
+        meter.noteEnds(1, 40);
+        expect(meter.takeInterval()).toMatchObject({
+            ends: 4,
+            endCommits: 2,
+            endCommitMs: 160,
+            longestEndCommitMs: 120,
+        });
+        expect(meter.takeInterval()).toMatchObject({ ends: 0, endCommits: 0, endCommitMs: 0, longestEndCommitMs: 0 });
+    });
+
     it("names the most frequent kinds of requests", () => {
         const meter = new LoadMeter();
         ["sent log", "received report", "sent log"].forEach(kind => meter.noteRequest(kind));
--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -26,6 +26,11 @@
     readonly startCommits: number;
     readonly startCommitMs: number;
     readonly longestStartCommitMs: number;
+    /** Runs whose end was recorded, the commands that recorded them, and the time from their proposal to their result, milliseconds. */
+    readonly ends: number;
+    readonly endCommits: number;
+    readonly endCommitMs: number;
+    readonly longestEndCommitMs: number;
     /** Writes of the replicated log to disk and their time, milliseconds. */
     readonly writes: number;
     readonly writeMs: number;
@@ -55,6 +60,10 @@
     private startCommits = 0;
     private startCommitMs = 0;
     private longestStartCommitMs = 0;
+    private ends = 0;
+    private endCommits = 0;
+    private endCommitMs = 0;
+    private longestEndCommitMs = 0;
     private writes = 0;
     private writeMs = 0;
     private commits = 0;
@@ -98,6 +107,18 @@
         this.longestStartCommitMs = Math.max(this.longestStartCommitMs, durationMs);
     }
 
+    /**
+     * Records the commit of ends of runs.
+     * @param count - number of recorded ends
+     * @param durationMs - time from the proposal to its result, milliseconds
+     */
+    noteEnds(count: number, durationMs: number): void {
+        this.ends += count;
+        this.endCommits += 1;
+        this.endCommitMs += durationMs;
+        this.longestEndCommitMs = Math.max(this.longestEndCommitMs, durationMs);
+    }
+
     /**
      * Records a write of the replicated log to disk.
      * @param durationMs - its duration, milliseconds
@@ -161,6 +182,10 @@
             startCommits: this.startCommits,
             startCommitMs: Math.round(this.startCommitMs),
             longestStartCommitMs: Math.round(this.longestStartCommitMs),
+            ends: this.ends,
+            endCommits: this.endCommits,
+            endCommitMs: Math.round(this.endCommitMs),
+            longestEndCommitMs: Math.round(this.longestEndCommitMs),
             writes: this.writes,
             writeMs: Math.round(this.writeMs),
             commits: this.commits,
@@ -180,6 +205,10 @@
         this.startCommits = 0;
         this.startCommitMs = 0;
         this.longestStartCommitMs = 0;
+        this.ends = 0;
+        this.endCommits = 0;
+        this.endCommitMs = 0;
+        this.longestEndCommitMs = 0;
         this.writes = 0;
         this.writeMs = 0;
         this.commits = 0;
--- a/packages/daemon/src/job-scheduler/leader/lost-zone.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/lost-zone.test.ts
@@ -45,6 +45,7 @@
         handleUnansweredRequest: () => undefined,
         startScheduling: () => undefined,
         handleRunEnd: () => undefined,
+        noteEnds: () => undefined,
     });
     const setLost = (isLost: boolean) => {
         areReporting = !isLost;
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -22,6 +22,8 @@
     readonly clock: Clock;
     /** Runs work and records its time. */
     readonly measure: MeasureWork;
+    /** Called when ends of runs were recorded, with their number and the time that the command took, milliseconds. */
+    readonly noteEnds: (count: number, durationMs: number) => void;
     readonly log: Pick<DecisionLog, "record">;
     /** Longest lease that a target accepts, milliseconds. */
     readonly maxLeaseMs: number;
--- a/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
@@ -78,6 +78,7 @@
         handleUnansweredRequest: () => undefined,
         startScheduling: () => undefined,
         handleRunEnd: () => undefined,
+        noteEnds: () => undefined,
     });
     const startTask = () => {
         applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task, run: 1, target: "t0" }] });
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -49,6 +49,7 @@
     }
     const sessions: TargetSession[] = [];
     const durations: (number | undefined)[] = [];
+    const endCommits: (readonly [count: number, durationMs: number])[] = [];
     const dependencies: SessionDependencies = {
         leadership: {
             isActive: () => isActive,
@@ -73,6 +74,7 @@
         },
         probeBudget: new ProbeBudget(50, clock),
         measure: (_work, run) => run(),
+        noteEnds: (count, durationMs) => void endCommits.push([count, durationMs]),
         clock,
         log: { record: (kind, fields) => handleLogLine(kind, fields) },
         maxLeaseMs,
@@ -93,6 +95,7 @@
         client,
         commands,
         durations,
+        endCommits,
         recordStart,
         cancelJob: () => applyCommand(state, { kind: CommandKind.CancelJob, id: "a", atMs: 0 }),
         setVerified: () => state.fleet.targets.set("t0", { ...record, reportClockMs: 1 }),
@@ -414,6 +417,19 @@
             expect(fixture.durations).toEqual([undefined]);
             session.close();
         });
+
+        it("of the commits of ends are reported with the number of ends", async () => {
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.client.running.push({ task, run: 1, saved: "", percent: 60, load: 0 });
+            const session = fixture.openSession();
+            await fixture.clock.runFor(100);
+            fixture.client.running.length = 0;
+            fixture.client.ended.push({ number: 1, task, run: 1, how: RunOutcome.Done, saved: "" });
+            await fixture.clock.runFor(2_500);
+            expect(fixture.endCommits).toEqual([[1, 0]]);
+            session.close();
+        });
     });
 
     describe("starts", () => {
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -602,7 +602,8 @@
             // The next session may have started the runs again.
             return false;
         }
-        const { leadership, startScheduling } = this.dependencies;
+        const { leadership, startScheduling, noteEnds } = this.dependencies;
+        const proposedAt = this.readNow();
         const recorded = await leadership.recordCommand({
             kind: CommandKind.RecordEnds,
             ends: ends.map(({ task, run, how, saved, progress }) => ({
@@ -615,6 +616,7 @@
             })),
             atMs: this.dependencies.clock.readWall(),
         });
+        noteEnds(recorded?.length ?? 0, this.readNow() - proposedAt);
         this.dependencies.measure("ends", () => this.noteRunEnds(recorded ?? []));
         startScheduling();
         return recorded !== undefined;
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -31,6 +31,7 @@
         handleUnansweredRequest: () => undefined,
         startScheduling: () => undefined,
         handleRunEnd: () => undefined,
+        noteEnds: () => undefined,
     });
     return { clock, client, fleet, sessions };
 }
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -162,6 +162,7 @@
             handleUnansweredRequest: target => void sessions.checkZoneReachable(target),
             startScheduling,
             handleRunEnd: () => undefined,
+            noteEnds: () => undefined,
         });
         const scheduler = new Scheduler({
             metrics: { recordTime: () => undefined },
