--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -228,6 +228,7 @@
             },
             handleWritten: durationMs => this.load.noteWrite(durationMs),
             handleLoaded: loaded => this.log.record(DecisionKind.LogLoaded, { ...loaded }),
+            measure: (work, run) => this.load.measure(work, run),
         });
         this.keeper = keeper;
         const targetSender = new TargetRequestSender(this.adapter.createTargetClient(), noteSent);
--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -248,11 +248,13 @@
     let keeper: Keeper;
     let counts: Map<string, number>;
     let tickDelays: number[];
+    let measured: string[];
 
     beforeEach(() => {
         const created = createMetrics();
         counts = created.counts;
         tickDelays = created.tickDelays;
+        measured = [];
         const clock = new SystemClock();
         keeper = new Keeper({
             storage: new MemoryKeeperStorage("k0"),
@@ -261,8 +263,12 @@
             timing,
             events: new EventLog("k0", "a", clock, 16),
             metrics: created.metrics,
-            snapshotEntries: 10_000,
+            snapshotEntries: 3,
             send: () => undefined,
+            measure: (work, run) => {
+                measured.push(work);
+                return run();
+            },
         });
     });
 
@@ -282,6 +288,17 @@
         expect(counts.get(`${MetricName.CommandsRefused} not-leader`)).toBe(1);
     });
 
+    // Two thirds of a full leader's main thread were in no figure of its log.
+    it("measures the work of its main thread for the log and the snapshots", async () => {
+        runGoroutine(() => keeper.run(), () => undefined);
+        await keeper.startCluster("k0");
+        await waitUntil(() => keeper.isActiveLeader());
+        for (let command = 0; command < 4; command++) {
+            await keeper.sendCommand({ kind: CommandKind.ConfirmLeadership });
+        }
+        expect(new Set(measured)).toEqual(new Set(["applied log", "stored log", "snapshot"]));
+    });
+
     it("records how late a tick is after the event loop was blocked", async () => {
         runGoroutine(() => keeper.run(), () => undefined);
         await waitUntil(() => tickDelays.length > 0);
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -110,6 +110,8 @@
     readonly handleWritten?: (durationMs: number) => void;
     /** Called once the stored log is loaded. */
     readonly handleLoaded?: (loaded: LoadedLog) => void;
+    /** Runs work of the main thread and records its time. */
+    readonly measure?: <Value>(work: string, run: () => Value) => Value;
 }
 
 /** A write to disk that has begun. */
@@ -454,8 +456,8 @@
         }
         this.handleWaitingCommands(raft);
         this.sendMessages(raft, writer.takeReadyMessages());
-        this.applyCommitted(raft);
-        this.startWrite(writer);
+        this.measure("applied log", () => this.applyCommitted(raft));
+        this.measure("stored log", () => this.startWrite(writer));
         this.sendMessages(raft, writer.takeReadyMessages());
         this.reportRole(raft);
     }
@@ -512,6 +514,11 @@
         handleWritten?.(durationMs);
     }
 
+    private measure<Value>(work: string, run: () => Value): Value {
+        const { measure } = this.dependencies;
+        return measure === undefined ? run() : measure(work, run);
+    }
+
     private sendMessages(raft: RaftState, sent: readonly RaftMessage[]): void {
         const addresses: Record<string, string> = { ...raft.members.learners, ...raft.members.voters };
         for (const [receiver, messages] of collectByReceiver(sent)) {
@@ -540,7 +547,9 @@
         const isSnapshotDue = raft.appliedIndex - raft.snapshot.index >= this.dependencies.snapshotEntries
             || this.appliedCharacters >= snapshotCharacters;
         if (isSnapshotDue) {
-            createSnapshot(raft, encodeControlState(this.control), retainedLogEntries, retainedLogCharacters);
+            this.measure("snapshot", () => {
+                createSnapshot(raft, encodeControlState(this.control), retainedLogEntries, retainedLogCharacters);
+            });
             this.appliedCharacters = 0;
         }
     }
