--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/target-session-takeover.test.ts
@@ -0,0 +1,77 @@
+import { applyCommand } from "@daisylock/core/control/apply-command.js";
+import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
+import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
+import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
+import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
+import { describe, expect, it } from "@jest/globals";
+
+import { FakeTargetClient } from "../testing/fake-target-client.js";
+import { ManualClock } from "../testing/manual-clock.js";
+import { StalledTaskRegistry } from "./stalled-task-registry.js";
+import { TargetSessions } from "./target-sessions.js";
+
+/** Time within which urgent work has to start, milliseconds. */
+const maxStartMs = 1_500;
+const targetIds = ["t0", "t1"];
+
+/** Sessions of a successor with two targets, on the first of which a run has ended while there was no leader. */
+function createFixture() {
+    const clock = new ManualClock();
+    const client = new FakeTargetClient(clock, 500_000);
+    const state = buildTestFleet(targetIds.length, { cpu: 4_000, memory: 1_000, gpu: 0 });
+    addTestJob(state, "a", [buildTestStep()]);
+    applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task: "a.0.0.0", run: 1, target: "t0" }] });
+    client.ended.push({ task: "a.0.0.0", run: 1, how: RunOutcome.Done, saved: "", number: 1 });
+    let endCommit = () => undefined as void;
+    const sessions = new TargetSessions({
+        leadership: {
+            isActive: () => true,
+            readFleet: () => state.fleet,
+            readStartedAt: () => 0,
+            recordCommand: command =>
+                new Promise(resolve => {
+                    endCommit = () => resolve(applyCommand(state, command));
+                }),
+        },
+        client,
+        reports: {
+            findReport: () => {
+                const now = clock.readMonotonic();
+                return { incarnation: 1, sequence: 1, at: now, clockMs: now + 500_000 };
+            },
+        },
+        clock,
+        log: { record: () => undefined },
+        maxLeaseMs: 6_000,
+        findTargetEnding: () => undefined,
+        stalledTasks: new StalledTaskRegistry(),
+        mayEjectSlow: () => true,
+        estimateTask: () => 500,
+        findTicket: () => "",
+        handleRejectedTicket: () => undefined,
+        handleUnansweredRequest: () => undefined,
+        startScheduling: () => undefined,
+        handleRunEnd: () => undefined,
+    });
+    sessions.update(state.fleet.targets, 3);
+    const listUsable = () => targetIds.filter(id => sessions.find(id)?.isUsable());
+    return { clock, listUsable, endCommit: () => endCommit() };
+}
+
+describe("TargetSessions of a successor", () => {
+    it("take starts on every target that has answered once the ends that it listed are committed", async () => {
+        const { clock, listUsable, endCommit } = createFixture();
+        await clock.runFor(maxStartMs / 2);
+        endCommit();
+        await clock.runFor(maxStartMs / 2);
+        expect(listUsable()).toEqual(targetIds);
+    });
+
+    // A successor placed nothing on targets with room until it had committed the ends of the runs from before.
+    it("take starts on every target that has answered while the commit of its ends takes long", async () => {
+        const { clock, listUsable } = createFixture();
+        await clock.runFor(maxStartMs);
+        expect(listUsable()).toEqual(targetIds);
+    });
+});
