--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -150,6 +150,25 @@
         });
     });
 
+    // Each round under a backlog built a view of every target of the pools with waiting tasks.
+    it("asks only the targets with room for a waiting task whether it may start there", async () => {
+        const state = buildTestFleet(378, { cpu: 1_000, memory: 1_000, gpu: 0 });
+        addTestJob(state, "a", [buildTestStep({ count: 377, needs: { cpu: 700, memory: 1, gpu: 0 } })]);
+        const starts = Array.from({ length: 377 }, (_, i) => ({ task: `a.0.0.${i}`, run: 1, target: `t${i}` }));
+        applyCommand(state, { kind: CommandKind.RecordStarts, starts });
+        addTestJob(state, "b", [buildTestStep({ count: 50, needs: { cpu: 500, memory: 1, gpu: 0 } })]);
+        const asked = new Set<string>();
+        startScheduler(state, id => ({
+            readStatus: () => ({ exclusion: undefined, unconfirmedRuns: [] }),
+            countStartsLeft: () => {
+                asked.add(id);
+                return 0;
+            },
+        }), async () => undefined);
+        await waitUntil(() => asked.size > 0);
+        expect([...asked]).toEqual(["t377"]);
+    });
+
     it("logs the targets and unconfirmed runs of each pool with its load", async () => {
         const { findLines } = createFixture({
             t0: { exclusion: TargetExclusion.Overdue, unconfirmedRuns: [{ ageMs: 9_000, isInFlight: false }] },
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -1,5 +1,5 @@
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
-import { describe, expect, it } from "@jest/globals";
+import { describe, expect, it, jest } from "@jest/globals";
 
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
@@ -61,6 +61,29 @@
         sessions.closeAll();
     });
 
+    // Each round compared the sessions with all targets, 10 to 18 ms of a second of the leader.
+    it("visits no target in a round while none has changed", () => {
+        const { fleet, sessions } = createFixture(378);
+        sessions.update(fleet.targets, 3);
+        const visits = jest.fn();
+        for (const name of ["get", "has", "entries", "values", "keys", "forEach", Symbol.iterator] as const) {
+            jest.spyOn(fleet.targets, name as "get").mockImplementation((id: string) => {
+                visits();
+                return (Map.prototype[name as "get"] as (id: string) => never).call(fleet.targets, id);
+            });
+        }
+        sessions.list().forEach(session =>
+            jest.spyOn(session, "isOpen").mockImplementation(() => {
+                visits();
+                return true;
+            })
+        );
+        sessions.update(fleet.targets, 3);
+        expect(visits).not.toHaveBeenCalled();
+        jest.restoreAllMocks();
+        sessions.closeAll();
+    });
+
     describe("after a target left a request unanswered", () => {
         const targetCount = 76;
 
