Pool simulation measures starts in time and has VMs of several sizes and late ends

The simulation had VMs of 32 cores only and a leader that learns of ends at once, and told nothing about the time until tasks start, which is what the target names (urgent work starts within 1.5 s). No change of production code.

--- a/packages/core/src/testing/run-pool-simulation.ts
+++ b/packages/core/src/testing/run-pool-simulation.ts
@@ -32,7 +32,11 @@
 /** Time from the arrival of a VM until its target has announced itself, milliseconds. */
 const announceMs = 120;
 /** CPU of a VM, thousandths of a core. */
-const vmCpu = 32_000;
+const defaultVmCpu = 32_000;
+/** Time within which the first step of a job should start, milliseconds. */
+const promptStartMs = 600;
+/** Time within which urgent work has to start, milliseconds. */
+const startTargetMs = 1_500;
 /** Length of the windows of which the worst are reported, milliseconds. */
 const windowMs = 2_000;
 /** Time that jobs get to end after the last one is submitted, milliseconds. */
@@ -76,6 +80,9 @@
     /** Pool of each VM that is powered off. */
     private readonly poweredOff = new Map<string, string>();
     private readonly endedAt = new Map<string, number>();
+    /** Tasks of the first step that each job has started, and when the last of them was. */
+    private readonly firstSteps = new Map<string, { started: number; lastAt: number }>();
+    private readonly vmCpu = new Map<string, number>();
     private readonly jobsById: Map<string, SimulatedJob>;
     private targetCount = 0;
     /** Starts that the leader can make now; at most one that it leaves unused is saved up. */
@@ -109,6 +116,7 @@
         for (const pool of pools) {
             for (let index = 0; index < pool.vms; index++) {
                 const vm = `${pool.name}-${index}`;
+                this.vmCpu.set(vm, pool.vmCpu ?? defaultVmCpu);
                 this.state.fleet.vmHomes.set(vm, pool.name);
                 if (pool.isSpare) {
                     this.poweredOff.set(vm, pool.name);
@@ -177,7 +185,7 @@
             vm,
             rack: "r",
             labels: [],
-            capacity: { cpu: vmCpu, memory: 1e9, gpu: 0 },
+            capacity: { cpu: this.readCpu(vm), memory: 1e9, gpu: 0 },
             state: ReportedTargetState.Ready,
         });
     }
@@ -214,7 +222,7 @@
     private startTasks(now: number): void {
         const { fleet } = this.state;
         const targets = buildPlacementTargets(fleet, () => Number.POSITIVE_INFINITY);
-        const { startsPerSecond, compare } = this.leader;
+        const { startsPerSecond, compare, endDelayMs = 0 } = this.leader;
         this.startsLeft = Math.min(1, this.startsLeft) + startsPerSecond * stepMs / 1_000;
         const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), targets, compare && { compare })
             .slice(0, Math.floor(this.startsLeft));
@@ -223,21 +231,30 @@
             const key = decodeTaskKey(start.task);
             const durationMs = this.jobsById.get(key?.job ?? "")?.durationsMs[key?.step ?? 0];
             if (durationMs !== undefined) {
-                this.running.push({ ...start, endsAt: now + durationMs });
+                this.running.push({ ...start, endsAt: now + durationMs + endDelayMs });
+                this.noteStart(key, now);
             }
         }
     }
 
+    private noteStart(key: ReturnType<typeof decodeTaskKey>, now: number): void {
+        if (key?.step === 0) {
+            const { started } = this.firstSteps.get(key.job) ?? { started: 0 };
+            this.firstSteps.set(key.job, { started: started + 1, lastAt: now });
+        }
+    }
+
     private buildPoolStatuses(now: number): PoolStatus[] {
         const { fleet } = this.state;
         const candidates = collectCandidates(fleet, now, estimator);
         const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
         const lateDemands = collectLateDemands(candidates);
-        return this.pools.map(({ name, isSpare, vms }) => {
+        return this.pools.map(({ name, isSpare, vms, vmCpu = defaultVmCpu }) => {
             const load = loads.get(name);
             const targets = [...fleet.targets.values()].filter(({ pool }) => pool === name);
             const idle = targets.filter(({ id }) => (fleet.targetLoads.get(id)?.runs.size ?? 0) === 0);
-            const incoming = vmCpu * this.arrivals.filter(({ pool }) => pool === name).length;
+            const incoming = this.arrivals.filter(({ pool }) => pool === name)
+                .reduce((sum, { vm }) => sum + this.readCpu(vm), 0);
             const poweredOff = [...this.poweredOff].filter(([, pool]) => pool === name).map(([vm]) => vm);
             return {
                 name,
@@ -252,7 +269,7 @@
                 idleVms: [...idle.map(({ vm }) => vm), ...poweredOff].map(vm => ({
                     vm,
                     home: fleet.vmHomes.get(vm) ?? name,
-                    cpu: vmCpu,
+                    cpu: this.readCpu(vm),
                 })),
             };
         });
@@ -267,6 +284,10 @@
         }
     }
 
+    private readCpu(vm: string): number {
+        return this.vmCpu.get(vm) ?? defaultVmCpu;
+    }
+
     private isSpare(name: string): boolean {
         return this.pools.some(pool => pool.name === name && pool.isSpare);
     }
@@ -281,11 +302,16 @@
             const window = Math.floor(job.atMs / windowMs);
             windows.set(window, [...windows.get(window) ?? [], job]);
         }
-        const worst = [...windows.values()].map(computeOnTimeShare).sort((a, b) => a - b).slice(0, 2);
+        const computeWorstShare = (compute: (jobs: readonly SimulatedJob[]) => number): number => {
+            const worst = [...windows.values()].map(compute).sort((a, b) => a - b).slice(0, 2);
+            return worst.reduce((sum, value) => sum + value, 0) / Math.max(1, worst.length);
+        };
         const names = [...new Set(this.jobs.map(({ pool }) => pool))];
         return {
             onTimeShare: computeOnTimeShare(this.jobs),
-            worstWindowsShare: worst.reduce((sum, value) => sum + value, 0) / Math.max(1, worst.length),
+            worstWindowsShare: computeWorstShare(computeOnTimeShare),
+            worstPromptShare: computeWorstShare(jobs => this.computeStartedShare(jobs, promptStartMs)),
+            startedInTimeShare: this.computeStartedShare(this.jobs, startTargetMs),
             worstPoolShare: Math.min(
                 ...names.map(name => computeOnTimeShare(this.jobs.filter(({ pool }) => pool === name))),
             ),
@@ -297,6 +323,15 @@
         };
     }
 
+    /** Computes the share of the jobs whose first step had started wholly within a time. */
+    private computeStartedShare(jobs: readonly SimulatedJob[], withinMs: number): number {
+        const started = jobs.filter(({ id, atMs, steps }) => {
+            const first = this.firstSteps.get(id);
+            return first !== undefined && first.started >= (steps[0]?.count ?? 0) && first.lastAt - atMs <= withinMs;
+        });
+        return started.length / Math.max(1, jobs.length);
+    }
+
     /** Compares how many of the largest tenth of jobs, and of the fifth below it, earn credit with how many of all do. */
     private computeSizeRatio(jobs: readonly SimulatedJob[]): number {
         const sorted = [...jobs].sort((a, b) => b.weight - a.weight);
--- a/packages/core/src/testing/simulated-leader.ts
+++ b/packages/core/src/testing/simulated-leader.ts
@@ -4,6 +4,8 @@
 export interface SimulatedLeader {
     /** Number of tasks that it can start in a second, in all pools together. */
     readonly startsPerSecond: number;
+    /** Time after which it learns of the end of a task, milliseconds; none by default. */
+    readonly endDelayMs?: number;
     /** Order in which steps start; the production order by default. */
     readonly compare?: (a: StepCandidate, b: StepCandidate) => number;
 }
--- a/packages/core/src/testing/simulated-pool.ts
+++ b/packages/core/src/testing/simulated-pool.ts
@@ -5,4 +5,6 @@
     readonly isSpare: boolean;
     /** Number of long-running tasks; at most two run on one VM. */
     readonly longRunning: number;
+    /** CPU of one of its VMs, thousandths of a core; 32 cores by default. */
+    readonly vmCpu?: number;
 }
--- a/packages/core/src/testing/simulation-result.ts
+++ b/packages/core/src/testing/simulation-result.ts
@@ -11,6 +11,10 @@
      * the lowest of all pools. Jobs that end too late to earn anything do not count as served.
      */
     readonly worstSizeRatio: number;
+    /** Share of the jobs whose first step had started wholly within 600 ms, in the two worst windows. */
+    readonly worstPromptShare: number;
+    /** Share of the jobs whose first step had started wholly within 1.5 s. */
+    readonly startedInTimeShare: number;
     /** VM-seconds of powered-on VMs, including VMs on their way to a pool that is not spare. */
     readonly vmSeconds: number;
     /** Number of VM moves that were started. */
