--- a/packages/core/src/testing/build-rotating-bursts.ts
+++ b/packages/core/src/testing/build-rotating-bursts.ts
@@ -9,6 +9,9 @@
 /** Part of a job's weight that does not depend on its work. */
 const baseWeight = 0.3;
 const maxWeight = 4;
+/** Largest number of tasks of a step, and largest request of a task, as multiples of the mean. */
+const maxCountFactor = 4;
+const maxCpuFactor = 3;
 
 /**
  * Builds a load with rotating bursts: the demand of one queue rises to several times its mean and falls again, then
@@ -56,8 +59,8 @@
     const durationsMs: number[] = [];
     let work = 0;
     for (let step = 0; step < stepCount; step++) {
-        const count = Math.max(1, Math.round(queue.meanTasks * createLogNormal(random, 0.6)));
-        const cpu = Math.round(queue.meanCpu * createLogNormal(random, 0.45));
+        const count = Math.max(1, Math.round(queue.meanTasks * Math.min(maxCountFactor, createLogNormal(random, 0.6))));
+        const cpu = Math.round(queue.meanCpu * Math.min(maxCpuFactor, createLogNormal(random, 0.45)));
         const taskMs = queue.meanTaskMs * createLogNormal(random, 0.5);
         durationsMs.push(taskMs);
         work += count * cpu * taskMs;
