Failing tests: a dear leader at the height of a burst earns less than the floor

Cause: at the height of its burst home-hold asks for 1,600 to 2,000 starts a second; a dear leader makes 1,200, with commits of 200 ms. The simulated loads had no time for a commit, and at most 100 jobs a second and queue, as they drew one job each 10 ms.

--- a/packages/core/src/testing/build-rotating-bursts.ts
+++ b/packages/core/src/testing/build-rotating-bursts.ts
@@ -20,6 +20,7 @@
  * @param burstMs - duration of one burst, milliseconds
  * @param lengthMs - duration of the load, milliseconds
  * @param seed - seed of the random numbers
+ * @param stepMs - interval in which each queue submits at most one job, milliseconds
  * @returns the jobs, in the order of their submission
  */
 export function buildRotatingBursts(
@@ -27,10 +28,10 @@
     burstMs: number,
     lengthMs: number,
     seed: number,
+    stepMs = 10,
 ): SimulatedJob[] {
     const random = createRandom(seed);
     const jobs: SimulatedJob[] = [];
-    const stepMs = 10;
     for (let now = 0; now < lengthMs; now += stepMs) {
         queues.forEach((queue, position) => {
             const rate = queue.jobsPerSecond * computeDemandFactor(now, position, queues.length, burstMs) * stepMs
--- a/packages/core/src/testing/run-pool-simulation.ts
+++ b/packages/core/src/testing/run-pool-simulation.ts
@@ -222,7 +222,7 @@
     private startTasks(now: number): void {
         const { fleet } = this.state;
         const targets = buildPlacementTargets(fleet, () => Number.POSITIVE_INFINITY);
-        const { startsPerSecond, compare, endDelayMs = 0 } = this.leader;
+        const { startsPerSecond, compare, commitMs = 0, endDelayMs = 0 } = this.leader;
         this.startsLeft = Math.min(1, this.startsLeft) + startsPerSecond * stepMs / 1_000;
         const starts = planStarts(fleet, collectCandidates(fleet, now, estimator), targets, compare && { compare })
             .slice(0, Math.floor(this.startsLeft));
@@ -231,8 +231,8 @@
             const key = decodeTaskKey(start.task);
             const durationMs = this.jobsById.get(key?.job ?? "")?.durationsMs[key?.step ?? 0];
             if (durationMs !== undefined) {
-                this.running.push({ ...start, endsAt: now + durationMs + endDelayMs });
-                this.noteStart(key, now);
+                this.running.push({ ...start, endsAt: now + commitMs + durationMs + commitMs + endDelayMs });
+                this.noteStart(key, now + commitMs);
             }
         }
     }
--- a/packages/core/src/testing/simulated-leader.ts
+++ b/packages/core/src/testing/simulated-leader.ts
@@ -6,6 +6,8 @@
     readonly startsPerSecond: number;
     /** Time after which it learns of the end of a task, milliseconds; none by default. */
     readonly endDelayMs?: number;
+    /** Time that the commit of a start, and that of an end, takes, milliseconds; none by default. */
+    readonly commitMs?: number;
     /** Order in which steps start; the production order by default. */
     readonly compare?: (a: StepCandidate, b: StepCandidate) => number;
 }
