--- a/packages/daemon/src/job-scheduler/leader/run-end-commands.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-end-commands.test.ts
@@ -71,6 +71,7 @@
         log: { record: () => undefined },
         maxLeaseMs: 6_000,
         findTargetEnding: () => undefined,
+        noteEnds: () => undefined,
         stalledTasks: new StalledTaskRegistry(),
         mayEjectSlow: () => true,
         estimateTask: () => 500,
