Record the ends of several targets by one command

The ends of each target were a command of their own: an entry of the log to encode, send to each keeper, decode, apply and settle, 100 of them for the ends of 100 targets that arrive within 12 ms.

Change: a command may be built when the keeper makes it an entry of the log, after the write under way and the gap between proposals. A command that may not have been committed tells no caller that its ends are recorded, so that no target is told to discard them.

--- a/packages/daemon/src/job-scheduler/leader/leadership.ts
+++ b/packages/daemon/src/job-scheduler/leader/leadership.ts
@@ -91,6 +91,18 @@
         return result.isOk ? result.value : undefined;
     }
 
+    /**
+     * Commits a command that is built when the replicated log takes it.
+     * @param buildCommand - builds the command; not called when it is refused before
+     * @returns its result, or `undefined` when it may not have been committed
+     */
+    async scheduleCommand<Command extends ControlCommand>(
+        buildCommand: () => Command,
+    ): Promise<CommandResults[Command["kind"]] | undefined> {
+        const result = await this.keeper.sendCommand(buildCommand);
+        return result.isOk ? result.value : undefined;
+    }
+
     /**
      * Serves a call if this process is the active leader.
      * @param computeReply - computes the reply; `undefined` when the result is not certain
--- a/packages/daemon/src/job-scheduler/leader/lost-zone.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/lost-zone.test.ts
@@ -25,6 +25,7 @@
             readFleet: () => state.fleet,
             readStartedAt: () => 0,
             recordCommand: async command => applyCommand(state, command),
+            scheduleCommand: async buildCommand => applyCommand(state, buildCommand()),
         },
         client,
         reports: {
--- a/packages/daemon/src/job-scheduler/leader/run-end-commands.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-end-commands.test.ts
@@ -34,21 +34,19 @@
         target: `t${index % targetCount}`,
     }));
     applyCommand(state, { kind: CommandKind.RecordStarts, starts });
-    const commands: ControlCommand[] = [];
-
     /** Proposes commands at intervals, as a keeper does whose disk is busy. */
     class BusyKeeper extends FakeKeeper {
         override async sendCommand<Command extends ControlCommand>(
-            command: Command,
+            command: Command | (() => Command),
         ): Promise<Result<CommandResults[Command["kind"]], ProposeFailure>> {
             const now = clock.readMonotonic();
             const delayMs = proposalIntervalMs - now % proposalIntervalMs;
             await new Promise<void>(resolve => void clock.schedule(delayMs, resolve));
-            commands.push(command);
             return super.sendCommand(command);
         }
     }
 
+    const keeper = new BusyKeeper(state);
     const clients = new Map(
         [...state.fleet.targets.keys()].map(id => [id, new FakeTargetClient(clock, 0)]),
     );
@@ -62,7 +60,7 @@
     });
     const ended: string[] = [];
     const sessions = new TargetSessions({
-        leadership: new Leadership(new BusyKeeper(state), 1),
+        leadership: new Leadership(keeper, 1),
         client,
         reports: {
             findReport: () => ({ incarnation: 1, sequence: 1, at: clock.readMonotonic(), clockMs: clock.readWall() }),
@@ -88,7 +86,7 @@
             stub?.ended.push({ number: stub.ended.length + 1, task, run, how: RunOutcome.Done, saved: "" });
         }
     };
-    return { clock, state, sessions, commands, ended, endTasks };
+    return { clock, state, sessions, commands: keeper.commands, ended, endTasks };
 }
 
 describe("commands that record ends of runs", () => {
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -8,6 +8,7 @@
 import type { Leadership } from "./leadership.js";
 import type { MeasureWork } from "./measure-work.js";
 import type { ProbeBudget } from "./probe-budget.js";
+import type { RunEndRecorder } from "./run-end-recorder.js";
 import type { StalledTaskRegistry } from "./stalled-task-registry.js";
 import type { TargetEnding } from "./target-ending.js";
 import type { TargetReportHandler } from "./target-report-handler.js";
@@ -15,6 +16,8 @@
 /** Dependencies of a target session. */
 export interface SessionDependencies {
     readonly leadership: Pick<Leadership, "isActive" | "readFleet" | "readStartedAt" | "recordCommand">;
+    /** Commits ends of runs together with those of other targets. */
+    readonly endRecorder: Pick<RunEndRecorder, "recordEnds">;
     readonly client: TargetClient;
     readonly reports: Pick<TargetReportHandler, "findReport">;
     /** Budget of all sessions for probes of targets that show no sign of life. */
--- a/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
@@ -48,15 +48,17 @@
     const lines: { kind: DecisionKind; fields: Fields }[] = [];
     const commands: ControlCommand[] = [];
     const faults = { command: undefined as CommandKind | undefined, isReporting: true, hasTickets: true };
+    const recordCommand = async <Command extends ControlCommand>(command: Command) => {
+        commands.push(command);
+        return command.kind === faults.command ? fail() : applyCommand(state, command);
+    };
     const sessions = new TargetSessions({
         leadership: {
             isActive: () => true,
             readFleet: () => state.fleet,
             readStartedAt: () => 0,
-            recordCommand: async command => {
-                commands.push(command);
-                return command.kind === faults.command ? fail() : applyCommand(state, command);
-            },
+            recordCommand,
+            scheduleCommand: buildCommand => recordCommand(buildCommand()),
         },
         client,
         reports: {
--- a/packages/daemon/src/job-scheduler/leader/target-session-takeover.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-takeover.test.ts
@@ -1,5 +1,7 @@
 import { applyCommand } from "@daisylock/core/control/apply-command.js";
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { CommandResults } from "@daisylock/core/control/command-results.js";
+import type { ControlCommand } from "@daisylock/core/control/control-command.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
@@ -24,15 +26,17 @@
     applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task: "a.0.0.0", run: 1, target: "t0" }] });
     client.ended.push({ task: "a.0.0.0", run: 1, how: RunOutcome.Done, saved: "", number: 1 });
     let endCommit = () => undefined as void;
+    const commitLater = <Command extends ControlCommand>(buildCommand: () => Command) =>
+        new Promise<CommandResults[Command["kind"]]>(resolve => {
+            endCommit = () => resolve(applyCommand(state, buildCommand()));
+        });
     const sessions = new TargetSessions({
         leadership: {
             isActive: () => true,
             readFleet: () => state.fleet,
             readStartedAt: () => 0,
-            recordCommand: command =>
-                new Promise(resolve => {
-                    endCommit = () => resolve(applyCommand(state, command));
-                }),
+            recordCommand: command => commitLater(() => command),
+            scheduleCommand: commitLater,
         },
         client,
         reports: {
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -18,6 +18,7 @@
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
 import { ProbeBudget } from "./probe-budget.js";
+import { RunEndRecorder } from "./run-end-recorder.js";
 import type { SessionDependencies } from "./session-dependencies.js";
 import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetEnding } from "./target-ending.js";
@@ -50,16 +51,18 @@
     const sessions: TargetSession[] = [];
     const durations: (number | undefined)[] = [];
     const endCommits: (readonly [count: number, durationMs: number])[] = [];
+    const recordCommand = async <Command extends ControlCommand>(command: Command) => {
+        commands.push(command);
+        return isCommitting ? applyCommand(state, command) : undefined;
+    };
     const dependencies: SessionDependencies = {
         leadership: {
             isActive: () => isActive,
             readFleet: () => state.fleet,
             readStartedAt: () => options.startedAt ?? 0,
-            recordCommand: async command => {
-                commands.push(command);
-                return isCommitting ? applyCommand(state, command) : undefined;
-            },
+            recordCommand,
         },
+        endRecorder: new RunEndRecorder({ scheduleCommand: buildCommand => recordCommand(buildCommand()) }, clock),
         client,
         reports: {
             findReport: () =>
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -602,21 +602,17 @@
             // The next session may have started the runs again.
             return false;
         }
-        const { leadership, startScheduling, noteEnds } = this.dependencies;
-        const proposedAt = this.readNow();
-        const recorded = await leadership.recordCommand({
-            kind: CommandKind.RecordEnds,
-            ends: ends.map(({ task, run, how, saved, progress }) => ({
-                task,
-                run,
-                how,
-                saved,
-                target: this.record.id,
-                progress,
-            })),
-            atMs: this.dependencies.clock.readWall(),
-        });
-        noteEnds(recorded?.length ?? 0, this.readNow() - proposedAt);
+        const { endRecorder, startScheduling, noteEnds } = this.dependencies;
+        const reportedAt = this.readNow();
+        const recorded = await endRecorder.recordEnds(ends.map(({ task, run, how, saved, progress }) => ({
+            task,
+            run,
+            how,
+            saved,
+            target: this.record.id,
+            progress,
+        })));
+        noteEnds(recorded?.length ?? 0, this.readNow() - reportedAt);
         this.dependencies.measure("ends", () => this.noteRunEnds(recorded ?? []));
         startScheduling();
         return recorded !== undefined;
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -16,6 +16,7 @@
             readFleet: () => fleet,
             readStartedAt: () => 0,
             recordCommand: async () => undefined,
+            scheduleCommand: async () => undefined,
         },
         client,
         reports: { findReport: () => undefined },
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -5,8 +5,10 @@
 import { startContained } from "../../containment/start-contained.js";
 import { WorkKind } from "../../containment/work-kind.js";
 import { createFaultListener } from "../logging/create-fault-listener.js";
+import type { Leadership } from "./leadership.js";
 import type { MeasureWork } from "./measure-work.js";
 import { ProbeBudget } from "./probe-budget.js";
+import { RunEndRecorder } from "./run-end-recorder.js";
 import type { SessionDependencies } from "./session-dependencies.js";
 import type { TargetClock } from "./target-clock.js";
 import { TargetSession } from "./target-session.js";
@@ -18,6 +20,11 @@
 /** Probes a second of targets that show no sign of life. */
 const probesPerSecond = 50;
 
+/** Dependencies of the sessions; the others are shared by them. */
+type SessionsDependencies = Omit<SessionDependencies, "probeBudget" | "endRecorder" | "measure"> & {
+    readonly leadership: Pick<Leadership, "scheduleCommand">;
+};
+
 /** Sessions of all targets, one per target incarnation and leadership. */
 export class TargetSessions {
     private readonly sessions = new Map<string, TargetSession>();
@@ -33,11 +40,12 @@
      * @param measure - runs work of the sessions and records its time
      */
     constructor(
-        dependencies: Omit<SessionDependencies, "probeBudget" | "measure">,
+        dependencies: SessionsDependencies,
         measure: MeasureWork = (_work, run) => run(),
     ) {
         const probeBudget = new ProbeBudget(probesPerSecond, dependencies.clock);
-        this.dependencies = { ...dependencies, probeBudget, measure };
+        const endRecorder = new RunEndRecorder(dependencies.leadership, dependencies.clock);
+        this.dependencies = { ...dependencies, probeBudget, endRecorder, measure };
     }
 
     /**
--- a/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
@@ -69,8 +69,9 @@
     }
 
     async sendCommand<Command extends ControlCommand>(
-        command: Command,
+        source: Command | (() => Command),
     ): Promise<Result<CommandResults[Command["kind"]], ProposeFailure>> {
+        const command = typeof source === "function" ? source() : source;
         this.commands.push(command);
         const kind = this.refuseCommand(command);
         return kind === undefined ? Result.ok(applyCommand(this.state, command)) : Result.err({ kind });
--- a/packages/daemon/src/job-scheduler/testing/simulated-keeper.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-keeper.ts
@@ -41,7 +41,7 @@
     }
 
     override sendCommand<Command extends ControlCommand>(
-        command: Command,
+        source: Command | (() => Command),
     ): Promise<Result<CommandResults[Command["kind"]], ProposeFailure>> {
         if (this.random() < this.busyProbability) {
             return Promise.resolve(Result.err({ kind: ProposeFailureKind.Busy }));
@@ -50,6 +50,7 @@
         return new Promise(resolve => {
             const entry: PendingCommand = {
                 commit: () => {
+                    const command = typeof source === "function" ? source() : source;
                     const result = applyCommand(this.state, command);
                     resolve(isUnknown ? Result.err({ kind: ProposeFailureKind.Unknown }) : Result.ok(result));
                 },
--- a/packages/daemon/src/request-proxy/keeper/keeper-event.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper-event.ts
@@ -18,7 +18,7 @@
     }
     | {
         readonly kind: KeeperEventKind.Command;
-        readonly command: ControlCommand;
+        readonly command: ControlCommand | (() => ControlCommand);
         readonly resolve: (result: Result<CommandResults[keyof CommandResults], ProposeFailure>) => void;
     }
     | {
--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -213,6 +213,23 @@
             storages[position]?.releaseWrites();
             expect(await Promise.all(commands)).toEqual(commands.map(() => true));
         });
+
+        it("builds commands that are not complete yet only when it proposes them", async () => {
+            const leader = findLeader();
+            const position = keepers.findIndex(keeper => keeper === leader);
+            storages[position]?.stopWrites();
+            const first = leader?.sendCommand({ kind: CommandKind.ConfirmLeadership });
+            await waitUntil(() => storages[position]?.heldWrites === 1);
+            let builtCount = 0;
+            const second = leader?.sendCommand(() => {
+                builtCount += 1;
+                return { kind: CommandKind.ConfirmLeadership };
+            });
+            await new Promise(resolve => setTimeout(resolve, 50));
+            expect(builtCount).toBe(0);
+            storages[position]?.releaseWrites();
+            expect([(await first)?.isOk, (await second)?.isOk, builtCount]).toEqual([true, true, 1]);
+        });
     });
 
     // A leader that went on while it wrote sent more and smaller appends, each of which costs a message to each keeper.
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -202,11 +202,12 @@
 
     /**
      * Proposes a command.
-     * @param command - the command
+     * @param command - the command, or what builds it when it becomes an entry of the log, which may be some milliseconds
+     *     later
      * @returns its result once it is committed and applied by this keeper, or why that is not confirmed
      */
     sendCommand<Command extends ControlCommand>(
-        command: Command,
+        command: Command | (() => Command),
     ): Promise<Result<CommandResults[Command["kind"]], ProposeFailure>> {
         return new Promise(resolve => {
             const settle = (result: Result<CommandResults[Command["kind"]], ProposeFailure>): void => {
@@ -429,8 +430,8 @@
     }
 
     private handleCommand(raft: RaftState, event: CommandEvent, now: number): void {
-        const index = this.transfer === undefined
-            ? addProposal(raft, LogEntryKind.Command, JSON.stringify(event.command), now)
+        const index = this.transfer === undefined && raft.role === RaftRole.Leader
+            ? addProposal(raft, LogEntryKind.Command, JSON.stringify(buildCommand(event.command)), now)
             : undefined;
         if (index === undefined) {
             const leaderAddress = this.readView()?.leaderAddress;
@@ -596,3 +597,7 @@
         metrics.setGauge(MetricName.LogTerm, raft.hard.term);
     }
 }
+
+function buildCommand(command: CommandEvent["command"]): ControlCommand {
+    return typeof command === "function" ? command() : command;
+}
