Pass heartbeats that change nothing on in one call for each keeper and interval

A target's heartbeat reached the leader as a message of its own from the keeper that received it: 172 a second with 378 targets and five keepers, each of which costs the leader a frame, a call and a reply, though almost none changes anything.

Cause: the forwarding keeper treated each heartbeat as a call of its own. It now compares each with the record in its own copy of the replicated state. One that changes the record goes on at once, as before, after those that came before it. Deregistrations are untouched. The leader treats each heartbeat as before and replies to each; it leaves out those that would need a commit or a question, differ from its record or are malformed, so that none waits for another, and their keeper repeats these one by one. A leader of an earlier release answers 404, which LeaderClient no longer takes for a lost leader; heartbeats then go on one by one.

The outer names reports and replies are new.

--- a/packages/daemon/src/http-client/call-failure-kind.ts
+++ b/packages/daemon/src/http-client/call-failure-kind.ts
@@ -4,4 +4,6 @@
     NotSent = "not-sent",
     /** No complete response was received; the server may have processed the request. */
     Unanswered = "unanswered",
+    /** The server does not know the call, and has done nothing. */
+    Unsupported = "unsupported",
 }
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -175,6 +175,7 @@
             putConfiguration: request => configuration.handlePut(request),
             readConfiguration: () => configuration.handleRead(),
             report: report => this.targetReports.handleReport(report),
+            reports: request => this.targetReports.handleReports(request),
             leave: request => this.targetReports.handleLeave(request),
             startUpkeep: request => maintenanceWaves.handleStart(request),
             readUpkeep: request => maintenanceWaves.handleRead(request),
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -2,10 +2,12 @@
 import { applyRecordStarts } from "@daisylock/core/jobs/apply-record-starts.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+import type { TargetReport } from "@daisylock/core/targets/target-report.js";
 import { addTestJob } from "@daisylock/core/testing/add-test-job.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 import { describe, expect, it } from "@jest/globals";
+import fc from "fast-check";
 
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { FakeKeeper } from "../testing/fake-keeper.js";
@@ -65,6 +67,7 @@
         state,
         keeper,
         handler,
+        record,
         questions,
         leavingTargets,
         leave: (incarnation: number | undefined) => handler.handleLeave({ id: "t0", incarnation }),
@@ -119,6 +122,121 @@
         });
     });
 
+    describe("heartbeats that another keeper has collected", () => {
+        const draining = { state: ReportedTargetState.Draining };
+        const field = fc.constantFrom<Partial<TargetRecord>>(
+            {},
+            {},
+            {},
+            draining,
+            { capacity: { cpu: 500, memory: 1_000, gpu: 0 } },
+            { incarnation: 2 },
+            { pool: "batch" },
+            { pool: "unknown" },
+            { zone: "b" },
+            { address: "10.9.9.9:80" },
+            { id: "agent-1" },
+        );
+        const sequences = fc.integer({ min: 1, max: 9 });
+        const clocks = fc.constantFrom(undefined, 9_000, 10_000, 10_500, 90_000);
+        const collected = fc.array(fc.tuple(field, sequences, clocks), { minLength: 1, maxLength: 6 });
+
+        it("get the replies and change the records that they do one by one", async () => {
+            let handledCount = 0;
+            const run = async (
+                batches: readonly (readonly (readonly [
+                    Partial<TargetRecord>,
+                    number,
+                    number | undefined,
+                ])[])[],
+            ) => {
+                const together = createFixture();
+                const single = createFixture();
+                for (const fixture of [together, single]) {
+                    fixture.setAnswering(1);
+                    fixture.setAnsweredClock(10_000);
+                }
+                for (const batch of batches) {
+                    const reports: TargetReport[] = batch.map(([fields, sequence, clockMs]) => ({
+                        record: { ...together.record, ...fields },
+                        sequence,
+                        clockMs,
+                        remainingMs: undefined,
+                    }));
+                    const reply = await together.handler.handleReports({ reports });
+                    const replies = reply.isLeader ? reply.value.replies : [];
+                    expect(replies).toHaveLength(reports.length);
+                    const isHandled = (position: number): boolean => replies[position]?.reply !== undefined;
+                    const positions = [...reports.keys()];
+                    for (const position of positions.filter(isHandled)) {
+                        handledCount += 1;
+                        const report = reports[position] as TargetReport;
+                        expect(await single.handler.handleReport(report))
+                            .toEqual({ isLeader: true, value: replies[position]?.reply });
+                    }
+                    for (const position of positions.filter(other => !isHandled(other))) {
+                        const report = reports[position] as TargetReport;
+                        expect(await together.handler.handleReport(report))
+                            .toEqual(await single.handler.handleReport(report));
+                    }
+                    expect(together.state.fleet.targets).toEqual(single.state.fleet.targets);
+                    await together.runFor(1_000);
+                    await single.runFor(1_000);
+                }
+                expect(together.questions).toEqual(single.questions);
+            };
+            await fc.assert(fc.asyncProperty(fc.array(collected, { minLength: 1, maxLength: 6 }), run), {
+                numRuns: 200,
+            });
+            expect(handledCount).toBeGreaterThan(100);
+        });
+
+        it("neither wait for a commit or a question nor cause one", async () => {
+            const { handler, keeper, questions, record } = createFixture();
+            const build = (sequence: number, fields: Partial<TargetRecord>): TargetReport => ({
+                record: { ...record, ...fields },
+                sequence,
+                clockMs: undefined,
+                remainingMs: undefined,
+            });
+            const reports = [build(5, {}), build(6, draining), build(7, { incarnation: 2 }), build(8, {})];
+            expect(await handler.handleReports({ reports })).toEqual({
+                isLeader: true,
+                value: {
+                    replies: [
+                        { reply: { isNewest: true } },
+                        { reply: undefined },
+                        { reply: undefined },
+                        { reply: { isNewest: true } },
+                    ],
+                },
+            });
+            expect([keeper.commands, questions]).toEqual([[], []]);
+        });
+
+        it("are not kept from the leader by a malformed one among them", async () => {
+            const { handler, record } = createFixture();
+            const valid = { record, sequence: 5, clockMs: undefined, remainingMs: undefined };
+            const malformed = [undefined, {}, { ...valid, sequence: "6" }, {
+                ...valid,
+                record: { ...record, id: "\n" },
+            }];
+            const reports = [...malformed, valid] as TargetReport[];
+            const reply = await handler.handleReports({ reports });
+            expect(reply.isLeader && reply.value.replies.map(({ reply: one }) => one)).toEqual([
+                ...malformed.map(() => undefined),
+                { isNewest: true },
+            ]);
+        });
+
+        it("are not handled by a process that does not lead", async () => {
+            const { handler, keeper, record } = createFixture();
+            keeper.isLeaseValid = false;
+            const reports = [{ record, sequence: 5, clockMs: undefined, remainingMs: undefined }];
+            expect(await handler.handleReports({ reports })).toMatchObject({ isLeader: false, mayHaveRun: false });
+        });
+    });
+
     describe("heartbeats of untrusted senders", () => {
         // Guards against a task that is started again while it runs on a target whose address such a heartbeat names.
         it("replace no target if they name a pool that no configuration has", async () => {
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -6,11 +6,18 @@
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import type { TargetReport } from "@daisylock/core/targets/target-report.js";
+import { leaderCallSchemas } from "@daisylock/protocol/fleet/leader-call-schemas.js";
+import type { LeaderCalls } from "@daisylock/protocol/fleet/leader-calls.js";
 import type { LeaderReply } from "@daisylock/protocol/fleet/leader-reply.js";
 import type { ReportReply } from "@daisylock/protocol/fleet/report-reply.js";
 import type { TargetLeave } from "@daisylock/protocol/fleet/target-leave.js";
+import * as v from "valibot";
 
 import type { Clock } from "../../clock/clock.js";
+import type { FaultListener } from "../../containment/fault-listener.js";
+import { runContained } from "../../containment/run-contained.js";
+import { WorkKind } from "../../containment/work-kind.js";
+import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { ClaimOutcome } from "./claim-outcome.js";
@@ -42,6 +49,7 @@
  */
 export class TargetReportHandler {
     private readonly latestReports = new Map<string, LatestReport>();
+    private readonly noteFault: FaultListener;
 
     /**
      * @param leadership - leadership state of this process
@@ -61,7 +69,9 @@
             "collectCrashedRuns" | "findAnsweredClock" | "noteLeaving" | "noteRunEnds"
         >,
         private readonly claims: Pick<TargetClaimVerifier, "readAnswer" | "verifyClaim">,
-    ) {}
+    ) {
+        this.noteFault = createFaultListener(log);
+    }
 
     /**
      * Handles a heartbeat. A change is committed before the heartbeat is acknowledged, so that no later leader starts a
@@ -70,24 +80,55 @@
      * @returns whether it was the newest, or a not-leader reply
      */
     handleReport(report: TargetReport): Promise<LeaderReply<ReportReply>> {
+        return this.leadership.serveCall(() => this.computeReply(report));
+    }
+
+    /**
+     * Handles heartbeats that another keeper has collected. Those that are malformed, ask for a commit or make a claim are
+     * left out, so that none waits for another.
+     * @param request - the heartbeats
+     * @returns the replies in the order of the heartbeats, or a not-leader reply
+     */
+    handleReports({ reports }: LeaderCalls["reports"]["request"]): Promise<
+        LeaderReply<LeaderCalls["reports"]["reply"]>
+    > {
         return this.leadership.serveCall(async () => {
-            const { record } = report;
-            const isNewClaim = isClaim(this.readRecord(record.id), record);
-            const isProven = this.isPoolKnown(record, this.readRecord(record.id)) && this.isClockPossible(report)
-                && (!isNewClaim || (await this.isClaimConfirmed(report) && !this.isAddressHeld(record)));
-            if (!isProven) {
-                return this.refuseReport(record);
-            }
-            const order = this.computeOrder(report, isNewClaim);
-            if (order === ReportOrder.Outdated) {
-                return { isNewest: false };
+            const replies: { reply: ReportReply | undefined }[] = [];
+            for (const report of reports) {
+                const isHandledAtOnce = v.is(leaderCallSchemas.report, report)
+                    && !isTargetChanged(this.readRecord(report.record.id), report.record);
+                const reply = isHandledAtOnce
+                    ? await runContained(
+                        this.noteFault,
+                        { work: WorkKind.PeerRequest, subject: report.record.id },
+                        () => this.computeReply(report),
+                        () => undefined,
+                    )
+                    : undefined;
+                replies.push({ reply });
             }
-            return this.isPlaceKept(record, this.readRecord(record.id))
-                ? this.recordReport(report, isNewClaim || order === ReportOrder.NewestByClock)
-                : this.refuseReport(record);
+            return { replies };
         });
     }
 
+    /** Returns `undefined` when the report may not have been committed. */
+    private async computeReply(report: TargetReport): Promise<ReportReply | undefined> {
+        const { record } = report;
+        const isNewClaim = isClaim(this.readRecord(record.id), record);
+        const isProven = this.isPoolKnown(record, this.readRecord(record.id)) && this.isClockPossible(report)
+            && (!isNewClaim || (await this.isClaimConfirmed(report) && !this.isAddressHeld(record)));
+        if (!isProven) {
+            return this.refuseReport(record);
+        }
+        const order = this.computeOrder(report, isNewClaim);
+        if (order === ReportOrder.Outdated) {
+            return { isNewest: false };
+        }
+        return this.isPlaceKept(record, this.readRecord(record.id))
+            ? this.recordReport(report, isNewClaim || order === ReportOrder.NewestByClock)
+            : this.refuseReport(record);
+    }
+
     /** A target that believes its drain to be acknowledged expects no further starts. */
     private refuseReport({ id, state }: TargetRecord): ReportReply {
         const known = this.readRecord(id);
--- a/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
@@ -15,6 +15,8 @@
     Following,
     /** Replies with something that is no reply of a leader. */
     Malformed,
+    /** Does not know the call, as a keeper of an earlier release. */
+    Older,
     /** Refuses connections, as during a restart of its process. */
     Refusing,
     /** The call throws. */
@@ -43,6 +45,9 @@
                 case Behavior.Malformed:
                     resolve(Result.ok({ status: 200, body: Buffer.from("{\"isLeader\":1}") }));
                     break;
+                case Behavior.Older:
+                    resolve(Result.ok({ status: 404, body: Buffer.alloc(0) }));
+                    break;
                 case Behavior.Throwing:
                     throw new RangeError("bad port");
                 case Behavior.Refusing:
@@ -132,6 +137,18 @@
         expect(client.isQuorumUnreachable()).toBe(true);
     });
 
+    it("tells at once that a leader of an earlier release does not know a call, and keeps it as the leader", async () => {
+        const { clock, keepers, client, start } = createFixture();
+        keepers.behaviors.set("10.0.0.2:70", Behavior.Leading);
+        start();
+        await clock.runFor(100);
+        keepers.behaviors.set("10.0.0.2:70", Behavior.Older);
+        const call = start();
+        await clock.runFor(1);
+        expect(call).toMatchObject({ isOk: false, kind: CallFailureKind.Unsupported });
+        expect(client.readLeader()).toBe("10.0.0.2:70");
+    });
+
     it("reports a call as not sent when no leader is found", async () => {
         const { clock, start } = createFixture();
         const call = start();
--- a/packages/daemon/src/job-scheduler/peers/leader-client.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.ts
@@ -23,6 +23,8 @@
 const discoveryTimeoutMs = 300;
 /** Delay before the keepers are asked again when none of them leads, milliseconds. */
 const retryDelayMs = 70;
+/** Status with which a keeper of an earlier release replies to a call that it does not know. */
+const unsupportedStatus = 404;
 /** Part of an unexpected reply that is logged, bytes. */
 const maxDetailBytes = 200;
 
@@ -147,6 +149,9 @@
                 return Result.ok(reply.value.value);
             }
             if (reply.isErr) {
+                if (reply.error.kind === CallFailureKind.Unsupported) {
+                    return Result.err(reply.error);
+                }
                 mayHaveRun ||= reply.error.kind === CallFailureKind.Unanswered;
                 detail = `${address}: ${reply.error.detail}`;
                 isTimeout = reply.error.isTimeout;
@@ -258,7 +263,7 @@
             return value !== undefined
                 ? Result.ok(value as Reply<Name>)
                 : Result.err({
-                    kind: CallFailureKind.Unanswered,
+                    kind: status === unsupportedStatus ? CallFailureKind.Unsupported : CallFailureKind.Unanswered,
                     detail: `status ${status} ${body.toString("utf8", 0, maxDetailBytes)}`.trim(),
                     isTimeout: false,
                 });
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -265,7 +265,11 @@
             findLeader: () => memberManager.handleFindLeader(),
             depart: request => memberManager.handleDepart(request),
         });
-        const controlApi = new ForwardingControlApi(handlers, this.leaderClient);
+        const controlApi = new ForwardingControlApi(handlers, this.leaderClient, {
+            findTarget: id => leadership.readFleet().targets.get(id),
+            clock,
+            noteFault: this.noteFault,
+        });
         return [
             { name: "keeper", create: () => keeper },
             {
--- a/packages/protocol/src/fleet/leader-call-schemas.ts
+++ b/packages/protocol/src/fleet/leader-call-schemas.ts
@@ -22,6 +22,9 @@
 const uncheckedResources = v.object({ cpu: unchecked, memory: unchecked, gpu: unchecked });
 const empty = v.object({});
 
+/** Largest number of heartbeats in one call. */
+const maxReports = 10_000;
+
 const jobStep = v.object({
     count: unchecked,
     needs: uncheckedResources,
@@ -110,6 +113,8 @@
         clockMs: v.optional(v.pipe(v.number(), v.finite())),
         remainingMs: v.optional(v.pipe(v.number(), v.finite())),
     }),
+    // The heartbeats are checked one by one, so that a malformed one does not keep the others from the leader.
+    reports: v.object({ reports: v.pipe(v.array(v.unknown()), v.maxLength(maxReports)) }),
     leave: v.object({ id: name, incarnation: v.optional(amount) }),
     startUpkeep: v.object({
         number: amount,
--- a/packages/protocol/src/fleet/leader-calls.ts
+++ b/packages/protocol/src/fleet/leader-calls.ts
@@ -16,6 +16,14 @@
     putConfiguration: { request: FleetConfiguration; reply: ConfigurationReply };
     readConfiguration: { request: Record<string, never>; reply: { source: string | undefined } };
     report: { request: TargetReport; reply: ReportReply };
+    /**
+     * Passes on the heartbeats that a keeper has collected. The leader replies to them in their order, and leaves out those
+     * that it does not handle at once; each of these is repeated by `report`.
+     */
+    reports: {
+        request: { reports: readonly TargetReport[] };
+        reply: { replies: readonly { reply: ReportReply | undefined }[] };
+    };
     leave: { request: TargetLeave; reply: { isKnown: boolean } };
     startUpkeep: { request: MaintenanceWaveRequest; reply: { isNew: boolean } };
     readUpkeep: { request: { number: number }; reply: MaintenanceWaveProgress };
