Compare the sessions with the targets only when one of them has changed

Each scheduling round visited every session and every recorded target to find incarnations that are new or have ended, although almost all rounds find none.

The table of targets now has a version that increases with each change (it is derived, not stored, and the table is compared and encoded as before), and a session tells when it is closed, also when it does so by itself after it has removed its target.

--- a/packages/core/src/fleet/create-fleet-state.ts
+++ b/packages/core/src/fleet/create-fleet-state.ts
@@ -1,3 +1,4 @@
+import { createTargetTable } from "../targets/create-target-table.js";
 import type { FleetState } from "./fleet-state.js";
 
 /**
@@ -8,7 +9,7 @@
     return {
         configuration: undefined,
         jobs: new Map(),
-        targets: new Map(),
+        targets: createTargetTable(),
         vmHomes: new Map(),
         vmOrders: new Map(),
         maintenanceWaves: new Map(),
--- a/packages/core/src/fleet/fleet-state.ts
+++ b/packages/core/src/fleet/fleet-state.ts
@@ -3,7 +3,7 @@
 import type { Job } from "../jobs/job.js";
 import type { VmRequestRecord } from "../pools/vm-request-record.js";
 import type { Resources } from "../resources/resources.js";
-import type { TargetRecord } from "../targets/target-record.js";
+import type { TargetTable } from "../targets/target-table.js";
 import type { MaintenanceWave } from "../vm-maintenance/maintenance-wave.js";
 import type { TargetLoad } from "./target-load.js";
 
@@ -14,7 +14,7 @@
     /** Accepted jobs by id, oldest first. */
     readonly jobs: Map<string, Job>;
     /** Targets by id. */
-    readonly targets: Map<string, TargetRecord>;
+    readonly targets: TargetTable;
     /** Home pool by VM, for VMs that were moved between pools: the pool from which the VM was first moved. */
     readonly vmHomes: Map<string, string>;
     /** Newest request to the VM service by VM. */
--- /dev/null
+++ b/packages/daemon/src/job-scheduler/leader/listed-target-session.ts
@@ -0,0 +1,29 @@
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+
+import type { SessionDependencies } from "./session-dependencies.js";
+import { TargetSession } from "./target-session.js";
+
+/** A session that tells when it is closed, which it also does by itself after it has removed its target. */
+export class ListedTargetSession extends TargetSession {
+    /**
+     * @param record - the target incarnation
+     * @param fencingToken - fencing token of this leadership
+     * @param dependencies - services and callbacks of the leader
+     * @param isRestarted - whether this leadership had a session with an earlier incarnation under the same id
+     * @param noteClosed - called when the session is closed
+     */
+    constructor(
+        record: TargetRecord,
+        fencingToken: number,
+        dependencies: SessionDependencies,
+        isRestarted: boolean,
+        private readonly noteClosed: () => void,
+    ) {
+        super(record, fencingToken, dependencies, isRestarted);
+    }
+
+    override close(): void {
+        super.close();
+        this.noteClosed();
+    }
+}
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -1,5 +1,8 @@
+import { createTargetTable } from "@daisylock/core/targets/create-target-table.js";
+import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import { buildTestFleet } from "@daisylock/core/testing/build-test-fleet.js";
 import { describe, expect, it, jest } from "@jest/globals";
+import fc from "fast-check";
 
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
@@ -62,6 +65,62 @@
         sessions.closeAll();
     });
 
+    it("has an open session of this leadership for each recorded incarnation, whatever has changed", () => {
+        const change = fc.record({
+            kind: fc.constantFrom("none", "record", "restart", "remove", "clear", "close", "lapse", "term", "snapshot"),
+            id: fc.nat(5).map(number => `t${number}`),
+        });
+        fc.assert(fc.property(fc.array(change, { maxLength: 40 }), changes => {
+            const { fleet, sessions } = createFixture(4);
+            let { targets } = fleet;
+            const template = targets.get("t0") as TargetRecord;
+            let token = 3;
+            sessions.update(targets, token);
+            for (const { kind, id } of changes) {
+                const record = targets.get(id);
+                switch (kind) {
+                    case "record":
+                        targets.set(id, record ?? { ...template, id });
+                        break;
+                    case "restart":
+                        targets.set(id, { ...template, id, incarnation: (record?.incarnation ?? 0) + 1 });
+                        break;
+                    case "remove":
+                        targets.delete(id);
+                        break;
+                    case "clear":
+                        targets.clear();
+                        break;
+                    case "close":
+                        sessions.find(id)?.close();
+                        break;
+                    case "lapse":
+                        sessions.closeAll();
+                        break;
+                    case "term":
+                        token += 1;
+                        sessions.closeEarlier(token);
+                        break;
+                    case "snapshot": {
+                        const copy = createTargetTable();
+                        [...targets].filter(([other]) => other !== id).forEach(([other, target]) =>
+                            copy.set(other, target)
+                        );
+                        targets = copy;
+                    }
+                }
+                sessions.update(targets, token);
+                const open = [...sessions.list()].filter(([, session]) => session.isOpen())
+                    .map(([other, session]) => `${other} ${session.record.incarnation}`);
+                expect(open.sort()).toEqual(
+                    [...targets.values()].map(target => `${target.id} ${target.incarnation}`).sort(),
+                );
+                expect(sessions.list().size).toBe(targets.size);
+            }
+            sessions.closeAll();
+        }));
+    });
+
     // Each round compared the sessions with all targets, 10 to 18 ms of a second of the leader.
     it("visits no target in a round while none has changed", () => {
         const { fleet, sessions } = createFixture(378);
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -1,17 +1,19 @@
 import type { CrashedRun } from "@daisylock/core/crashes/crashed-run.js";
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
+import type { TargetTable } from "@daisylock/core/targets/target-table.js";
 
 import { startContained } from "../../containment/start-contained.js";
 import { WorkKind } from "../../containment/work-kind.js";
 import { createFaultListener } from "../logging/create-fault-listener.js";
 import type { Leadership } from "./leadership.js";
+import { ListedTargetSession } from "./listed-target-session.js";
 import type { MeasureWork } from "./measure-work.js";
 import { ProbeBudget } from "./probe-budget.js";
 import { RunEndRecorder } from "./run-end-recorder.js";
 import type { SessionDependencies } from "./session-dependencies.js";
 import type { TargetClock } from "./target-clock.js";
-import { TargetSession } from "./target-session.js";
+import type { TargetSession } from "./target-session.js";
 
 /** Number of other targets of an availability zone that are checked after a target left a request unanswered. */
 const zoneSampleSize = 8;
@@ -29,6 +31,11 @@
 export class TargetSessions {
     private readonly sessions = new Map<string, TargetSession>();
     private fencingToken = 0;
+    /** Targets for which the sessions are up to date, and their version then. */
+    private targets: TargetTable | undefined;
+    private targetsVersion = 0;
+    /** Whether a session was closed since. */
+    private hasClosedSessions = false;
     /** Zones of which a sample or all targets are being checked. */
     private readonly checkedZones = new Set<string>();
     /** Position at which the next sample begins, so that samples differ. */
@@ -49,12 +56,16 @@
     }
 
     /**
-     * Opens sessions for new target incarnations and closes those of ended ones.
+     * Opens sessions for new target incarnations and closes those of ended ones. Does nothing while there are neither.
      * @param targets - the recorded targets by id
      * @param token - fencing token of this leadership
      */
-    update(targets: ReadonlyMap<string, TargetRecord>, token: number): void {
+    update(targets: TargetTable, token: number): void {
         this.closeEarlier(token);
+        const version = targets.readVersion();
+        if (targets === this.targets && version === this.targetsVersion && !this.hasClosedSessions) {
+            return;
+        }
         const restarted = new Set<string>();
         for (const [id, session] of this.sessions) {
             if (!session.isOpen() || targets.get(id)?.incarnation !== session.record.incarnation) {
@@ -65,9 +76,12 @@
         }
         for (const [id, record] of targets) {
             if (!this.sessions.has(id)) {
-                this.sessions.set(id, new TargetSession(record, token, this.dependencies, restarted.has(id)));
+                this.sessions.set(id, this.createSession(record, token, restarted.has(id)));
             }
         }
+        this.targets = targets;
+        this.targetsVersion = version;
+        this.hasClosedSessions = false;
     }
 
     /**
@@ -196,6 +210,12 @@
         return [...this.sessions.values()].filter(session => session.record.pool === pool).length;
     }
 
+    private createSession(record: TargetRecord, token: number, isRestarted: boolean): TargetSession {
+        return new ListedTargetSession(record, token, this.dependencies, isRestarted, () => {
+            this.hasClosedSessions = true;
+        });
+    }
+
     /** Closes all sessions. */
     closeAll(): void {
         this.sessions.forEach(session => session.close());
