Fill the reserve of the next pool from idle spare VMs

A reserve only limited what a pool lends and returns; what it had lent before did not come back.

Spare VMs that no pool is short of now move to the pools below their reserve.

The test took the spare pool, which has no reserve, for one whose reserve lacks the VMs that it gives; it leaves the spare pool out now.

--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -33,8 +33,8 @@
  * Plans which VMs change their pool. Demand exceeds the capacity of one pool after another, so idle VMs of the spare
  * pool and of calm pools move to the pool that is short. A pool lends VMs as long as it keeps enough capacity for its
  * own demand and its reserve. Pools whose tasks can be on time come first: work that is late in any case neither borrows
- * before them nor keeps VMs from them. It returns the idle VMs that are left then, except those that its recent peak, its
- * forecast demand or its reserve needs. VMs under way to a pool do not count for what it gives away, as its tasks wait for
+ * before them nor keeps VMs from them. Spare VMs that no pool is short of fill the reserves. A pool returns the idle VMs
+ * that are left then, except those that its recent peak, its forecast demand or its reserve needs. VMs under way to a pool do not count for what it gives away, as its tasks wait for
  * them and can start on those that have arrived. Only VMs on which nothing runs move, so that no task is aborted.
  * @param pools - all pools
  * @returns the moves
@@ -46,7 +46,12 @@
         arrivedCapacity: pool.capacity - pool.incoming,
         idle: [...pool.idleVms],
     }));
-    return [...planLoans(planned, readOnTimeDemand), ...planLoans(planned, readDemand), ...planReturns(planned)];
+    return [
+        ...planLoans(planned, readOnTimeDemand),
+        ...planLoans(planned, readDemand),
+        ...planReserves(planned),
+        ...planReturns(planned),
+    ];
 }
 
 function readDemand({ used, wanted, expected }: PoolForecast): CountedDemand {
@@ -124,6 +129,29 @@
     return spare !== 0 ? spare : b.idle.length - a.idle.length;
 }
 
+/** Moves idle VMs of the spare pools to the pools whose capacity is below their reserve, as no burst waits for a move. */
+function planReserves(planned: readonly PlannedPool[]): VmMove[] {
+    const spares = planned.filter(({ pool }) => pool.isSpare);
+    const moves: VmMove[] = [];
+    for (const item of planned) {
+        for (let spare = findSpare(spares); spare !== undefined; spare = findSpare(spares)) {
+            const position = pickIdleVm(spare, item.pool.name);
+            const idle = spare.idle[position];
+            if (idle === undefined || item.pool.isSpare || item.capacity + idle.cpu > item.pool.reserve) {
+                break;
+            }
+            spare.idle.splice(position, 1);
+            item.capacity += idle.cpu;
+            moves.push({ vm: idle.vm, from: spare.pool.name, to: item.pool.name });
+        }
+    }
+    return moves;
+}
+
+function findSpare(spares: readonly PlannedPool[]): PlannedPool | undefined {
+    return spares.find(({ idle }) => idle.length > 0);
+}
+
 /** Moves VMs that a pool does not need to the spare pool; without a spare pool, returns borrowed VMs to their home. */
 function planReturns(planned: readonly PlannedPool[]): VmMove[] {
     const spare = planned.find(({ pool }) => pool.isSpare)?.pool.name;
--- a/packages/core/src/pools/pool-reserves.test.ts
+++ b/packages/core/src/pools/pool-reserves.test.ts
@@ -39,10 +39,10 @@
         );
         if (isSpareLeft) {
             counts.spareLeft += 1;
-            const isReserveMissing = planner.readForecasts().some(({ name, capacity, reserve }) => {
+            const isReserveMissing = planner.readForecasts().some(({ name, isSpare, capacity, reserve }) => {
                 const gained = moves.filter(({ to }) => to === name).length
                     - moves.filter(({ from }) => from === name).length;
-                return capacity + gained * vmCpu <= reserve - vmCpu;
+                return !isSpare && capacity + gained * vmCpu <= reserve - vmCpu;
             });
             counts.reserveMissing += isReserveMissing ? 1 : 0;
         }
