Collect the targets of each pool only when a target has changed

A round went through all targets for the views of the pools in which work waits and once more while late steps wait, which is when the leader has least time; the load lines went through all of them twice for each pool every second.

They now share an index of the targets by pool, which is collected again when the version of the table has changed, in the same order. This takes the place of a private copy in collect-candidates.ts. Decisions are the same: the random comparison of build-placement-targets.test.ts covers the views, read-targets-by-pool.test.ts the index after random changes.

--- a/packages/core/src/placement/build-placement-targets.ts
+++ b/packages/core/src/placement/build-placement-targets.ts
@@ -3,7 +3,9 @@
 import { isWithin } from "../resources/is-within.js";
 import type { Resources } from "../resources/resources.js";
 import { zeroResources } from "../resources/zero-resources.js";
+import { readTargetsByPool } from "../targets/read-targets-by-pool.js";
 import { ReportedTargetState } from "../targets/reported-target-state.js";
+import type { TargetRecord } from "../targets/target-record.js";
 import { anyResources } from "./any-resources.js";
 import type { PlacementTarget } from "./placement-target.js";
 
@@ -20,10 +22,27 @@
     countStartsLeft: (target: string) => number,
     leastNeeds?: ReadonlyMap<string, Resources>,
 ): Map<string, PlacementTarget[]> {
+    const targetsByPool = readTargetsByPool(fleet.targets);
     const pools = new Map<string, PlacementTarget[]>();
-    for (const record of fleet.targets.values()) {
-        const needs = leastNeeds === undefined ? anyResources : leastNeeds.get(record.pool);
-        if (needs === undefined || record.state !== ReportedTargetState.Ready) {
+    for (const pool of (leastNeeds ?? targetsByPool).keys()) {
+        const needs = leastNeeds?.get(pool) ?? anyResources;
+        const views = buildViews(fleet, targetsByPool.get(pool) ?? [], countStartsLeft, needs);
+        if (views.length > 0) {
+            pools.set(pool, views);
+        }
+    }
+    return pools;
+}
+
+function buildViews(
+    fleet: FleetState,
+    targets: readonly TargetRecord[],
+    countStartsLeft: (target: string) => number,
+    needs: Resources,
+): PlacementTarget[] {
+    const views: PlacementTarget[] = [];
+    for (const record of targets) {
+        if (record.state !== ReportedTargetState.Ready) {
             continue;
         }
         const load = fleet.targetLoads.get(record.id);
@@ -32,7 +51,7 @@
         if (startsLeft === 0) {
             continue;
         }
-        const view: PlacementTarget = {
+        views.push({
             record,
             free,
             startsLeft,
@@ -41,14 +60,7 @@
             hasFillers: (load?.fillerCount ?? 0) > 0,
             recentRuns: 0,
             isQuarantined: false,
-        };
-        const views = pools.get(record.pool);
-        if (views === undefined) {
-            pools.set(record.pool, [view]);
-        }
-        else {
-            views.push(view);
-        }
+        });
     }
-    return pools;
+    return views;
 }
--- a/packages/core/src/queueing/collect-candidates.ts
+++ b/packages/core/src/queueing/collect-candidates.ts
@@ -5,6 +5,7 @@
 import type { JobStep } from "../jobs/job-step.js";
 import type { Job } from "../jobs/job.js";
 import { isWithin } from "../resources/is-within.js";
+import { readTargetsByPool } from "../targets/read-targets-by-pool.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import { computeCriticalPath } from "./compute-critical-path.js";
 import { computeDueTime } from "./compute-due-time.js";
@@ -57,11 +58,10 @@
  */
 function updateLateBacklogs({ targets }: FleetState, candidates: readonly MarkedCandidate[]): void {
     const latePools = new Set<string>();
-    let targetsByPool: ReadonlyMap<string, readonly TargetRecord[]> | undefined;
+    const targetsByPool = readTargetsByPool(targets);
     for (const step of candidates) {
         const pool = readPool(step);
         if (!latePools.has(pool) && computeUrgency(step) === Urgency.Late) {
-            targetsByPool ??= collectTargetsByPool(targets.values());
             if (targetsByPool.get(pool)?.some(target => isRunnable(step.definition, target)) === true) {
                 latePools.add(pool);
             }
@@ -74,20 +74,6 @@
     }
 }
 
-function collectTargetsByPool(targets: Iterable<TargetRecord>): ReadonlyMap<string, readonly TargetRecord[]> {
-    const targetsByPool = new Map<string, TargetRecord[]>();
-    for (const target of targets) {
-        const others = targetsByPool.get(target.pool);
-        if (others === undefined) {
-            targetsByPool.set(target.pool, [target]);
-        }
-        else {
-            others.push(target);
-        }
-    }
-    return targetsByPool;
-}
-
 /** Tells whether an empty target could run a task of the step. */
 function isRunnable({ needs, requiredLabel }: JobStep, { labels, capacity }: TargetRecord): boolean {
     return (requiredLabel === undefined || labels.includes(requiredLabel)) && isWithin(needs, capacity);
--- a/packages/core/src/queueing/collect-pool-loads.ts
+++ b/packages/core/src/queueing/collect-pool-loads.ts
@@ -1,5 +1,6 @@
 import type { FleetState } from "../fleet/fleet-state.js";
 import { isSuspect } from "../placement/is-suspect.js";
+import { readTargetsByPool } from "../targets/read-targets-by-pool.js";
 import { computeUrgency } from "./compute-urgency.js";
 import type { PoolLoad } from "./pool-load.js";
 import { readPool } from "./read-pool.js";
@@ -15,7 +16,7 @@
 export function collectPoolLoads(fleet: FleetState, candidates: readonly StepCandidate[]): PoolLoad[] {
     const pools = fleet.configuration?.pools ?? [];
     return pools.filter(pool => !pool.isSpare).map(({ name }) => {
-        const targets = [...fleet.targets.values()].filter(target => target.pool === name);
+        const targets = readTargetsByPool(fleet.targets).get(name) ?? [];
         const waitingSteps = candidates.filter(candidate => readPool(candidate) === name);
         const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
         return {
--- a/packages/core/src/queueing/compute-pool-target-summary.ts
+++ b/packages/core/src/queueing/compute-pool-target-summary.ts
@@ -1,4 +1,5 @@
 import type { FleetState } from "../fleet/fleet-state.js";
+import { readTargetsByPool } from "../targets/read-targets-by-pool.js";
 import { ReportedTargetState } from "../targets/reported-target-state.js";
 import type { PoolTargetSummary } from "./pool-target-summary.js";
 import { TargetExclusion } from "./target-exclusion.js";
@@ -16,7 +17,7 @@
     pool: string,
     readStatus: (target: string) => TargetStatus,
 ): PoolTargetSummary {
-    const targets = [...fleet.targets.values()].filter(target => target.pool === pool);
+    const targets = readTargetsByPool(fleet.targets).get(pool) ?? [];
     const statuses = targets.map(({ id }) => readStatus(id));
     const exclusions = targets.map(({ state }, index) =>
         state === ReportedTargetState.Ready ? statuses[index]?.exclusion : TargetExclusion.Draining
