Take starts on a target before the ends that it listed are committed

The session now compares a list with the recorded runs before it commits the ends, without the runs that the list has ended, and counts as synced from then on. Runs whose end is not committed stay recorded, so they keep their capacity and count as on probation until it is. Starts that an earlier leader recorded and did not send, and stops of runs that are not recorded, go out a commit earlier too. Ends are acknowledged after their commit as before. The interval of lists still begins after it, so that a full leader reads no more of them.

Readers of isSynced: idle check, long poll and omitted lists follow the commit in the same loop, and after one that failed did so in all but the first renewal already; a wrong target and the removal ask whether this incarnation has answered.

target-session-takeover.test.ts: three of five failed before.

--- a/packages/daemon/src/job-scheduler/leader/target-session-takeover.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-takeover.test.ts
@@ -17,13 +17,18 @@
 const maxStartMs = 1_500;
 const targetIds = ["t0", "t1"];
 
-/** Sessions of a successor with two targets, on the first of which a run has ended while there was no leader. */
+/**
+ * Sessions of a successor with two targets, on the first of which a run has ended while there was no leader. Its ends are
+ * committed once the test lets them.
+ */
 function createFixture() {
     const clock = new ManualClock();
     const client = new FakeTargetClient(clock, 500_000);
     const state = buildTestFleet(targetIds.length, { cpu: 4_000, memory: 1_000, gpu: 0 });
     addTestJob(state, "a", [buildTestStep()]);
-    applyCommand(state, { kind: CommandKind.RecordStarts, starts: [{ task: "a.0.0.0", run: 1, target: "t0" }] });
+    addTestJob(state, "b", [buildTestStep()]);
+    const starts = ["a.0.0.0", "b.0.0.0"].map(task => ({ task, run: 1, target: "t0" }));
+    applyCommand(state, { kind: CommandKind.RecordStarts, starts });
     client.ended.push({ task: "a.0.0.0", run: 1, how: RunOutcome.Done, saved: "", number: 1 });
     let endCommit = () => undefined as void;
     const commitLater = <Command extends ControlCommand>(buildCommand: () => Command) =>
@@ -61,7 +66,7 @@
     });
     sessions.update(state.fleet.targets, 3);
     const listUsable = () => targetIds.filter(id => sessions.find(id)?.isUsable());
-    return { clock, listUsable, endCommit: () => endCommit() };
+    return { clock, client, state, sessions, listUsable, endCommit: () => endCommit() };
 }
 
 describe("TargetSessions of a successor", () => {
@@ -79,4 +84,32 @@
         await clock.runFor(maxStartMs);
         expect(listUsable()).toEqual(targetIds);
     });
+
+    it("send the starts that no earlier leader has sent, and only these, while the commit of its ends takes long", async () => {
+        const { clock, client } = createFixture();
+        await clock.runFor(maxStartMs);
+        expect(client.starts.map(({ task }) => task)).toEqual(["b.0.0.0"]);
+    });
+
+    it("stop a run that is not recorded while the commit of its ends takes long", async () => {
+        const { clock, client } = createFixture();
+        client.running.push({ task: "c.0.0.0", run: 1, saved: "", percent: 0, load: 0 });
+        await clock.runFor(maxStartMs);
+        // Both targets list it.
+        expect(client.stops.filter(({ task }) => task === "c.0.0.0")).toHaveLength(targetIds.length);
+    });
+
+    it("count a run that has ended as one that uses capacity and is on probation until its end is committed", async () => {
+        const { clock, client, state, sessions, endCommit } = createFixture();
+        const readUsed = () => state.fleet.targetLoads.get("t0")?.used.cpu;
+        const usedBefore = readUsed() ?? 0;
+        await clock.runFor(maxStartMs);
+        expect(readUsed()).toBe(usedBefore);
+        expect(sessions.find("t0")?.isOnProbation("a.0.0.0", 1)).toBe(true);
+        expect(client.renewals.map(({ lastSeen }) => lastSeen)).not.toContain(1);
+        endCommit();
+        await clock.runFor(maxStartMs);
+        expect(readUsed()).toBe(usedBefore / 2);
+        expect(client.renewals.map(({ lastSeen }) => lastSeen)).toContain(1);
+    });
 });
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -12,6 +12,7 @@
 import { isAddressVerified } from "@daisylock/core/targets/is-address-verified.js";
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
+import type { RunSyncPlan } from "@daisylock/core/targets/run-sync-plan.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { FaultListener } from "../../containment/fault-listener.js";
@@ -95,7 +96,7 @@
     private readonly inheritedRuns: ReadonlyMap<string, number>;
     /** Number of the last ended run that is committed; 0 for none. */
     private lastCommittedEnd = 0;
-    /** Whether a renewal has succeeded and the ended runs that it listed are committed. */
+    /** Whether a list of running tasks was read and compared with the recorded runs; its ends may not be committed yet. */
     private isSynced = false;
     private isClosed = false;
     /** Monotonic milliseconds. */
@@ -518,16 +519,22 @@
             this.running.clear();
             running.forEach(task => this.running.set(task.task, task));
         }
+        const { measure } = this.dependencies;
+        // Before the commit of the ends: until then, their runs count as recorded and keep the capacity of the target.
+        const stopped = running === undefined
+            ? []
+            : measure("lists", () => this.syncRuns({ ...response, running }, sentAt));
         if (response.ended.length > 0 && !await this.recordListedEnds(response)) {
             return false;
         }
+        if (stopped.length > 0) {
+            await this.recordRunEnds(stopped.map(run => ({ ...run, how: RunOutcome.Stopped, saved: "" })));
+        }
         if (running !== undefined) {
-            this.isSynced = true;
             if (sentAt >= this.listRequestedAt) {
                 this.nextListAt = this.readNow() + listIntervalMs;
             }
-            await this.dependencies.measure("lists", () => this.syncRuns({ ...response, running }, sentAt));
-            this.dependencies.measure("progress", () => this.checkHealth(running));
+            measure("progress", () => this.checkHealth(running));
         }
         this.requests.dropEndedRuns(this.readLoad().runs);
         return true;
@@ -558,13 +565,15 @@
         return true;
     }
 
-    /** Reconciles the runs that the target reports with the committed ones. */
-    private async syncRuns(
+    /** Reconciles the runs that the target reports with the committed ones, and returns those that it has stopped. */
+    private syncRuns(
         { running, ended, areAllEndsListed, clockMs }: ListedRenewalResponse,
         sentAt: number,
-    ): Promise<void> {
+    ): RunSyncPlan["stopped"] {
         const list = { running, ended, isComplete: areAllEndsListed, requestedAt: sentAt };
-        const plan = planRunSync(this.readLoad().runs, list, (task, run) => this.requests.find(task, run));
+        const recorded = new Map(this.readLoad().runs);
+        ended.filter(({ task, run }) => recorded.get(task) === run).forEach(({ task }) => recorded.delete(task));
+        const plan = planRunSync(recorded, list, (task, run) => this.requests.find(task, run));
         for (const { task, run } of plan.confirmed) {
             this.confirmRun(task, run, clockMs);
             if (this.isStopping(task, run)) {
@@ -575,9 +584,11 @@
         // accepted, or the request of this leader ended unsettled. One in flight is not repeated.
         plan.unstarted.forEach(({ task, run }) => this.startOrStopRun(task, run));
         [...plan.lost, ...plan.unassigned].forEach(({ task, run }) => this.stopTask(task, run));
-        if (plan.stopped.length > 0) {
-            await this.recordRunEnds(plan.stopped.map(run => ({ ...run, how: RunOutcome.Stopped, saved: "" })));
+        if (!this.isSynced) {
+            this.isSynced = true;
+            this.dependencies.startScheduling();
         }
+        return plan.stopped;
     }
 
     /** A run that was lost with an earlier incarnation is stopped first, as its start may still be in flight. */
