Read the replies that have come before giving up requests through relays

A leader whose main thread stood still for more than the time limit of a request gave up every open one before it read the replies that waited in its sockets, and sent them itself over connections of its own, uncertain ones again later: more work for a leader without time. The time limits are now checked after the event loop has read once when the check itself is late, as channels do for their silence. Test: relay-batch-client.test.ts, failed before.

--- a/packages/daemon/src/job-scheduler/relay/relay-batch-client.test.ts
+++ b/packages/daemon/src/job-scheduler/relay/relay-batch-client.test.ts
@@ -112,6 +112,19 @@
         expect(describeReply(await other)).toBe(200);
     });
 
+    // A leader whose main thread is full gave up requests whose replies had arrived, and sent them itself at a higher cost.
+    it("reads what has arrived before it gives requests up after the process was busy", async () => {
+        const { clock, send, writeAll, reply } = createFixture();
+        const answered = send("a");
+        const lost = send("b");
+        const [[[id] = []] = []] = writeAll();
+        // The first timer that is due after the pause delivers the reply, as the event loop does between timers.
+        clock.runLate(2_000);
+        clock.schedule(0, () => reply([[id, 200, {}]]));
+        await clock.runFor(100);
+        expect([await answered, await lost].map(describeReply)).toEqual([200, CallFailureKind.Unanswered]);
+    });
+
     it("counts the open requests of a relay whose replies cannot be read as possibly sent", async () => {
         for (const malformed of [{}, [1], [["a", 200]], [[1]], "x"]) {
             const { send, writeAll, reply } = createFixture();
--- a/packages/daemon/src/job-scheduler/relay/relay-batch-client.ts
+++ b/packages/daemon/src/job-scheduler/relay/relay-batch-client.ts
@@ -127,10 +127,20 @@
     private planSweep(): void {
         if (!this.isSweepPlanned) {
             this.isSweepPlanned = true;
-            this.clock.schedule(sweepIntervalMs, () => this.dropLateRequests());
+            const dueAt = this.clock.readMonotonic() + sweepIntervalMs;
+            this.clock.schedule(sweepIntervalMs, () => this.startSweep(dueAt));
         }
     }
 
+    /** A process that was busy or suspended has not yet read the replies that came meanwhile, so it reads them first. */
+    private startSweep(dueAt: number): void {
+        if (this.clock.readMonotonic() - dueAt > sweepIntervalMs) {
+            this.clock.schedule(0, () => this.dropLateRequests());
+            return;
+        }
+        this.dropLateRequests();
+    }
+
     private dropLateRequests(): void {
         this.isSweepPlanned = false;
         const now = this.clock.readMonotonic();
--- a/packages/daemon/src/job-scheduler/testing/manual-clock.ts
+++ b/packages/daemon/src/job-scheduler/testing/manual-clock.ts
@@ -56,6 +56,14 @@
         await this.settleTasks();
     }
 
+    /**
+     * Advances the time without running timers, as when the process is busy or suspended.
+     * @param ms - time to advance by, milliseconds
+     */
+    runLate(ms: number): void {
+        this.now += ms;
+    }
+
     private async settleTasks(): Promise<void> {
         await settlePromises();
         for (let round = 0; round < this.macrotaskRounds; round++) {
