--- a/packages/core/src/pools/plan-moves.test.ts
+++ b/packages/core/src/pools/plan-moves.test.ts
@@ -18,6 +18,7 @@
         used: 0,
         wanted: 0,
         wantedLate: 0,
+        arrivals: [],
         expected,
         expectedOnTime: expected,
         usedLongRunning: 0,
--- a/packages/core/src/pools/pool-status.ts
+++ b/packages/core/src/pools/pool-status.ts
@@ -1,4 +1,5 @@
 import type { IdleVm } from "./idle-vm.js";
+import type { JobArrival } from "./job-arrival.js";
 
 /** Current state of a pool. Amounts are thousandths of a core. */
 export interface PoolStatus {
@@ -17,6 +18,8 @@
     readonly wanted: number;
     /** The part of `wanted` of tasks that cannot be on time any more. */
     readonly wantedLate: number;
+    /** Jobs that have arrived since the last status. */
+    readonly arrivals: readonly JobArrival[];
     /** Capacity of the VMs whose home it is. */
     readonly homeCapacity: number;
     /** VMs on which nothing may be running and which may leave. */
--- a/packages/core/src/pools/vm-move-planner.test.ts
+++ b/packages/core/src/pools/vm-move-planner.test.ts
@@ -82,6 +82,7 @@
         usedLongRunning: 0,
         wanted,
         wantedLate: 0,
+        arrivals: [],
         homeCapacity: 10 * vmCpu,
         idleVms: Array.from({ length: 10 }, (_, index) => ({ vm: `${name}-${index}`, home: name, cpu: vmCpu })),
     });
--- a/packages/core/src/pools/vm-move-planner.ts
+++ b/packages/core/src/pools/vm-move-planner.ts
@@ -1,3 +1,4 @@
+import { ArrivalForecast } from "./arrival-forecast.js";
 import { BurstHistory } from "./burst-history.js";
 import { DemandTrend } from "./demand-trend.js";
 import { planMoves } from "./plan-moves.js";
@@ -5,16 +6,27 @@
 import type { PoolStatus } from "./pool-status.js";
 import type { VmMove } from "./vm-move.js";
 
+/** Time from the end of a move until tasks start on the VM: its target announces itself, and the next round follows. */
+const serveDelayMs = 300;
+
+/** Factor on the forecast growth: a VM too few makes jobs late, a VM too many returns after a few seconds. */
+const growthMargin = 1.5;
+
 /** Plans moves of VMs between pools from the demand of each pool, its growth, and which pool may burst next. */
 export class VmMovePlanner {
     private readonly trends = new Map<string, { readonly all: DemandTrend; readonly onTime: DemandTrend }>();
+    private readonly arrivals = new Map<string, ArrivalForecast>();
     private readonly bursts = new BurstHistory();
     private forecasts: readonly PoolForecast[] = [];
+    /** Time from the plan of a move until the VM serves, milliseconds. */
+    private readonly horizonMs: number;
 
     /**
-     * @param moveMs - time from the request for a move until the VM serves, milliseconds
+     * @param moveMs - time that a move takes, milliseconds
      */
-    constructor(private readonly moveMs: number) {}
+    constructor(moveMs: number) {
+        this.horizonMs = moveMs + serveDelayMs;
+    }
 
     /**
      * Records the demand of each pool without a plan, as a process does that may have to plan later.
@@ -22,8 +34,9 @@
      * @param now - monotonic milliseconds
      */
     recordDemands(statuses: readonly PoolStatus[], now: number): void {
-        for (const { name, isSpare, used, wanted, usedLongRunning, homeCapacity } of statuses) {
+        for (const { name, isSpare, used, wanted, usedLongRunning, homeCapacity, arrivals } of statuses) {
             if (!isSpare) {
+                this.findOrCreateArrivals(name).addArrivals(arrivals, now);
                 this.bursts.recordDemand(name, (used + wanted - usedLongRunning) / Math.max(1, homeCapacity), now);
             }
         }
@@ -54,11 +67,29 @@
         const { name, isSpare, used, wanted, wantedLate, usedLongRunning, homeCapacity } = status;
         const trends = this.trends.get(name) ?? { all: new DemandTrend(), onTime: new DemandTrend() };
         this.trends.set(name, trends);
-        const { expected, peak } = trends.all.addSample(now, used + wanted, this.moveMs);
-        const onTime = trends.onTime.addSample(now, used + wanted - wantedLate, this.moveMs);
+        const { expected, peak } = trends.all.addSample(now, used + wanted, this.horizonMs);
+        const onTime = trends.onTime.addSample(now, used + wanted - wantedLate, this.horizonMs);
+        const fromArrivals = usedLongRunning + this.findOrCreateArrivals(name).computeDemand(now, this.horizonMs);
         const reserve = isSpare
             ? 0
             : usedLongRunning + this.bursts.computeReserve(name, names, now) * homeCapacity;
-        return { ...status, expected, expectedOnTime: onTime.expected, peak, reserve };
+        return {
+            ...status,
+            expected: addMargin(used + wanted, Math.max(expected, fromArrivals)),
+            expectedOnTime: addMargin(used + wanted - wantedLate, Math.max(onTime.expected, fromArrivals - wantedLate)),
+            peak,
+            reserve,
+        };
     }
+
+    private findOrCreateArrivals(pool: string): ArrivalForecast {
+        const arrivals = this.arrivals.get(pool) ?? new ArrivalForecast();
+        this.arrivals.set(pool, arrivals);
+        return arrivals;
+    }
+}
+
+/** Raises a forecast by its possible error, which is larger the more the demand is about to change. */
+function addMargin(current: number, forecast: number): number {
+    return current + Math.max(0, forecast - current) * growthMargin;
 }
--- a/packages/core/src/testing/run-pool-simulation.ts
+++ b/packages/core/src/testing/run-pool-simulation.ts
@@ -9,6 +9,7 @@
 import { buildPlacementTargets } from "../placement/build-placement-targets.js";
 import { planStarts } from "../placement/plan-starts.js";
 import { applyRecordMove } from "../pools/apply-record-move.js";
+import { ArrivalTracker } from "../pools/arrival-tracker.js";
 import type { PoolStatus } from "../pools/pool-status.js";
 import type { VmMove } from "../pools/vm-move.js";
 import { collectCandidates } from "../queueing/collect-candidates.js";
@@ -82,6 +83,7 @@
     private readonly endedAt = new Map<string, number>();
     /** Tasks of the first step that each job has started, and when the last of them was. */
     private readonly firstSteps = new Map<string, { started: number; lastAt: number }>();
+    private readonly arrivalTracker = new ArrivalTracker();
     private readonly vmCpu = new Map<string, number>();
     private readonly jobsById: Map<string, SimulatedJob>;
     private targetCount = 0;
@@ -249,6 +251,7 @@
         const candidates = collectCandidates(fleet, now, estimator);
         const loads = new Map(collectPoolLoads(fleet, candidates).map(load => [load.pool, load]));
         const lateDemands = collectLateDemands(candidates);
+        const arrivals = this.arrivalTracker.collectArrivals(fleet, now);
         return this.pools.map(({ name, isSpare, vms, vmCpu = defaultVmCpu }) => {
             const load = loads.get(name);
             const targets = [...fleet.targets.values()].filter(({ pool }) => pool === name);
@@ -265,6 +268,7 @@
                 usedLongRunning: load?.usedLongRunning ?? 0,
                 wanted: load?.wanted ?? 0,
                 wantedLate: lateDemands.get(name) ?? 0,
+                arrivals: arrivals.get(name) ?? [],
                 homeCapacity: vms * vmCpu,
                 idleVms: [...idle.map(({ vm }) => vm), ...poweredOff].map(vm => ({
                     vm,
--- a/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
+++ b/packages/daemon/src/job-scheduler/leader/pool-balancer.ts
@@ -1,5 +1,6 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
+import { ArrivalTracker } from "@daisylock/core/pools/arrival-tracker.js";
 import { collectPoolDemands } from "@daisylock/core/pools/collect-pool-demands.js";
 import { computeHomeCapacities } from "@daisylock/core/pools/compute-home-capacities.js";
 import type { IdleVm } from "@daisylock/core/pools/idle-vm.js";
@@ -80,6 +81,7 @@
     /** Spare pool of each VM that this leader has powered off by moving it there; the cached VM list may be older. */
     private readonly poweredOffVms = new Map<string, string>();
     private readonly planner: VmMovePlanner;
+    private readonly arrivals = new ArrivalTracker();
     private readonly moveCounter = new MoveCounter();
     /** Monotonic milliseconds. */
     private nextDemandRecordAt = 0;
@@ -190,7 +192,9 @@
     }
 
     private collectPools(fleet: FleetState): PoolStatus[] {
-        const demands = collectPoolDemands(fleet, this.dependencies.clock.readWall());
+        const now = this.dependencies.clock.readWall();
+        const demands = collectPoolDemands(fleet, now);
+        const arrivals = this.arrivals.collectArrivals(fleet, now);
         const index = new VmCapacityIndex(fleet.targets.values());
         const homeCapacities = computeHomeCapacities(fleet, index);
         const cordonedLoads = this.computeCordonedLoads(fleet);
@@ -211,6 +215,7 @@
                 wanted: demand?.wanted ?? 0,
                 // They may be from before some of the tasks were started.
                 wantedLate: Math.min(demand?.wanted ?? 0, lateDemands.get(name) ?? 0),
+                arrivals: arrivals.get(name) ?? [],
                 homeCapacity: homeCapacities.get(name) ?? 0,
                 idleVms: isSpare ? this.listSpareVms(fleet, index, name) : idleVms.get(name) ?? [],
             };
