Expect bursts to take the course of the last one, and keep VMs that a recent forecast needs

The forecast from arrivals stands alone in the first round of bursts. From the second on, a pool's burst is expected when the burst that came before the last one has come again, as much later as then, with the same demand over time; a successor has the records of its own, as every keeper records demand.

Growth is raised by half, as a VM too few makes jobs late and one too many returns after seconds; the growth that few arrivals show counts less.

--- a/packages/core/src/pools/arrival-forecast.ts
+++ b/packages/core/src/pools/arrival-forecast.ts
@@ -66,10 +66,11 @@
 
     /** Computes the demand of the jobs that arrive until the horizon; one with age `u` there arrives `u` before it. */
     private computeFutureDemand(now: number, horizonMs: number): number {
-        if (this.arrivalTimes.length === 0) {
+        const arrivalTimes = this.arrivalTimes.filter(time => now - time < rateWindowMs);
+        if (arrivalTimes.length === 0) {
             return 0;
         }
-        const { current, growth } = this.computeRate(now);
+        const { current, growth } = computeRate(arrivalTimes, now);
         const readRate = (ageMs: number): number => Math.max(0, current + growth * (horizonMs - ageMs));
         const demands = this.samples.flat().filter(({ fromMs }) => fromMs < horizonMs).map(({ fromMs, toMs, cpu }) => {
             const lastMs = Math.min(toMs, horizonMs);
@@ -77,14 +78,16 @@
         });
         return demands.reduce((sum, demand) => sum + demand, 0) / this.samples.length;
     }
+}
 
-    /** Fits a linear rate to the number of arrivals within the window and the sum of their times. */
-    private computeRate(now: number): ArrivalRate {
-        const count = this.arrivalTimes.length;
-        const timeSum = this.arrivalTimes.reduce((sum, at) => sum + at - now, 0);
-        const growth = 12 * (timeSum + count * rateWindowMs / 2) / rateWindowMs ** 3;
-        return { current: Math.max(0, count / rateWindowMs + growth * rateWindowMs / 2), growth };
-    }
+/** Fits a linear rate to the number of arrivals within the window and the sum of their times. */
+function computeRate(arrivalTimes: readonly number[], now: number): ArrivalRate {
+    const count = arrivalTimes.length;
+    const timeSum = arrivalTimes.reduce((sum, at) => sum + at - now, 0);
+    const fittedGrowth = 12 * (timeSum + count * rateWindowMs / 2) / rateWindowMs ** 3;
+    // One arrival tells nothing about growth, and few of them little.
+    const growth = fittedGrowth * (count - 1) / count;
+    return { current: Math.max(0, count / rateWindowMs + growth * rateWindowMs / 2), growth };
 }
 
 function computeCpuSum(stages: readonly DemandStage[]): number {
--- a/packages/core/src/pools/plan-moves.test.ts
+++ b/packages/core/src/pools/plan-moves.test.ts
@@ -21,6 +21,7 @@
         arrivals: [],
         expected,
         expectedOnTime: expected,
+        expectedPeak: expected,
         usedLongRunning: 0,
         peak: 0,
         reserve: 0.5 * vms * vmCpu,
--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -162,6 +162,7 @@
             const needed = Math.max(
                 computeMinCapacity(item.pool),
                 Math.max(item.pool.peak, item.pool.expected) / surplusUtilization,
+                item.pool.expectedPeak / expectedShortageUtilization,
             );
             if (left < needed || to === item.pool.name) {
                 return [];
--- a/packages/core/src/pools/vm-move-planner.ts
+++ b/packages/core/src/pools/vm-move-planner.ts
@@ -1,22 +1,28 @@
 import { ArrivalForecast } from "./arrival-forecast.js";
 import { BurstHistory } from "./burst-history.js";
+import { BurstRecorder } from "./burst-recorder.js";
 import { DemandTrend } from "./demand-trend.js";
 import { planMoves } from "./plan-moves.js";
 import type { PoolForecast } from "./pool-forecast.js";
 import type { PoolStatus } from "./pool-status.js";
+import { RecentPeak } from "./recent-peak.js";
 import type { VmMove } from "./vm-move.js";
 
 /** Time from the end of a move until tasks start on the VM: its target announces itself, and the next round follows. */
 const serveDelayMs = 300;
 
+/** Time for which a pool keeps the VMs that a forecast needs, milliseconds; it varies from round to round. */
+const expectedPeakWindowMs = 800;
 /** Factor on the forecast growth: a VM too few makes jobs late, a VM too many returns after a few seconds. */
 const growthMargin = 1.5;
 
 /** Plans moves of VMs between pools from the demand of each pool, its growth, and which pool may burst next. */
 export class VmMovePlanner {
     private readonly trends = new Map<string, { readonly all: DemandTrend; readonly onTime: DemandTrend }>();
+    private readonly expectedPeaks = new Map<string, RecentPeak>();
     private readonly arrivals = new Map<string, ArrivalForecast>();
     private readonly bursts = new BurstHistory();
+    private readonly recorder = new BurstRecorder();
     private forecasts: readonly PoolForecast[] = [];
     /** Time from the plan of a move until the VM serves, milliseconds. */
     private readonly horizonMs: number;
@@ -37,7 +43,9 @@
         for (const { name, isSpare, used, wanted, usedLongRunning, homeCapacity, arrivals } of statuses) {
             if (!isSpare) {
                 this.findOrCreateArrivals(name).addArrivals(arrivals, now);
-                this.bursts.recordDemand(name, (used + wanted - usedLongRunning) / Math.max(1, homeCapacity), now);
+                const share = (used + wanted - usedLongRunning) / Math.max(1, homeCapacity);
+                this.bursts.recordDemand(name, share, now);
+                this.recorder.recordDemand(name, share, now);
             }
         }
     }
@@ -67,21 +75,36 @@
         const { name, isSpare, used, wanted, wantedLate, usedLongRunning, homeCapacity } = status;
         const trends = this.trends.get(name) ?? { all: new DemandTrend(), onTime: new DemandTrend() };
         this.trends.set(name, trends);
-        const { expected, peak } = trends.all.addSample(now, used + wanted, this.horizonMs);
-        const onTime = trends.onTime.addSample(now, used + wanted - wantedLate, this.horizonMs);
-        const fromArrivals = usedLongRunning + this.findOrCreateArrivals(name).computeDemand(now, this.horizonMs);
+        const trend = trends.all.addSample(now, used + wanted, this.horizonMs);
+        const onTimeTrend = trends.onTime.addSample(now, used + wanted - wantedLate, this.horizonMs);
+        const fromArrivals = usedLongRunning
+            + this.findOrCreateArrivals(name).computeDemand(now, this.horizonMs);
+        const fromBursts = usedLongRunning
+            + this.recorder.computeExpectedShare(name, now + this.horizonMs, now) * homeCapacity;
+        const expected = Math.max(addMargin(used + wanted, Math.max(trend.expected, fromArrivals)), fromBursts);
+        const onTime = addMargin(
+            used + wanted - wantedLate,
+            Math.max(onTimeTrend.expected, fromArrivals - wantedLate),
+        );
         const reserve = isSpare
             ? 0
             : usedLongRunning + this.bursts.computeReserve(name, names, now) * homeCapacity;
         return {
             ...status,
-            expected: addMargin(used + wanted, Math.max(expected, fromArrivals)),
-            expectedOnTime: addMargin(used + wanted - wantedLate, Math.max(onTime.expected, fromArrivals - wantedLate)),
-            peak,
+            expected,
+            expectedOnTime: Math.max(onTime, fromBursts - wantedLate),
+            expectedPeak: this.computeExpectedPeak(name, expected, now),
+            peak: trend.peak,
             reserve,
         };
     }
 
+    private computeExpectedPeak(pool: string, expected: number, now: number): number {
+        const peaks = this.expectedPeaks.get(pool) ?? new RecentPeak(expectedPeakWindowMs);
+        this.expectedPeaks.set(pool, peaks);
+        return peaks.addSample(now, expected);
+    }
+
     private findOrCreateArrivals(pool: string): ArrivalForecast {
         const arrivals = this.arrivals.get(pool) ?? new ArrivalForecast();
         this.arrivals.set(pool, arrivals);
