--- a/packages/core/src/pools/arrival-forecast.ts
+++ b/packages/core/src/pools/arrival-forecast.ts
@@ -3,6 +3,8 @@
 
 /** Window from which the rate of arrivals and its growth are estimated, milliseconds. */
 const rateWindowMs = 800;
+/** Share of the growth that a single arrival shows which is taken for chance; with more arrivals it is less. */
+const singleArrivalDoubt = 0.5;
 /** Number of latest jobs whose mean demand is expected of those to come. */
 const sampleSize = 40;
 
@@ -85,8 +87,7 @@
     const count = arrivalTimes.length;
     const timeSum = arrivalTimes.reduce((sum, at) => sum + at - now, 0);
     const fittedGrowth = 12 * (timeSum + count * rateWindowMs / 2) / rateWindowMs ** 3;
-    // One arrival tells nothing about growth, and few of them little.
-    const growth = fittedGrowth * (count - 1) / count;
+    const growth = fittedGrowth * (1 - singleArrivalDoubt / count);
     return { current: Math.max(0, count / rateWindowMs + growth * rateWindowMs / 2), growth };
 }
 
--- a/packages/core/src/pools/vm-move-planner.ts
+++ b/packages/core/src/pools/vm-move-planner.ts
@@ -1,6 +1,5 @@
 import { ArrivalForecast } from "./arrival-forecast.js";
 import { BurstHistory } from "./burst-history.js";
-import { BurstRecorder } from "./burst-recorder.js";
 import { DemandTrend } from "./demand-trend.js";
 import { planMoves } from "./plan-moves.js";
 import type { PoolForecast } from "./pool-forecast.js";
@@ -12,7 +11,7 @@
 const serveDelayMs = 300;
 
 /** Time for which a pool keeps the VMs that a forecast needs, milliseconds; it varies from round to round. */
-const expectedPeakWindowMs = 800;
+const expectedPeakWindowMs = 1_100;
 /** Factor on the forecast growth: a VM too few makes jobs late, a VM too many returns after a few seconds. */
 const growthMargin = 1.5;
 
@@ -22,7 +21,6 @@
     private readonly expectedPeaks = new Map<string, RecentPeak>();
     private readonly arrivals = new Map<string, ArrivalForecast>();
     private readonly bursts = new BurstHistory();
-    private readonly recorder = new BurstRecorder();
     private forecasts: readonly PoolForecast[] = [];
     /** Time from the plan of a move until the VM serves, milliseconds. */
     private readonly horizonMs: number;
@@ -45,7 +43,6 @@
                 this.findOrCreateArrivals(name).addArrivals(arrivals, now);
                 const share = (used + wanted - usedLongRunning) / Math.max(1, homeCapacity);
                 this.bursts.recordDemand(name, share, now);
-                this.recorder.recordDemand(name, share, now);
             }
         }
     }
@@ -80,7 +77,7 @@
         const fromArrivals = usedLongRunning
             + this.findOrCreateArrivals(name).computeDemand(now, this.horizonMs);
         const fromBursts = usedLongRunning
-            + this.recorder.computeExpectedShare(name, now + this.horizonMs, now) * homeCapacity;
+            + this.bursts.computeExpectedShare(name, now + this.horizonMs, now) * homeCapacity;
         const expected = Math.max(addMargin(used + wanted, Math.max(trend.expected, fromArrivals)), fromBursts);
         const onTime = addMargin(
             used + wanted - wantedLate,
