--- a/packages/core/src/pools/pool-reserves.test.ts
+++ b/packages/core/src/pools/pool-reserves.test.ts
@@ -63,6 +63,8 @@
         expected: 0,
         expectedOnTime: 0,
         usedLongRunning: 0,
+        arrivals: [],
+        expectedPeak: 0,
         peak: 0,
         reserve: 0,
         homeCapacity: vms * vmCpu,
