Compare a target's list with the recorded runs again once its ends are committed

A done end of a gang's member ends the whole gang. Since starts no longer wait for the commit of listed ends, a list was compared with the recorded runs before that commit only, so that a member which the same list still shows as running was stopped by nobody, while its capacity counted as free.

--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -520,12 +520,15 @@
             running.forEach(task => this.running.set(task.task, task));
         }
         const { measure } = this.dependencies;
+        const sync = () => running === undefined ? [] : this.syncRuns({ ...response, running }, sentAt);
         // Before the commit of the ends: until then, their runs count as recorded and keep the capacity of the target.
-        const stopped = running === undefined
-            ? []
-            : measure("lists", () => this.syncRuns({ ...response, running }, sentAt));
-        if (response.ended.length > 0 && !await this.recordListedEnds(response)) {
-            return false;
+        let stopped = measure("lists", sync);
+        if (response.ended.length > 0) {
+            if (!await this.recordListedEnds(response)) {
+                return false;
+            }
+            // The end of a gang's member ends the others, which the target may still list.
+            stopped = measure("lists", sync);
         }
         if (stopped.length > 0) {
             await this.recordRunEnds(stopped.map(run => ({ ...run, how: RunOutcome.Stopped, saved: "" })));
