Give spare VMs to the reserves in turn

The first pool of the configuration below its reserve took all spare VMs, so that a pool whose burst may be next as well got none.

--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -129,25 +129,36 @@
     return spare !== 0 ? spare : b.idle.length - a.idle.length;
 }
 
-/** Moves idle VMs of the spare pools to the pools whose capacity is below their reserve, as no burst waits for a move. */
+/** Moves idle VMs of the spare pools to the pools whose capacity is below their reserve, one to each in turn. */
 function planReserves(planned: readonly PlannedPool[]): VmMove[] {
     const spares = planned.filter(({ pool }) => pool.isSpare);
+    const others = planned.filter(({ pool }) => !pool.isSpare);
     const moves: VmMove[] = [];
-    for (const item of planned) {
-        for (let spare = findSpare(spares); spare !== undefined; spare = findSpare(spares)) {
-            const position = pickIdleVm(spare, item.pool.name);
-            const idle = spare.idle[position];
-            if (idle === undefined || item.pool.isSpare || item.capacity + idle.cpu > item.pool.reserve) {
-                break;
+    for (let hasMoved = true; hasMoved;) {
+        hasMoved = false;
+        for (const item of others) {
+            const move = takeSpareVm(findSpare(spares), item);
+            if (move !== undefined) {
+                moves.push(move);
+                hasMoved = true;
             }
-            spare.idle.splice(position, 1);
-            item.capacity += idle.cpu;
-            moves.push({ vm: idle.vm, from: spare.pool.name, to: item.pool.name });
         }
     }
     return moves;
 }
 
+/** Takes a VM of a spare pool for the reserve of another pool, if that lacks a whole one. */
+function takeSpareVm(spare: PlannedPool | undefined, item: PlannedPool): VmMove | undefined {
+    const position = spare === undefined ? -1 : pickIdleVm(spare, item.pool.name);
+    const idle = spare?.idle[position];
+    if (spare === undefined || idle === undefined || item.capacity + idle.cpu > item.pool.reserve) {
+        return undefined;
+    }
+    spare.idle.splice(position, 1);
+    item.capacity += idle.cpu;
+    return { vm: idle.vm, from: spare.pool.name, to: item.pool.name };
+}
+
 function findSpare(spares: readonly PlannedPool[]): PlannedPool | undefined {
     return spares.find(({ idle }) => idle.length > 0);
 }
--- a/packages/core/src/pools/reserve-order.test.ts
+++ b/packages/core/src/pools/reserve-order.test.ts
@@ -17,6 +17,8 @@
         expected: 0,
         expectedOnTime: 0,
         usedLongRunning: 0,
+        expectedPeak: 0,
+        arrivals: [],
         peak: 0,
         reserve: 0,
         homeCapacity: 0,
