Expect a burst to stay as much smaller than the last one as it is so far

The course of a pool's last burst counted as its demand while another burst is under way, however small: the pool lent none of 28 idle VMs while tasks for 20 waited elsewhere.

--- a/packages/core/src/pools/burst-curve.ts
+++ b/packages/core/src/pools/burst-curve.ts
@@ -45,4 +45,14 @@
         }
         return this.samples[low - 1]?.share ?? 0;
     }
+
+    /**
+     * Computes the mean demand from the beginning of the burst until a time.
+     * @param untilMs - time since the beginning of the burst, milliseconds
+     * @returns share of the pool's own capacity; 0 without a sample in that time
+     */
+    computeMeanShare(untilMs: number): number {
+        const samples = this.samples.filter(({ offsetMs }) => offsetMs >= 0 && offsetMs <= untilMs);
+        return samples.reduce((sum, { share }) => sum + share, 0) / Math.max(1, samples.length);
+    }
 }
--- a/packages/core/src/pools/burst-history.ts
+++ b/packages/core/src/pools/burst-history.ts
@@ -83,7 +83,8 @@
     }
 
     /**
-     * Computes the demand of a pool that its last burst lets expect.
+     * Computes the demand of a pool that its last burst lets expect. While one is under way that is smaller so far, it is
+     * expected to stay as much smaller.
      * @param pool - the pool
      * @param at - the time of the demand, monotonic milliseconds
      * @param now - monotonic milliseconds
@@ -96,7 +97,7 @@
         }
         const beganAt = current?.beganAt ?? this.computeDueTime(pool, past);
         const isExpected = beganAt !== undefined && (current !== undefined || now <= beganAt + maxDelayMs);
-        return isExpected ? past.curve.readShare(at - beganAt) : 0;
+        return isExpected ? past.curve.readShare(at - beganAt) * computeRelativeSize(current, past, now) : 0;
     }
 
     /** Computes when the next burst is due, from the burst that came before the last one if that has come again. */
@@ -159,3 +160,13 @@
         return record;
     }
 }
+
+/** Computes the demand of a burst so far relative to that of the burst before it over the same time, at most 1. */
+function computeRelativeSize(current: Burst | undefined, past: Burst, now: number): number {
+    if (current === undefined) {
+        return 1;
+    }
+    const elapsedMs = now - current.beganAt;
+    const pastMean = past.curve.computeMeanShare(elapsedMs);
+    return pastMean === 0 ? 1 : Math.min(1, current.curve.computeMeanShare(elapsedMs) / pastMean);
+}
