Count accepted jobs in the forecast by the part of their demand that is there

A job counted until its caller's estimate was over, also when it had ended or was cancelled: 30 VMs were ordered 30 s after its end.

--- a/packages/core/src/pools/arrival-forecast.test.ts
+++ b/packages/core/src/pools/arrival-forecast.test.ts
@@ -17,7 +17,7 @@
             forecast.addArrivals([{ ageMs: 0, stages }], now);
         }
     }
-    return forecast.computeDemand(durationMs, horizonMs);
+    return forecast.computeDemand(durationMs, horizonMs, Number.POSITIVE_INFINITY);
 }
 
 describe("the demand forecast from arrivals", () => {
@@ -37,12 +37,12 @@
     it("contains the later steps of accepted jobs", () => {
         const forecast = new ArrivalForecast();
         forecast.addArrivals([{ ageMs: 0, stages: [...stages, { fromMs: 1_000, toMs: 3_000, cpu: 7 * cpu }] }], 0);
-        expect(forecast.computeDemand(1_000, horizonMs)).toBe(7 * cpu);
+        expect(forecast.computeDemand(1_000, horizonMs, 7 * cpu)).toBe(7 * cpu);
     });
 
     it("is nothing after the last job has ended", () => {
         const forecast = new ArrivalForecast();
         forecast.addArrivals([{ ageMs: 0, stages }], 0);
-        expect(forecast.computeDemand(1_000, horizonMs)).toBe(0);
+        expect(forecast.computeDemand(1_000, horizonMs, cpu)).toBe(0);
     });
 });
--- a/packages/core/src/pools/arrival-forecast.ts
+++ b/packages/core/src/pools/arrival-forecast.ts
@@ -51,19 +51,25 @@
     }
 
     /**
-     * Forecasts the demand if no task waits.
+     * Forecasts the demand if no task waits. Accepted jobs count by the part of their demand that is there now, as some end
+     * before their estimates or are cancelled.
      * @param now - monotonic milliseconds
      * @param horizonMs - how far ahead, milliseconds
+     * @param currentDemand - what the tasks of accepted jobs use and wait for, thousandths of a core
      * @returns thousandths of a core
      */
-    computeDemand(now: number, horizonMs: number): number {
-        const at = now + horizonMs;
-        const accepted = computeCpuSum(
+    computeDemand(now: number, horizonMs: number, currentDemand: number): number {
+        const estimated = this.computeAcceptedDemand(now);
+        const remaining = estimated === 0 ? 1 : Math.min(1, currentDemand / estimated);
+        return this.computeAcceptedDemand(now + horizonMs) * remaining + this.computeFutureDemand(now, horizonMs);
+    }
+
+    private computeAcceptedDemand(at: number): number {
+        return computeCpuSum(
             this.accepted.flatMap(job =>
                 job.stages.filter(({ fromMs, toMs }) => job.at + fromMs <= at && at < job.at + toMs)
             ),
         );
-        return accepted + this.computeFutureDemand(now, horizonMs);
     }
 
     /** Computes the demand of the jobs that arrive until the horizon; one with age `u` there arrives `u` before it. */
--- a/packages/core/src/pools/vm-move-planner.ts
+++ b/packages/core/src/pools/vm-move-planner.ts
@@ -75,7 +75,7 @@
         const trend = trends.all.addSample(now, used + wanted, this.horizonMs);
         const onTimeTrend = trends.onTime.addSample(now, used + wanted - wantedLate, this.horizonMs);
         const fromArrivals = usedLongRunning
-            + this.findOrCreateArrivals(name).computeDemand(now, this.horizonMs);
+            + this.findOrCreateArrivals(name).computeDemand(now, this.horizonMs, used + wanted - usedLongRunning);
         const fromBursts = usedLongRunning
             + this.bursts.computeExpectedShare(name, now + this.horizonMs, now) * homeCapacity;
         const expected = Math.max(addMargin(used + wanted, Math.max(trend.expected, fromArrivals)), fromBursts);
