Take a 404 for an earlier release only at calls that it lacks

Any call that a former leader's address answered with 404 ended there, and the address stayed the leader's. With another server there all calls failed. Only the collected heartbeats are a call that earlier releases lack; the test of an earlier release sends these now, which is what it is about.

--- a/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.test.ts
@@ -72,9 +72,12 @@
     const clock = new ManualClock();
     const keepers = new FakeKeepers(clock);
     const client = new LeaderClient(keepers, seeds, clock, () => undefined);
-    const start = (timeoutMs = 2_500) => {
+    const start = (
+        timeoutMs = 2_500,
+        send = () => client.send("ping", {}, timeoutMs) as ReturnType<typeof client.send>,
+    ) => {
         const call: { repliedAt?: number; isOk?: boolean; kind?: CallFailureKind | undefined } = {};
-        void client.send("ping", {}, timeoutMs).then(reply => {
+        void send().then(reply => {
             call.repliedAt = clock.readMonotonic();
             call.isOk = reply.isOk;
             call.kind = reply.isErr ? reply.error.kind : undefined;
@@ -143,7 +146,7 @@
         start();
         await clock.runFor(100);
         keepers.behaviors.set("10.0.0.2:70", Behavior.Older);
-        const call = start();
+        const call = start(2_500, () => client.send("reports", { reports: [] }, 2_500));
         await clock.runFor(1);
         expect(call).toMatchObject({ isOk: false, kind: CallFailureKind.Unsupported });
         expect(client.readLeader()).toBe("10.0.0.2:70");
--- a/packages/daemon/src/job-scheduler/peers/leader-client.ts
+++ b/packages/daemon/src/job-scheduler/peers/leader-client.ts
@@ -25,6 +25,8 @@
 const retryDelayMs = 70;
 /** Status with which a keeper of an earlier release replies to a call that it does not know. */
 const unsupportedStatus = 404;
+/** Calls that leaders of an earlier release do not know. */
+const newCalls: ReadonlySet<keyof LeaderCalls> = new Set(["reports"]);
 /** Part of an unexpected reply that is logged, bytes. */
 const maxDetailBytes = 200;
 
@@ -263,7 +265,9 @@
             return value !== undefined
                 ? Result.ok(value as Reply<Name>)
                 : Result.err({
-                    kind: status === unsupportedStatus ? CallFailureKind.Unsupported : CallFailureKind.Unanswered,
+                    kind: status === unsupportedStatus && newCalls.has(name)
+                        ? CallFailureKind.Unsupported
+                        : CallFailureKind.Unanswered,
                     detail: `status ${status} ${body.toString("utf8", 0, maxDetailBytes)}`.trim(),
                     isTimeout: false,
                 });
