Bound collected heartbeats by their size

Up to 1,000 heartbeats shared a call, however large; 250 of the largest valid ones are 24.7 MB, and a channel closes at 16.8 MB with all that is under way on it. They go on at 256 K characters now.

--- a/packages/daemon/src/job-scheduler/keeper/report-forwarder.ts
+++ b/packages/daemon/src/job-scheduler/keeper/report-forwarder.ts
@@ -13,8 +13,8 @@
 
 /** Time for which heartbeats that change nothing are collected, milliseconds; their targets wait a second for a response. */
 const collectMs = 50;
-/** Number of collected heartbeats that are passed on without waiting for more. */
-const maxReports = 1_000;
+/** Size of the collected heartbeats from which they are passed on without waiting for more, characters as JSON. */
+const maxCharacters = 256 * 1_024;
 
 /** Calls the leader. */
 type SendToLeader = <Name extends "report" | "reports">(
@@ -37,6 +37,7 @@
  */
 export class ReportForwarder {
     private waiting: WaitingReport[] = [];
+    private waitingCharacters = 0;
     private stopTimer: () => void = () => undefined;
 
     /**
@@ -65,7 +66,8 @@
         }
         return new Promise(settle => {
             this.waiting.push({ report, endsAt, settle });
-            if (this.waiting.length >= maxReports) {
+            this.waitingCharacters += JSON.stringify(report).length;
+            if (this.waitingCharacters >= maxCharacters) {
                 this.sendWaiting();
             }
             else if (this.waiting.length === 1) {
@@ -82,6 +84,7 @@
             return;
         }
         this.waiting = [];
+        this.waitingCharacters = 0;
         const work = { work: WorkKind.PeerCall, subject: `${waiting.length} heartbeats` };
         startContained(this.dependencies.noteFault, work, async () => {
             const replies = await runContained<Result<LeaderCalls["reports"]["reply"]["replies"], CallFailure>>(
