Refuse replies through relays that are too large for a channel

A relay's reply was as large as the target's list made it, 52 MB in the test, and closed the channel for the requests to all targets of that relay. Beyond 4 MB it counts as failed, so that the leader asks the target itself.

--- a/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
+++ b/packages/daemon/src/job-scheduler/relay/target-request-relay.ts
@@ -29,6 +29,8 @@
 const malformed: RelayReply = { status: 400, content: undefined };
 const expired: RelayReply = { status: 503, content: undefined };
 const failed: RelayReply = { status: 500, content: undefined };
+/** Largest reply, bytes; well below the largest frame of a channel, as others travel with it. */
+const maxReplyBytes = 4 * 1_024 * 1_024;
 const successStatus = 200;
 const emptyBody = Buffer.alloc(0);
 const kinds: readonly string[] = Object.values(TargetRequestKind);
@@ -79,7 +81,7 @@
         await Promise.all(batch.map(async ([id, kind, content]) => {
             const work = { work: WorkKind.PeerRequest, subject: kind };
             const reply = await runContained(this.noteFault, work, () => this.runRequest(kind, content), () => failed);
-            replies.addText(JSON.stringify([id, reply.status, reply.content]));
+            replies.addText(encodeReply(id, reply));
         }));
         return { status: successStatus, body: emptyBody };
     }
@@ -108,6 +110,12 @@
     }
 }
 
+/** Encodes a reply; one that is too large for a channel counts as failed, so that the leader sends the request itself. */
+function encodeReply(id: number, { status, content }: RelayReply): string {
+    const text = JSON.stringify([id, status, content]);
+    return Buffer.byteLength(text) <= maxReplyBytes ? text : JSON.stringify([id, failed.status]);
+}
+
 /** Leaves the running tasks out of a renewal's response if the leader allows it. */
 function dropRunning({ request }: RelayedRequest, response: TargetResponse): TargetResponse {
     const { ended } = response as Partial<LeaseRenewalResponse>;
