--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -407,6 +407,10 @@
             Math.max(60_000, runs * runTimeoutMs),
         );
 
+        // Starts exceeded the capacity of a target whose capacity had shrunk; the cause is not known yet.
+        it("keeps to the capacity of a target that shrinks while the leader lease lapses", () =>
+            fc.assert(scenarioWithResizes, { numRuns: 1, seed: 53, path: "212", endOnFailure: true }));
+
         // A refused renewal ended runs as expired whose starts, with a new lease, were in flight.
         it("waits for the lease of a start in flight before it releases the task", () =>
             fc.assert(scenario, { numRuns: 1, seed: 5, path: "136", endOnFailure: true }));
