--- a/packages/daemon/src/concurrency/run-goroutine.test.ts
+++ b/packages/daemon/src/concurrency/run-goroutine.test.ts
@@ -8,7 +8,7 @@
 const waitTurn = () => new Promise(resolve => setImmediate(resolve));
 
 describe("a goroutine", () => {
-    // A commit takes several messages, and a turn of a full leader takes 30 ms and more.
+    // A commit takes several messages, each of which waited for another turn of a full leader.
     it("goes on in the turn of the event loop after that in which its message was put", async () => {
         const mailbox = new Mailbox<string>(1);
         const turns = new TurnCounter();
--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -389,7 +389,7 @@
         expect(settled).toBe(true);
     });
 
-    // A commit took 100 to 200 ms while the main thread was full, as its steps waited for turns of 15 to 40 ms each.
+    // A commit took 100 to 200 ms while the main thread was full, as each of its steps waited for turns of the event loop.
     it("settles after two turns of the event loop when the disk takes none", async () => {
         startKeeper(new InstantKeeperStorage("k0", { voters: { k0: "k0" }, learners: {} }));
         await waitUntil(() => keeper.isActiveLeader());
