--- a/packages/core/src/pools/plan-moves.test.ts
+++ b/packages/core/src/pools/plan-moves.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
 
+import { buildPoolForecast } from "../testing/build-pool-forecast.js";
 import { createRandom } from "../testing/create-random.js";
 import { DemandTrend } from "./demand-trend.js";
 import { planMoves } from "./plan-moves.js";
@@ -8,27 +9,9 @@
 
 const vmCpu = 32_000;
 
+/** Builds a pool that keeps half of its VMs. */
 function buildPool(name: string, vms: number, idle: number, fields: Partial<PoolForecast> = {}): PoolForecast {
-    const { expected = 0 } = fields;
-    return {
-        name,
-        isSpare: false,
-        capacity: vms * vmCpu,
-        incoming: 0,
-        used: 0,
-        wanted: 0,
-        wantedLate: 0,
-        arrivals: [],
-        expected,
-        expectedOnTime: expected,
-        expectedPeak: expected,
-        usedLongRunning: 0,
-        peak: 0,
-        reserve: 0.5 * vms * vmCpu,
-        homeCapacity: vms * vmCpu,
-        idleVms: Array.from({ length: idle }, (_, index) => ({ vm: `${name}-${index}`, home: name, cpu: vmCpu })),
-        ...fields,
-    };
+    return buildPoolForecast(name, vms, idle, { reserve: 0.5 * vms * vmCpu, ...fields });
 }
 
 const spare = buildPool("off", 0, 4, { isSpare: true, homeCapacity: 0 });
--- a/packages/core/src/pools/pool-reserves.test.ts
+++ b/packages/core/src/pools/pool-reserves.test.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from "@jest/globals";
 
+import { buildPoolForecast } from "../testing/build-pool-forecast.js";
 import { buildRotatingBursts } from "../testing/build-rotating-bursts.js";
 import { runPoolSimulation } from "../testing/run-pool-simulation.js";
 import { planMoves } from "./plan-moves.js";
-import type { PoolForecast } from "./pool-forecast.js";
 import { VmMovePlanner } from "./vm-move-planner.js";
 
 const moveMs = 1_500;
@@ -51,33 +51,11 @@
     return counts;
 }
 
-function buildPool(name: string, vms: number, idle: number, fields: Partial<PoolForecast>): PoolForecast {
-    return {
-        name,
-        isSpare: false,
-        capacity: vms * vmCpu,
-        incoming: 0,
-        used: 0,
-        wanted: 0,
-        wantedLate: 0,
-        expected: 0,
-        expectedOnTime: 0,
-        usedLongRunning: 0,
-        arrivals: [],
-        expectedPeak: 0,
-        peak: 0,
-        reserve: 0,
-        homeCapacity: vms * vmCpu,
-        idleVms: Array.from({ length: idle }, (_, index) => ({ vm: `${name}-${index}`, home: name, cpu: vmCpu })),
-        ...fields,
-    };
-}
-
 describe("the reserve of a pool that may have the next burst", () => {
     // A pool began its burst with 9 of the 22 VMs of its reserve, while 41 VMs were idle in the spare pool.
     it("is filled from the spare pool before the burst", () => {
-        const next = buildPool("next", 9, 8, { reserve: 22 * vmCpu, homeCapacity: 55 * vmCpu });
-        const spare = buildPool("off", 0, 41, { isSpare: true, homeCapacity: 0 });
+        const next = buildPoolForecast("next", 9, 8, { reserve: 22 * vmCpu, homeCapacity: 55 * vmCpu });
+        const spare = buildPoolForecast("off", 0, 41, { isSpare: true, homeCapacity: 0 });
         expect(planMoves([next, spare]).filter(({ to }) => to === "next")).toHaveLength(13);
     });
 
--- a/packages/daemon/src/job-scheduler/leader/lost-zone.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/lost-zone.test.ts
@@ -3,9 +3,9 @@
 import { describe, expect, it } from "@jest/globals";
 
 import { TargetRequestResult } from "../targets/target-request-result.js";
+import { buildQuietSessionDependencies } from "../testing/build-quiet-session-dependencies.js";
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
-import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetSessions } from "./target-sessions.js";
 
 /** Targets of one of seven availability zones of the largest deployment. */
@@ -20,6 +20,7 @@
     let lastReportAt = Number.NEGATIVE_INFINITY;
     let areReporting = true;
     const sessions = new TargetSessions({
+        ...buildQuietSessionDependencies(),
         leadership: {
             isActive: () => true,
             readFleet: () => state.fleet,
@@ -35,18 +36,6 @@
             },
         },
         clock,
-        log: { record: () => undefined },
-        maxLeaseMs: 6_000,
-        findTargetEnding: () => undefined,
-        stalledTasks: new StalledTaskRegistry(),
-        mayEjectSlow: () => true,
-        estimateTask: () => 500,
-        findTicket: () => "",
-        handleRejectedTicket: () => undefined,
-        handleUnansweredRequest: () => undefined,
-        startScheduling: () => undefined,
-        handleRunEnd: () => undefined,
-        noteEnds: () => undefined,
     });
     const setLost = (isLost: boolean) => {
         areReporting = !isLost;
--- a/packages/daemon/src/job-scheduler/leader/run-end-commands.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-end-commands.test.ts
@@ -10,11 +10,11 @@
 import type Result from "true-myth/result";
 
 import type { ProposeFailure } from "../../request-proxy/keeper/propose-failure.js";
+import { buildQuietSessionDependencies } from "../testing/build-quiet-session-dependencies.js";
 import { FakeKeeper } from "../testing/fake-keeper.js";
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
 import { Leadership } from "./leadership.js";
-import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetSessions } from "./target-sessions.js";
 
 const targetCount = 100;
@@ -60,23 +60,13 @@
     });
     const ended: string[] = [];
     const sessions = new TargetSessions({
+        ...buildQuietSessionDependencies(),
         leadership: new Leadership(keeper, 1),
         client,
         reports: {
             findReport: () => ({ incarnation: 1, sequence: 1, at: clock.readMonotonic(), clockMs: clock.readWall() }),
         },
         clock,
-        log: { record: () => undefined },
-        maxLeaseMs: 6_000,
-        findTargetEnding: () => undefined,
-        noteEnds: () => undefined,
-        stalledTasks: new StalledTaskRegistry(),
-        mayEjectSlow: () => true,
-        estimateTask: () => 500,
-        findTicket: () => "",
-        handleRejectedTicket: () => undefined,
-        handleUnansweredRequest: () => undefined,
-        startScheduling: () => undefined,
         handleRunEnd: task => void ended.push(task),
     });
     const endTasks = () => {
--- a/packages/daemon/src/job-scheduler/leader/target-session-gang.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-gang.test.ts
@@ -8,9 +8,9 @@
 import { buildTestStep } from "@daisylock/core/testing/build-test-step.js";
 import { describe, expect, it } from "@jest/globals";
 
+import { buildQuietSessionDependencies } from "../testing/build-quiet-session-dependencies.js";
 import { FakeTargetClient } from "../testing/fake-target-client.js";
 import { ManualClock } from "../testing/manual-clock.js";
-import { StalledTaskRegistry } from "./stalled-task-registry.js";
 import { TargetSessions } from "./target-sessions.js";
 
 /** Time within which a member that is left over is stopped, milliseconds. */
@@ -30,6 +30,7 @@
         command: Command,
     ): Promise<CommandResults[Command["kind"]]> => applyCommand(state, command);
     const sessions = new TargetSessions({
+        ...buildQuietSessionDependencies(),
         leadership: {
             isActive: () => true,
             readFleet: () => state.fleet,
@@ -45,18 +46,6 @@
             },
         },
         clock,
-        log: { record: () => undefined },
-        maxLeaseMs: 6_000,
-        findTargetEnding: () => undefined,
-        noteEnds: () => undefined,
-        stalledTasks: new StalledTaskRegistry(),
-        mayEjectSlow: () => true,
-        estimateTask: () => 500,
-        findTicket: () => "",
-        handleRejectedTicket: () => undefined,
-        handleUnansweredRequest: () => undefined,
-        startScheduling: () => undefined,
-        handleRunEnd: () => undefined,
     });
     sessions.update(state.fleet.targets, 3);
     return { clock, client, sessions };
