--- a/packages/core/src/pools/arrival-forecast.ts
+++ b/packages/core/src/pools/arrival-forecast.ts
@@ -25,8 +25,8 @@
 
 /**
  * Forecasts the demand of one pool from the jobs that it has accepted, whose later steps are certain to follow, and from
- * those that arrive until then at the current rate and its growth. Demand that is in use shows the growth of a burst
- * later by the time that tasks take, and its second derivative is the first of the rate.
+ * those that arrive until then at the current rate and its growth. The demand in use follows the arrivals by the time that
+ * tasks take, so that it shows the beginning of a burst later.
  */
 export class ArrivalForecast {
     private accepted: readonly AcceptedJob[] = [];
--- a/packages/core/src/pools/plan-moves.ts
+++ b/packages/core/src/pools/plan-moves.ts
@@ -34,8 +34,9 @@
  * pool and of calm pools move to the pool that is short. A pool lends VMs as long as it keeps enough capacity for its
  * own demand and its reserve. Pools whose tasks can be on time come first: work that is late in any case neither borrows
  * before them nor keeps VMs from them. Spare VMs that no pool is short of fill the reserves. A pool returns the idle VMs
- * that are left then, except those that its recent peak, its forecast demand or its reserve needs. VMs under way to a pool do not count for what it gives away, as its tasks wait for
- * them and can start on those that have arrived. Only VMs on which nothing runs move, so that no task is aborted.
+ * that are left then, except those that its recent peak, its forecast demand or its reserve needs. VMs under way to a
+ * pool do not count for what it gives away, as its tasks wait for them and can start on those that have arrived. Only
+ * VMs on which nothing runs move, so that no task is aborted.
  * @param pools - all pools
  * @returns the moves
  */
