--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -13,6 +13,8 @@
 /** Bounds of a small deployment, as in DEPLOY.md. */
 export const bounds = { maxHoldMs: 6_000, stopGraceMs: 400, visibleMs: 3_000, contactMs: 3_000, statusS: 120 };
 const heartbeatMs = 1_500;
+/** Time after which the platform starts a process again that has ended, milliseconds. */
+const nodeRestartMs = 500;
 
 export const wait = ms => new Promise(done => setTimeout(done, ms));
 
@@ -106,6 +108,24 @@
     });
 }
 
+/** Reads a text by HTTP; empty if there is no answer. */
+function readText(address, path) {
+    const [host, port] = address.split(":");
+    return new Promise(done => {
+        const call = request({ host, port: Number(port), path, agent: false, timeout: 1_000 }, response => {
+            let text = "";
+            response.setEncoding("utf8");
+            response.on("data", part => {
+                text += part;
+            });
+            response.on("end", () => done(text));
+        });
+        call.on("timeout", () => call.destroy());
+        call.on("error", () => done(""));
+        call.end();
+    });
+}
+
 export class Deployment {
     /** @param caseFolder - folder of the case, which gets record.txt */
     constructor(caseFolder) {
@@ -117,6 +137,8 @@
         this.executors = new Map();
         this.handlers = [];
         this.cloudAddress = "";
+        this.ownEnds = [];
+        this.isStopping = false;
     }
 
     record(text) {
@@ -231,6 +253,29 @@
         this.track(child);
     }
 
+    /** Records processes of the system that end by themselves, and starts them again as the platform does. */
+    watchNodes() {
+        for (const node of [...this.keepers, ...this.entries]) {
+            this.watchNode(node);
+        }
+    }
+
+    watchNode(node) {
+        node.child.once("exit", (code, signal) => {
+            if (this.isStopping) {
+                return;
+            }
+            this.record(`${node.name} ended by itself: code ${code}, signal ${signal}`);
+            this.ownEnds.push({ name: node.name, code, signal });
+            setTimeout(() => {
+                if (!this.isStopping) {
+                    this.startNode(node, false);
+                    this.watchNode(node);
+                }
+            }, nodeRestartMs);
+        });
+    }
+
     track(child) {
         this.children.add(child);
         child.once("exit", () => this.children.delete(child));
@@ -238,7 +283,8 @@
 
     /** Starts a life of an executor; the options stay for its later lives. */
     startExecutor(options) {
-        const { id, host, service, zone, machine = `m-${id}`, labels = ["a", "r1-1"], capacity } = options;
+        const { id, host, service, zone, machine = `m-${id}`, labels = ["a", "r1-1"], capacity, clockRate = 1 } =
+            options;
         const settings = {
             id,
             machine,
@@ -251,6 +297,7 @@
             heartbeatMs,
             maxHoldMs: bounds.maxHoldMs,
             stopGraceMs: bounds.stopGraceMs,
+            clockRate,
         };
         const child = fork(join(libFolder, "executor.mjs"), [JSON.stringify(settings), String(host)], {
             stdio: ["ignore", "ignore", "inherit", "ipc"],
@@ -264,6 +311,28 @@
         });
     }
 
+    /** Tells an executor how to behave: `shed` refuses starts, `cut` loses all that is sent to it or by it. */
+    setExecutor(id, behaviour) {
+        this.record(`executor ${id} ${JSON.stringify(behaviour)}`);
+        this.executors.get(id).child.send(behaviour);
+    }
+
+    /** Finds the leading keeper by its metrics. */
+    async findLeader() {
+        for (const keeper of this.keepers) {
+            const text = await readText(`${keeper.ip}:${ports.metrics}`, "/metrics");
+            if (/^daisylock_leading 1$/m.test(text)) {
+                return keeper;
+            }
+        }
+        throw new NotRunnable("no keeper leads");
+    }
+
+    killNode(node) {
+        this.record(`${node.name} is killed`);
+        node.child.kill("SIGKILL");
+    }
+
     crashExecutor(id) {
         this.record(`executor ${id} crashes`);
         this.executors.get(id).child.kill("SIGKILL");
@@ -294,6 +363,7 @@
     }
 
     async stop() {
+        this.isStopping = true;
         const children = [...this.children];
         const exits = children.map(child => new Promise(done => child.once("exit", done)));
         children.forEach(child => child.kill("SIGKILL"));
--- a/review/lib-2/executor.mjs
+++ b/review/lib-2/executor.mjs
@@ -1,7 +1,20 @@
 // Stand-in executor: one process for one executor. Settings come as JSON in argv[2]; events go to the parent process.
 import { createServer, request } from "node:http";
 
-const { id, machine, service, zone, address, labels, capacity, controls, heartbeatMs, maxHoldMs, stopGraceMs } = JSON
+const {
+    id,
+    machine,
+    service,
+    zone,
+    address,
+    labels,
+    capacity,
+    controls,
+    heartbeatMs,
+    maxHoldMs,
+    stopGraceMs,
+    clockRate,
+} = JSON
     .parse(process.argv[2]);
 const born = Date.now();
 const startedAt = performance.now();
@@ -15,6 +28,8 @@
 let sequence = 0;
 let state = "ready";
 let isShedding = false;
+/** While it is cut off, nothing reaches it and nothing that it sends arrives; its runs go on. */
+let isCut = false;
 let nextControl = Number(process.argv[3] ?? 0);
 /** Runs by task: run number, step needs, timer. */
 const running = new Map();
@@ -23,7 +38,7 @@
 let finished = [];
 const waiters = new Set();
 
-const readClock = () => Math.round(performance.now() - startedAt);
+const readClock = () => Math.floor((performance.now() - startedAt) * clockRate);
 const report = event => process.send?.({ ...event, executor: id, at: Date.now() });
 
 function endRun(task, how) {
@@ -129,10 +144,16 @@
         chunks.push(chunk);
     }
     const respond = (status, content) => {
+        if (isCut) {
+            return;
+        }
         const text = JSON.stringify({ clockMs: readClock(), born, ...content });
         response.writeHead(status, { "content-type": "application/json" });
         response.end(text);
     };
+    if (isCut) {
+        return;
+    }
     if (incoming.url === "/health") {
         respond(200, {});
         return;
@@ -172,7 +193,7 @@
 });
 
 function beat(attempt = 0) {
-    if (attempt >= controls.length) {
+    if (isCut || attempt >= controls.length) {
         return;
     }
     if (attempt === 0) {
@@ -227,6 +248,7 @@
 }
 
 process.on("message", message => {
+    isCut = message.cut ?? isCut;
     if (message.shed !== undefined) {
         isShedding = message.shed;
     }
