--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -333,6 +333,18 @@
         node.child.kill("SIGKILL");
     }
 
+    /** Ends a keeper and empties its disk; it comes back at its address, with `bootstrap` false. */
+    async wipeNode(node, forMs) {
+        this.record(`${node.name} loses its disk`);
+        const ended = new Promise(done => node.child.once("exit", done));
+        node.child.kill("SIGKILL");
+        await ended;
+        rmSync(join(this.folder, node.name), { recursive: true, force: true });
+        await wait(forMs);
+        this.startNode(node, false);
+        this.record(`${node.name} starts with an empty disk`);
+    }
+
     crashExecutor(id) {
         this.record(`executor ${id} crashes`);
         this.executors.get(id).child.kill("SIGKILL");
--- a/review/lib-2/executor.mjs
+++ b/review/lib-2/executor.mjs
@@ -1,4 +1,5 @@
 // Stand-in executor: one process for one executor. Settings come as JSON in argv[2]; events go to the parent process.
+import { createHash } from "node:crypto";
 import { createServer, request } from "node:http";
 
 const {
@@ -171,7 +172,8 @@
     fencingToken = body.fencingToken ?? 0;
     if (incoming.url === "/run-start") {
         const [status, content] = start(body);
-        report({ event: "order", task: body.task, run: body.run, status, reason: content.reason });
+        const spec = createHash("sha256").update(body.spec).digest("hex").slice(0, 16);
+        report({ event: "order", task: body.task, run: body.run, status, reason: content.reason, spec });
         respond(status, content);
     }
     else if (incoming.url === "/run-stop") {
