--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -9,7 +9,7 @@
 /** Time for which jobs are handed in, milliseconds. */
 const handInMs = 44_000;
 const nowPerSecond = 18;
-const laterPerSecond = 12;
+const laterPerSecond = 14;
 /** Time from the first job until the first of the scheduled jobs is due, milliseconds. */
 const dueAfterMs = 80_000;
 const downMs = 3_000;
@@ -51,8 +51,8 @@
         count += 1;
         const id = (0x5c0e7a21d94b0000n + BigInt(count)).toString(16);
         const task = { cpu: 1_000, ms: 300 };
-        // A note of some 2,900 bytes, most of it characters beyond the basic plane, as people write them.
-        const note = isLater ? `${count} ${"\u{1F486}\u{1F33F}\u{1F9D6}".repeat(240)}` : "";
+        // A note of some 3,800 bytes, most of it characters beyond the basic plane, as people write them.
+        const note = isLater ? `${"!".repeat(count % 2)}${"\u{1F486}\u{1F33F}\u{1F9D6}".repeat(315)}` : "";
         const spec = JSON.stringify({ steps: [task, task], note });
         const step = { count: 1, cpu: task.cpu, memMb: 1_000, estimateMs: task.ms };
         const steps = isLater ? [step] : [step, { ...step, after: [0] }];
