--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -6,7 +6,7 @@
 import { buildConfiguration, runCase, send, wait } from "../lib-2/deployment.mjs";
 
 const jobCount = Number(process.env.JOBS ?? 1_600);
-const jobsPerSecond = Number(process.env.RATE ?? 24);
+const jobsPerSecond = Number(process.env.RATE ?? 22);
 /** Jobs of ten that are sent once more after their acknowledgement; the site file has 0.3 (`twice`). */
 const repeatedOfTen = 3;
 /** `recoveryS` of a small deployment. */
