--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -7,7 +7,7 @@
 
 const executorCount = 7;
 const idleMs = Number(process.env.IDLE_MS ?? 60_000);
-const cutMs = 6_000;
+const cutMs = 5_500;
 const clockRate = 0.98;
 const job = "5c0e7a21d94b36f8";
 const path = `/front-desk/${job}`;
