A lease is never longer than requested, also on a target that was idle

Callers saw: a task ran on two targets for about a second after a planned restart of the leader, while the first target was cut off.

Cause: a leader computed the expiry of a lease from the latest reading of the target's clock as if that clock had run at full rate since. On a clock that is 2 % slow, the lease grew by 2 % of the age of the reading, up to the longest that the target accepts, while a successor waits for the requested duration. An idle target was not asked again, and readings in heartbeats took part in renewals only. On the same path: the time was read after the check of the leadership, so that a process that was suspended in between granted a lease from the moment at which it went on.

Change: the lowest reading that the clock can show decides. An idle target gets a renewal a minute, so that this costs at most 1.2 s of a first lease. The time is read before the leadership is checked. Heartbeats take no part in it any more. computeLatestLeaseExpiry (core) bounds the leases of this leader, an earlier one, and stray requests in one place; TargetClock moves to core, as it does no I/O.

Why it works: the lease of an earlier leader ends at most requestedLeaseMs / 0.98 after the last moment at which it led, which is what its successor waits for.

The time that a successor waits (4.6 s) is unchanged.

--- /dev/null
+++ b/packages/core/src/targets/lease-grants.ts
@@ -0,0 +1,16 @@
+/** Leases that a target may hold. All times are milliseconds on the leader's monotonic clock. */
+export interface LeaseGrants {
+    /** When this leadership began; an earlier leader may have granted leases until then. */
+    readonly leadingSince: number;
+    /**
+     * Until when the target may have carried out requests that were meant for its earlier incarnation; `undefined` when
+     * there were none.
+     */
+    readonly strayRequestsUntil: number | undefined;
+    /** When the leases that this leader has granted expire; `undefined` when it has granted none. */
+    readonly ownExpiry: number | undefined;
+    /** Duration of the leases that leaders request, milliseconds. */
+    readonly requestedLeaseMs: number;
+    /** Longest lease that a target accepts, milliseconds. */
+    readonly maxLeaseMs: number;
+}
--- a/packages/daemon/src/job-scheduler/leader/target-clock.ts
+++ b/packages/core/src/targets/target-clock.ts
@@ -4,9 +4,16 @@
 /** Age up to which a heartbeat counts as sent just now, milliseconds. */
 const recentMs = 1_500;
 
+/**
+ * Age from which the latest reading of an idle target's clock is refreshed, milliseconds. A lease computed from it is at
+ * most 2 % of this age shorter than requested.
+ */
+const maxReadingAgeMs = 60_000;
+
 /**
  * Converts between a target's monotonic clock and the leader's. A reading in a response was taken before the response
- * arrived, so the estimate is never ahead of the target's clock by more than the clock drift.
+ * arrived, and the clock has run at its lowest rate or faster since, so the estimate is never ahead of the target's clock:
+ * a lease is at most as long as requested. Only answers count, as a heartbeat may come from an untrusted sender.
  */
 export class TargetClock {
     private readingReceivedAt = 0;
@@ -36,18 +43,6 @@
         this.lead = clockMs - receivedAt;
     }
 
-    /**
-     * Records the reading in a heartbeat. Only answers prove a later reading than the estimate, from which leases would
-     * seem to have expired.
-     * @param clockMs - the reading, milliseconds
-     * @param receivedAt - when it arrived, on the leader's monotonic clock
-     */
-    noteReport(clockMs: number, receivedAt: number): void {
-        if (this.isRecent(clockMs, receivedAt) && clockMs <= this.computeReading(receivedAt)) {
-            this.noteReading(clockMs, receivedAt);
-        }
-    }
-
     /**
      * Tells whether an answer has stated the target's clock.
      * @returns true from the first such answer on
@@ -73,13 +68,17 @@
      * @returns false for older readings, and while no answer has stated the clock
      */
     isRecent(clockMs: number, now: number): boolean {
-        const elapsedMs = now - this.readingReceivedAt;
-        return this.isKnown() && clockMs >= (this.reading ?? Infinity) + elapsedMs * minClockRate - recentMs
+        return this.isKnown() && clockMs >= (this.computeReading(now) ?? Infinity) - recentMs
             && !this.isAhead(clockMs, now);
     }
 
-    private computeReading(now: number): number {
-        return (this.reading ?? -Infinity) + now - this.readingReceivedAt;
+    /**
+     * Tells whether leases that are computed from the latest reading are too short because of its age.
+     * @param now - current time on the leader's monotonic clock
+     * @returns true when the clock should be read again
+     */
+    isReadingOutdated(now: number): boolean {
+        return now - this.readingReceivedAt > maxReadingAgeMs;
     }
 
     /**
@@ -89,10 +88,8 @@
      * @returns its end on the target's clock, or `undefined` before the first reading
      */
     computeLeaseEnd(now: number, leaseMs: number): number | undefined {
-        if (this.reading === undefined) {
-            return undefined;
-        }
-        return Math.floor(this.reading + (now - this.readingReceivedAt) + leaseMs);
+        const reading = this.computeReading(now);
+        return reading === undefined ? undefined : Math.floor(reading + leaseMs);
     }
 
     /**
@@ -112,4 +109,11 @@
             ? undefined
             : this.readingReceivedAt + Math.max(0, this.latestLeaseEnd - this.reading) / minClockRate;
     }
+
+    /** Computes the lowest reading that the clock can show now. */
+    private computeReading(now: number): number | undefined {
+        return this.reading === undefined
+            ? undefined
+            : this.reading + (now - this.readingReceivedAt) * minClockRate;
+    }
 }
--- a/packages/daemon/src/job-scheduler/leader/compare-reports.ts
+++ b/packages/daemon/src/job-scheduler/leader/compare-reports.ts
@@ -1,6 +1,6 @@
+import type { TargetClock } from "@daisylock/core/targets/target-clock.js";
 import type { ReportMark } from "./report-mark.js";
 import { ReportOrder } from "./report-order.js";
-import type { TargetClock } from "./target-clock.js";
 
 /**
  * Orders two heartbeats of a target incarnation. An untrusted sender may use any number; the clock is known from the
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -123,6 +123,8 @@
 
     private async sendStartUntilSettled(task: string, request: RunRequestState): Promise<void> {
         while (this.session.isRunAssigned(task, request.run)) {
+            // Before the check of the leadership, as a lease that is computed after a suspension would be too long.
+            const leaseUntilMs = this.session.computeLeaseEnd();
             if (!this.dependencies.leadership.isActive()) {
                 await this.waitDelay(retryDelayMs);
                 continue;
@@ -149,7 +151,7 @@
                 await this.waitDelay(unreachableDelayMs);
                 continue;
             }
-            const response = await this.sendStartOnce(task, request);
+            const response = await this.sendStartOnce(task, request, leaseUntilMs);
             if (response === undefined || await this.handleStartResponse(task, request, response)) {
                 return;
             }
@@ -158,12 +160,15 @@
     }
 
     /** Returns `undefined` when the job or the task no longer exists. */
-    private async sendStartOnce(task: string, request: RunRequestState): Promise<TargetResponse | undefined> {
+    private async sendStartOnce(
+        task: string,
+        request: RunRequestState,
+        leaseUntilMs: number | undefined,
+    ): Promise<TargetResponse | undefined> {
         const { leadership, client } = this.dependencies;
         const key = decodeTaskKey(task);
         const job = key === undefined ? undefined : leadership.readFleet().jobs.get(key.job);
         const record = key === undefined || job === undefined ? undefined : findTask(job, key);
-        const leaseUntilMs = this.session.computeLeaseEnd();
         if (job === undefined || record === undefined) {
             return undefined;
         }
--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -3,10 +3,10 @@
 import { describe, expect, it } from "@jest/globals";
 import fc from "fast-check";
 
+import { minClockRate } from "@daisylock/core/targets/min-clock-rate.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import { RequestFate } from "../testing/request-fate.js";
 import { SimulatedFleet } from "../testing/simulated-fleet.js";
-import { minClockRate } from "./min-clock-rate.js";
 
 const runs = Number(process.env["DAISYLOCK_SOAK_RUNS"] ?? 15);
 const seed = Number(process.env["DAISYLOCK_SOAK_SEED"] ?? 20_261_204);
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.test.ts
@@ -9,12 +9,12 @@
 import { describe, expect, it } from "@jest/globals";
 import fc from "fast-check";
 
+import { TargetClock } from "@daisylock/core/targets/target-clock.js";
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import { FakeKeeper } from "../testing/fake-keeper.js";
 import { ManualClock } from "../testing/manual-clock.js";
 import { ClaimOutcome } from "./claim-outcome.js";
 import { Leadership } from "./leadership.js";
-import { TargetClock } from "./target-clock.js";
 import { TargetReportHandler } from "./target-report-handler.js";
 
 function createFixture({ hasRun = true } = {}) {
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -13,6 +13,7 @@
 import type { TargetLeave } from "@daisylock/protocol/fleet/target-leave.js";
 import * as v from "valibot";
 
+import { clockAheadMarginMs } from "@daisylock/core/targets/clock-ahead-margin-ms.js";
 import type { Clock } from "../../clock/clock.js";
 import type { FaultListener } from "../../containment/fault-listener.js";
 import { runContained } from "../../containment/run-contained.js";
@@ -21,7 +22,6 @@
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
 import { ClaimOutcome } from "./claim-outcome.js";
-import { clockAheadMarginMs } from "./clock-ahead-margin-ms.js";
 import { compareReports } from "./compare-reports.js";
 import type { Leadership } from "./leadership.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -40,6 +40,8 @@
     const commands: ControlCommand[] = [];
     let isCommitting = true;
     let isActive = true;
+    let suspensionMs = 0;
+    let suspendedAt = 0;
     let lastReportAt: number | undefined;
     let reportLeadMs = 0;
     let ending: TargetEnding | undefined;
@@ -57,7 +59,16 @@
     };
     const dependencies: SessionDependencies = {
         leadership: {
-            isActive: () => isActive,
+            isActive: () => {
+                const isActiveNow = isActive;
+                if (suspensionMs > 0) {
+                    suspendedAt = clock.readMonotonic();
+                    clock.runLate(suspensionMs);
+                    suspensionMs = 0;
+                    isActive = false;
+                }
+                return isActiveNow;
+            },
             readFleet: () => state.fleet,
             readStartedAt: () => options.startedAt ?? 0,
             recordCommand,
@@ -113,6 +124,11 @@
         setActive: (value: boolean) => {
             isActive = value;
         },
+        /** Suspends the process right after it has found that it leads; its lease has lapsed when it goes on. */
+        suspendAfterCheck: (forMs: number) => {
+            suspensionMs = forMs;
+            return () => suspendedAt;
+        },
         onLogLine: (handle: (kind: DecisionKind, fields: LineFields) => void) => {
             handleLogLine = handle;
         },
@@ -170,6 +186,50 @@
             expect(fixture.readPhase()).toBe(TaskPhase.Waiting);
             session.close();
         });
+
+        // The next leader started the task elsewhere while the run went on under its longer lease.
+        it("are not longer than a successor takes them for on a target whose slow clock was not read for minutes", async () => {
+            const fixture = createFixture();
+            fixture.client.clockRate = 0.98;
+            const session = fixture.openSession();
+            await fixture.clock.runFor(170_000);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(0);
+            const grantedMs = (fixture.client.starts[0]?.leaseUntilMs ?? 0) - fixture.client.readClock();
+            expect(grantedMs).toBeLessThanOrEqual(maxLeaseMs * 0.75);
+            // The start and the renewal after it need some of the lease.
+            expect(grantedMs).toBeGreaterThan(maxLeaseMs * 0.25);
+            session.close();
+        });
+
+        it("do not grow when the process is suspended between the check of its leadership and a start", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            const readSuspendedAt = fixture.suspendAfterCheck(3_000);
+            session.startTask(task, 1);
+            await fixture.clock.runFor(1_000);
+            const leaseUntilMs = fixture.client.starts[0]?.leaseUntilMs;
+            expect(leaseUntilMs).toBeLessThanOrEqual(readSuspendedAt() + clockOffsetMs + maxLeaseMs * 0.75);
+            session.close();
+        });
+
+        it("do not grow when the process is suspended between the check of its leadership and a renewal", async () => {
+            const fixture = createFixture();
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            fixture.recordStart();
+            session.startTask(task, 1);
+            await fixture.clock.runFor(1_000);
+            const readSuspendedAt = fixture.suspendAfterCheck(3_000);
+            await fixture.clock.runFor(1_000);
+            expect(readSuspendedAt()).toBeGreaterThan(0);
+            const leaseUntilMs = fixture.client.renewals.at(-1)?.leaseUntilMs;
+            expect(leaseUntilMs).toBeLessThanOrEqual(readSuspendedAt() + clockOffsetMs + maxLeaseMs * 0.75);
+            session.close();
+        });
     });
 
     describe("renewals of a busy target", () => {
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -9,10 +9,12 @@
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
+import { computeLatestLeaseExpiry } from "@daisylock/core/targets/compute-latest-lease-expiry.js";
 import { isAddressVerified } from "@daisylock/core/targets/is-address-verified.js";
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { RunSyncPlan } from "@daisylock/core/targets/run-sync-plan.js";
+import { TargetClock } from "@daisylock/core/targets/target-clock.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { FaultListener } from "../../containment/fault-listener.js";
@@ -28,14 +30,12 @@
 import type { RunningTask } from "../targets/running-task.js";
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { TargetResponse } from "../targets/target-response.js";
-import { minClockRate } from "./min-clock-rate.js";
 import { ProbeSchedule } from "./probe-schedule.js";
 import { recordPoisonTasks } from "./record-poison-tasks.js";
 import { reportTimeoutMs } from "./report-timeout-ms.js";
 import { RunRequestSender } from "./run-request-sender.js";
 import { RunRequestTracker } from "./run-request-tracker.js";
 import type { SessionDependencies } from "./session-dependencies.js";
-import { TargetClock } from "./target-clock.js";
 import { TargetEnding } from "./target-ending.js";
 import { TargetHealthMonitor } from "./target-health-monitor.js";
 
@@ -412,9 +412,11 @@
     /** Renews the lease once, unless nothing calls for it, and waits until the next renewal is due. */
     private async runRenewal(): Promise<void> {
         const load = this.readLoad();
+        // Read before the check of the leadership, as a lease that is computed after a suspension would be too long.
+        const now = this.readNow();
         // An unreachable target is probed until it responds, also while nothing runs on it.
         const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
-            && !this.isReportOverdue(this.readNow()) && this.readNow() >= this.leavingUntil;
+            && !this.isReportOverdue(now) && now >= this.leavingUntil && !this.targetClock.isReadingOutdated(now);
         if (isIdle || !this.dependencies.leadership.isActive()) {
             await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
             return;
@@ -424,7 +426,7 @@
             await this.waitForRenewal(unreachableCheckMs);
             return;
         }
-        const delayMs = await this.sendRenewal(load);
+        const delayMs = await this.sendRenewal(load, now);
         if (delayMs > 0) {
             await this.waitForRenewal(delayMs);
         }
@@ -453,9 +455,7 @@
     }
 
     /** Returns the delay before the next renewal, milliseconds: 0 after one that succeeded. */
-    private async sendRenewal(load: Pick<TargetLoad, "runs">): Promise<number> {
-        this.noteReportedClock();
-        const sentAt = this.readNow();
+    private async sendRenewal(load: Pick<TargetLoad, "runs">, sentAt: number): Promise<number> {
         // An unreachable target is only probed: its lease has to expire before its tasks can start elsewhere.
         const leaseUntilMs = this.unreachableSince === undefined
             ? this.targetClock.computeLeaseEnd(sentAt, this.readLeaseMs())
@@ -648,7 +648,7 @@
             await this.removeTarget("the VM service reports it as ended", ending === TargetEnding.Stopped);
             return;
         }
-        const leaseExpiry = Math.max(this.computeEarlierLeaseExpiry(), this.targetClock.computeLeaseExpiry() ?? 0);
+        const leaseExpiry = this.computeLeaseExpiry();
         const { runs } = this.readLoad();
         if (now > leaseExpiry + leaseExpiryMarginMs && runs.size > 0) {
             log.record(DecisionKind.LeaseLost, {
@@ -676,17 +676,15 @@
         }
     }
 
-    /**
-     * Computes when leases that this session has not granted have expired for certain, monotonic milliseconds. An earlier
-     * leader may have renewed the lease until this leadership began. The session of an earlier incarnation may have
-     * granted one until this session was opened; its end was meant for another clock, so only the longest lease bounds it.
-     */
-    private computeEarlierLeaseExpiry(): number {
+    private computeLeaseExpiry(): number {
         const { leadership, maxLeaseMs } = this.dependencies;
-        const leaderLeaseExpiry = leadership.readStartedAt() + this.readLeaseMs() / minClockRate;
-        return this.inheritedRuns.size > 0
-            ? Math.max(leaderLeaseExpiry, this.openedAt + maxLeaseMs / minClockRate)
-            : leaderLeaseExpiry;
+        return computeLatestLeaseExpiry({
+            leadingSince: leadership.readStartedAt(),
+            strayRequestsUntil: this.inheritedRuns.size > 0 ? this.openedAt : undefined,
+            ownExpiry: this.targetClock.computeLeaseExpiry(),
+            requestedLeaseMs: this.readLeaseMs(),
+            maxLeaseMs,
+        });
     }
 
     /** Removes the target; one whose process has stopped has crashed, unless its end was announced. */
@@ -748,13 +746,6 @@
         return this.requests.readProgress(task, run, probationMs);
     }
 
-    private noteReportedClock(): void {
-        const report = this.dependencies.reports.findReport(this.record.id, this.record.incarnation);
-        if (report?.clockMs !== undefined) {
-            this.targetClock.noteReport(report.clockMs, report.at);
-        }
-    }
-
     private isReportOverdue(now: number): boolean {
         return now - (this.readLastReport() ?? this.dependencies.leadership.readStartedAt()) > reportTimeoutMs;
     }
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -3,6 +3,7 @@
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import type { TargetTable } from "@daisylock/core/targets/target-table.js";
 
+import type { TargetClock } from "@daisylock/core/targets/target-clock.js";
 import { startContained } from "../../containment/start-contained.js";
 import { WorkKind } from "../../containment/work-kind.js";
 import { createFaultListener } from "../logging/create-fault-listener.js";
@@ -12,7 +13,6 @@
 import { ProbeBudget } from "./probe-budget.js";
 import { RunEndRecorder } from "./run-end-recorder.js";
 import type { SessionDependencies } from "./session-dependencies.js";
-import type { TargetClock } from "./target-clock.js";
 import type { TargetSession } from "./target-session.js";
 
 /** Number of other targets of an availability zone that are checked after a target left a request unanswered. */
--- a/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
@@ -31,6 +31,8 @@
     unansweredResult = TargetRequestResult.Unanswered;
     /** Incarnation that responds. */
     incarnation = 1;
+    /** Rate of the target's clock relative to the daemon's. */
+    clockRate = 1;
     readonly running: RunningTask[] = [];
     /** Whether running tasks are listed beside ended runs. */
     areRunningListed = true;
@@ -118,13 +120,17 @@
         // There are no connections to close.
     }
 
+    /**
+     * Reads the clock of the targets.
+     * @returns milliseconds
+     */
+    readClock(): number {
+        return this.clock.readMonotonic() * this.clockRate + this.clockOffsetMs;
+    }
+
     private waitFor(delayMs: number): Promise<void> {
         return new Promise(resolve => {
             this.clock.schedule(delayMs, resolve);
         });
     }
-
-    private readClock(): number {
-        return this.clock.readMonotonic() + this.clockOffsetMs;
-    }
 }
