--- a/packages/core/src/events/event-kind.ts
+++ b/packages/core/src/events/event-kind.ts
@@ -14,6 +14,8 @@
     LeaderLost = "leader-lost",
     MembersChanged = "members-changed",
     SnapshotSaved = "snapshot-saved",
+    /** A snapshot that another keeper sent did not match its checksum; it is requested again. */
+    SnapshotDamaged = "snapshot-damaged",
     /** A change of the tables was committed. */
     ChangeCommitted = "change-committed",
     /** An entry (an ingress process) applied a newer revision of the tables. */
--- a/packages/core/src/raft/create-raft-state.ts
+++ b/packages/core/src/raft/create-raft-state.ts
@@ -54,6 +54,7 @@
         votes: new Set(),
         peers: new Map(),
         incomingSnapshot: undefined,
+        damagedSnapshotCount: 0,
         matchedTerm: 0,
         heldAppends: [],
         outbox: [],
--- a/packages/core/src/raft/handle-snapshot-chunk.ts
+++ b/packages/core/src/raft/handle-snapshot-chunk.ts
@@ -1,3 +1,5 @@
+import { crc32 } from "node:zlib";
+
 import type { Members } from "./members.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
@@ -6,11 +8,15 @@
 import { startFollowing } from "./start-following.js";
 import { updateMembers } from "./update-members.js";
 
+/** Stands for bytes that are no valid UTF-8. */
+const replacementCharacter = "\uFFFD";
+
 type SnapshotChunk = Extract<RaftMessage, { kind: RaftMessageKind.SnapshotChunk }>;
 
 /**
- * Receives a chunk of the leader's snapshot, installs the snapshot when it is complete, and replies. A snapshot whose
- * entries this keeper has already committed is not needed and counts as installed.
+ * Receives a chunk of the leader's snapshot, installs the snapshot when it is complete, and replies. A snapshot that does
+ * not match its checksum is requested again. One whose entries this keeper has already committed is not needed and counts
+ * as installed.
  * @param state - Raft state of the follower
  * @param message - the chunk
  * @param now - monotonic milliseconds
@@ -31,24 +37,44 @@
         sendReply(state, message, received, false);
         return;
     }
+    if (!isIntact(state, message)) {
+        state.damagedSnapshotCount += 1;
+        state.incomingSnapshot = undefined;
+        sendReply(state, message, 0, false);
+        return;
+    }
     applySnapshot(state, message);
     sendReply(state, message, received, true);
 }
 
 /**
  * Adds a chunk to the incoming snapshot if it is the next one. A chunk of a different snapshot starts the transfer
- * again. Returns the number of characters received so far.
+ * again, also one of another leader for the same index, as leaders may order the same content differently. Returns the
+ * number of UTF-16 code units received so far.
  */
 function takeChunk(state: RaftState, message: SnapshotChunk): number {
-    if (state.incomingSnapshot?.index !== message.snapshotIndex) {
-        state.incomingSnapshot = { index: message.snapshotIndex, data: "" };
+    const { snapshotIndex: index, term } = message;
+    if (state.incomingSnapshot?.index !== index || state.incomingSnapshot.term !== term) {
+        state.incomingSnapshot = { index, term, data: "" };
     }
     if (message.offset === state.incomingSnapshot.data.length) {
-        state.incomingSnapshot.data += message.data;
+        state.incomingSnapshot.data += takeWholeCharacters(message);
     }
     return state.incomingSnapshot.data.length;
 }
 
+/**
+ * Leaves out a replacement character at the end of a chunk: leaders of earlier releases cut surrogate pairs, whose halves
+ * arrive as one each. The leader sends the next chunk from this position on, with the whole character.
+ */
+function takeWholeCharacters({ data, isLast }: SnapshotChunk): string {
+    return !isLast && data.endsWith(replacementCharacter) ? data.slice(0, -1) : data;
+}
+
+function isIntact({ incomingSnapshot }: RaftState, { checksum }: SnapshotChunk): boolean {
+    return checksum === undefined || crc32(incomingSnapshot?.data ?? "") === checksum;
+}
+
 /** Replaces the log up to the snapshot. Keeps later entries only if the log contains the snapshot's last entry. */
 function applySnapshot(state: RaftState, message: SnapshotChunk): void {
     const isLogKept = readTerm(state, message.snapshotIndex) === message.snapshotTerm;
--- a/packages/core/src/raft/peer-progress.ts
+++ b/packages/core/src/raft/peer-progress.ts
@@ -15,7 +15,7 @@
     isProbing: boolean;
     /** Send time of the newest message that the peer has acknowledged, leader's monotonic milliseconds; -1 for none. */
     ackedSentAt: number;
-    /** Characters of the snapshot that the peer has received; `undefined` when no transfer is in progress. */
+    /** UTF-16 code units of the snapshot that the peer has received; `undefined` when no transfer is in progress. */
     snapshotOffset: number | undefined;
     /** Send time of the snapshot chunk that waits for its reply; `undefined` for none. */
     chunkSentAt: number | undefined;
--- a/packages/core/src/raft/raft-message.ts
+++ b/packages/core/src/raft/raft-message.ts
@@ -59,10 +59,13 @@
     readonly snapshotTerm: number;
     /** JSON of the members at the snapshot index. */
     readonly members: string;
-    /** Position of this chunk in the snapshot, in characters. */
+    /** Position of this chunk in the snapshot, in UTF-16 code units. */
     readonly offset: number;
+    /** Begins and ends between characters, except in messages of earlier releases. */
     readonly data: string;
     readonly isLast: boolean;
+    /** In the last chunk, CRC-32 of the whole snapshot as UTF-8; earlier releases send none. */
+    readonly checksum: number | undefined;
     /** As in `Append`. */
     readonly sentAt: number;
 }
@@ -70,7 +73,7 @@
 interface SnapshotReply extends Envelope {
     readonly kind: RaftMessageKind.SnapshotReply;
     readonly snapshotIndex: number;
-    /** Characters received so far; 0 when the chunk was not needed or was of an outdated term. */
+    /** UTF-16 code units received so far; 0 when the chunk was not needed or was of an outdated term. */
     readonly offset: number;
     /** Whether the follower has installed the snapshot or has already committed all entries that it replaces. */
     readonly isInstalled: boolean;
--- a/packages/core/src/raft/raft-state.ts
+++ b/packages/core/src/raft/raft-state.ts
@@ -49,8 +49,10 @@
     votes: Set<string>;
     /** Replication progress of the other members by id; empty unless this keeper is the leader. */
     peers: Map<string, PeerProgress>;
-    /** Index of the snapshot that is being received, and its data so far; `undefined` for none. */
-    incomingSnapshot: { index: number; data: string } | undefined;
+    /** Index and leader's term of the snapshot that is being received, and its data so far; `undefined` for none. */
+    incomingSnapshot: { index: number; term: number; data: string } | undefined;
+    /** Number of snapshots that were complete and did not match their checksum. */
+    damagedSnapshotCount: number;
 
     /** Term in which this keeper last accepted an append, so that its log is a prefix of the leader's; 0 for none. */
     matchedTerm: number;
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -378,10 +378,7 @@
                 tickRaft(raft, now);
                 break;
             case KeeperEventKind.Messages:
-                for (const message of event.messages) {
-                    this.senderAddresses.set(message.from, event.fromAddress);
-                    receiveRaftMessage(raft, message, now);
-                }
+                event.messages.forEach(message => this.receiveMessage(raft, message, event.fromAddress, now));
                 break;
             case KeeperEventKind.Command:
                 this.receiveCommand(raft, event, now);
@@ -403,6 +400,15 @@
         }
     }
 
+    private receiveMessage(raft: RaftState, message: RaftMessage, fromAddress: string, now: number): void {
+        this.senderAddresses.set(message.from, fromAddress);
+        const damagedBefore = raft.damagedSnapshotCount;
+        receiveRaftMessage(raft, message, now);
+        if (raft.damagedSnapshotCount > damagedBefore) {
+            this.dependencies.events.record(EventKind.SnapshotDamaged, { detail: `sent by ${message.from}` });
+        }
+    }
+
     /** Tries the leadership transfer after each batch until a voter has the whole log or the deadline has passed. */
     private updateTransfer(raft: RaftState): void {
         if (this.transfer === undefined) {
