--- a/packages/daemon/src/http/read-json.ts
+++ b/packages/daemon/src/http/read-json.ts
@@ -2,11 +2,9 @@
 import Result from "true-myth/result";
 
 import { BodyFault } from "./body-fault.js";
+import { decodeJson } from "./decode-json.js";
 import { readBytes } from "./read-bytes.js";
 
-/** Rejects invalid UTF-8 instead of substituting replacement characters. */
-const decoder = new TextDecoder("utf-8", { fatal: true });
-
 /**
  * Reads and parses the JSON body of a request.
  * @param request - the request
@@ -15,12 +13,12 @@
  */
 export async function readJson(request: IncomingMessage, maxBytes: number): Promise<Result<unknown, BodyFault>> {
     const bytes = await readBytes(request, maxBytes);
-    return bytes.andThen(decodeJson);
+    return bytes.andThen(parseBytes);
 }
 
-function decodeJson(bytes: Buffer): Result<unknown, BodyFault> {
+function parseBytes(bytes: Buffer): Result<unknown, BodyFault> {
     try {
-        return Result.ok(JSON.parse(decoder.decode(bytes)) as unknown);
+        return Result.ok(decodeJson(bytes));
     }
     catch {
         return Result.err(BodyFault.NotJson);
