--- a/packages/core/src/jobs/compute-job-bytes.ts
+++ b/packages/core/src/jobs/compute-job-bytes.ts
@@ -1,3 +1,4 @@
+import { computeTextBytes } from "./compute-text-bytes.js";
 import type { JobStep } from "./job-step.js";
 import type { Job } from "./job.js";
 
@@ -9,18 +10,24 @@
 const dependencyBytes = 8;
 
 /**
- * Estimates the memory that a job takes in a keeper, from above. A job that has not begun is counted with the tasks of one
+ * Estimates the memory that a job takes in a keeper, in the heap and in a snapshot, from above. A job that has not begun is counted with the tasks of one
  * occurrence, so that an accepted job can start without more memory than it was admitted with.
  * @param job - the job
  * @returns the memory in bytes
  */
 export function computeJobBytes({ spec, steps, occurrences }: Pick<Job, "spec" | "steps" | "occurrences">): number {
-    const definitionBytes = steps.reduce((sum, step) => sum + computeStepBytes(step), jobBytes + spec.length);
+    const definitionBytes = steps.reduce(
+        (sum, step) => sum + computeStepBytes(step),
+        jobBytes + computeTextBytes(spec),
+    );
     const taskCount = steps.reduce((sum, { count }) => sum + count, 0);
     return definitionBytes + Math.max(1, occurrences.size) * taskCount * taskBytes;
 }
 
 function computeStepBytes({ after, requiredLabel, dataRack, image }: JobStep): number {
-    const textLength = (requiredLabel?.length ?? 0) + (dataRack?.length ?? 0) + image.length;
-    return stepBytes + after.length * dependencyBytes + textLength;
+    const textBytes = [requiredLabel ?? "", dataRack ?? "", image].reduce(
+        (sum, text) => sum + computeTextBytes(text),
+        0,
+    );
+    return stepBytes + after.length * dependencyBytes + textBytes;
 }
