--- a/packages/core/src/fleet/decode-fleet-state.ts
+++ b/packages/core/src/fleet/decode-fleet-state.ts
@@ -1,8 +1,6 @@
 import type { FleetConfiguration } from "../configuration/fleet-configuration.js";
 import type { CrashedRun } from "../crashes/crashed-run.js";
-import { decodeJob } from "../jobs/decode-job.js";
 import { encodeTaskKey } from "../jobs/encode-task-key.js";
-import type { EncodedJob } from "../jobs/encoded-job.js";
 import { isJobFinished } from "../jobs/is-job-finished.js";
 import type { Job } from "../jobs/job.js";
 import { TaskPhase } from "../jobs/task-phase.js";
@@ -17,12 +15,12 @@
 /**
  * Decodes the fleet state of a snapshot and recomputes the loads, which are not stored.
  * @param encoded - the output of encodeFleetState
+ * @param jobs - the jobs
  * @returns the state
  */
-export function decodeFleetState(encoded: unknown): FleetState {
+export function decodeFleetState(encoded: unknown, jobs: readonly Job[]): FleetState {
     const content = encoded as {
         configuration?: FleetConfiguration;
-        jobs: EncodedJob[];
         targets: TargetRecord[];
         vmHomes: [string, string][];
         vmOrders: [string, VmRequestRecord][];
@@ -37,7 +35,7 @@
     content.vmOrders.forEach(([vm, request]) => state.vmOrders.set(vm, request));
     content.upkeep.forEach(wave => state.maintenanceWaves.set(wave.number, wave));
     content.lapsedRuns?.forEach(([target, runs]) => state.lapsedRuns.set(target, runs));
-    for (const job of content.jobs.map(decodeJob)) {
+    for (const job of jobs) {
         state.jobs.set(job.id, job);
         if (!isJobFinished(job) || job.placedCount > 0) {
             state.activeJobs.add(job.id);
--- a/packages/core/src/fleet/encode-fleet-state.ts
+++ b/packages/core/src/fleet/encode-fleet-state.ts
@@ -1,15 +1,13 @@
-import { encodeJob } from "../jobs/encode-job.js";
 import type { FleetState } from "./fleet-state.js";
 
 /**
- * Encodes the fleet state for a snapshot, without the loads that derive from the jobs.
+ * Encodes the fleet state for a snapshot, without the jobs and what derives from them.
  * @param state - the state
  * @returns plain data for decodeFleetState
  */
 export function encodeFleetState(state: FleetState): unknown {
     return {
         configuration: state.configuration,
-        jobs: [...state.jobs.values()].map(encodeJob),
         targets: [...state.targets.values()],
         vmHomes: [...state.vmHomes],
         vmOrders: [...state.vmOrders],
--- a/packages/core/src/jobs/scheduled-jobs.test.ts
+++ b/packages/core/src/jobs/scheduled-jobs.test.ts
@@ -5,6 +5,7 @@
 import { decodeControlState } from "../control/decode-control-state.js";
 import { encodeControlState } from "../control/encode-control-state.js";
 import { collectCandidates } from "../queueing/collect-candidates.js";
+import { SnapshotContent } from "../raft/snapshot-content.js";
 import { buildTestFleet } from "../testing/build-test-fleet.js";
 import { buildTestStep } from "../testing/build-test-step.js";
 import { applyRecordEnds } from "./apply-record-ends.js";
@@ -96,10 +97,12 @@
         const done = { ...waiting, phase: TaskPhase.Done, run: 1 };
         const occurrences = [done, waiting, stopped, waiting]
             .map(task => [{ doneCount: task === done ? 1 : 0, tasks: [task] }]);
-        const saved = JSON.parse(encodeControlState(state)) as { fleet: { jobs: Record<string, unknown>[] } };
+        const saved = JSON.parse(encodeControlState(state).readText()) as {
+            fleet: { jobs: Record<string, unknown>[] };
+        };
         const { begunCount: _, ...job } = saved.fleet.jobs[0] ?? {};
         saved.fleet.jobs = [{ ...job, occurrences }];
-        const restored = decodeControlState(JSON.stringify(saved));
+        const restored = decodeControlState(SnapshotContent.encode([JSON.stringify(saved)]));
         expect(listWaitingOccurrences(restored, 4 * minuteMs)).toEqual([1, 2, 3]);
         expect(restored.fleet.jobs.get("a")).toMatchObject({ begunCount: 3, times: 4 });
         expect([...restored.fleet.jobs.get("a")?.occurrences ?? []]).toEqual(
--- a/packages/core/src/raft/create-snapshot.ts
+++ b/packages/core/src/raft/create-snapshot.ts
@@ -1,5 +1,6 @@
 import type { RaftState } from "./raft-state.js";
 import { readTerm } from "./read-term.js";
+import type { SnapshotContent } from "./snapshot-content.js";
 import { updateMembers } from "./update-members.js";
 
 /**
@@ -13,7 +14,7 @@
  */
 export function createSnapshot(
     state: RaftState,
-    data: string,
+    data: SnapshotContent,
     retainedEntries: number,
     retainedCharacters = Infinity,
 ): void {
--- a/packages/core/src/raft/handle-snapshot-chunk.ts
+++ b/packages/core/src/raft/handle-snapshot-chunk.ts
@@ -1,10 +1,9 @@
-import { crc32 } from "node:zlib";
-
 import type { Members } from "./members.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
 import type { RaftState } from "./raft-state.js";
 import { readTerm } from "./read-term.js";
+import { SnapshotContent } from "./snapshot-content.js";
 import { startFollowing } from "./start-following.js";
 import { updateMembers } from "./update-members.js";
 
@@ -55,10 +54,10 @@
 function takeChunk(state: RaftState, message: SnapshotChunk): number {
     const { snapshotIndex: index, term } = message;
     if (state.incomingSnapshot?.index !== index || state.incomingSnapshot.term !== term) {
-        state.incomingSnapshot = { index, term, data: "" };
+        state.incomingSnapshot = { index, term, data: SnapshotContent.empty };
     }
     if (message.offset === state.incomingSnapshot.data.length) {
-        state.incomingSnapshot.data += takeWholeCharacters(message);
+        state.incomingSnapshot.data = state.incomingSnapshot.data.append(takeWholeCharacters(message));
     }
     return state.incomingSnapshot.data.length;
 }
@@ -72,7 +71,7 @@
 }
 
 function isIntact({ incomingSnapshot }: RaftState, { checksum }: SnapshotChunk): boolean {
-    return checksum === undefined || crc32(incomingSnapshot?.data ?? "") === checksum;
+    return checksum === undefined || incomingSnapshot?.data.computeChecksum() === checksum;
 }
 
 /** Replaces the log up to the snapshot. Keeps later entries only if the log contains the snapshot's last entry. */
@@ -83,7 +82,7 @@
         index: message.snapshotIndex,
         term: message.snapshotTerm,
         members: JSON.parse(message.members) as Members,
-        data: state.incomingSnapshot?.data ?? "",
+        data: state.incomingSnapshot?.data ?? SnapshotContent.empty,
     };
     state.incomingSnapshot = undefined;
     state.base = { index: message.snapshotIndex, term: message.snapshotTerm };
--- a/packages/core/src/raft/log-writer.test.ts
+++ b/packages/core/src/raft/log-writer.test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 
+import { SnapshotContent } from "./snapshot-content.js";
+
 import { createRaftState } from "./create-raft-state.js";
 import { LogEntryKind } from "./log-entry-kind.js";
 import { LogWriter } from "./log-writer.js";
@@ -17,7 +19,7 @@
         random: () => 0.5,
         now: 0,
         hard: { term: 0, votedFor: undefined },
-        snapshot: { index: 0, term: 0, members, data: "" },
+        snapshot: { index: 0, term: 0, members, data: SnapshotContent.empty },
         base: { index: 0, term: 0 },
         entries: [],
     });
--- a/packages/core/src/raft/raft-state.ts
+++ b/packages/core/src/raft/raft-state.ts
@@ -6,6 +6,7 @@
 import type { RaftMessage } from "./raft-message.js";
 import type { RaftRole } from "./raft-role.js";
 import type { RaftTiming } from "./raft-timing.js";
+import type { SnapshotContent } from "./snapshot-content.js";
 import type { Snapshot } from "./snapshot.js";
 
 /** Raft state of one keeper. Times are milliseconds of its monotonic clock. */
@@ -50,7 +51,7 @@
     /** Replication progress of the other members by id; empty unless this keeper is the leader. */
     peers: Map<string, PeerProgress>;
     /** Index and leader's term of the snapshot that is being received, and its data so far; `undefined` for none. */
-    incomingSnapshot: { index: number; term: number; data: string } | undefined;
+    incomingSnapshot: { index: number; term: number; data: SnapshotContent } | undefined;
     /** Number of snapshots that were complete and did not match their checksum. */
     damagedSnapshotCount: number;
 
--- a/packages/core/src/raft/snapshot-transfer.test.ts
+++ b/packages/core/src/raft/snapshot-transfer.test.ts
@@ -7,6 +7,7 @@
 import type { RaftMessage } from "./raft-message.js";
 import type { RaftState } from "./raft-state.js";
 import { sendAppend } from "./send-append.js";
+import { SnapshotContent } from "./snapshot-content.js";
 import { startLeading } from "./start-leading.js";
 
 type SnapshotChunk = Extract<RaftMessage, { kind: RaftMessageKind.SnapshotChunk }>;
@@ -26,7 +27,7 @@
         random: () => 0.5,
         now: 0,
         hard: { term: leaderTerm, votedFor: undefined },
-        snapshot: { index, term, members, data },
+        snapshot: { index, term, members, data: SnapshotContent.encode(data === "" ? [] : [data]) },
         base: { index, term },
         entries: [],
     });
@@ -91,7 +92,7 @@
         const data = JSON.stringify({ spec: "!".repeat(offset) + "\u{1F486}\u{1F33F}".repeat(70_000) });
         const follower = createKeeper("follower");
         const chunks = runTransfer(createKeeper("leader", data), follower);
-        expect(follower.snapshot.data === data).toBe(true);
+        expect(follower.snapshot.data.readText() === data).toBe(true);
         expect(chunks.map(chunk => chunk.offset)).toEqual(
             chunks.map((_, position) => chunks.slice(0, position).reduce((sum, chunk) => sum + chunk.data.length, 0)),
         );
@@ -102,7 +103,9 @@
         const data = JSON.stringify({ spec: odd.repeat(20_000) });
         const follower = createKeeper("follower");
         runTransfer(createKeeper("leader", data), follower);
-        expect((JSON.parse(follower.snapshot.data) as { spec: string }).spec === odd.repeat(20_000)).toBe(true);
+        expect((JSON.parse(follower.snapshot.data.readText()) as { spec: string }).spec === odd.repeat(20_000)).toBe(
+            true,
+        );
     });
 
     it.each([0, 1])("arrives whole from a leader of an earlier release that cuts characters (offset %d)", offset => {
@@ -112,7 +115,7 @@
         });
         const follower = createKeeper("follower");
         runTransfer(createKeeper("leader", data), follower, cutAsEarlierRelease(data));
-        expect(follower.snapshot.data === data).toBe(true);
+        expect(follower.snapshot.data.readText() === data).toBe(true);
     });
 
     it("is fetched again when a chunk arrives damaged", () => {
@@ -127,7 +130,7 @@
             return { ...chunk, data: `y${chunk.data.slice(1)}` };
         });
         expect(damagedCount).toBe(1);
-        expect(follower.snapshot.data === data).toBe(true);
+        expect(follower.snapshot.data.readText() === data).toBe(true);
     });
 
     // Leaders may order the same content differently, so that chunks of two of them do not fit together.
@@ -137,6 +140,6 @@
         runTransfer(createKeeper("leader", first), follower, undefined, 2);
         expect(follower.snapshot.index).toBe(0);
         runTransfer(createKeeper("leader", second, 2), follower);
-        expect(follower.snapshot.data === second).toBe(true);
+        expect(follower.snapshot.data.readText() === second).toBe(true);
     });
 });
--- a/packages/core/src/raft/snapshot.ts
+++ b/packages/core/src/raft/snapshot.ts
@@ -1,4 +1,5 @@
 import type { Members } from "./members.js";
+import type { SnapshotContent } from "./snapshot-content.js";
 
 /** The applied state at an index, which replaces the log entries up to it. */
 export interface Snapshot {
@@ -9,5 +10,5 @@
     /** Members at that index. */
     readonly members: Members;
     /** Encoded application state. */
-    readonly data: string;
+    readonly data: SnapshotContent;
 }
--- a/packages/core/src/testing/simulated-cluster.ts
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -13,6 +13,7 @@
 import type { RaftState } from "../raft/raft-state.js";
 import { receiveRaftMessage } from "../raft/receive-raft-message.js";
 import { setMembers } from "../raft/set-members.js";
+import { SnapshotContent } from "../raft/snapshot-content.js";
 import { startBootstrap } from "../raft/start-bootstrap.js";
 import { takeCommittedEntries } from "../raft/take-committed-entries.js";
 import { tickRaft } from "../raft/tick-raft.js";
@@ -114,7 +115,7 @@
      */
     addNode(id: string): void {
         const members = { voters: {}, learners: {} };
-        const snapshot = { index: 0, term: 0, members, data: "[]" };
+        const snapshot = { index: 0, term: 0, members, data: SnapshotContent.encode(["[]"]) };
         const base = { index: 0, term: 0 };
         const disk: Disk = { hard: { term: 0, votedFor: undefined }, snapshot, base, entries: [] };
         const node: Node = {
@@ -145,7 +146,7 @@
             entries: [...disk.entries],
         });
         node.writer = new LogWriter(node.raft);
-        node.applied = JSON.parse(disk.snapshot.data) as string[];
+        node.applied = JSON.parse(disk.snapshot.data.readText()) as string[];
         node.isFrozen = false;
     }
 
@@ -295,7 +296,7 @@
 
     private applyCommitted(node: Node, raft: RaftState): void {
         if (raft.snapshot.index > raft.appliedIndex) {
-            node.applied = JSON.parse(raft.snapshot.data) as string[];
+            node.applied = JSON.parse(raft.snapshot.data.readText()) as string[];
             raft.appliedIndex = raft.snapshot.index;
         }
         for (const entry of takeCommittedEntries(raft)) {
@@ -303,7 +304,7 @@
         }
         this.confirmProposals(node, raft);
         if (raft.appliedIndex - raft.snapshot.index >= this.options.snapshotEntries) {
-            createSnapshot(raft, JSON.stringify(node.applied), 8);
+            createSnapshot(raft, SnapshotContent.encode([JSON.stringify(node.applied)]), 8);
         }
     }
 
--- a/packages/daemon/src/job-scheduler/settings/fleet-settings-schema.ts
+++ b/packages/daemon/src/job-scheduler/settings/fleet-settings-schema.ts
@@ -3,6 +3,8 @@
 
 import { Role } from "../../settings/role.js";
 
+import { defaultJobStateMb } from "./default-job-state-mb.js";
+
 const maxPort = 65_535;
 const optionalAddress = v.optional(v.union([v.literal(""), addressSchema]), "");
 /** Largest delay of a timer, milliseconds; a longer one would end at once. */
@@ -78,7 +80,7 @@
             /** Number of applied log entries after which a keeper takes the next snapshot. */
             snapshot_entries: count(2_000),
             /** Memory for the state of jobs in a keeper, megabytes; beyond it jobs are refused. */
-            job_state_mb: count(64),
+            job_state_mb: count(defaultJobStateMb),
         }),
         {},
     ),
--- a/packages/daemon/src/job-scheduler/testing/memory-keeper-storage.ts
+++ b/packages/daemon/src/job-scheduler/testing/memory-keeper-storage.ts
@@ -1,4 +1,5 @@
 import type { Members } from "@daisylock/core/raft/members.js";
+import { SnapshotContent } from "@daisylock/core/raft/snapshot-content.js";
 
 import { KeeperStorage } from "../../request-proxy/keeper/storage/keeper-storage.js";
 
@@ -25,7 +26,7 @@
         return {
             id: this.id,
             hard: { term: 0, votedFor: undefined },
-            snapshot: { index: 0, term: 0, members, data: "" },
+            snapshot: { index: 0, term: 0, members, data: SnapshotContent.empty },
             base: { index: 0, term: 0 },
             entries: [],
         };
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -328,13 +328,13 @@
         const startedAt = clock.readMonotonic();
         const storedState = yield* waitFor(storage.load());
         const { snapshot, entries } = storedState;
-        if (snapshot.data !== "") {
+        if (snapshot.data.length > 0) {
             this.control = decodeControlState(snapshot.data);
         }
         handleLoaded?.({
             entries: entries.length,
             snapshotIndex: snapshot.index,
-            snapshotBytes: Buffer.byteLength(snapshot.data),
+            snapshotBytes: snapshot.data.byteLength,
             tookMs: Math.round(clock.readMonotonic() - startedAt),
         });
         return createRaftState({ ...storedState, timing, random, now: clock.readMonotonic() });
@@ -538,6 +538,8 @@
 
     private applyCommitted(raft: RaftState): void {
         if (raft.snapshot.index > raft.appliedIndex) {
+            // Lets the memory of the earlier state be reused for the new one.
+            this.control = createControlState();
             this.control = decodeControlState(raft.snapshot.data);
             raft.appliedIndex = raft.snapshot.index;
             this.appliedCharacters = 0;
--- a/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.test.ts
@@ -1,10 +1,13 @@
 import { LogEntryKind } from "@daisylock/core/raft/log-entry-kind.js";
 import type { LogEntry } from "@daisylock/core/raft/log-entry.js";
+import { SnapshotContent } from "@daisylock/core/raft/snapshot-content.js";
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
 import { mkdtempSync, readFileSync, rmSync, truncateSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
+import { decodeRecords } from "./decode-records.js";
+import { encodeRecord } from "./encode-record.js";
 import { FileKeeperStorage } from "./file-keeper-storage.js";
 import { StorageFailureKind } from "./storage-failure-kind.js";
 
@@ -67,7 +70,12 @@
             await writeBatches(10);
             const storage = buildStorage();
             await storage.load();
-            const snapshot = { index: 8, term: 1, members: { voters: { k: "x" }, learners: {} }, data: "state" };
+            const snapshot = {
+                index: 8,
+                term: 1,
+                members: { voters: { k: "x" }, learners: {} },
+                data: SnapshotContent.encode(["state"]),
+            };
             await storage.saveSnapshot(snapshot, { index: 6, term: 1 }, batch(7, 8, 9, 10));
             await storage.append(batch(11));
             await storage.close();
@@ -119,13 +127,50 @@
         });
     });
 
+    describe("a snapshot", () => {
+        const position = { index: 8, term: 1, members: { voters: { k: "x" }, learners: {} } };
+        const text = "\u{1F486}state".repeat(50_000);
+
+        async function saveSnapshot(): Promise<void> {
+            const storage = buildStorage();
+            await storage.load();
+            const snapshot = { ...position, data: SnapshotContent.encode([text]) };
+            await storage.saveSnapshot(snapshot, { index: 8, term: 1 }, batch(9));
+            await storage.close();
+        }
+
+        it("is stored in parts and loaded whole", async () => {
+            await saveSnapshot();
+            const { snapshot, entries } = await readContent();
+            expect(snapshot.data.listBuffers().length).toBeGreaterThan(1);
+            expect(snapshot.data.readText() === text).toBe(true);
+            expect(entries.map(({ index }) => index)).toEqual([9]);
+        });
+
+        it("that lacks a part is refused", async () => {
+            await saveSnapshot();
+            const { payloads } = decodeRecords("snapshot", readFileSync(join(folder, "snapshot")));
+            writeFileSync(join(folder, "snapshot"), Buffer.concat(payloads.slice(0, -1).map(encodeRecord)));
+            await expect(readContent()).rejects.toMatchObject({ kind: StorageFailureKind.CorruptSnapshot });
+        });
+
+        it("of an earlier release, in one record, is loaded", async () => {
+            await saveSnapshot();
+            const record = encodeRecord(Buffer.from(JSON.stringify({ ...position, data: text })));
+            writeFileSync(join(folder, "snapshot"), record);
+            const { data, ...loaded } = (await readContent()).snapshot;
+            expect(loaded).toEqual(position);
+            expect(data.readText() === text).toBe(true);
+        });
+    });
+
     describe("after a failed write", () => {
         it("refuses every later write", async () => {
             const storage = buildStorage();
             await storage.load();
             await storage.close();
             rmSync(folder, { recursive: true });
-            const snapshot = { index: 1, term: 1, members: { voters: {}, learners: {} }, data: "" };
+            const snapshot = { index: 1, term: 1, members: { voters: {}, learners: {} }, data: SnapshotContent.empty };
             await expect(storage.saveSnapshot(snapshot, { index: 0, term: 0 }, batch(1))).rejects.toMatchObject({
                 kind: StorageFailureKind.WriteFailed,
             });
--- a/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
+++ b/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
@@ -1,8 +1,9 @@
 import type { LogEntry } from "@daisylock/core/raft/log-entry.js";
+import { SnapshotContent } from "@daisylock/core/raft/snapshot-content.js";
 import type { Snapshot } from "@daisylock/core/raft/snapshot.js";
 import { LogRecordData } from "@daisylock/protocol/generated/log.js";
 import { randomBytes } from "node:crypto";
-import { type FileHandle, mkdir, open, readFile, rename } from "node:fs/promises";
+import { type FileHandle, mkdir, open, readFile, rename, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 
 import { decodeRecords } from "./decode-records.js";
@@ -15,7 +16,19 @@
 type LogBatch = Parameters<KeeperStorage["append"]>[0];
 type LogBase = StoredState["base"];
 
-const emptySnapshot: Snapshot = { index: 0, term: 0, members: { voters: {}, learners: {} }, data: "" };
+/** First record of a snapshot; the parts of its data follow, one record each. */
+interface SnapshotHeader extends Omit<Snapshot, "data"> {
+    /** Number of these records; absent in snapshots of earlier releases, which hold their data in `data`. */
+    readonly partCount?: number;
+    readonly data?: string;
+}
+
+const emptySnapshot: Snapshot = {
+    index: 0,
+    term: 0,
+    members: { voters: {}, learners: {} },
+    data: SnapshotContent.empty,
+};
 
 /** Stores identity, snapshot and log of a keeper as files in one folder. */
 export class FileKeeperStorage extends KeeperStorage {
@@ -49,13 +62,13 @@
 
     override async saveSnapshot(snapshot: Snapshot, base: LogBase, batch: LogBatch): Promise<void> {
         await this.writeUnlessFailed("snapshot", async () => {
-            await this.writeFile("snapshot", encodeRecord(Buffer.from(JSON.stringify(snapshot))));
+            await this.writeFile("snapshot", encodeSnapshot(snapshot));
             const previous = this.logFile;
             const header = encodeRecord(
                 LogRecordData.encode(LogRecordData.fromPartial({ baseIndex: base.index, baseTerm: base.term }))
                     .finish(),
             );
-            await this.writeFile("log", Buffer.concat([header, encodeBatch(batch)]));
+            await this.writeFile("log", [header, encodeBatch(batch)]);
             this.logFile = await open(this.buildPath("log"), "a");
             await previous?.close();
         });
@@ -76,7 +89,7 @@
         const content = await readIfPresent(path);
         if (content === undefined) {
             const id = `${this.processName}.${randomBytes(4).toString("hex")}`;
-            await this.writeFile("identity", encodeRecord(Buffer.from(id)));
+            await this.writeFile("identity", [encodeRecord(Buffer.from(id))]);
             return id;
         }
         const [payload] = decodeRecords(path, content).payloads;
@@ -92,11 +105,18 @@
         if (content === undefined) {
             return emptySnapshot;
         }
-        const [payload] = decodeRecords(path, content).payloads;
-        if (payload === undefined) {
+        const [first, ...parts] = decodeRecords(path, content).payloads;
+        if (first === undefined) {
             throw new StorageFailure(StorageFailureKind.CorruptSnapshot, path, 0, "file holds no complete record");
         }
-        return JSON.parse(payload.toString()) as Snapshot;
+        const { partCount, data, ...position } = JSON.parse(first.toString()) as SnapshotHeader;
+        if (partCount !== undefined && partCount !== parts.length) {
+            throw new StorageFailure(StorageFailureKind.CorruptSnapshot, path, 0, "records are missing");
+        }
+        return {
+            ...position,
+            data: data === undefined ? SnapshotContent.restore(parts) : SnapshotContent.encode([data]),
+        };
     }
 
     private async loadLog(id: string, snapshot: Snapshot): Promise<StoredState> {
@@ -116,10 +136,10 @@
     }
 
     /** Writes and syncs a temporary file, then renames it, so that a crash leaves either the old or the new file intact. */
-    private async writeFile(file: string, content: Buffer): Promise<void> {
+    private async writeFile(file: string, content: Iterable<Buffer>): Promise<void> {
         const path = this.buildPath(file);
         const handle = await open(`${path}.new`, "w");
-        await handle.writeFile(content);
+        await writeFile(handle, content);
         await handle.sync();
         await handle.close();
         await rename(`${path}.new`, path);
@@ -178,6 +198,16 @@
     }
 }
 
+/** Encodes one record at a time, so that the records of a large snapshot are not in memory together. */
+function* encodeSnapshot({ data, ...position }: Snapshot): Generator<Buffer> {
+    const parts = data.listBuffers();
+    const header: SnapshotHeader = { ...position, partCount: parts.length };
+    yield encodeRecord(Buffer.from(JSON.stringify(header)));
+    for (const part of parts) {
+        yield encodeRecord(part);
+    }
+}
+
 function encodeBatch(batch: LogBatch): Buffer {
     const record = LogRecordData.fromPartial({
         term: batch.hard?.term,
