A job has begun when a target says so, not when a start is recorded

Callers saw: pending was 0, and state running, while six accepted jobs waited for a target that refused every start.

Cause: applyRecordStarts set a job to running when a start was recorded, before its target had it. Nothing set it back when the start was refused, not answered and stopped, or lost.

Change: the phase is set on evidence and never set back. BegunJobRegistry takes note of starts that targets confirm or list; pending and state count them at once, and the log has them with the next starts or after a second (begunJobs), so that the next leader knows them. Ends and crashes that only a run can have that has begun set the phase too.

Why not set it back at a refusal: a start without an answer is recorded for half a second and more, and the starts of several jobs are often recorded at one moment.

--- a/packages/core/src/control/record-starts-command.ts
+++ b/packages/core/src/control/record-starts-command.ts
@@ -5,4 +5,6 @@
 export interface RecordStartsCommand {
     readonly kind: CommandKind.RecordStarts;
     readonly starts: readonly TaskStart[];
+    /** Ids of jobs of which a target has confirmed a start since; absent in commands of earlier releases. */
+    readonly begunJobs?: readonly string[] | undefined;
 }
--- a/packages/core/src/crashes/record-crash.ts
+++ b/packages/core/src/crashes/record-crash.ts
@@ -2,10 +2,12 @@
 import { decodeTaskKey } from "../jobs/decode-task-key.js";
 import { findTask } from "../jobs/find-task.js";
 import { releaseJobData } from "../jobs/release-job-data.js";
+import { setJobBegun } from "../jobs/set-job-begun.js";
 import { TaskPhase } from "../jobs/task-phase.js";
 import { updateJobPhase } from "../jobs/update-job-phase.js";
 import type { TargetRecord } from "../targets/target-record.js";
 import type { CrashedRun } from "./crashed-run.js";
+import { isStartConfirmed } from "./is-start-confirmed.js";
 import { RunProgress } from "./run-progress.js";
 import { updateCrashHistory } from "./update-crash-history.js";
 
@@ -50,6 +52,9 @@
     if (task === undefined || task.phase === TaskPhase.Done) {
         return false;
     }
+    if (isStartConfirmed(crash.progress)) {
+        setJobBegun(job);
+    }
     const wasPoison = task.crashes?.isPoison === true;
     const isLongRunning = job?.steps[key?.step ?? 0]?.isLongRunning === true;
     task.crashes = updateCrashHistory(task.crashes, { ...crash, isLongRunning });
--- a/packages/core/src/jobs/apply-record-ends.ts
+++ b/packages/core/src/jobs/apply-record-ends.ts
@@ -1,5 +1,6 @@
 import type { ControlState } from "../control/control-state.js";
 import type { RecordEndsCommand } from "../control/record-ends-command.js";
+import { isStartConfirmed } from "../crashes/is-start-confirmed.js";
 import type { FleetState } from "../fleet/fleet-state.js";
 import { removeLoad } from "../fleet/remove-load.js";
 import { decodeTaskKey } from "./decode-task-key.js";
@@ -9,12 +10,21 @@
 import type { Job } from "./job.js";
 import { releaseJobData } from "./release-job-data.js";
 import { RunOutcome } from "./run-outcome.js";
+import { setJobBegun } from "./set-job-begun.js";
 import type { TaskEnd } from "./task-end.js";
 import type { TaskKey } from "./task-key.js";
 import { TaskPhase } from "./task-phase.js";
 import type { TaskRecord } from "./task-record.js";
 import { updateJobPhase } from "./update-job-phase.js";
 
+/** Outcomes that only a run that has begun can have. */
+const provenOutcomes: ReadonlySet<RunOutcome> = new Set([
+    RunOutcome.Done,
+    RunOutcome.Failed,
+    RunOutcome.GangMemberEnded,
+    RunOutcome.GangIncomplete,
+]);
+
 /**
  * Records ends of runs. An end that does not belong to the newest run of its task is ignored.
  * @param state - the replicated state
@@ -37,6 +47,9 @@
     if (task === undefined || !isNewest) {
         return false;
     }
+    if (provenOutcomes.has(end.how) || isStartConfirmed(end.progress)) {
+        setJobBegun(job);
+    }
     recordRunEnd(fleet, job, step, key, task, end);
     if (step.isGang && end.how === RunOutcome.Done) {
         recordGangEnd(fleet, job, step, key, end);
--- a/packages/core/src/jobs/apply-record-starts.ts
+++ b/packages/core/src/jobs/apply-record-starts.ts
@@ -11,21 +11,26 @@
 import { findTask } from "./find-task.js";
 import { isJobFinished } from "./is-job-finished.js";
 import { isStepReady } from "./is-step-ready.js";
-import { JobPhase } from "./job-phase.js";
 import type { JobStep } from "./job-step.js";
 import type { Job } from "./job.js";
+import { setJobBegun } from "./set-job-begun.js";
 import { startOccurrences } from "./start-occurrences.js";
 import type { TaskKey } from "./task-key.js";
 import { TaskPhase } from "./task-phase.js";
 import type { TaskStart } from "./task-start.js";
 
 /**
- * Records starts of tasks. Checks each start again, as the state may have changed since the leader planned it.
+ * Records starts of tasks, and which jobs have begun. Checks each start again, as the state may have changed since the
+ * leader planned it. A job whose start is only recorded has not begun: its target may refuse it or never receive it.
  * @param state - the replicated state
  * @param command - the command
  * @returns the starts that were recorded; only these may be requested from their targets
  */
-export function applyRecordStarts({ fleet }: ControlState, { starts }: RecordStartsCommand): readonly TaskStart[] {
+export function applyRecordStarts(
+    { fleet }: ControlState,
+    { starts, begunJobs = [] }: RecordStartsCommand,
+): readonly TaskStart[] {
+    begunJobs.forEach(id => setJobBegun(fleet.jobs.get(id)));
     return starts.filter(start => recordStart(fleet, start));
 }
 
@@ -56,7 +61,6 @@
     task.phase = TaskPhase.Placed;
     task.run = start.run;
     task.target = start.target;
-    job.phase = JobPhase.Running;
     job.placedCount += 1;
     addLoad(fleet, job, key.step, start.task, task);
     // A target that takes starts again has not crashed under runs that ended with its lease.
--- a/packages/daemon/src/job-scheduler/leader/job-call-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/job-call-handler.ts
@@ -18,6 +18,7 @@
 
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
+import type { BegunJobRegistry } from "./begun-job-registry.js";
 import type { JobStateBudget } from "./job-state-budget.js";
 import type { Leadership } from "./leadership.js";
 
@@ -41,6 +42,7 @@
      * @param leadership - leadership state of this process
      * @param log - decision log
      * @param budget - limits the memory of accepted jobs
+     * @param begunJobs - knows which jobs have begun
      * @param keepStateS - time for which the state of an ended job is kept, seconds
      * @param handleJobChange - called when tasks may have to be started or stopped, with the job if it is new
      */
@@ -48,6 +50,7 @@
         private readonly leadership: Leadership,
         private readonly log: DecisionLog,
         private readonly budget: JobStateBudget,
+        private readonly begunJobs: Pick<BegunJobRegistry, "readPhase">,
         private readonly keepStateS: number,
         private readonly handleJobChange: (accepted?: Job) => void,
     ) {}
@@ -206,7 +209,9 @@
             return undefined;
         }
         const job = findJob();
-        return job === undefined ? { outcome: JobOutcome.Gone } : { outcome: JobOutcome.State, phase: job.phase };
+        return job === undefined
+            ? { outcome: JobOutcome.Gone }
+            : { outcome: JobOutcome.State, phase: this.begunJobs.readPhase(job) };
     }
 
     private async stopJob({ queue, account, id }: AdmittedCall): Promise<JobReply | undefined> {
@@ -232,7 +237,8 @@
         let pending = 0;
         for (const id of activeJobs) {
             const job = jobs.get(id);
-            pending += job?.queue === queue.name && job.phase === JobPhase.Queued ? 1 : 0;
+            const isPending = job?.queue === queue.name && this.begunJobs.readPhase(job) === JobPhase.Queued;
+            pending += isPending ? 1 : 0;
         }
         return pending;
     }
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -19,6 +19,7 @@
 import { ContainedTargetClient } from "../targets/contained-target-client.js";
 import type { TargetClient } from "../targets/target-client.js";
 import type { VmService } from "../vms/vm-service.js";
+import { BegunJobRegistry } from "./begun-job-registry.js";
 import { ConfigurationHandler } from "./configuration-handler.js";
 import { findTargetEnding } from "./find-target-ending.js";
 import { JobCallHandler } from "./job-call-handler.js";
@@ -70,6 +71,7 @@
     private readonly targetReports: TargetReportHandler;
     private readonly tickets: PlacementTicketFetcher;
     private readonly jobStateBudget: JobStateBudget;
+    private readonly begunJobs: BegunJobRegistry;
 
     /**
      * @param dependencies - settings, leadership, outgoing clients, clock and log
@@ -77,6 +79,7 @@
     constructor(private readonly dependencies: LeaderDependencies) {
         const { settings, leadership, client, vms, advice, clock, log } = dependencies;
         const startScheduling = () => this.scheduler.startRound();
+        this.begunJobs = new BegunJobRegistry(leadership);
         const containedClient = new ContainedTargetClient(client, createFaultListener(log));
         this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
             collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
@@ -110,6 +113,7 @@
                 startContained(createFaultListener(log), work, () => this.sessions.checkZoneReachable(target));
             },
             startScheduling,
+            noteRunBegun: task => this.begunJobs.noteRun(task),
             handleRunEnd: (task, how, durationMs) => this.noteRunEnd(leadership.readFleet(), task, how, durationMs),
             noteEnds: (count, durationMs) => dependencies.load.noteEnds(count, durationMs),
         }, (work, run) => dependencies.load.measure(work, run));
@@ -146,6 +150,7 @@
                 this.maintenance.isDraining(target)
                 || this.balancer.isMoving(leadership.readFleet().targets.get(target)?.vm ?? ""),
             isMemoryFull: fleet => this.jobStateBudget.isFull(fleet),
+            begunJobs: this.begunJobs,
             log,
             metrics: dependencies.metrics,
             load: dependencies.load,
@@ -162,7 +167,7 @@
     buildHandlers(members: Pick<FleetHandlers, "join" | "findLeader" | "depart">): FleetHandlers {
         const { settings, leadership, log } = this.dependencies;
         const { keep_state_s: keepStateS } = settings.tasks;
-        const jobs = new JobCallHandler(leadership, log, this.jobStateBudget, keepStateS, job => {
+        const jobs = new JobCallHandler(leadership, log, this.jobStateBudget, this.begunJobs, keepStateS, job => {
             if (job !== undefined) {
                 this.estimator.noteJob(job);
             }
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -203,6 +203,7 @@
             request.isStartUnanswered = false;
             if (response.result === TargetRequestResult.Done) {
                 request.confirmedClockMs ??= response.clockMs;
+                this.dependencies.noteRunBegun(task);
                 if (this.dependencies.leadership.readFleet().suspectTasks.has(task)) {
                     this.session.checkProbation();
                 }
--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -48,6 +48,7 @@
         state: ControlState,
         findSession: (id: string) => object | undefined,
         recordCommand: (command: ControlCommand) => Promise<unknown>,
+        unrecordedJobs: readonly string[] = [],
     ) {
         const lines: { readonly kind: DecisionKind; readonly fields: Line }[] = [];
         const leadership = { isActive: true, term: 7 };
@@ -69,6 +70,7 @@
             tickets: { updateTickets: () => undefined } as Partial<PlacementTicketFetcher> as PlacementTicketFetcher,
             isCordoned: target => target === "t2",
             isMemoryFull: () => false,
+            begunJobs: { listUnrecorded: () => unrecordedJobs },
             log: {
                 record: (kind: DecisionKind, fields: Line) => lines.push({ kind, fields }),
             } as Partial<DecisionLog> as DecisionLog,
@@ -121,6 +123,16 @@
             }
         });
 
+        it("records which jobs have begun, also when nothing is started", async () => {
+            const commands: ControlCommand[] = [];
+            startScheduler(buildTestFleet(1, capacity), () => session, async command => {
+                commands.push(command);
+                return [];
+            }, ["a"]);
+            await waitUntil(() => commands.length > 0);
+            expect(commands[0]).toEqual({ kind: CommandKind.RecordStarts, starts: [], begunJobs: ["a"] });
+        });
+
         it("starts tasks again whose start was not committed", async () => {
             const state = buildTestFleet(1, capacity);
             addTestJob(state, "a", [buildTestStep()]);
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -1,4 +1,5 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
+import type { RecordStartsCommand } from "@daisylock/core/control/record-starts-command.js";
 import { countJobBytes } from "@daisylock/core/fleet/count-job-bytes.js";
 import type { FleetState } from "@daisylock/core/fleet/fleet-state.js";
 import { collectRunsOfFinishedJobs } from "@daisylock/core/jobs/collect-runs-of-finished-jobs.js";
@@ -33,6 +34,7 @@
 import { createFaultListener } from "../logging/create-fault-listener.js";
 import { DecisionKind } from "../logging/decision-kind.js";
 import type { DecisionLog } from "../logging/decision-log.js";
+import type { BegunJobRegistry } from "./begun-job-registry.js";
 import type { Leadership } from "./leadership.js";
 import type { LoadMeter } from "./load-meter.js";
 import type { PlacementTicketFetcher } from "./placement-ticket-fetcher.js";
@@ -51,6 +53,9 @@
 /** Time between two deletions of ended jobs, milliseconds. */
 const dropIntervalMs = 2_000;
 
+/** Longest time for which only this process knows that a job has begun, milliseconds. */
+const begunJobsIntervalMs = 1_000;
+
 /** Time between two log lines about the load of a pool, milliseconds. */
 const loadLogIntervalMs = 1_000;
 
@@ -64,6 +69,7 @@
     readonly isCordoned: (target: string) => boolean;
     /** Whether jobs under way may not begin further occurrences. */
     readonly isMemoryFull: (fleet: FleetState) => boolean;
+    readonly begunJobs: Pick<BegunJobRegistry, "listUnrecorded">;
     readonly log: DecisionLog;
     readonly metrics: Pick<Metrics, "recordTime">;
     readonly load: LoadMeter;
@@ -87,6 +93,8 @@
     private nextRoundAt = 0;
     private lateDemands: ReadonlyMap<string, number> = new Map();
     private nextDropAt = 0;
+    /** Monotonic milliseconds. */
+    private nextBegunJobsAt = 0;
     private nextLoadLogAt = 0;
     private isLeading = false;
     /** Term in which this process last led. */
@@ -128,6 +136,7 @@
         sessions.update(fleet.targets, leadership.readFencingToken());
         this.stopEndedJobs(fleet);
         this.startTasks(fleet);
+        this.recordBegunJobs();
         this.writeLoadLines(fleet);
         this.dropEndedJobs();
         return intervalMs;
@@ -196,7 +205,7 @@
         this.proposals += 1;
         let recorded: readonly TaskStart[] | undefined;
         try {
-            recorded = await leadership.recordCommand({ kind: CommandKind.RecordStarts, starts });
+            recorded = await leadership.recordCommand(this.buildStartsCommand(starts));
         }
         finally {
             this.proposals -= 1;
@@ -207,6 +216,22 @@
         this.startRound();
     }
 
+    private buildStartsCommand(starts: readonly TaskStart[]): RecordStartsCommand {
+        const { begunJobs, clock } = this.dependencies;
+        this.nextBegunJobsAt = clock.readMonotonic() + begunJobsIntervalMs;
+        return { kind: CommandKind.RecordStarts, starts, begunJobs: begunJobs.listUnrecorded() };
+    }
+
+    /** Records which jobs have begun, if no start has had it recorded lately, so that the next leader knows it. */
+    private recordBegunJobs(): void {
+        const { leadership, begunJobs, clock } = this.dependencies;
+        if (clock.readMonotonic() >= this.nextBegunJobsAt && begunJobs.listUnrecorded().length > 0) {
+            const command = this.buildStartsCommand([]);
+            const work = { work: WorkKind.Placement, subject: "begun jobs" };
+            startContained(this.noteFault, work, () => leadership.recordCommand(command));
+        }
+    }
+
     private sendStart({ task, run, target }: TaskStart, step: StepCandidate | undefined): void {
         const { leadership, sessions, log } = this.dependencies;
         if (step !== undefined) {
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -54,6 +54,8 @@
     readonly handleRejectedTicket: (task: string, target: string) => void;
     /** Called when tasks may be ready to start. */
     readonly startScheduling: () => void;
+    /** Called when a target has confirmed that a run of a task has begun. */
+    readonly noteRunBegun: (task: string) => void;
     /** Called for each ended run with the encoded task key, the outcome and the duration in milliseconds, if known. */
     readonly handleRunEnd: (task: string, how: RunOutcome, durationMs: number | undefined) => void;
 }
--- a/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
@@ -79,6 +79,7 @@
         handleRejectedTicket: () => undefined,
         handleUnansweredRequest: () => undefined,
         startScheduling: () => undefined,
+        noteRunBegun: () => undefined,
         handleRunEnd: () => undefined,
         noteEnds: () => undefined,
     });
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -52,6 +52,7 @@
     }
     const sessions: TargetSession[] = [];
     const durations: (number | undefined)[] = [];
+    const begunTasks: string[] = [];
     const endCommits: (readonly [count: number, durationMs: number])[] = [];
     const recordCommand = async <Command extends ControlCommand>(command: Command) => {
         commands.push(command);
@@ -100,6 +101,7 @@
         handleRejectedTicket: () => undefined,
         handleUnansweredRequest: () => void sessions.forEach(session => void session.checkReachable()),
         startScheduling: () => undefined,
+        noteRunBegun: begunTask => void begunTasks.push(begunTask),
         handleRunEnd: (_task, _how, durationMs) => void durations.push(durationMs),
     };
     const recordStart = () =>
@@ -109,6 +111,7 @@
         client,
         commands,
         durations,
+        begunTasks,
         endCommits,
         recordStart,
         cancelJob: () => applyCommand(state, { kind: CommandKind.CancelJob, id: "a", atMs: 0 }),
@@ -506,6 +509,35 @@
             session.close();
         });
 
+        it("counts as begun only once the target has confirmed its start or lists it", async () => {
+            for (
+                const startResult of [
+                    TargetRequestResult.Unhealthy,
+                    TargetRequestResult.Unanswered,
+                    TargetRequestResult.AlreadyEnded,
+                    TargetRequestResult.Done,
+                ]
+            ) {
+                const fixture = createFixture();
+                const session = fixture.openSession();
+                await fixture.clock.runFor(200);
+                fixture.client.startResult = startResult;
+                fixture.recordStart();
+                session.startTask(task, 1);
+                await fixture.clock.runFor(1_000);
+                const isBegun = fixture.begunTasks.includes(task);
+                expect([startResult, isBegun]).toEqual([startResult, startResult === TargetRequestResult.Done]);
+                session.close();
+            }
+            const fixture = createFixture();
+            fixture.recordStart();
+            fixture.client.running.push({ task, run: 1, saved: "", percent: 0, load: 0 });
+            const session = fixture.openSession();
+            await fixture.clock.runFor(200);
+            expect(fixture.begunTasks).toContain(task);
+            session.close();
+        });
+
         it("releases the task at once when a start was refused or never sent", async () => {
             const fixture = createFixture();
             const session = fixture.openSession();
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -561,6 +561,7 @@
     private async recordListedEnds({ ended }: LeaseRenewalResponse): Promise<boolean> {
         const { runs } = this.readLoad();
         const ends = ended.filter(({ task, run }) => runs.get(task) === run);
+        ends.forEach(({ task }) => this.dependencies.noteRunBegun(task));
         if (ends.length > 0 && !await this.recordRunEnds(ends)) {
             return false;
         }
@@ -609,6 +610,7 @@
         request.confirmedAt ??= this.readNow();
         request.isStartUnanswered = false;
         request.confirmedClockMs ??= clockMs;
+        this.dependencies.noteRunBegun(task);
     }
 
     private async recordRunEnds(ends: readonly Omit<TaskEnd, "target">[]): Promise<boolean> {
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -34,6 +34,7 @@
         handleRejectedTicket: () => undefined,
         handleUnansweredRequest: () => undefined,
         startScheduling: () => undefined,
+        noteRunBegun: () => undefined,
         handleRunEnd: () => undefined,
         noteEnds: () => undefined,
     });
--- a/packages/daemon/src/job-scheduler/testing/build-quiet-session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/testing/build-quiet-session-dependencies.ts
@@ -24,6 +24,7 @@
         handleRejectedTicket: () => undefined,
         handleUnansweredRequest: () => undefined,
         startScheduling: () => undefined,
+        noteRunBegun: () => undefined,
         handleRunEnd: () => undefined,
     };
 }
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -16,6 +16,7 @@
 
 import { runGoroutine } from "../../concurrency/run-goroutine.js";
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
+import { BegunJobRegistry } from "../leader/begun-job-registry.js";
 import { Leadership } from "../leader/leadership.js";
 import { LoadMeter } from "../leader/load-meter.js";
 import type { PlacementTicketFetcher } from "../leader/placement-ticket-fetcher.js";
@@ -151,6 +152,7 @@
     private createLeader(): [TargetReportHandler, Scheduler] {
         const { targetClient } = this;
         const leadership = new Leadership(this.createKeeperProcess(), 1);
+        const begunJobs = new BegunJobRegistry(leadership);
         const startScheduling = () => this.startRound();
         const reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
             collectCrashedRuns: id => sessions.collectCrashedRuns(id),
@@ -173,6 +175,7 @@
             handleRejectedTicket: () => undefined,
             handleUnansweredRequest: target => void sessions.checkZoneReachable(target),
             startScheduling,
+            noteRunBegun: task => begunJobs.noteRun(task),
             handleRunEnd: () => undefined,
             noteEnds: () => undefined,
         });
@@ -185,6 +188,7 @@
             tickets: { updateTickets: () => undefined } as Partial<PlacementTicketFetcher> as PlacementTicketFetcher,
             isCordoned: () => false,
             isMemoryFull: () => false,
+            begunJobs,
             log,
             clock: this.roundClock,
             keepStateMs,
