A target that restarts under its id refuses what was meant for its earlier incarnation

Reproduced by random runs of the scheduler, whose stand-ins now execute late requests under their id whatever their incarnation: both findings, and ends that were discarded unread.

Cause: requests name a target by its id. A start or renewal for the former life has an expiry by its clock, so that the next one grants the longest lease, where the leader and its successor reckoned with the requested one; a copy of a start begins a run again whose end is recorded; the number of the last committed end discards ends of the new life. All sessions of a leadership had one fencing token.

Change: each session has a higher token than the one before. The question that follows a confirmed claim of a new incarnation carries the next token, before anything is recorded; the first one does not, as a false heartbeat would fence a session that works. A response with another clock ends starts and discards.

Why it works: a target does nothing for a lower token once it has seen a higher one, so that the list it sends with its first answer stays true.

Not closed: before the first answer of a new life nothing can fence.

--- a/packages/core/src/raft/handle-vote-reply.ts
+++ b/packages/core/src/raft/handle-vote-reply.ts
@@ -1,3 +1,4 @@
+import { computeNextTerm } from "./compute-next-term.js";
 import { isVoter } from "./is-voter.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
@@ -22,7 +23,7 @@
         return;
     }
     const expectedRole = isPreVote ? RaftRole.PreCandidate : RaftRole.Candidate;
-    const expectedTerm = isPreVote ? state.hard.term + 1 : state.hard.term;
+    const expectedTerm = isPreVote ? computeNextTerm(state.hard.term) : state.hard.term;
     if (state.role !== expectedRole || message.term !== expectedTerm || !message.isGranted) {
         return;
     }
--- a/packages/core/src/raft/start-bootstrap.ts
+++ b/packages/core/src/raft/start-bootstrap.ts
@@ -1,3 +1,4 @@
+import { computeNextTerm } from "./compute-next-term.js";
 import { LogEntryKind } from "./log-entry-kind.js";
 import type { Members } from "./members.js";
 import type { RaftState } from "./raft-state.js";
@@ -18,7 +19,7 @@
         return false;
     }
     const members: Members = { voters: { [state.id]: address }, learners: {} };
-    setTerm(state, state.hard.term + 1, state.id);
+    setTerm(state, computeNextTerm(state.hard.term), state.id);
     state.entries.push({
         index: 1,
         term: state.hard.term,
--- a/packages/core/src/raft/start-election.ts
+++ b/packages/core/src/raft/start-election.ts
@@ -1,3 +1,4 @@
+import { computeNextTerm } from "./compute-next-term.js";
 import { isVoter } from "./is-voter.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import { RaftRole } from "./raft-role.js";
@@ -25,7 +26,7 @@
     state.role = isPreVote ? RaftRole.PreCandidate : RaftRole.Candidate;
     state.votes = new Set([state.id]);
     if (!isPreVote) {
-        setTerm(state, state.hard.term + 1, state.id);
+        setTerm(state, computeNextTerm(state.hard.term), state.id);
     }
     const voters = Object.keys(state.members.voters);
     if (voters.length === 1) {
@@ -38,7 +39,7 @@
             kind: isPreVote ? RaftMessageKind.PreVote : RaftMessageKind.Vote,
             from: state.id,
             to,
-            term: isPreVote ? state.hard.term + 1 : state.hard.term,
+            term: isPreVote ? computeNextTerm(state.hard.term) : state.hard.term,
             lastIndex,
             lastTerm: readTerm(state, lastIndex) ?? 0,
             isHandover,
--- a/packages/core/src/targets/lease-grants.ts
+++ b/packages/core/src/targets/lease-grants.ts
@@ -3,8 +3,8 @@
     /** When this leadership began; an earlier leader may have granted leases until then. */
     readonly leadingSince: number;
     /**
-     * Until when the target may have carried out requests that were meant for its earlier incarnation; `undefined` when
-     * there were none.
+     * Until when the target may have executed requests that were meant for another incarnation; `undefined` if there were
+     * none.
      */
     readonly strayRequestsUntil: number | undefined;
     /** When the leases that this leader has granted expire; `undefined` when it has granted none. */
--- a/packages/core/src/targets/target-clock.test.ts
+++ b/packages/core/src/targets/target-clock.test.ts
@@ -13,4 +13,16 @@
         expect(clock.isAhead(reading, 600_000)).toBe(false);
         expect(clock.isAhead(reading + 1_100, 600_000)).toBe(true);
     });
+
+    it("tells a response of another incarnation by its clock, and not one that arrives late", () => {
+        const clock = new TargetClock();
+        clock.noteReading(480_000, 10_000);
+        clock.noteAnswer(480_000, 10_000);
+        expect(clock.isOther(300, 12_000, 12_002)).toBe(true);
+        expect(clock.isOther(900_000, 12_000, 12_002)).toBe(true);
+        expect(clock.isOther(480_000 + 0.98 * 2_000, 12_000, 12_002)).toBe(false);
+        expect(clock.isOther(482_002, 12_000, 12_002)).toBe(false);
+        // Sent before the latest reading, and overtaken by its response.
+        expect(clock.isOther(479_000, 9_000, 12_002)).toBe(false);
+    });
 });
--- a/packages/core/src/targets/target-clock.ts
+++ b/packages/core/src/targets/target-clock.ts
@@ -61,6 +61,18 @@
         return this.lead !== undefined && clockMs > this.lead + at + clockAheadMarginMs;
     }
 
+    /**
+     * Tells whether a response shows another clock, because another incarnation has executed the request.
+     * @param clockMs - the reading in the response, milliseconds
+     * @param sentAt - when the request was sent, on the leader's monotonic clock
+     * @param now - current time on the leader's monotonic clock
+     * @returns false while no answer has stated the clock
+     */
+    isOther(clockMs: number, sentAt: number, now: number): boolean {
+        const isBehind = sentAt >= this.readingReceivedAt && clockMs < (this.computeReading(sentAt) ?? -Infinity) - 1;
+        return this.isKnown() && (isBehind || this.isAhead(clockMs, now));
+    }
+
     /**
      * Tells whether a reading was taken just now.
      * @param clockMs - the reading, milliseconds
--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -81,12 +81,26 @@
         const startScheduling = () => this.scheduler.startRound();
         this.begunJobs = new BegunJobRegistry(leadership);
         const containedClient = new ContainedTargetClient(client, createFaultListener(log));
-        this.targetReports = new TargetReportHandler(leadership, clock, log, startScheduling, {
-            collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
-            findAnsweredClock: (id, incarnation) => this.sessions.findAnsweredClock(id, incarnation),
-            noteLeaving: (id, incarnation) => this.sessions.noteLeaving(id, incarnation),
-            noteRunEnds: ends => this.sessions.noteRunEnds(ends),
-        }, new TargetClaimVerifier(containedClient, leadership, clock));
+        this.targetReports = new TargetReportHandler(
+            leadership,
+            clock,
+            log,
+            startScheduling,
+            {
+                collectCrashedRuns: id => this.sessions.collectCrashedRuns(id),
+                findAnsweredClock: (id, incarnation) => this.sessions.findAnsweredClock(id, incarnation),
+                noteLeaving: (id, incarnation) => this.sessions.noteLeaving(id, incarnation),
+                noteRunEnds: ends => this.sessions.noteRunEnds(ends),
+            },
+            new TargetClaimVerifier(
+                containedClient,
+                {
+                    read: id => this.sessions.readFencingToken(id, leadership.readFencingToken()),
+                    take: target => this.sessions.takeFencingToken(target, leadership.readFencingToken()),
+                },
+                clock,
+            ),
+        );
         const vmLeases = new VmLeaseTracker({
             leadership,
             vms,
--- a/packages/daemon/src/job-scheduler/leader/listed-target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/listed-target-session.ts
@@ -7,9 +7,9 @@
 export class ListedTargetSession extends TargetSession {
     /**
      * @param record - the target incarnation
-     * @param fencingToken - fencing token of this leadership
+     * @param fencingToken - fencing token of this session
      * @param dependencies - services and callbacks of the leader
-     * @param isRestarted - whether this leadership had a session with an earlier incarnation under the same id
+     * @param isRestarted - whether this leadership had an earlier session with the id
      * @param noteClosed - called when the session is closed
      */
     constructor(
--- a/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-request-sender.ts
@@ -49,7 +49,7 @@
     /** Records that a request in flight may extend the lease to this time on the target's clock. */
     readonly noteLease: (leaseUntilMs: number) => void;
     /** Records the target's clock, if the response has it. */
-    readonly noteClock: (response: TargetResponse) => void;
+    readonly noteClock: (response: TargetResponse, sentAt: number) => void;
     /** Prevents starts on this target for a time, milliseconds. */
     readonly setStartBackoff: (forMs: number) => void;
     /** Commits ended runs; returns false when they may not have been committed. */
@@ -178,6 +178,7 @@
         request.isStartSent = true;
         // Before the response, because a renewal may fail meanwhile and compute when the lease has expired.
         this.session.noteLease(leaseUntilMs);
+        const sentAt = this.readNow();
         const response = await client.startTask(this.session.readRecord(), {
             task,
             run: request.run,
@@ -187,7 +188,7 @@
             saved: record.saved,
             ticket: this.dependencies.findTicket(task, this.session.readRecord().id),
         });
-        this.session.noteClock(response);
+        this.session.noteClock(response, sentAt);
         return response;
     }
 
@@ -274,12 +275,13 @@
                 await this.waitDelay(unreachableDelayMs);
                 continue;
             }
+            const sentAt = this.readNow();
             const response = await this.dependencies.client.stopTask(this.session.readRecord(), {
                 task,
                 run: request.run,
                 fencingToken: this.token,
             });
-            this.session.noteClock(response);
+            this.session.noteClock(response, sentAt);
             if (response.result === TargetRequestResult.Done || response.result === TargetRequestResult.AlreadyEnded) {
                 request.isStopConfirmed = true;
                 request.confirmedAt = this.readNow();
--- a/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-claim-verifier.ts
@@ -5,7 +5,6 @@
 import { TargetRequestResult } from "../targets/target-request-result.js";
 import type { ClaimAnswer } from "./claim-answer.js";
 import { ClaimOutcome } from "./claim-outcome.js";
-import type { Leadership } from "./leadership.js";
 
 /** Bounds of the delay after which a claim that was not confirmed is asked about again; it doubles, milliseconds. */
 const minRetryMs = 500;
@@ -23,6 +22,14 @@
     readonly retryAt: number;
 }
 
+/** Fencing tokens of requests to a target. */
+interface ClaimTokens {
+    /** Reads the newest token. */
+    readonly read: (target: string) => number;
+    /** Takes a higher one; `undefined` if no request for an earlier incarnation can be on its way, or its session fences it. */
+    readonly take: (target: TargetRecord) => number | undefined;
+}
+
 /**
  * Asks the address that a heartbeat claims for a target whether that incarnation is there. A heartbeat proves nothing
  * of itself, as anyone may send one; a target refuses requests that are meant for another, and states its incarnation.
@@ -35,21 +42,25 @@
 
     /**
      * @param client - sends requests to targets
-     * @param leadership - fencing token of the requests
+     * @param tokens - fencing tokens of the requests
      * @param clock - clock for the delays between questions
      */
     constructor(
         private readonly client: Pick<TargetClient, "sendLeaseRenewal">,
-        private readonly leadership: Pick<Leadership, "readFencingToken">,
+        private readonly tokens: ClaimTokens,
         private readonly clock: Clock,
     ) {}
 
     /**
-     * Asks the claimed address whether the incarnation is there. The question grants no lease and discards no ends.
+     * Asks the claimed address whether the incarnation is there. The question grants no lease and discards no ends. A new
+     * incarnation that is there is asked again with a higher fencing token, so that it executes no request any more that
+     * was meant for the one before. The first question has no such token, as a false claim would fence the target's own
+     * session.
      * @param record - the claimed record
+     * @param isNew - whether another incarnation is recorded under the id
      * @returns the answer
      */
-    verifyClaim(record: TargetRecord): Promise<ClaimAnswer> {
+    verifyClaim(record: TargetRecord, isNew = false): Promise<ClaimAnswer> {
         const key = JSON.stringify([record.id, record.incarnation, record.address]);
         const pending = this.inFlight.get(key);
         if (pending !== undefined) {
@@ -62,15 +73,19 @@
         if (isTooEarly || isQueueFull) {
             return Promise.resolve({ outcome: ClaimOutcome.Deferred, clockMs: undefined });
         }
-        const answer = this.sendQuestion(key, record);
+        const answer = this.sendQuestions(key, record, isNew);
         this.inFlight.set(key, answer);
         return answer;
     }
 
-    private async sendQuestion(key: string, record: TargetRecord): Promise<ClaimAnswer> {
+    private async sendQuestions(key: string, record: TargetRecord, isNew: boolean): Promise<ClaimAnswer> {
         await this.takeSlot();
         try {
-            const answer = await this.readAnswer(record);
+            let answer = await this.readAnswer(record);
+            const token = isNew && answer.outcome === ClaimOutcome.Confirmed ? this.tokens.take(record) : undefined;
+            if (token !== undefined) {
+                answer = await this.readAnswer(record, token);
+            }
             this.noteOutcome(key, answer.outcome);
             return answer;
         }
@@ -101,12 +116,13 @@
     /**
      * Asks a target at once, however recent the last failure is.
      * @param record - the claimed record
+     * @param fencingToken - token of the request
      * @returns the answer
      */
-    async readAnswer(record: TargetRecord): Promise<ClaimAnswer> {
+    async readAnswer(record: TargetRecord, fencingToken = this.tokens.read(record.id)): Promise<ClaimAnswer> {
         const { result, clockMs, incarnation } = await this.client.sendLeaseRenewal(record, {
             leaseUntilMs: undefined,
-            fencingToken: this.leadership.readFencingToken(),
+            fencingToken,
             lastSeen: 0,
             waitMs: 0,
         });
--- a/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-report-handler.ts
@@ -259,7 +259,11 @@
     }
 
     private async isClaimConfirmed({ record, clockMs }: TargetReport): Promise<boolean> {
-        const answer = await this.claims.verifyClaim(record);
+        const known = this.readRecord(record.id);
+        const answer = await this.claims.verifyClaim(
+            record,
+            known !== undefined && known.incarnation !== record.incarnation,
+        );
         if (answer.outcome === ClaimOutcome.Refuted) {
             this.recordRefusal(record, "another target or incarnation answers at the address");
         }
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -1,5 +1,6 @@
 import { CommandKind } from "@daisylock/core/control/command-kind.js";
 import { computeProbationMs } from "@daisylock/core/crashes/compute-probation-ms.js";
+import { countCrashedRuns } from "@daisylock/core/crashes/count-crashed-runs.js";
 import type { CrashedRun } from "@daisylock/core/crashes/crashed-run.js";
 import { isEndUnplanned } from "@daisylock/core/crashes/is-end-unplanned.js";
 import { RunProgress } from "@daisylock/core/crashes/run-progress.js";
@@ -9,12 +10,12 @@
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
-import { computeLatestLeaseExpiry } from "@daisylock/core/targets/compute-latest-lease-expiry.js";
 import { isAddressVerified } from "@daisylock/core/targets/is-address-verified.js";
 import { planRunSync } from "@daisylock/core/targets/plan-run-sync.js";
 import { ReportedTargetState } from "@daisylock/core/targets/reported-target-state.js";
 import type { RunSyncPlan } from "@daisylock/core/targets/run-sync-plan.js";
-import { TargetClock } from "@daisylock/core/targets/target-clock.js";
+import type { TargetClock } from "@daisylock/core/targets/target-clock.js";
+import { TargetLeases } from "@daisylock/core/targets/target-leases.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 
 import type { FaultListener } from "../../containment/fault-listener.js";
@@ -39,11 +40,6 @@
 import { TargetEnding } from "./target-ending.js";
 import { TargetHealthMonitor } from "./target-health-monitor.js";
 
-/**
- * Fraction of the longest lease that is requested. The remainder is a margin, so that the target still grants a late
- * renewal in full.
- */
-const requestedLeaseFraction = 0.75;
 /**
  * Longest wait of a renewal for a run to end, milliseconds. The ends of a target that leaves a renewal unanswered are
  * learned only with the next one, so that the wait bounds by how much their jobs are late.
@@ -85,7 +81,7 @@
     readonly running = new Map<string, RunningTask>();
     private readonly dependencies: SessionDependencies;
     private readonly noteFault: FaultListener;
-    private readonly targetClock = new TargetClock();
+    private readonly leases: TargetLeases;
     private readonly requests: RunRequestTracker;
     private readonly requestSender: RunRequestSender;
     private readonly wakeups = new Set<() => void>();
@@ -119,9 +115,9 @@
 
     /**
      * @param record - the target incarnation
-     * @param fencingToken - fencing token of this leadership
+     * @param fencingToken - fencing token of this session
      * @param dependencies - services and callbacks of the leader
-     * @param isRestarted - whether this leadership had a session with an earlier incarnation under the same id
+     * @param isRestarted - whether this leadership had an earlier session with the id
      */
     constructor(
         readonly record: TargetRecord,
@@ -134,6 +130,14 @@
         this.dependencies = { ...dependencies, client };
         this.inheritedRuns = new Map(isRestarted ? this.readLoad().runs : []);
         this.openedAt = dependencies.clock.readMonotonic();
+        this.leases = new TargetLeases({
+            incarnation: record.incarnation,
+            wallMs: dependencies.clock.readWall(),
+            openedAt: this.openedAt,
+            leadingSince: dependencies.leadership.readStartedAt(),
+            maxLeaseMs: dependencies.maxLeaseMs,
+            isRestarted,
+        });
         this.probes = new ProbeSchedule(dependencies.probeBudget);
         this.requests = new RunRequestTracker(dependencies.clock);
         this.requestSender = new RunRequestSender(fencingToken, this.requests, {
@@ -142,9 +146,9 @@
             isOverCapacity: () => this.isOverCapacity(),
             isRunAssigned: (task, run) => this.isRunAssigned(task, run),
             readRecord: () => this.readRecord(),
-            computeLeaseEnd: () => this.targetClock.computeLeaseEnd(this.readNow(), this.readLeaseMs()),
-            noteLease: leaseUntilMs => this.targetClock.noteLease(leaseUntilMs),
-            noteClock: response => this.noteClock(response),
+            computeLeaseEnd: () => this.leases.computeRequestedEnd(this.readNow()),
+            noteLease: leaseUntilMs => this.leases.clock.noteLease(leaseUntilMs),
+            noteClock: (response, sentAt) => this.noteClock(response, sentAt),
             setStartBackoff: forMs => {
                 this.startBackoffUntil = this.readNow() + forMs;
             },
@@ -171,7 +175,7 @@
      * @returns the clock, or `undefined` until the first answer of this incarnation
      */
     readAnsweredClock(): TargetClock | undefined {
-        return this.targetClock.isKnown() ? this.targetClock : undefined;
+        return this.leases.clock.isKnown() ? this.leases.clock : undefined;
     }
 
     /** Takes note of a deregistration of the target: it has left once no process can be reached at its address. */
@@ -236,12 +240,13 @@
         }
         this.isBeingChecked = true;
         const { client } = this.dependencies;
+        const sentAt = this.readNow();
         const response = await client.checkReachable(this.readRecord(), {
             fencingToken: this.fencingToken,
             lastSeen: this.lastCommittedEnd,
         });
         this.isBeingChecked = false;
-        this.noteClock(response);
+        this.noteClock(response, sentAt);
         if (response.result === TargetRequestResult.Unanswered || response.result === TargetRequestResult.NotSent) {
             this.noteUnreachable(response.result);
             return false;
@@ -294,12 +299,13 @@
      * @returns whether the target confirmed it
      */
     async setPace(task: string, run: number, percent: number): Promise<boolean> {
+        const sentAt = this.readNow();
         const response = await this.dependencies.client.setPace(
             this.record,
             { task, run, fencingToken: this.fencingToken },
             percent,
         );
-        this.noteClock(response);
+        this.noteClock(response, sentAt);
         return response.result === TargetRequestResult.Done;
     }
 
@@ -416,7 +422,7 @@
         const now = this.readNow();
         // An unreachable target is probed until it responds, also while nothing runs on it.
         const isIdle = this.isSynced && this.unreachableSince === undefined && load.runs.size === 0
-            && !this.isReportOverdue(now) && now >= this.leavingUntil && !this.targetClock.isReadingOutdated(now);
+            && !this.isReportOverdue(now) && now >= this.leavingUntil && !this.leases.clock.isReadingOutdated(now);
         if (isIdle || !this.dependencies.leadership.isActive()) {
             await this.waitForRenewal(isIdle ? idleIntervalMs : retryDelayMs);
             return;
@@ -457,9 +463,7 @@
     /** Returns the delay before the next renewal, milliseconds: 0 after one that succeeded. */
     private async sendRenewal(load: Pick<TargetLoad, "runs">, sentAt: number): Promise<number> {
         // An unreachable target is only probed: its lease has to expire before its tasks can start elsewhere.
-        const leaseUntilMs = this.unreachableSince === undefined
-            ? this.targetClock.computeLeaseEnd(sentAt, this.readLeaseMs())
-            : undefined;
+        const leaseUntilMs = this.isResponding() ? this.leases.computeRequestedEnd(sentAt) : undefined;
         const request = {
             leaseUntilMs,
             fencingToken: this.fencingToken,
@@ -473,7 +477,7 @@
             return 0;
         }
         this.noteLease(leaseUntilMs, response);
-        this.noteClock(response);
+        this.noteClock(response, sentAt);
         switch (response.result) {
             case TargetRequestResult.Done:
                 return await this.handleRenewal(response, sentAt) ? 0 : retryDelayMs;
@@ -503,16 +507,14 @@
     /** Returns false when what the target reports could not be committed. */
     private async handleRenewal(response: LeaseRenewalResponse, sentAt: number): Promise<boolean> {
         if (response.incarnation !== undefined && response.incarnation !== this.record.incarnation) {
-            // Which recorded runs the new incarnation runs is told by its session, which its heartbeat begins. Its ends
-            // have numbers of their own, none of which is committed.
-            this.lastCommittedEnd = 0;
-            this.noteUnreachable(TargetRequestResult.WrongTarget);
+            // Which recorded runs the new incarnation runs is told by its session, which its heartbeat begins.
             await this.handleUnreachable();
             return false;
         }
         if (response.clockMs !== undefined) {
-            this.targetClock.noteAnswer(response.clockMs, this.readNow());
+            this.leases.clock.noteAnswer(response.clockMs, this.readNow());
         }
+        this.leases.noteFenced(this.readNow());
         this.noteReachable();
         const { running } = response;
         if (running !== undefined) {
@@ -650,7 +652,7 @@
             await this.removeTarget("the VM service reports it as ended", ending === TargetEnding.Stopped);
             return;
         }
-        const leaseExpiry = this.computeLeaseExpiry();
+        const leaseExpiry = this.leases.computeExpiry();
         const { runs } = this.readLoad();
         if (now > leaseExpiry + leaseExpiryMarginMs && runs.size > 0) {
             log.record(DecisionKind.LeaseLost, {
@@ -678,17 +680,6 @@
         }
     }
 
-    private computeLeaseExpiry(): number {
-        const { leadership, maxLeaseMs } = this.dependencies;
-        return computeLatestLeaseExpiry({
-            leadingSince: leadership.readStartedAt(),
-            strayRequestsUntil: this.inheritedRuns.size > 0 ? this.openedAt : undefined,
-            ownExpiry: this.targetClock.computeLeaseExpiry(),
-            requestedLeaseMs: this.readLeaseMs(),
-            maxLeaseMs,
-        });
-    }
-
     /** Removes the target; one whose process has stopped has crashed, unless its end was announced. */
     private async removeTarget(reason: string, isStopped: boolean): Promise<void> {
         const { leadership, log, startScheduling } = this.dependencies;
@@ -703,7 +694,13 @@
             crash: isCrash ? { target: id, runs } : undefined,
         });
         if (removal?.isKnown === true) {
-            log.record(DecisionKind.TargetGone, { target: id, vm, reason, crashed: isCrash, ...countRuns(runs) });
+            log.record(DecisionKind.TargetGone, {
+                target: id,
+                vm,
+                reason,
+                crashed: isCrash,
+                ...countCrashedRuns(runs),
+            });
             this.noteRunEnds(removal.ends);
             recordPoisonTasks(log, removal.poisonTasks, id);
             this.close();
@@ -732,17 +729,37 @@
     /** A request without a response may have been executed, so its lease counts as granted. */
     private noteLease(leaseUntilMs: number | undefined, { result }: TargetResponse): void {
         if (leaseUntilMs !== undefined && result !== TargetRequestResult.NotSent) {
-            this.targetClock.noteLease(leaseUntilMs);
+            this.leases.clock.noteLease(leaseUntilMs);
         }
     }
 
-    private noteClock({ result, clockMs }: TargetResponse): void {
-        if (clockMs !== undefined && result !== TargetRequestResult.WrongTarget) {
-            this.targetClock.noteReading(clockMs, this.readNow());
+    /** Only responses with lists name the incarnation; the clock in the others tells. */
+    private noteClock(response: TargetResponse & Partial<LeaseRenewalResponse>, sentAt: number): void {
+        const { result, clockMs, incarnation } = response;
+        const now = this.readNow();
+        if (clockMs === undefined || result === TargetRequestResult.WrongTarget) {
+            return;
+        }
+        if (
+            incarnation === undefined
+                ? this.leases.clock.isOther(clockMs, sentAt, now)
+                : incarnation !== this.record.incarnation
+        ) {
+            this.noteOtherIncarnation();
+        }
+        else {
+            this.leases.clock.noteReading(clockMs, now);
             this.requests.noteAlive(clockMs);
         }
     }
 
+    /** Its ends have numbers of their own, none of which is committed, and it has a lease by a clock of its own. */
+    private noteOtherIncarnation(): void {
+        this.lastCommittedEnd = 0;
+        this.leases.noteOtherIncarnation(this.readNow());
+        this.noteUnreachable(TargetRequestResult.WrongTarget);
+    }
+
     private readProgress(task: string, run: number): RunProgress {
         const probationMs = computeProbationMs(this.dependencies.leadership.readFleet(), task);
         return this.requests.readProgress(task, run, probationMs);
@@ -784,10 +801,6 @@
         return confirmedAt === undefined ? undefined : this.readNow() - confirmedAt;
     }
 
-    private readLeaseMs(): number {
-        return this.dependencies.maxLeaseMs * requestedLeaseFraction;
-    }
-
     private readNow(): number {
         return this.dependencies.clock.readMonotonic();
     }
@@ -819,10 +832,3 @@
         [...this.wakeups].forEach(settle => settle());
     }
 }
-
-/** Counts the runs on a target that has ended, and those that were too young to rule out that they crashed it. */
-function countRuns(runs: readonly CrashedRun[]): { readonly runs: number; readonly recent: number } {
-    const isRecent = ({ progress }: CrashedRun): boolean =>
-        progress === RunProgress.OnProbation || progress === RunProgress.Unconfirmed;
-    return { runs: runs.length, recent: runs.filter(isRecent).length };
-}
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -56,6 +56,28 @@
         expect(client.renewals).toHaveLength(renewalCount);
     });
 
+    // The session of a restarted target was fenced for good by a question about a heartbeat that came while it was opened.
+    it("have a higher token for each incarnation, and none is taken that would fence the session that serves it", async () => {
+        const { clock, client, fleet, sessions } = createFixture();
+        expect(sessions.takeFencingToken({ id: "t0", incarnation: 2 }, 3)).toBeUndefined();
+        sessions.update(fleet.targets, 3);
+        const record = fleet.targets.get("t0");
+        expect(record).toBeDefined();
+        const restarted = { ...record, id: "t0", incarnation: 2 } as NonNullable<typeof record>;
+        expect(sessions.takeFencingToken(restarted, 4)).toBeUndefined();
+        expect(sessions.takeFencingToken(restarted, 3)).toBe(4);
+        expect(sessions.readFencingToken("t0", 3)).toBe(4);
+        fleet.targets.set("t0", restarted);
+        client.renewals.length = 0;
+        sessions.update(fleet.targets, 3);
+        expect(sessions.takeFencingToken(restarted, 3)).toBeUndefined();
+        await clock.runFor(10);
+        expect(client.renewals.some(({ fencingToken }) => fencingToken === 5)).toBe(true);
+        expect(sessions.readFencingToken("t0", 3)).toBe(5);
+        expect(sessions.readFencingToken("t1", 3)).toBe(3);
+        sessions.closeAll();
+    });
+
     it("opens a session again for a target that was removed and has reported again before the next round", () => {
         const { fleet, sessions } = createFixture();
         sessions.update(fleet.targets, 3);
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -1,5 +1,6 @@
 import type { CrashedRun } from "@daisylock/core/crashes/crashed-run.js";
 import type { TaskEnd } from "@daisylock/core/jobs/task-end.js";
+import { FencingTokens } from "@daisylock/core/targets/fencing-tokens.js";
 import type { TargetRecord } from "@daisylock/core/targets/target-record.js";
 import type { TargetTable } from "@daisylock/core/targets/target-table.js";
 
@@ -30,7 +31,8 @@
 /** Sessions of all targets, one per target incarnation and leadership. */
 export class TargetSessions {
     private readonly sessions = new Map<string, TargetSession>();
-    private fencingToken = 0;
+    private term = 0;
+    private tokens = new FencingTokens(0);
     /** Targets for which the sessions are up to date, and their version then. */
     private targets: TargetTable | undefined;
     private targetsVersion = 0;
@@ -58,25 +60,23 @@
     /**
      * Opens sessions for new target incarnations and closes those of ended ones. Does nothing while there are neither.
      * @param targets - the recorded targets by id
-     * @param token - fencing token of this leadership
+     * @param term - term of this leadership
      */
-    update(targets: TargetTable, token: number): void {
-        this.closeEarlier(token);
+    update(targets: TargetTable, term: number): void {
+        this.closeEarlier(term);
         const version = targets.readVersion();
         if (targets === this.targets && version === this.targetsVersion && !this.hasClosedSessions) {
             return;
         }
-        const restarted = new Set<string>();
         for (const [id, session] of this.sessions) {
             if (!session.isOpen() || targets.get(id)?.incarnation !== session.record.incarnation) {
                 session.close();
                 this.sessions.delete(id);
-                restarted.add(id);
             }
         }
         for (const [id, record] of targets) {
             if (!this.sessions.has(id)) {
-                this.sessions.set(id, this.createSession(record, token, restarted.has(id)));
+                this.sessions.set(id, this.createSession(record));
             }
         }
         this.targets = targets;
@@ -86,15 +86,38 @@
 
     /**
      * Closes the sessions of an earlier leadership.
-     * @param token - fencing token of the newest leadership known to this process
+     * @param term - term of the newest leadership known to this process
      */
-    closeEarlier(token: number): void {
-        if (token !== this.fencingToken) {
+    closeEarlier(term: number): void {
+        if (term !== this.term) {
             this.closeAll();
-            this.fencingToken = token;
+            this.term = term;
+            this.tokens = new FencingTokens(term);
         }
     }
 
+    /**
+     * Reads the fencing token of requests to a target outside of its session.
+     * @param id - id of the target
+     * @param term - term of this leadership
+     * @returns the newest token
+     */
+    readFencingToken(id: string, term: number): number {
+        return term === this.term ? this.tokens.read(id) : term;
+    }
+
+    /**
+     * Takes a fencing token with which a new incarnation refuses the requests of the sessions so far.
+     * @param target - id and incarnation of the target
+     * @param term - term of this leadership
+     * @returns the token; `undefined` if there was no session with the id, or there is one with this incarnation, which
+     *     the token would fence
+     */
+    takeFencingToken({ id, incarnation }: Pick<TargetRecord, "id" | "incarnation">, term: number): number | undefined {
+        const isServed = this.sessions.get(id)?.record.incarnation === incarnation;
+        return term === this.term && !isServed && this.tokens.isUsed(id) ? this.tokens.takeNext(id) : undefined;
+    }
+
     /**
      * Finds the session of a target.
      * @param id - id of the target
@@ -210,7 +233,9 @@
         return [...this.sessions.values()].filter(session => session.record.pool === pool).length;
     }
 
-    private createSession(record: TargetRecord, token: number, isRestarted: boolean): TargetSession {
+    private createSession(record: TargetRecord): TargetSession {
+        const isRestarted = this.tokens.isUsed(record.id);
+        const token = this.tokens.takeNext(record.id);
         return new ListedTargetSession(record, token, this.dependencies, isRestarted, () => {
             this.hasClosedSessions = true;
         });
--- a/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-target-client.ts
@@ -47,7 +47,7 @@
      * @param clock - clock of the daemon
      * @param clockOffsetMs - time by which the target's clock is ahead of it, milliseconds
      */
-    constructor(private readonly clock: Clock, private readonly clockOffsetMs: number) {
+    constructor(private readonly clock: Clock, private clockOffsetMs: number) {
         super();
     }
 
@@ -120,6 +120,12 @@
         // There are no connections to close.
     }
 
+    /** Lets another incarnation answer from now on, whose clock has started again. */
+    startClockAgain(): void {
+        this.incarnation += 1;
+        this.clockOffsetMs -= this.readClock();
+    }
+
     /**
      * Reads the clock of the targets.
      * @returns milliseconds
--- a/packages/daemon/src/job-scheduler/testing/manual-clock.ts
+++ b/packages/daemon/src/job-scheduler/testing/manual-clock.ts
@@ -15,8 +15,9 @@
 
     /**
      * @param macrotaskRounds - number of macrotask rounds run before each timer, which goroutines need to proceed
+     * @param startedAtMs - wall clock at the start of the test, milliseconds
      */
-    constructor(private readonly macrotaskRounds = 0) {
+    constructor(private readonly macrotaskRounds = 0, private readonly startedAtMs = 0) {
         super();
     }
 
@@ -25,7 +26,7 @@
     }
 
     override readWall(): number {
-        return this.now;
+        return this.startedAtMs + this.now;
     }
 
     override schedule(delayMs: number, callback: () => void): () => void {
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -53,6 +53,8 @@
 const keepStateMs = 120_000;
 /** Time until the VM service has answered a request for its list, milliseconds. */
 const vmListMs = 50;
+/** Wall clock at the start, milliseconds: long after the first incarnations of the targets have started. */
+const startedAtMs = 1_000_000;
 /** Number of macrotask rounds within which all goroutines that can proceed have done so. */
 const macrotaskRounds = 5;
 
@@ -69,7 +71,7 @@
 export class SimulatedFleet {
     /** Longest lease that the targets accept, milliseconds. */
     readonly maxLeaseMs = 6_000;
-    readonly clock = new ManualClock(macrotaskRounds);
+    readonly clock = new ManualClock(macrotaskRounds, startedAtMs);
     readonly roundClock = new HeldClock(this.clock);
     readonly keeper: SimulatedKeeper;
     readonly monitor: RunMonitor;
@@ -83,6 +85,7 @@
     private readonly targetClient: TargetClient;
     private scheduler: Scheduler;
     private reports: TargetReportHandler;
+    private sessions: TargetSessions;
     /** Number of the process that leads. */
     private leaderProcess = 0;
     private readonly requestFaults = new Map<string, RequestFault>();
@@ -94,12 +97,13 @@
 
     /**
      * @param random - returns numbers from 0 to below 1
-     * @param options - whether other keepers send the leader's requests to targets, whether they take them in batches, and
-     *     the number of ends that a target lists at a time
+     * @param options - whether other keepers send the leader's requests to targets, whether they take them in batches,
+     *     the number of ends that a target lists at a time, and whether one that has not answered its session yet executes
+     *     requests for its predecessor
      */
     constructor(
         private readonly random: () => number,
-        { isRelayed = false, isBatched = true, maxListedEnds = 500 } = {},
+        { isRelayed = false, isBatched = true, maxListedEnds = 500, areStraysUnbounded = false } = {},
     ) {
         this.state = buildTestFleet(targetCount, targetCapacity);
         this.keeper = new SimulatedKeeper(this.state, this.clock, random);
@@ -128,6 +132,8 @@
             random,
         );
         client.pickFate = id => this.pickFate(id);
+        client.isStrayExecuted = ({ record: { id, incarnation } }) =>
+            areStraysUnbounded || this.sessions.findAnsweredClock(id, incarnation) !== undefined;
         const sender = new TargetRequestSender(client, () => undefined);
         this.relays = new SimulatedRelays(sender, this.clock, random);
         this.relays.areTakingBatches = isBatched;
@@ -145,21 +151,35 @@
                 this.clock,
             )
             : client;
-        [this.reports, this.scheduler] = this.createLeader();
+        [this.reports, this.scheduler, this.sessions] = this.createLeader();
     }
 
     /** Creates the components of a leader, which know only what is recorded. */
-    private createLeader(): [TargetReportHandler, Scheduler] {
+    private createLeader(): [TargetReportHandler, Scheduler, TargetSessions] {
         const { targetClient } = this;
         const leadership = new Leadership(this.createKeeperProcess(), 1);
         const begunJobs = new BegunJobRegistry(leadership);
         const startScheduling = () => this.startRound();
-        const reports = new TargetReportHandler(leadership, this.clock, log, startScheduling, {
-            collectCrashedRuns: id => sessions.collectCrashedRuns(id),
-            findAnsweredClock: (id, incarnation) => sessions.findAnsweredClock(id, incarnation),
-            noteLeaving: (id, incarnation) => sessions.noteLeaving(id, incarnation),
-            noteRunEnds: ends => sessions.noteRunEnds(ends),
-        }, new TargetClaimVerifier(targetClient, leadership, this.clock));
+        const reports = new TargetReportHandler(
+            leadership,
+            this.clock,
+            log,
+            startScheduling,
+            {
+                collectCrashedRuns: id => sessions.collectCrashedRuns(id),
+                findAnsweredClock: (id, incarnation) => sessions.findAnsweredClock(id, incarnation),
+                noteLeaving: (id, incarnation) => sessions.noteLeaving(id, incarnation),
+                noteRunEnds: ends => sessions.noteRunEnds(ends),
+            },
+            new TargetClaimVerifier(
+                targetClient,
+                {
+                    read: id => sessions.readFencingToken(id, leadership.readFencingToken()),
+                    take: target => sessions.takeFencingToken(target, leadership.readFencingToken()),
+                },
+                this.clock,
+            ),
+        );
         const sessions: TargetSessions = new TargetSessions({
             leadership,
             client: targetClient,
@@ -193,7 +213,7 @@
             clock: this.roundClock,
             keepStateMs,
         });
-        return [reports, scheduler];
+        return [reports, scheduler, sessions];
     }
 
     /** Creates access to the keeper that ends when the next leader process starts. */
@@ -227,7 +247,7 @@
     stopLeader(forMs: number): void {
         this.scheduler.stop();
         this.keeper.startTerm(forMs);
-        [this.reports, this.scheduler] = this.createLeader();
+        [this.reports, this.scheduler, this.sessions] = this.createLeader();
         this.startScheduler();
     }
 
--- a/packages/daemon/src/job-scheduler/testing/simulated-keeper.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-keeper.ts
@@ -2,6 +2,7 @@
 import type { CommandResults } from "@daisylock/core/control/command-results.js";
 import type { ControlCommand } from "@daisylock/core/control/control-command.js";
 import type { ControlState } from "@daisylock/core/control/control-state.js";
+import { computeNextTerm } from "@daisylock/core/raft/compute-next-term.js";
 import Result from "true-myth/result";
 
 import type { Clock } from "../../clock/clock.js";
@@ -79,7 +80,7 @@
      * @param forMs - time without a leader, milliseconds
      */
     startTerm(forMs: number): void {
-        this.term += 1;
+        this.term = computeNextTerm(this.term);
         const pending = this.log.splice(0);
         const committedCount = Math.floor(this.random() * (pending.length + 1));
         pending.forEach((entry, index) => {
--- a/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target-client.ts
@@ -21,12 +21,18 @@
 /** Bounds of the delay of a request that is executed late, milliseconds. */
 const minLateMs = 600;
 const maxLateMs = 4_500;
+/** Further delay of a request that an incarnation may not execute yet, milliseconds. */
+const strayDelayMs = 50;
 
 /** Sends requests to simulated targets through a simulated network. */
 export class SimulatedTargetClient extends TargetClient {
     private readonly delays: RandomDelays;
     /** Picks what happens to the next request to a target. */
     pickFate: (target: string) => RequestFate = () => RequestFate.Answered;
+    /**
+     * Whether an incarnation executes requests that were meant for its predecessor; otherwise they are delayed further.
+     */
+    isStrayExecuted: (target: SimulatedTarget) => boolean = () => true;
 
     /**
      * @param targets - the targets by id
@@ -91,16 +97,22 @@
             return { result: TargetRequestResult.NotSent, clockMs: undefined };
         }
         const { incarnation } = target.record;
-        const isGone = () => target.isDown || target.record.incarnation !== incarnation;
+        // A request names only the id, so that a later incarnation carries out one that was meant for its predecessor.
+        const isExecutable = () => !target.isDown && target.record.id === id && target.record.address === address;
         if (fate === RequestFate.ResponseLost || fate === RequestFate.Late) {
             const executionDelayMs = fate === RequestFate.Late
                 ? this.delays.pickDelay(minLateMs, maxLateMs)
                 : requestDelayMs;
-            this.clock.schedule(executionDelayMs, () => {
-                if (!isGone() && target.record.id === id) {
+            const executeLate = (): void => {
+                const isStray = target.record.incarnation !== incarnation;
+                if (isStray && !this.isStrayExecuted(target)) {
+                    this.clock.schedule(strayDelayMs, executeLate);
+                }
+                else if (isExecutable()) {
                     void execute(target);
                 }
-            });
+            };
+            this.clock.schedule(executionDelayMs, executeLate);
         }
         if (fate !== RequestFate.Answered) {
             await this.delays.waitDelay(timeoutMs);
@@ -110,8 +122,10 @@
         if (target.record.id !== id) {
             return { result: TargetRequestResult.WrongTarget, clockMs: undefined };
         }
-        const response = isGone() ? undefined : await execute(target);
-        if (response === undefined || isGone()) {
+        const executedBy = target.record.incarnation;
+        const response = isExecutable() ? await execute(target) : undefined;
+        // The connection breaks when the target ends before its response has been sent.
+        if (response === undefined || target.isDown || target.record.incarnation !== executedBy) {
             return { result: TargetRequestResult.Unanswered, clockMs: undefined };
         }
         await this.delays.waitDelay(this.delays.pickDelay(minDelayMs, maxDelayMs));
--- a/packages/daemon/src/job-scheduler/testing/simulated-target.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target.ts
@@ -124,8 +124,10 @@
         this.highestEndedRuns.clear();
         this.fencingToken = 0;
         this.leaseUntilMs = 0;
-        this.startedAt = this.options.clock.readMonotonic();
-        this.currentRecord = { ...this.record, incarnation: this.record.incarnation + 1 };
+        const { clock } = this.options;
+        const { incarnation } = this.record;
+        this.startedAt = clock.readMonotonic();
+        this.currentRecord = { ...this.record, incarnation: Math.max(clock.readWall(), incarnation + 1) };
     }
 
     /**
