A long list of dependencies ends no keeper

Callers saw: after one job whose second step named the first 130,900 times in after, each keeper that led ended with RangeError, and all calls were answered 503.

Cause: computeCriticalPath and computeDemandStages spread the list into the arguments of Math.max.

Change: computeLatestEnd goes through it once, for both. Other lists whose length a caller or a target chooses are no longer spread either.

--- a/packages/core/src/jobs/apply-record-ends.ts
+++ b/packages/core/src/jobs/apply-record-ends.ts
@@ -129,7 +129,7 @@
 function recordFailure(job: Job, step: JobStep, key: TaskKey, task: TaskRecord): void {
     task.failures += 1;
     const members = step.isGang ? job.occurrences.get(key.occurrence)?.[key.step]?.tasks ?? [] : [task];
-    const failures = step.isGang ? Math.max(...members.map(member => member.failures)) : task.failures;
+    const failures = members.reduce((most, member) => Math.max(most, member.failures), 0);
     if (failures >= job.maxAttempts) {
         task.phase = TaskPhase.Failed;
     }
--- a/packages/core/src/pools/compute-demand-stages.ts
+++ b/packages/core/src/pools/compute-demand-stages.ts
@@ -1,3 +1,4 @@
+import { computeLatestEnd } from "../jobs/compute-latest-end.js";
 import type { JobStep } from "../jobs/job-step.js";
 import type { DemandStage } from "./demand-stage.js";
 
@@ -10,7 +11,7 @@
 export function computeDemandStages(steps: readonly JobStep[]): readonly DemandStage[] {
     const ends: number[] = [];
     return steps.flatMap(({ after, estimateMs, count, needs, isLongRunning, isFiller }) => {
-        const fromMs = Math.max(0, ...after.map(position => ends[position] ?? 0));
+        const fromMs = computeLatestEnd(ends, after);
         const toMs = fromMs + estimateMs;
         ends.push(toMs);
         return isLongRunning || isFiller ? [] : [{ fromMs, toMs, cpu: count * needs.cpu }];
--- a/packages/core/src/queueing/compute-critical-path.ts
+++ b/packages/core/src/queueing/compute-critical-path.ts
@@ -1,3 +1,4 @@
+import { computeLatestEnd } from "../jobs/compute-latest-end.js";
 import type { Job } from "../jobs/job.js";
 import type { EstimateStep } from "./estimate-step.js";
 
@@ -13,8 +14,7 @@
     job.steps.forEach((step, position) => {
         const progress = occurrence === undefined ? undefined : job.occurrences.get(occurrence)?.[position];
         const isDone = progress !== undefined && progress.doneCount === step.count;
-        const start = Math.max(0, ...step.after.map(dependency => ends[dependency] ?? 0));
-        ends.push(start + (isDone || step.isLongRunning ? 0 : estimate(job, step)));
+        ends.push(computeLatestEnd(ends, step.after) + (isDone || step.isLongRunning ? 0 : estimate(job, step)));
     });
-    return Math.max(0, ...ends);
+    return ends.reduce((latest, end) => Math.max(latest, end), 0);
 }
--- a/packages/core/src/targets/plan-run-sync.ts
+++ b/packages/core/src/targets/plan-run-sync.ts
@@ -45,8 +45,7 @@
             (request.isStopConfirmed ? plan.stopped : plan.lost).push({ task, run });
         }
     }
-    plan.unassigned.push(...list.running.filter(({ task, run }) => recorded.get(task) !== run));
-    return plan;
+    return { ...plan, unassigned: list.running.filter(({ task, run }) => recorded.get(task) !== run) };
 }
 
 /** Collects the numbers of the ended runs by task, as a list may hold several runs of one task. */
--- a/packages/daemon/src/job-scheduler/leader/run-end-recorder.ts
+++ b/packages/daemon/src/job-scheduler/leader/run-end-recorder.ts
@@ -37,7 +37,7 @@
         const isFull = (this.batch?.ends.length ?? 0) >= maxCommandEnds;
         const batch = this.batch === undefined || isFull ? this.openBatch() : this.batch;
         const first = batch.ends.length;
-        batch.ends.push(...ends);
+        ends.forEach(end => batch.ends.push(end));
         batch.recorded ??= this.sendBatch(batch);
         const recorded = await batch.recorded;
         return recorded === undefined ? undefined : ends.filter((_, position) => recorded[first + position] === true);
--- a/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
+++ b/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
@@ -185,7 +185,9 @@
         if (record.truncateFrom !== undefined) {
             this.entries.length = Math.min(this.entries.length, Math.max(0, record.truncateFrom - this.base.index - 1));
         }
-        this.entries.push(...record.entries);
+        for (const entry of record.entries) {
+            this.entries.push(entry);
+        }
     }
 
     /** Drops a log that ends before the snapshot. A crash between writing the snapshot and the new log leaves one. */
