A VM that is down for maintenance counts as down while the wall clock jumps

Operators saw: with a cap of 1, the next VM of a wave was taken down while the first one was, as the clock of the leading keeper jumped 2 s ahead.

Cause: MaintenanceRunner measured the time since a request by the wall clock, and compared the start of a target, by its own clock, with the time of the request. The lease of a holder on a VM allowed for a difference of 1 s between two keepers.

Change: intervals are measured by the monotonic clock, and the stored deadline of a wave is converted in each round. A VM has returned when another incarnation than at the request is recorded on it.

--- a/packages/core/src/pools/is-holder-lease-expired.ts
+++ b/packages/core/src/pools/is-holder-lease-expired.ts
@@ -1,7 +1,7 @@
 import type { VmRequestRecord } from "./vm-request-record.js";
 
-/** Maximum difference between the wall clocks of two keepers (control-plane replicas), milliseconds. */
-const maxClockSkewMs = 1_000;
+/** Maximum difference between the wall clocks of two keepers (control-plane replicas), of which one may jump, milliseconds. */
+const maxClockSkewMs = 10_000;
 
 /** The newest recorded request for a VM, as one process sees it. */
 interface RecordedRequestView {
--- a/packages/core/src/vm-maintenance/plan-maintenance.ts
+++ b/packages/core/src/vm-maintenance/plan-maintenance.ts
@@ -24,15 +24,15 @@
 interface MaintenanceWaveView {
     /** Maximum number of VMs that may be down at once. */
     readonly cap: number;
-    /** Deadline for the whole wave, wall clock milliseconds. */
-    readonly deadlineAtMs: number;
+    /** Deadline for the whole wave, monotonic milliseconds. */
+    readonly deadlineAt: number;
     /** Number of VMs of the wave that are down for maintenance now. */
     readonly downCount: number;
     /** VMs whose maintenance has not begun. */
     readonly waiting: readonly MaintenanceCandidate[];
     /** Time for which a VM is down, milliseconds. */
     readonly maintenanceMs: number;
-    /** Wall clock, milliseconds. */
+    /** Monotonic milliseconds. */
     readonly now: number;
     /**
      * Takes the room for a long-running task on another target.
@@ -102,9 +102,9 @@
 }
 
 /** Divides the time until the deadline evenly among the rounds that the cap makes necessary, less the maintenance. */
-function computeGracePeriod({ waiting, cap, deadlineAtMs, now, maintenanceMs }: MaintenanceWaveView): number {
+function computeGracePeriod({ waiting, cap, deadlineAt, now, maintenanceMs }: MaintenanceWaveView): number {
     const rounds = Math.ceil(waiting.length / Math.max(1, cap));
-    const perRoundMs = (deadlineAtMs - now) / Math.max(1, rounds) - maintenanceMs;
+    const perRoundMs = (deadlineAt - now) / Math.max(1, rounds) - maintenanceMs;
     return Math.min(maxGraceMs, Math.max(minGraceMs, perRoundMs));
 }
 
--- a/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
+++ b/packages/daemon/src/job-scheduler/leader/maintenance-runner.ts
@@ -68,21 +68,28 @@
     readonly maintenanceMs: number;
 }
 
+/** Latest request for the maintenance of a VM. */
+interface MaintenanceRequest {
+    /** Monotonic milliseconds, as the wall clock may jump. */
+    readonly at: number;
+    /** Incarnation of the target that was recorded on the VM; `undefined` for none. */
+    readonly incarnation: number | undefined;
+}
+
 /** Runs waves of VM maintenance while this process is the active leader. */
 export class MaintenanceRunner extends PeriodicWorker {
     override readonly name = "upkeep-runner";
     private token = 0;
-    /** Time until which a wave waits after a fault, wall-clock milliseconds, by number. */
+    /** Time until which a wave waits after a fault, monotonic milliseconds, by number. */
     private readonly faultyUntil = new Map<number, number>();
-    /** Earliest time at which maintenance of a VM is requested again, wall-clock milliseconds. */
+    /** Earliest time at which maintenance of a VM is requested again, monotonic milliseconds. */
     private readonly retryAt = new Map<string, number>();
     /** When the first of the latest requests that all found a VM busy was sent, monotonic milliseconds. */
     private readonly busySince = new Map<string, number>();
-    /** When the latest maintenance of a VM was requested, wall-clock milliseconds. */
-    private readonly maintenanceStartedAt = new Map<string, number>();
-    /** Number of long-running tasks on a VM of a wave, and since when it is the same, wall-clock milliseconds. */
+    private readonly requestedMaintenance = new Map<string, MaintenanceRequest>();
+    /** Number of long-running tasks on a VM of a wave, and since when it is the same, monotonic milliseconds. */
     private readonly longRunningCounts = new Map<string, { readonly count: number; readonly since: number }>();
-    /** Since when a VM has been draining, wall-clock milliseconds. */
+    /** Since when a VM has been draining, monotonic milliseconds. */
     private drainingSince = new Map<string, number>();
     /** Fencing token of the leadership that drains these VMs. */
     private drainingToken = 0;
@@ -145,12 +152,12 @@
         if (lease.fencingToken === this.token) {
             return;
         }
-        const { vmLeases, clock } = this.dependencies;
+        const { vmLeases } = this.dependencies;
         this.token = lease.fencingToken;
         this.busySince.clear();
-        this.maintenanceStartedAt.clear();
+        this.requestedMaintenance.clear();
         vmLeases.readVms().filter(({ state }) => state === VmState.Maintenance)
-            .forEach(({ vm }) => this.maintenanceStartedAt.set(vm, clock.readWall()));
+            .forEach(({ vm }) => this.noteRequest(vm));
     }
 
     /** After a fault, the wave waits for a while; VMs that drain for it stay cordoned meanwhile. */
@@ -160,7 +167,7 @@
         draining: Map<string, number>,
     ): Generator<unknown, void, unknown> {
         const { log, clock } = this.dependencies;
-        if (clock.readWall() < (this.faultyUntil.get(wave.number) ?? 0)) {
+        if (clock.readMonotonic() < (this.faultyUntil.get(wave.number) ?? 0)) {
             this.restoreDraining(wave, draining);
             return;
         }
@@ -172,7 +179,7 @@
                 throw error;
             }
             createFaultListener(log)({ work: WorkKind.VmMaintenance, subject: `wave ${wave.number}`, error });
-            this.faultyUntil.set(wave.number, clock.readWall() + faultDelayMs);
+            this.faultyUntil.set(wave.number, clock.readMonotonic() + faultDelayMs);
             this.restoreDraining(wave, draining);
         }
     }
@@ -192,11 +199,11 @@
         draining: Map<string, number>,
     ): Generator<unknown, void, unknown> {
         const { clock, sessions, maintenanceMs, leadership, vmLeases, isMoving, log } = this.dependencies;
-        const now = clock.readWall();
+        const now = clock.readMonotonic();
         const targets = collectTargetsByVm(fleet);
         const plan = planMaintenance({
             cap: wave.cap,
-            deadlineAtMs: wave.deadlineAtMs,
+            deadlineAt: now + wave.deadlineAtMs - clock.readWall(),
             downCount: wave.vms.filter(vm => this.isDown(vm)).length,
             waiting: wave.vms.filter(vm =>
                 !wave.done.includes(vm) && !isMoving(vm) && vmLeases.isLeaseAvailable(vm)
@@ -245,9 +252,15 @@
 
     /** The request may have been sent, so that the VM counts as down, like after a request without an answer. */
     private handleFault(vm: string): void {
-        const now = this.dependencies.clock.readWall();
-        this.maintenanceStartedAt.set(vm, now);
-        this.retryAt.set(vm, now + busyRetryDelayMs);
+        this.noteRequest(vm);
+        this.retryAt.set(vm, this.dependencies.clock.readMonotonic() + busyRetryDelayMs);
+    }
+
+    private noteRequest(vm: string): void {
+        this.requestedMaintenance.set(vm, {
+            at: this.dependencies.clock.readMonotonic(),
+            incarnation: this.findIncarnation(vm),
+        });
     }
 
     private async startMaintenance(
@@ -280,7 +293,7 @@
         const isFinished = result === VmRequestResult.Done || result === VmRequestResult.Unknown
             || result === VmRequestResult.NotOfWave || isGone;
         if (result === VmRequestResult.Busy) {
-            this.retryAt.set(vm, clock.readWall() + busyRetryDelayMs);
+            this.retryAt.set(vm, clock.readMonotonic() + busyRetryDelayMs);
         }
         else {
             this.busySince.delete(vm);
@@ -294,7 +307,7 @@
             listed: vmLeases.readVms().find(view => view.vm === vm)?.state ?? "not listed",
         });
         if (result === VmRequestResult.Done || result === VmRequestResult.Unanswered) {
-            this.maintenanceStartedAt.set(vm, clock.readWall());
+            this.noteRequest(vm);
         }
         if (!isFinished) {
             return;
@@ -347,7 +360,7 @@
     private recordPostponed(wave: MaintenanceWave, vms: readonly string[]): void {
         const { clock, log } = this.dependencies;
         for (const vm of vms) {
-            this.retryAt.set(vm, clock.readWall() + postponementMs);
+            this.retryAt.set(vm, clock.readMonotonic() + postponementMs);
             this.longRunningCounts.delete(vm);
             log.record(DecisionKind.UpkeepDelayed, { wave: wave.number, vm, result: "no-room", forMs: postponementMs });
         }
@@ -358,7 +371,7 @@
         const runs = recorded.flatMap(([task, run]) => this.buildRun(fleet, target?.id ?? "", task, run));
         const count = runs.filter(({ isLongRunning }) => isLongRunning).length;
         const previous = this.longRunningCounts.get(vm);
-        const unchangedSince = previous?.count === count ? previous.since : this.dependencies.clock.readWall();
+        const unchangedSince = previous?.count === count ? previous.since : this.dependencies.clock.readMonotonic();
         this.longRunningCounts.set(vm, { count, since: unchangedSince });
         return { vm, target: target?.id, runs, drainingSince: this.drainingSince.get(vm), unchangedSince };
     }
@@ -403,18 +416,27 @@
     }
 
     private isDown(vm: string): boolean {
-        const { leadership, clock, maintenanceMs } = this.dependencies;
-        const requestedAtMs = this.maintenanceStartedAt.get(vm);
-        if (requestedAtMs === undefined) {
+        const { clock, maintenanceMs } = this.dependencies;
+        const request = this.requestedMaintenance.get(vm);
+        if (request === undefined) {
             return false;
         }
-        const request = { requestedAtMs, nowMs: clock.readWall(), maintenanceMs };
+        const elapsedMs = clock.readMonotonic() - request.at;
         // Most maintenance is long over, so that the target need not be searched.
-        if (!isVmDown({ ...request, incarnation: 0 })) {
+        if (!isVmDown({ elapsedMs, maintenanceMs, isRestarted: false })) {
             return false;
         }
-        const target = [...leadership.readFleet().targets.values()].find(record => record.vm === vm);
-        return isVmDown({ ...request, incarnation: target?.incarnation ?? 0 });
+        const incarnation = this.findIncarnation(vm);
+        return isVmDown({
+            elapsedMs,
+            maintenanceMs,
+            isRestarted: incarnation !== undefined && incarnation !== request.incarnation,
+        });
+    }
+
+    private findIncarnation(vm: string): number | undefined {
+        const { targets } = this.dependencies.leadership.readFleet();
+        return [...targets.values()].find(record => record.vm === vm)?.incarnation;
     }
 }
 
--- a/packages/daemon/src/job-scheduler/testing/manual-clock.ts
+++ b/packages/daemon/src/job-scheduler/testing/manual-clock.ts
@@ -11,6 +11,7 @@
 /** A clock that only a test advances. */
 export class ManualClock extends Clock {
     private now = 0;
+    private wallJumpMs = 0;
     private timers: Timer[] = [];
 
     /**
@@ -26,7 +27,15 @@
     }
 
     override readWall(): number {
-        return this.startedAtMs + this.now;
+        return this.startedAtMs + this.now + this.wallJumpMs;
+    }
+
+    /**
+     * Lets the wall clock jump; the monotonic one goes on.
+     * @param ms - its lead over a clock that has not jumped, milliseconds
+     */
+    setWallJump(ms: number): void {
+        this.wallJumpMs = ms;
     }
 
     override schedule(delayMs: number, callback: () => void): () => void {
