The stand-in target lets the leader count with a capacity that has grown as soon as it was reported

The trace: t2 reports 0 for five seconds, grows to 4,000 at 5,779 ms, reports it at 6,015, shrinks to 0 at 6,098 and is due to report that a second later. The starts at 6,593 and 6,752 are within what the leader was told last. The stand-in kept the capacity with which the leader may count at 0 until 4 s after the report of 4,000, so that it called them violations, against its own definition ("the largest capacity that the leader may still count with").

The stand-in now raises that capacity with the report, and lowers it 4 s after the report of a smaller one, as before. The test stays as a regression case of the stand-in.

--- a/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.soak.test.ts
@@ -458,7 +458,7 @@
             Math.max(60_000, runs * runTimeoutMs),
         );
 
-        // Starts exceeded the capacity of a target whose capacity had shrunk; the cause is not known yet.
+        // The capacity had grown, was reported and shrank before the next heartbeat: the leader may count with the grown one.
         it("keeps to the capacity of a target that shrinks while the leader lease lapses", () =>
             fc.assert(scenarioWithResizes, { numRuns: 1, seed: 53, path: "212", endOnFailure: true }));
 
--- a/packages/daemon/src/job-scheduler/testing/simulated-target.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-target.ts
@@ -97,10 +97,16 @@
     }
 
     /**
-     * Records that the leader knows a capacity, with which it has to count from some time later on.
+     * Records that the leader knows a capacity, with which it may count at once and has to count from some time later on.
      * @param capacity - the capacity
      */
     noteReported(capacity: Resources): void {
+        const { cpu, memory, gpu } = this.countedCapacity;
+        this.countedCapacity = {
+            cpu: Math.max(cpu, capacity.cpu),
+            memory: Math.max(memory, capacity.memory),
+            gpu: Math.max(gpu, capacity.gpu),
+        };
         this.options.clock.schedule(capacityGraceMs, () => {
             if (this.record.capacity === capacity) {
                 this.countedCapacity = capacity;
