An ejected target is tried again although a long-running task runs on it

Callers saw: tasks waited while most of the room of their pool was unused: of four targets one was usable.

Cause: after an ejection a target gets one task at a time until a run succeeds, and long-running tasks on it held that place for good. The bound of a third of a pool counted only targets whose tasks were slow at that moment, so that others were ejected while the first waited for their trial.

Change: runs that end by themselves count for the trial; the bound counts every target that is ejected or being tried again.

--- a/packages/core/src/targets/target-circuit-breaker.ts
+++ b/packages/core/src/targets/target-circuit-breaker.ts
@@ -6,8 +6,8 @@
 
 /**
  * Circuit breaker of one target. Opens when runs of several jobs fail on it, because a target that fails every run
- * would otherwise attract more and more work, or when a run stalls. An open circuit ejects the target for a time; then
- * the circuit is half-open, and the target gets one task at a time until a run succeeds there.
+ * would otherwise attract more and more work, or when a run stalls. An open circuit ejects the
+ * target for a time; then the circuit is half-open, and the target gets one task at a time until a run succeeds there.
  */
 export class TargetCircuitBreaker {
     private readonly failedJobs = new Set<string>();
@@ -46,9 +46,17 @@
         this.open(now);
     }
 
+    /**
+     * Tells whether the target is ejected, or tried again with one task at a time.
+     * @returns false while the circuit is closed
+     */
+    isEjected(): boolean {
+        return this.isTripped;
+    }
+
     /**
      * Tells how many tasks may be started on the target.
-     * @param running - number of tasks that may be running there
+     * @param running - number of tasks that may be running there and end by themselves
      * @param now - monotonic milliseconds
      * @returns 0 while the circuit is open, at most 1 while it is half-open, infinity while it is closed
      */
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -41,7 +41,7 @@
     readonly handleUnansweredRequest: (target: TargetRecord) => void;
     /** Tasks that have stalled, on whichever target. */
     readonly stalledTasks: Pick<StalledTaskRegistry, "noteStall">;
-    /** Whether a target may be ejected as slow; false while many targets of its pool already are. */
+    /** Whether a target may be ejected as slow; false while many targets of its pool are ejected. */
     readonly mayEjectSlow: (target: TargetRecord) => boolean;
     /**
      * Estimates the duration of a task on a healthy target, milliseconds; `undefined` while too few runs have been
--- a/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-health-monitor.ts
@@ -1,3 +1,4 @@
+import { countEndingRuns } from "@daisylock/core/jobs/count-ending-runs.js";
 import { decodeTaskKey } from "@daisylock/core/jobs/decode-task-key.js";
 import { RunOutcome } from "@daisylock/core/jobs/run-outcome.js";
 import { StallDetector } from "@daisylock/core/targets/stall-detector.js";
@@ -18,8 +19,8 @@
     private readonly circuitBreaker = new TargetCircuitBreaker();
     private readonly stallDetector = new StallDetector();
     private readonly slowDetector = new SlowTargetDetector();
-    /** Whether the target is ejected because it is slow. */
-    isSlow = false;
+    /** Whether the tasks of the target take several times as long as expected. */
+    private isSlow = false;
     /** Jobs of the running tasks, by encoded task key; `undefined` for tasks that are not expected to advance. */
     private jobsByTask: ReadonlyMap<string, string | undefined> = new Map();
 
@@ -37,11 +38,25 @@
 
     /**
      * Counts the tasks that may be started on the target now.
-     * @param running - number of tasks that may be running there
      * @returns 0 when none may be started; infinity for a healthy target
      */
-    countStartsLeft(running: number): number {
-        return this.circuitBreaker.countStartsLeft(running, this.dependencies.clock.readMonotonic());
+    countStartsLeft(): number {
+        return this.circuitBreaker.isEjected()
+            ? this.circuitBreaker.countStartsLeft(this.countEndingRuns(), this.dependencies.clock.readMonotonic())
+            : Number.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Tells whether the target is ejected, or tried again with one task at a time.
+     * @returns false for a healthy target
+     */
+    isEjected(): boolean {
+        return this.circuitBreaker.isEjected();
+    }
+
+    private countEndingRuns(): number {
+        const fleet = this.dependencies.leadership.readFleet();
+        return countEndingRuns(fleet, fleet.targetLoads.get(this.target.id)?.runs.keys() ?? []);
     }
 
     /**
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -205,7 +205,7 @@
      */
     readStatus(): TargetStatus {
         const { runs } = this.readLoad();
-        const isEjected = this.healthMonitor.countStartsLeft(runs.size) === 0;
+        const isEjected = this.healthMonitor.countStartsLeft() === 0;
         return {
             exclusion: this.findExclusion() ?? (isEjected ? TargetExclusion.Ejected : undefined),
             unconfirmedRuns: this.requests.collectUnconfirmedRuns(runs, this.openedAt),
@@ -221,11 +221,11 @@
     }
 
     /**
-     * Tells whether the target is ejected because it is slow.
-     * @returns true while its tasks take several times as long as expected
+     * Tells whether the target is ejected, or tried again with one task at a time.
+     * @returns false for a healthy target
      */
-    isSlow(): boolean {
-        return this.healthMonitor.isSlow;
+    isEjected(): boolean {
+        return this.healthMonitor.isEjected();
     }
 
     /**
@@ -260,7 +260,7 @@
      * @returns 0 when none may be started; infinity for a healthy target
      */
     countStartsLeft(): number {
-        return this.isUsable() ? this.healthMonitor.countStartsLeft(this.readLoad().runs.size) : 0;
+        return this.isUsable() ? this.healthMonitor.countStartsLeft() : 0;
     }
 
     /**
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.ts
@@ -216,12 +216,13 @@
     }
 
     /**
-     * Counts the targets of a pool that are ejected as slow.
+     * Counts the targets of a pool that are ejected, or tried again with one task at a time.
      * @param pool - name of the pool
      * @returns the number of targets
      */
-    countSlow(pool: string): number {
-        return [...this.sessions.values()].filter(session => session.record.pool === pool && session.isSlow()).length;
+    countEjected(pool: string): number {
+        return [...this.sessions.values()].filter(session => session.record.pool === pool && session.isEjected())
+            .length;
     }
 
     /**
