--- a/packages/core/src/jobs/compute-job-bytes.ts
+++ b/packages/core/src/jobs/compute-job-bytes.ts
@@ -10,8 +10,9 @@
 const dependencyBytes = 8;
 
 /**
- * Estimates the memory that a job takes in a keeper, in the heap and in a snapshot, from above. A job that has not begun is counted with the tasks of one
- * occurrence, so that an accepted job can start without more memory than it was admitted with.
+ * Estimates the memory that a job takes in a keeper, in the heap and in a snapshot, from above. A job that has not begun
+ * is counted with the tasks of one occurrence, so that an accepted job can start without more memory than it was admitted
+ * with.
  * @param job - the job
  * @returns the memory in bytes
  */
