--- a/packages/core/src/pools/is-holder-lease-expired.ts
+++ b/packages/core/src/pools/is-holder-lease-expired.ts
@@ -1,6 +1,6 @@
 import type { VmRequestRecord } from "./vm-request-record.js";
 
-/** Maximum difference between the wall clocks of two keepers (control-plane replicas), of which one may jump, milliseconds. */
+/** Maximum difference between the wall clocks of two keepers (control-plane replicas), which may jump, milliseconds. */
 const maxClockSkewMs = 10_000;
 
 /** The newest recorded request for a VM, as one process sees it. */
