leadership-lost and leader-load tell why the lease lapsed

A lapse of the leader lease within its term could come from acknowledgements that are older than the lease, from a suspension that was taken note of, or from a turn of the event loop that took long; the log told none of them apart.

leadership-lost has quorumMs (age of the latest message that a quorum has acknowledged) and resumeMs (time since a suspension was last detected); leader-load has longestTurnMs (by how much a timer was late at most).

--- a/packages/daemon/src/job-scheduler/leader/leadership.ts
+++ b/packages/daemon/src/job-scheduler/leader/leadership.ts
@@ -6,6 +6,7 @@
 
 import type { Clock } from "../../clock/clock.js";
 import type { Keeper } from "../../request-proxy/keeper/keeper.js";
+import type { LeaseAges } from "../../request-proxy/keeper/lease-ages.js";
 import { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 
 /**
@@ -33,7 +34,13 @@
     constructor(
         private readonly keeper: Pick<
             Keeper,
-            "isActiveLeader" | "readControl" | "readView" | "readTerm" | "countVoters" | "sendCommand"
+            | "isActiveLeader"
+            | "readLeaseAges"
+            | "readControl"
+            | "readView"
+            | "readTerm"
+            | "countVoters"
+            | "sendCommand"
         >,
         private readonly minVoters: number,
         private readonly founding?: Founding,
@@ -47,6 +54,14 @@
         return this.keeper.isActiveLeader() && this.keeper.countVoters() >= this.minVoters && !this.isFounding();
     }
 
+    /**
+     * Reads the ages of what the leader lease rests on.
+     * @returns the ages, which tell why it is not valid
+     */
+    readLeaseAges(): LeaseAges {
+        return this.keeper.readLeaseAges();
+    }
+
     /**
      * Reads the replicated state as applied by this keeper.
      * @returns the fleet state, which must not be modified
--- a/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.test.ts
@@ -18,8 +18,10 @@
         const meter = new LoadMeter();
         meter.noteRound(4, true);
         meter.noteRound(4);
-        expect(meter.takeInterval()).toMatchObject({ rounds: 2, limitedRounds: 1 });
-        expect(meter.takeInterval()).toMatchObject({ limitedRounds: 0 });
+        meter.noteTimerDelay(3);
+        meter.noteTimerDelay(2);
+        expect(meter.takeInterval()).toMatchObject({ rounds: 2, limitedRounds: 1, longestTurnMs: 3 });
+        expect(meter.takeInterval()).toMatchObject({ limitedRounds: 0, longestTurnMs: 0 });
     });
 
     // Two codes could not be compared by what a start, a commit or an event costs.
--- a/packages/daemon/src/job-scheduler/leader/load-meter.ts
+++ b/packages/daemon/src/job-scheduler/leader/load-meter.ts
@@ -22,6 +22,8 @@
     readonly longestRoundMs: number;
     /** Rounds that planned as many starts as a round may, so that tasks may wait beside targets with room. */
     readonly limitedRounds: number;
+    /** Longest time for which the event loop kept a timer waiting, milliseconds. */
+    readonly longestTurnMs: number;
     /** Iterations of the event loop and the events that it handled; `undefined` where the runtime does not count them. */
     readonly loops: number | undefined;
     readonly events: number | undefined;
@@ -63,6 +65,7 @@
     private roundMs = 0;
     private longestRoundMs = 0;
     private limitedRounds = 0;
+    private longestTurnMs = 0;
     private starts = 0;
     private startCommits = 0;
     private startCommitMs = 0;
@@ -112,6 +115,14 @@
         this.longestRoundMs = Math.max(this.longestRoundMs, durationMs);
     }
 
+    /**
+     * Records by how much a timer was late.
+     * @param delayMs - the delay, milliseconds
+     */
+    noteTimerDelay(delayMs: number): void {
+        this.longestTurnMs = Math.max(this.longestTurnMs, delayMs);
+    }
+
     /**
      * Records the commit of starts of tasks.
      * @param count - number of recorded starts
@@ -194,6 +205,7 @@
             roundMs: Math.round(this.roundMs),
             longestRoundMs: Math.round(this.longestRoundMs),
             limitedRounds: this.limitedRounds,
+            longestTurnMs: Math.round(this.longestTurnMs),
             loops: computeDifference(loopCounts.loopCount, this.loopCounts.loopCount),
             events: computeDifference(loopCounts.events, this.loopCounts.events),
             starts: this.starts,
@@ -220,6 +232,7 @@
         this.roundMs = 0;
         this.longestRoundMs = 0;
         this.limitedRounds = 0;
+        this.longestTurnMs = 0;
         this.starts = 0;
         this.startCommits = 0;
         this.startCommitMs = 0;
--- a/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.test.ts
@@ -57,6 +57,7 @@
             load: new LoadMeter(),
             leadership: {
                 isActive: () => leadership.isActive,
+                readLeaseAges: () => ({ quorumMs: 951.2, resumeMs: undefined }),
                 readFencingToken: () => leadership.term,
                 readFleet: () => state.fleet,
                 recordCommand,
@@ -236,7 +237,10 @@
         leadership.term = 9;
         leadership.isActive = true;
         await waitUntil(() => gained().length === 3);
-        expect(lost()).toEqual([{ term: 7, sameTerm: true }, { term: 8, sameTerm: false }]);
+        expect(lost()).toEqual([
+            { term: 7, sameTerm: true, quorumMs: 951, resumeMs: undefined },
+            { term: 8, sameTerm: false, quorumMs: 951, resumeMs: undefined },
+        ]);
         expect(gained()).toEqual([
             { term: 7, lapsedMs: undefined },
             { term: 7, lapsedMs: expect.any(Number) },
--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -183,7 +183,13 @@
             this.ledTerm = term;
         }
         else {
-            log.record(DecisionKind.LeadershipLost, { term, sameTerm: isSameTerm });
+            const { quorumMs, resumeMs } = leadership.readLeaseAges();
+            log.record(DecisionKind.LeadershipLost, {
+                term,
+                sameTerm: isSameTerm,
+                quorumMs: roundMs(quorumMs),
+                resumeMs: roundMs(resumeMs),
+            });
             this.ceasedAt = now;
         }
     }
@@ -384,6 +390,10 @@
     }
 }
 
+function roundMs(ms: number | undefined): number | undefined {
+    return ms === undefined ? undefined : Math.round(ms);
+}
+
 /** Collects the steps of some starts by their keys. Keys of other steps are not built, as a backlog has thousands. */
 function collectStartedSteps(
     candidates: readonly StepCandidate[],
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -228,6 +228,7 @@
                 leader.startScheduling();
             },
             handleWritten: durationMs => this.load.noteWrite(durationMs),
+            handleTick: delayMs => this.load.noteTimerDelay(delayMs),
             handleLoaded: loaded => this.log.record(DecisionKind.LogLoaded, { ...loaded }),
             measure: (work, run) => this.load.measure(work, run),
         });
--- a/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
+++ b/packages/daemon/src/job-scheduler/testing/fake-keeper.ts
@@ -7,12 +7,22 @@
 
 import type { KeeperView } from "../../request-proxy/keeper/keeper-view.js";
 import type { Keeper } from "../../request-proxy/keeper/keeper.js";
+import type { LeaseAges } from "../../request-proxy/keeper/lease-ages.js";
 import type { ProposeFailureKind } from "../../request-proxy/keeper/propose-failure-kind.js";
 import type { ProposeFailure } from "../../request-proxy/keeper/propose-failure.js";
 
 /** A leading keeper that applies commands at once, and whose lease and commits a test controls. */
-export class FakeKeeper
-    implements Pick<Keeper, "isActiveLeader" | "readControl" | "readView" | "readTerm" | "countVoters" | "sendCommand">
+export class FakeKeeper implements
+    Pick<
+        Keeper,
+        | "isActiveLeader"
+        | "readLeaseAges"
+        | "readControl"
+        | "readView"
+        | "readTerm"
+        | "countVoters"
+        | "sendCommand"
+    >
 {
     isLeaseValid = true;
     term = 1;
@@ -47,6 +57,10 @@
         return this.isLeaseValid;
     }
 
+    readLeaseAges(): LeaseAges {
+        return { quorumMs: 0, resumeMs: undefined };
+    }
+
     readControl(): ControlState {
         return this.state;
     }
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -236,6 +236,7 @@
         const isRunning = () => process === this.leaderProcess;
         return {
             isActiveLeader: () => isRunning() && keeper.isActiveLeader(),
+            readLeaseAges: () => keeper.readLeaseAges(),
             readControl: () => keeper.readControl(),
             readView: () => keeper.readView(),
             readTerm: () => keeper.readTerm(),
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -44,6 +44,7 @@
 import { KeeperEventKind } from "./keeper-event-kind.js";
 import type { KeeperEvent } from "./keeper-event.js";
 import type { KeeperView } from "./keeper-view.js";
+import type { LeaseAges } from "./lease-ages.js";
 import { PendingProposals } from "./pending-proposals.js";
 import { ProposeFailureKind } from "./propose-failure-kind.js";
 import type { ProposeFailure } from "./propose-failure.js";
@@ -108,6 +109,8 @@
     readonly handleApplied?: () => void;
     /** Called after each write of log entries to disk with its duration, milliseconds. */
     readonly handleWritten?: (durationMs: number) => void;
+    /** Called with the delay of each tick, milliseconds: the event loop was busy with something else for as long. */
+    readonly handleTick?: (delayMs: number) => void;
     /** Called once the stored log is loaded. */
     readonly handleLoaded?: (loaded: LoadedLog) => void;
     /** Runs work of the main thread and records its time. */
@@ -289,6 +292,20 @@
             && computeLeaseStart(this.raft, now) > lastResumedAt;
     }
 
+    /**
+     * Reads the ages of what the leader lease rests on, which tell why it is not valid.
+     * @returns the ages; those of a keeper that does not lead say nothing
+     */
+    readLeaseAges(): LeaseAges {
+        const now = this.dependencies.clock.readMonotonic();
+        const lastResumedAt = this.suspensionDetector.readLastResume();
+        const leaseStart = this.raft === undefined ? -1 : computeLeaseStart(this.raft, now);
+        return {
+            quorumMs: leaseStart < 0 ? undefined : now - leaseStart,
+            resumeMs: lastResumedAt < 0 ? undefined : now - lastResumedAt,
+        };
+    }
+
     /**
      * Reads the replicated state as applied by this keeper.
      * @returns the state; callers must not modify it
@@ -341,11 +358,13 @@
     }
 
     private startTick(): void {
-        const { clock, metrics } = this.dependencies;
+        const { clock, metrics, handleTick } = this.dependencies;
         const dueAt = clock.readMonotonic() + tickMs;
         this.stopTick = clock.schedule(tickMs, () => {
             const now = clock.readMonotonic();
-            metrics.recordTime(MetricName.TickDelay, Math.max(0, now - dueAt));
+            const delayMs = Math.max(0, now - dueAt);
+            metrics.recordTime(MetricName.TickDelay, delayMs);
+            handleTick?.(delayMs);
             this.reportLeaseLapse(now);
             if (!this.isTickWaiting) {
                 this.isTickWaiting = this.mailbox.put({ kind: KeeperEventKind.Tick });
