--- a/packages/daemon/src/request-proxy/keeper/keeper.test.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.test.ts
@@ -61,6 +61,8 @@
     private readonly held: (() => void)[] = [];
     private isHolding = false;
     writes = 0;
+    /** Tells the keeper that the disk has finished a step of the write. */
+    noteProgress: () => void = () => undefined;
 
     get heldWrites(): number {
         return this.held.length;
@@ -79,9 +81,10 @@
         this.held.splice(0).forEach(release => release());
     }
 
-    override async append(): Promise<void> {
+    override async append(_batch: unknown, handleProgress?: () => void): Promise<void> {
         this.writes += 1;
         if (this.isHolding) {
+            this.noteProgress = handleProgress ?? this.noteProgress;
             await new Promise<void>(resolve => this.held.push(resolve));
             return;
         }
@@ -201,6 +204,40 @@
             storages[position]?.releaseWrites();
         });
 
+        // A busy leader took its own event loop, and the many steps of a snapshot, for a disk that hangs.
+        it("goes on with them while the write makes progress", async () => {
+            const leader = findLeader();
+            const position = keepers.findIndex(keeper => keeper === leader);
+            storages[position]?.stopWrites();
+            void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership });
+            await waitUntil(() => storages[position]?.heldWrites === 1);
+            const lapsesBefore = counts.get(MetricName.LeaseLapses);
+            const until = performance.now() + 1.5 * timing.leaseMs;
+            while (performance.now() < until) {
+                await new Promise(resolve => setTimeout(resolve, 50));
+                storages[position]?.noteProgress();
+            }
+            storages[position]?.releaseWrites();
+            expect([lapsesBefore, counts.get(MetricName.LeaseLapses)]).toEqual([undefined, undefined]);
+        });
+
+        it("goes on with them after the event loop was blocked", async () => {
+            const leader = findLeader();
+            const position = keepers.findIndex(keeper => keeper === leader);
+            storages[position]?.stopWrites();
+            void leader?.sendCommand({ kind: CommandKind.ConfirmLeadership });
+            await waitUntil(() => storages[position]?.heldWrites === 1);
+            for (let turn = 0; turn < 20; turn++) {
+                const blockedUntil = performance.now() + 80;
+                while (performance.now() < blockedUntil) {
+                    // Nothing else runs meanwhile.
+                }
+                await new Promise(resolve => setTimeout(resolve, 1));
+            }
+            storages[position]?.releaseWrites();
+            expect(counts.get(MetricName.LeaseLapses)).toBeUndefined();
+        });
+
         it("hands the leadership to a keeper whose disk works when the write does not end", async () => {
             const leader = findLeader();
             const position = keepers.findIndex(keeper => keeper === leader);
