--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -55,10 +55,10 @@
 /** Maximum number of events handled before messages are sent. */
 const maxBatchEvents = 512;
 /**
- * Duration of a write from which the keeper waits for it, milliseconds. A leader whose disk hangs then sends no heartbeats,
- * so that a keeper with a working disk takes over.
+ * Time without progress of a write from which the keeper waits for it, milliseconds. A leader whose disk hangs then sends
+ * no heartbeats, so that a keeper with a working disk takes over. Time for which the event loop is late doesn't count.
  */
-const maxConcurrentWriteMs = 150;
+const maxWriteStallMs = 150;
 /** Shortest time from a leader's write to its next proposals, milliseconds, as each write costs a message to each keeper. */
 const proposalGapMs = 12;
 /** Much shorter than the shortest heartbeat interval, so that elections and heartbeats start on time. */
@@ -120,9 +120,9 @@
 /** A write to disk that has begun. */
 interface WriteUnderWay {
     /** Rejected when the write has failed. */
-    readonly done: Promise<void>;
-    /** Monotonic milliseconds. */
-    readonly startedAt: number;
+    done: Promise<void>;
+    /** When the disk last finished a step of it, in milliseconds of the time for which the event loop was not late. */
+    progressAt: number;
     isDone: boolean;
     hasFailed: boolean;
 }
@@ -150,6 +150,10 @@
     private transfer: LeadershipTransfer | undefined;
     private stopTick: () => void = () => undefined;
     private isTickWaiting = false;
+    /** When the next tick is due, monotonic milliseconds. */
+    private tickDueAt = 0;
+    /** Sum of the delays of all ticks, milliseconds. */
+    private lateMs = 0;
     /** Payload of the entries applied since the last snapshot, characters. */
     private appliedCharacters = 0;
     /** Whether the leader lease was valid at the last tick. */
@@ -359,10 +363,11 @@
 
     private startTick(): void {
         const { clock, metrics, handleTick } = this.dependencies;
-        const dueAt = clock.readMonotonic() + tickMs;
+        this.tickDueAt = clock.readMonotonic() + tickMs;
         this.stopTick = clock.schedule(tickMs, () => {
             const now = clock.readMonotonic();
-            const delayMs = Math.max(0, now - dueAt);
+            const delayMs = Math.max(0, now - this.tickDueAt);
+            this.lateMs += delayMs;
             metrics.recordTime(MetricName.TickDelay, delayMs);
             handleTick?.(delayMs);
             this.reportLeaseLapse(now);
@@ -373,6 +378,12 @@
         });
     }
 
+    /** Reads a clock that stands still while the event loop is late, milliseconds. */
+    private readPunctualTime(): number {
+        const now = this.dependencies.clock.readMonotonic();
+        return now - this.lateMs - Math.max(0, now - this.tickDueAt);
+    }
+
     /** Counts when the lease of a leader expires within its term, for example because the event loop was blocked. */
     private reportLeaseLapse(now: number): void {
         const isValid = this.raft !== undefined && isLeaseValid(this.raft, now);
@@ -468,9 +479,8 @@
 
     /** Ends a write that is done, sends and applies what it or the events have made possible, and begins the next write. */
     private *runWrites(raft: RaftState, writer: LogWriter): Generator<unknown, void, unknown> {
-        const { clock } = this.dependencies;
         const { write } = this;
-        if (write !== undefined && !write.isDone && clock.readMonotonic() - write.startedAt > maxConcurrentWriteMs) {
+        if (write !== undefined && !write.isDone && this.readPunctualTime() - write.progressAt > maxWriteStallMs) {
             yield* waitFor(write.done);
         }
         if (write?.isDone === true) {
@@ -512,10 +522,19 @@
         }
         const { hard, snapshot, base, truncateFrom, entries } = batch;
         const startedAt = clock.readMonotonic();
-        const done = snapshot === undefined
-            ? storage.append({ hard, truncateFrom, entries })
-            : storage.saveSnapshot(snapshot, base, { hard, truncateFrom, entries });
-        const write: WriteUnderWay = { done, startedAt, isDone: false, hasFailed: false };
+        const write: WriteUnderWay = {
+            done: Promise.resolve(),
+            progressAt: this.readPunctualTime(),
+            isDone: false,
+            hasFailed: false,
+        };
+        const handleProgress = (): void => {
+            write.progressAt = this.readPunctualTime();
+        };
+        const log = { hard, truncateFrom, entries };
+        write.done = snapshot === undefined
+            ? storage.append(log, handleProgress)
+            : storage.saveSnapshot(snapshot, base, log, handleProgress);
         this.write = write;
         this.nextProposalAt = startedAt + proposalGapMs;
         const handleEnd = (hasFailed: boolean): void => {
@@ -524,7 +543,7 @@
             // A full mailbox wakes the goroutine as well; in a closed one the goroutine waits for the write.
             this.mailbox.put({ kind: KeeperEventKind.Written });
         };
-        done.then(() => {
+        write.done.then(() => {
             this.reportWrite(clock.readMonotonic() - startedAt, snapshot?.index);
             handleEnd(false);
         }, () => handleEnd(true));
--- a/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
+++ b/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
@@ -53,23 +53,30 @@
         return content;
     }
 
-    override async append(batch: LogBatch): Promise<void> {
+    override async append(batch: LogBatch, handleProgress: () => void = ignoreProgress): Promise<void> {
         await this.writeUnlessFailed("log", async () => {
             await this.logFile?.appendFile(encodeBatch(batch));
+            handleProgress();
             await this.logFile?.datasync();
         });
     }
 
-    override async saveSnapshot(snapshot: Snapshot, base: LogBase, batch: LogBatch): Promise<void> {
+    override async saveSnapshot(
+        snapshot: Snapshot,
+        base: LogBase,
+        batch: LogBatch,
+        handleProgress: () => void = ignoreProgress,
+    ): Promise<void> {
         await this.writeUnlessFailed("snapshot", async () => {
-            await this.writeFile("snapshot", encodeSnapshot(snapshot));
+            await this.writeFile("snapshot", encodeSnapshot(snapshot), handleProgress);
             const previous = this.logFile;
             const header = encodeRecord(
                 LogRecordData.encode(LogRecordData.fromPartial({ baseIndex: base.index, baseTerm: base.term }))
                     .finish(),
             );
-            await this.writeFile("log", [header, encodeBatch(batch)]);
+            await this.writeFile("log", [header, encodeBatch(batch)], handleProgress);
             this.logFile = await open(this.buildPath("log"), "a");
+            handleProgress();
             await previous?.close();
         });
     }
@@ -136,19 +143,28 @@
     }
 
     /** Writes and syncs a temporary file, then renames it, so that a crash leaves either the old or the new file intact. */
-    private async writeFile(file: string, content: Iterable<Buffer>): Promise<void> {
+    private async writeFile(
+        file: string,
+        content: Iterable<Buffer>,
+        handleProgress: () => void = ignoreProgress,
+    ): Promise<void> {
         const path = this.buildPath(file);
         const handle = await open(`${path}.new`, "w");
-        await writeFile(handle, content);
+        await writeFile(handle, reportProgress(content, handleProgress));
+        handleProgress();
         await handle.sync();
+        handleProgress();
         await handle.close();
+        handleProgress();
         await rename(`${path}.new`, path);
-        await this.syncFolder();
+        await this.syncFolder(handleProgress);
     }
 
-    private async syncFolder(): Promise<void> {
+    private async syncFolder(handleProgress: () => void = ignoreProgress): Promise<void> {
         const folder = await open(this.folder, "r");
+        handleProgress();
         await folder.sync();
+        handleProgress();
         await folder.close();
     }
 
@@ -200,6 +216,18 @@
     }
 }
 
+function ignoreProgress(): void {
+    // Nobody waits for a step.
+}
+
+/** Each part is taken when the one before it is written. */
+function* reportProgress(content: Iterable<Buffer>, handleProgress: () => void): Generator<Buffer> {
+    for (const part of content) {
+        handleProgress();
+        yield part;
+    }
+}
+
 /** Encodes one record at a time, so that the records of a large snapshot are not in memory together. */
 function* encodeSnapshot({ data, ...position }: Snapshot): Generator<Buffer> {
     const parts = data.listBuffers();
--- a/packages/daemon/src/request-proxy/keeper/storage/keeper-storage.ts
+++ b/packages/daemon/src/request-proxy/keeper/storage/keeper-storage.ts
@@ -33,21 +33,24 @@
     /**
      * Appends a batch to the log and waits until it is durable.
      * @param batch - the batch
+     * @param handleProgress - called whenever the disk has finished a step
      * @throws StorageFailure when the batch may not be durable; the storage then refuses all later writes
      */
-    abstract append(batch: LogBatch): Promise<void>;
+    abstract append(batch: LogBatch, handleProgress?: () => void): Promise<void>;
 
     /**
      * Saves a snapshot and replaces the log by a new one with the entries that remain.
      * @param snapshot - the snapshot
      * @param base - position of the log entry before the first that remains
      * @param batch - hard state and entries that remain
+     * @param handleProgress - called whenever the disk has finished a step
      * @throws StorageFailure when the snapshot may not be durable; the storage then refuses all later writes
      */
     abstract saveSnapshot(
         snapshot: Snapshot,
         base: { readonly index: number; readonly term: number },
         batch: LogBatch,
+        handleProgress?: () => void,
     ): Promise<void>;
 
     /** Closes the files. */
