--- a/packages/daemon/src/channel/channel-client.ts
+++ b/packages/daemon/src/channel/channel-client.ts
@@ -222,11 +222,17 @@
     }
 
     private sendFrame(channel: Channel, connection: ChannelConnection, frame: Frame): void {
-        const handleWritten = frame.kind === FrameKind.Notice
-            ? () => settleRequest(channel, frame.id, Result.ok({ status: noContent, body: emptyBody }))
-            : undefined;
         try {
-            connection.sendFrame(frame, handleWritten);
+            if (frame.kind === FrameKind.Notice) {
+                // A message of the replicated log, on which the leader's lease and each commit wait.
+                connection.sendUrgentFrame(
+                    frame,
+                    () => settleRequest(channel, frame.id, Result.ok({ status: noContent, body: emptyBody })),
+                );
+            }
+            else {
+                connection.sendFrame(frame);
+            }
         }
         catch (error) {
             // A frame that can't be encoded costs its request only.
--- a/packages/daemon/src/channel/channel-connection.test.ts
+++ b/packages/daemon/src/channel/channel-connection.test.ts
@@ -51,4 +51,15 @@
         connection.close();
         expect([writesBefore, countWrites()]).toEqual([1, 2]);
     });
+
+    // Heartbeats of a busy leader left up to two turns of its event loop late, and its lease lapsed.
+    it("hands an urgent frame, and those before it, to the network before it returns", () => {
+        const { connection, countWrites } = createConnection();
+        connection.sendFrame(frame);
+        const writesBefore = countWrites();
+        connection.sendUrgentFrame(frame);
+        connection.sendUrgentFrame(frame);
+        connection.close();
+        expect([writesBefore, countWrites()]).toEqual([0, 2]);
+    });
 });
--- a/packages/daemon/src/channel/channel-connection.ts
+++ b/packages/daemon/src/channel/channel-connection.ts
@@ -40,6 +40,7 @@
     private lastWrittenAt = Number.NEGATIVE_INFINITY;
     /** When the oldest ping without an answer was sent, monotonic milliseconds. */
     private pingedAt: number | undefined;
+    private isWriteScheduled = false;
     private isClosed = false;
 
     /**
@@ -66,31 +67,36 @@
     /**
      * Sends a frame. On a connection that has ended it is dropped.
      * @param frame - the frame
-     * @param handleWritten - called when the frame is handed to the network
      * @throws RangeError for a frame that can't be encoded, which changes nothing
      */
-    sendFrame(frame: Frame, handleWritten?: () => void): void {
-        if (this.isClosed) {
-            return;
+    sendFrame(frame: Frame): void {
+        if (!this.isClosed) {
+            this.queued.push(...encodeFrame(frame));
+            this.scheduleWrite();
         }
-        const parts = encodeFrame(frame);
-        if (handleWritten !== undefined) {
+    }
+
+    /**
+     * Sends a frame at once, after those that are queued. The wait for a common write is one or two turns of the event loop
+     * where turns are long.
+     * @param frame - the frame
+     * @param handleWritten - called when the frame is handed to the network
+     * @throws RangeError for a frame that can't be encoded, which changes nothing
+     */
+    sendUrgentFrame(frame: Frame, handleWritten: () => void = () => undefined): void {
+        if (!this.isClosed) {
+            this.queued.push(...encodeFrame(frame));
             this.writtenHandlers.push(handleWritten);
+            this.writeQueued();
         }
-        if (this.queued.length === 0) {
-            this.scheduleWrite();
-        }
-        this.queued.push(...parts);
     }
 
     scheduleNotice(path: string, buildBody: () => Buffer): boolean {
         if (this.isClosed) {
             return false;
         }
-        if (this.queued.length === 0) {
-            this.scheduleWrite();
-        }
         this.queued.push(() => ({ kind: FrameKind.Notice, id: 0, status: 0, path, body: buildBody() }));
+        this.scheduleWrite();
         return true;
     }
 
@@ -148,17 +154,24 @@
 
     /** The first frame after a pause is written at once; under load, frames wait for a common write. */
     private scheduleWrite(): void {
+        if (this.isWriteScheduled) {
+            return;
+        }
+        this.isWriteScheduled = true;
+        const write = (): void => {
+            this.isWriteScheduled = false;
+            this.writeQueued();
+        };
         const delayMs = this.lastWrittenAt + minWriteIntervalMs - this.readNow();
         if (delayMs > 0) {
-            setTimeout(() => this.writeQueued(), delayMs);
+            setTimeout(write, delayMs);
         }
         else {
-            setImmediate(() => this.writeQueued());
+            setImmediate(write);
         }
     }
 
     private writeQueued(): void {
-        this.lastWrittenAt = this.readNow();
         const queued = this.queued;
         const writtenHandlers = this.writtenHandlers;
         this.queued = [];
@@ -166,6 +179,7 @@
         if (this.isClosed || queued.length === 0) {
             return;
         }
+        this.lastWrittenAt = this.readNow();
         let bytes: Buffer;
         try {
             bytes = Buffer.concat(queued.flatMap(part => typeof part === "function" ? encodeFrame(part()) : [part]));
