Messages of the log share a write when the channel has just written

Within 8 ms of a write the message waits for the common one, as the others do; a channel that has not written for as long writes at once.

--- a/packages/daemon/src/channel/channel-connection.ts
+++ b/packages/daemon/src/channel/channel-connection.ts
@@ -77,8 +77,8 @@
     }
 
     /**
-     * Sends a frame at once, after those that are queued. The wait for a common write is one or two turns of the event loop
-     * where turns are long.
+     * Sends a frame at once, after those that are queued, unless frames were written just before. In a process whose turns of
+     * the event loop are long, the write of a later turn comes too late.
      * @param frame - the frame
      * @param handleWritten - called when the frame is handed to the network
      * @throws RangeError for a frame that can't be encoded, which changes nothing
@@ -87,7 +87,12 @@
         if (!this.isClosed) {
             this.queued.push(...encodeFrame(frame));
             this.writtenHandlers.push(handleWritten);
-            this.writeQueued();
+            if (this.computeWriteDelayMs() > 0) {
+                this.scheduleWrite();
+            }
+            else {
+                this.writeQueued();
+            }
         }
     }
 
@@ -162,7 +167,7 @@
             this.isWriteScheduled = false;
             this.writeQueued();
         };
-        const delayMs = this.lastWrittenAt + minWriteIntervalMs - this.readNow();
+        const delayMs = this.computeWriteDelayMs();
         if (delayMs > 0) {
             setTimeout(write, delayMs);
         }
@@ -171,6 +176,10 @@
         }
     }
 
+    private computeWriteDelayMs(): number {
+        return this.lastWrittenAt + minWriteIntervalMs - this.readNow();
+    }
+
     private writeQueued(): void {
         const queued = this.queued;
         const writtenHandlers = this.writtenHandlers;
--- a/packages/daemon/src/request-proxy/keeper/keeper.ts
+++ b/packages/daemon/src/request-proxy/keeper/keeper.ts
@@ -145,6 +145,8 @@
     private control: ControlState = createControlState();
     /** Peer addresses of keepers that have sent messages; a new member has no other addresses yet. */
     private readonly senderAddresses = new Map<string, string>();
+    /** Voters as last counted: each request asks for their number. */
+    private counted: { voters: Members["voters"] | undefined; count: number } = { voters: undefined, count: 0 };
     private lastRole = RaftRole.Follower;
     /** Set during a leadership transfer: commands are then refused, so that a successor can catch up. */
     private transfer: LeadershipTransfer | undefined;
@@ -292,8 +294,7 @@
     isActiveLeader(): boolean {
         const lastResumedAt = this.suspensionDetector.readLastResume();
         const now = this.dependencies.clock.readMonotonic();
-        return this.raft !== undefined && isLeaseValid(this.raft, now)
-            && computeLeaseStart(this.raft, now) > lastResumedAt;
+        return this.raft !== undefined && isLeaseValid(this.raft, now, lastResumedAt);
     }
 
     /**
@@ -331,7 +332,11 @@
      * @returns number of voters, as far as this keeper knows
      */
     countVoters(): number {
-        return Object.keys(this.raft?.members.voters ?? {}).length;
+        const voters = this.raft?.members.voters;
+        if (voters !== this.counted.voters) {
+            this.counted = { voters, count: Object.keys(voters ?? {}).length };
+        }
+        return this.counted.count;
     }
 
     /**
--- a/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
+++ b/packages/daemon/src/request-proxy/keeper/storage/file-keeper-storage.ts
@@ -53,7 +53,7 @@
         return content;
     }
 
-    override async append(batch: LogBatch, handleProgress: () => void = ignoreProgress): Promise<void> {
+    override async append(batch: LogBatch, handleProgress: () => void = dropProgress): Promise<void> {
         await this.writeUnlessFailed("log", async () => {
             await this.logFile?.appendFile(encodeBatch(batch));
             handleProgress();
@@ -65,7 +65,7 @@
         snapshot: Snapshot,
         base: LogBase,
         batch: LogBatch,
-        handleProgress: () => void = ignoreProgress,
+        handleProgress: () => void = dropProgress,
     ): Promise<void> {
         await this.writeUnlessFailed("snapshot", async () => {
             await this.writeFile("snapshot", encodeSnapshot(snapshot), handleProgress);
@@ -146,7 +146,7 @@
     private async writeFile(
         file: string,
         content: Iterable<Buffer>,
-        handleProgress: () => void = ignoreProgress,
+        handleProgress: () => void = dropProgress,
     ): Promise<void> {
         const path = this.buildPath(file);
         const handle = await open(`${path}.new`, "w");
@@ -160,7 +160,7 @@
         await this.syncFolder(handleProgress);
     }
 
-    private async syncFolder(handleProgress: () => void = ignoreProgress): Promise<void> {
+    private async syncFolder(handleProgress: () => void = dropProgress): Promise<void> {
         const folder = await open(this.folder, "r");
         handleProgress();
         await folder.sync();
@@ -216,7 +216,7 @@
     }
 }
 
-function ignoreProgress(): void {
+function dropProgress(): void {
     // Nobody waits for a step.
 }
 
