--- a/packages/core/src/raft/is-lease-valid.ts
+++ b/packages/core/src/raft/is-lease-valid.ts
@@ -8,12 +8,13 @@
  * applied state includes everything that was committed in earlier terms.
  * @param state - Raft state of the keeper
  * @param now - monotonic milliseconds
+ * @param resumedAt - end of the last suspension of the machine, monotonic milliseconds; the lease must have begun later
  * @returns true while the lease is valid
  */
-export function isLeaseValid(state: RaftState, now: number): boolean {
+export function isLeaseValid(state: RaftState, now: number, resumedAt = -1): boolean {
     if (state.role !== RaftRole.Leader || readTerm(state, state.appliedIndex) !== state.hard.term) {
         return false;
     }
     const leaseStart = computeLeaseStart(state, now);
-    return leaseStart >= 0 && now < leaseStart + state.timing.leaseMs;
+    return leaseStart > resumedAt && now < leaseStart + state.timing.leaseMs;
 }
