--- a/packages/daemon/src/channel/channel-client.ts
+++ b/packages/daemon/src/channel/channel-client.ts
@@ -234,7 +234,7 @@
             if (frame.kind === FrameKind.Notice) {
                 // A message of the replicated log, on which the leader's lease and each commit wait.
                 connection.sendUrgentFrame(
-                    channel.isInflating ? deflateLargeNotice(frame) : frame,
+                    channel.isInflating ? encodeNotice(frame) : frame,
                     () => settleRequest(channel, frame.id, Result.ok({ status: noContent, body: emptyBody })),
                 );
             }
@@ -300,7 +300,7 @@
 }
 
 /** A change of a large configuration otherwise fills the link to each keeper, and heartbeats wait behind it. */
-function deflateLargeNotice(frame: Frame): Frame {
+function encodeNotice(frame: Frame): Frame {
     return frame.body.length < minDeflatedBytes
         ? frame
         : {
--- a/packages/daemon/src/channel/channel-server.ts
+++ b/packages/daemon/src/channel/channel-server.ts
@@ -81,7 +81,7 @@
     }
 
     private startRequest(connection: ChannelConnection, received: Frame): void {
-        const frame = received.kind === FrameKind.DeflatedNotice ? inflateNotice(received) : received;
+        const frame = received.kind === FrameKind.DeflatedNotice ? decodeNotice(received) : received;
         if (frame?.kind !== FrameKind.Request && frame?.kind !== FrameKind.Notice) {
             connection.close();
             return;
@@ -120,7 +120,7 @@
 }
 
 /** Returns `undefined` for a body that is no deflated one, or is too large. */
-function inflateNotice(frame: Frame): Frame | undefined {
+function decodeNotice(frame: Frame): Frame | undefined {
     try {
         const body = inflateRawSync(frame.body, { maxOutputLength: maxNoticeBytes });
         return { ...frame, kind: FrameKind.Notice, body };
