--- a/packages/daemon/src/job-scheduler/leader/leader-components.ts
+++ b/packages/daemon/src/job-scheduler/leader/leader-components.ts
@@ -40,6 +40,7 @@
 import { TargetReportHandler } from "./target-report-handler.js";
 import { TargetSessions } from "./target-sessions.js";
 import { TaskDurationEstimator } from "./task-duration-estimator.js";
+import type { UtilizationMonitor } from "./utilization-monitor.js";
 import { VmConsolidator } from "./vm-consolidator.js";
 import { VmLeaseTracker } from "./vm-lease-tracker.js";
 
@@ -57,6 +58,7 @@
     readonly log: DecisionLog;
     readonly metrics: Pick<Metrics, "recordTime">;
     readonly load: LoadMeter;
+    readonly utilization: Pick<UtilizationMonitor, "readUtilization">;
 }
 
 /** Components that a keeper (control-plane replica) runs while it leads. */
@@ -117,6 +119,7 @@
             clock,
             log,
             maxLeaseMs: settings.tasks.max_lease_ms,
+            readUtilization: () => dependencies.utilization.readUtilization(),
             findTargetEnding: (target, since) => this.findTargetEnding(target, vmLeases, since),
             stalledTasks: this.stalledTasks,
             mayEjectSlow: ({ pool }) => this.sessions.isEjectionAllowed(pool),
--- a/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/leader/session-dependencies.ts
@@ -23,6 +23,8 @@
     /** Budget of all sessions for probes of targets that show no sign of life. */
     readonly probeBudget: Pick<ProbeBudget, "takeProbe">;
     readonly clock: Clock;
+    /** Reads for which share of the time the event loop of this process is busy, 0 to 1. */
+    readonly readUtilization: () => number;
     /** Runs work and records its time. */
     readonly measure: MeasureWork;
     /** Called when ends of runs were recorded, with their number and the time that the command took, milliseconds. */
--- a/packages/daemon/src/job-scheduler/leader/target-session-acknowledgements.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-acknowledgements.test.ts
@@ -19,7 +19,7 @@
 const longestLeaseMs = maxLeaseMs / 0.98;
 
 /** The session with a target, on which the first task of a job runs. */
-async function createFixture() {
+async function createFixture(utilization = 0) {
     const clock = new ManualClock(5, 1_000_000);
     const client = new FakeTargetClient(clock, 500_000);
     const state = buildTestFleet(1, { cpu: 4_000, memory: 1_000, gpu: 0 });
@@ -37,6 +37,7 @@
         ...buildQuietSessionDependencies(),
         log: { record: (kind, fields) => void lines.push({ kind, fields }) },
         maxLeaseMs,
+        readUtilization: () => utilization,
         leadership: {
             isActive: () => true,
             readFleet: () => state.fleet,
@@ -70,6 +71,20 @@
 }
 
 describe("TargetSession", () => {
+    describe("renewals while nothing ends", () => {
+        // They were most of the requests of a leader that had no time left for starts.
+        it.each([[0, 24], [0.72, 12], [0.95, 8]])(
+            "at a utilization of %d are %d in 12 s",
+            async (utilization, count) => {
+                const { clock, client, sessions } = await createFixture(utilization);
+                client.renewals.length = 0;
+                await clock.runFor(12_000);
+                expect(client.renewals).toHaveLength(count);
+                sessions.closeAll();
+            },
+        );
+    });
+
     describe("acknowledgements of ends", () => {
         // A renewal or probe that is executed after the target has started again discards ends that nobody has read.
         it("are sent right after a list and at no other time", async () => {
--- a/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session-faults.test.ts
@@ -71,6 +71,7 @@
         clock,
         log: { record: (kind, fields) => lines.push({ kind, fields }) },
         maxLeaseMs: 6_000,
+        readUtilization: () => 0,
         findTargetEnding: () => undefined,
         stalledTasks: new StalledTaskRegistry(),
         mayEjectSlow: () => true,
--- a/packages/daemon/src/job-scheduler/leader/target-session.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.test.ts
@@ -98,6 +98,7 @@
         clock,
         log: { record: (kind, fields) => handleLogLine(kind, fields) },
         maxLeaseMs,
+        readUtilization: () => 0,
         findTargetEnding: () => ending,
         stalledTasks: new StalledTaskRegistry(),
         mayEjectSlow: () => true,
--- a/packages/daemon/src/job-scheduler/leader/target-session.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-session.ts
@@ -14,6 +14,7 @@
 import { TargetExclusion } from "@daisylock/core/queueing/target-exclusion.js";
 import type { TargetStatus } from "@daisylock/core/queueing/target-status.js";
 import { isWithin } from "@daisylock/core/resources/is-within.js";
+import { computePollTimeoutMs } from "@daisylock/core/targets/compute-poll-timeout-ms.js";
 import { EndAcknowledgements } from "@daisylock/core/targets/end-acknowledgements.js";
 import { isAddressVerified } from "@daisylock/core/targets/is-address-verified.js";
 import { maxRequestDelayMs } from "@daisylock/core/targets/max-request-delay-ms.js";
@@ -47,11 +48,6 @@
 import { TargetEnding } from "./target-ending.js";
 import { TargetHealthMonitor } from "./target-health-monitor.js";
 
-/**
- * Longest wait of a renewal for a run to end, milliseconds. The ends of a target that leaves a renewal unanswered are
- * learned only with the next one, so that the wait bounds by how much their jobs are late.
- */
-const longPollTimeoutMs = 500;
 /** Time after the start of a run at which it is checked, while there are suspects, whether the target has outlived it. */
 const probationCheckMs = 110;
 /** Interval at which the renewal loop checks an idle target for new runs and overdue heartbeats, milliseconds. */
@@ -526,7 +522,7 @@
             // A renewal may be executed after the target has started again, and has to discard no ends then.
             lastSeen: 0,
             waitMs: this.isSynced && this.isResponding() && load.runs.size > 0 && !this.acknowledgements.isPending()
-                ? longPollTimeoutMs
+                ? computePollTimeoutMs(this.dependencies.readUtilization())
                 : 0,
             mayOmitRunning: this.isSynced && this.isResponding() && sentAt < this.nextListAt,
         };
--- a/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
+++ b/packages/daemon/src/job-scheduler/leader/target-sessions.test.ts
@@ -27,6 +27,7 @@
         clock,
         log: { record: () => undefined },
         maxLeaseMs: 6_000,
+        readUtilization: () => 0,
         findTargetEnding: () => undefined,
         stalledTasks: new StalledTaskRegistry(),
         mayEjectSlow: () => true,
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -23,6 +23,7 @@
 import { LeaderComponents } from "./leader/leader-components.js";
 import { Leadership } from "./leader/leadership.js";
 import { LoadMeter } from "./leader/load-meter.js";
+import { UtilizationMonitor } from "./leader/utilization-monitor.js";
 import { createFaultListener } from "./logging/create-fault-listener.js";
 import { DecisionKind } from "./logging/decision-kind.js";
 import { DecisionLog } from "./logging/decision-log.js";
@@ -257,6 +258,7 @@
             log,
             metrics: this.metrics,
             load: this.load,
+            utilization: new UtilizationMonitor(clock),
         });
         const membership = { address: listen.peers, seeds: this.seeds, isBootstrapping: cluster.found, voterCount };
         const memberManager = new MemberManager(keeper, this.leaderClient, membership, log, clock);
--- a/packages/daemon/src/job-scheduler/testing/build-quiet-session-dependencies.ts
+++ b/packages/daemon/src/job-scheduler/testing/build-quiet-session-dependencies.ts
@@ -15,6 +15,7 @@
     return {
         log: { record: () => undefined },
         maxLeaseMs: 6_000,
+        readUtilization: () => 0,
         findTargetEnding: () => undefined,
         noteEnds: () => undefined,
         stalledTasks: new StalledTaskRegistry(),
--- a/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
+++ b/packages/daemon/src/job-scheduler/testing/simulated-fleet.ts
@@ -200,6 +200,7 @@
             clock: this.clock,
             log,
             maxLeaseMs: this.maxLeaseMs,
+            readUtilization: () => 0,
             findTargetEnding: ({ id, incarnation }, since) => this.findTargetEnding(id, incarnation, since),
             stalledTasks: new StalledTaskRegistry(),
             mayEjectSlow: ({ pool }) => sessions.isEjectionAllowed(pool),
