--- a/packages/daemon/src/job-scheduler/leader/scheduler.ts
+++ b/packages/daemon/src/job-scheduler/leader/scheduler.ts
@@ -187,8 +187,8 @@
             log.record(DecisionKind.LeadershipLost, {
                 term,
                 sameTerm: isSameTerm,
-                quorumMs: roundMs(quorumMs),
-                resumeMs: roundMs(resumeMs),
+                quorumMs: computeWholeMs(quorumMs),
+                resumeMs: computeWholeMs(resumeMs),
             });
             this.ceasedAt = now;
         }
@@ -390,7 +390,7 @@
     }
 }
 
-function roundMs(ms: number | undefined): number | undefined {
+function computeWholeMs(ms: number | undefined): number | undefined {
     return ms === undefined ? undefined : Math.round(ms);
 }
 
