Frames leave a channel before the next events of the network, in one write a turn

A frame that is queued by an immediate, as those of the keeper are, waited for an immediate of the next turn, that is for all events of the network in between. A write is now scheduled by an immediate and by a timer, of which the first counts: the timer runs before these events. The number of writes stays.

channel-connection.test, "before the next events from the network": failed on (0 writes), passes.

--- a/packages/daemon/src/channel/channel-client.ts
+++ b/packages/daemon/src/channel/channel-client.ts
@@ -232,8 +232,7 @@
     private sendFrame(channel: Channel, connection: ChannelConnection, frame: Frame): void {
         try {
             if (frame.kind === FrameKind.Notice) {
-                // A message of the replicated log, on which the leader's lease and each commit wait.
-                connection.sendUrgentFrame(
+                connection.sendFrame(
                     channel.isInflating ? encodeNotice(frame) : frame,
                     () => settleRequest(channel, frame.id, Result.ok({ status: noContent, body: emptyBody })),
                 );
--- a/packages/daemon/src/channel/channel-connection.ts
+++ b/packages/daemon/src/channel/channel-connection.ts
@@ -67,33 +67,18 @@
     /**
      * Sends a frame. On a connection that has ended it is dropped.
      * @param frame - the frame
-     * @throws RangeError for a frame that can't be encoded, which changes nothing
-     */
-    sendFrame(frame: Frame): void {
-        if (!this.isClosed) {
-            this.queued.push(...encodeFrame(frame));
-            this.scheduleWrite();
-        }
-    }
-
-    /**
-     * Sends a frame at once, after those that are queued, unless frames were written just before. In a process whose turns of
-     * the event loop are long, the write of a later turn comes too late.
-     * @param frame - the frame
      * @param handleWritten - called when the frame is handed to the network
      * @throws RangeError for a frame that can't be encoded, which changes nothing
      */
-    sendUrgentFrame(frame: Frame, handleWritten: () => void = () => undefined): void {
-        if (!this.isClosed) {
-            this.queued.push(...encodeFrame(frame));
+    sendFrame(frame: Frame, handleWritten?: () => void): void {
+        if (this.isClosed) {
+            return;
+        }
+        this.queued.push(...encodeFrame(frame));
+        if (handleWritten !== undefined) {
             this.writtenHandlers.push(handleWritten);
-            if (this.computeWriteDelayMs() > 0) {
-                this.scheduleWrite();
-            }
-            else {
-                this.writeQueued();
-            }
         }
+        this.scheduleWrite();
     }
 
     scheduleNotice(path: string, buildBody: () => Buffer): boolean {
@@ -157,27 +142,24 @@
         this.socket.end();
     }
 
-    /** The first frame after a pause is written at once; under load, frames wait for a common write. */
+    /**
+     * The first frame after a pause is written at once; under load, frames wait for a common write. An immediate that is set
+     * by another one runs after the next events from the network, which take long in a busy process; a timer runs before.
+     */
     private scheduleWrite(): void {
         if (this.isWriteScheduled) {
             return;
         }
         this.isWriteScheduled = true;
+        const delayMs = this.lastWrittenAt + minWriteIntervalMs - this.readNow();
         const write = (): void => {
+            clearTimeout(timer);
+            clearImmediate(immediate);
             this.isWriteScheduled = false;
             this.writeQueued();
         };
-        const delayMs = this.computeWriteDelayMs();
-        if (delayMs > 0) {
-            setTimeout(write, delayMs);
-        }
-        else {
-            setImmediate(write);
-        }
-    }
-
-    private computeWriteDelayMs(): number {
-        return this.lastWrittenAt + minWriteIntervalMs - this.readNow();
+        const timer = setTimeout(write, Math.max(1, delayMs));
+        const immediate = delayMs > 0 ? undefined : setImmediate(write);
     }
 
     private writeQueued(): void {
