--- a/packages/core/src/raft/add-append-message.ts
+++ b/packages/core/src/raft/add-append-message.ts
@@ -28,5 +28,6 @@
         entries,
         commitIndex: state.commitIndex,
         sentAt: now,
+        leaseMs: now < state.slowUntil ? state.timing.maxLeaseMs : undefined,
     });
 }
--- a/packages/core/src/raft/create-raft-state.ts
+++ b/packages/core/src/raft/create-raft-state.ts
@@ -1,3 +1,4 @@
+import { computeVotesFrom } from "./compute-votes-from.js";
 import type { HardState } from "./hard-state.js";
 import type { LogEntry } from "./log-entry.js";
 import { RaftRole } from "./raft-role.js";
@@ -47,9 +48,10 @@
         persistedIndex: lastIndex,
         electionDueAt: 0,
         heartbeatDueAt: 0,
-        // The last contact with a leader is not persisted. Assuming one at the start refuses votes for one minimum
-        // election timeout, which protects a leader lease that this keeper acknowledged before its restart.
-        lastLeaderContactAt: options.now,
+        // The last contact with a leader is not persisted. Assuming one at the start, with the longest lease, protects a
+        // leader lease that this keeper acknowledged before its restart.
+        votesFrom: computeVotesFrom(options.timing, options.timing.maxLeaseMs, options.now),
+        slowUntil: -1,
         ledSince: 0,
         votes: new Set(),
         peers: new Map(),
--- a/packages/core/src/raft/handle-append-reply.ts
+++ b/packages/core/src/raft/handle-append-reply.ts
@@ -1,5 +1,6 @@
 import { confirmMatch } from "./confirm-match.js";
 import { dropLostMessages } from "./drop-lost-messages.js";
+import { noteAcknowledgement } from "./note-acknowledgement.js";
 import type { PeerProgress } from "./peer-progress.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
@@ -22,7 +23,7 @@
     if (state.role !== RaftRole.Leader || message.term !== state.hard.term || peer === undefined) {
         return;
     }
-    peer.ackedSentAt = Math.max(peer.ackedSentAt, message.sentAt);
+    noteAcknowledgement(state.timing, peer, message.sentAt, message.leaseMs);
     if (message.isAccepted) {
         confirmMatch(peer, message.index);
         updateCommitIndex(state);
--- a/packages/core/src/raft/handle-append.ts
+++ b/packages/core/src/raft/handle-append.ts
@@ -1,5 +1,7 @@
 import { assertInvariant } from "../invariants/assert-invariant.js";
 import { Invariant } from "../invariants/invariant.js";
+import { computeGrantedLease } from "./compute-granted-lease.js";
+import { computeVotesFrom } from "./compute-votes-from.js";
 import { LogEntryKind } from "./log-entry-kind.js";
 import type { LogEntry } from "./log-entry.js";
 import { maxInFlightAppends } from "./max-in-flight-appends.js";
@@ -30,8 +32,8 @@
         Invariant.OneLeaderPerTerm,
         () => `${state.id} and ${message.from} both lead term ${message.term}`,
     );
+    state.votesFrom = Math.max(state.votesFrom, computeVotesFrom(state.timing, message.leaseMs, now));
     startFollowing(state, message.term, message.from, now);
-    state.lastLeaderContactAt = now;
     if (message.previousIndex < state.base.index) {
         sendReply(state, message, false, state.commitIndex + 1);
         return;
@@ -127,5 +129,6 @@
         isAccepted,
         index,
         sentAt: message.sentAt,
+        leaseMs: computeGrantedLease(state.timing, message.leaseMs),
     });
 }
--- a/packages/core/src/raft/handle-snapshot-chunk.ts
+++ b/packages/core/src/raft/handle-snapshot-chunk.ts
@@ -1,3 +1,4 @@
+import { computeVotesFrom } from "./compute-votes-from.js";
 import type { Members } from "./members.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
@@ -25,8 +26,8 @@
         sendReply(state, message, 0, false);
         return;
     }
+    state.votesFrom = Math.max(state.votesFrom, computeVotesFrom(state.timing, undefined, now));
     startFollowing(state, message.term, message.from, now);
-    state.lastLeaderContactAt = now;
     if (message.snapshotIndex <= state.commitIndex) {
         sendReply(state, message, 0, true);
         return;
--- a/packages/core/src/raft/handle-snapshot-reply.ts
+++ b/packages/core/src/raft/handle-snapshot-reply.ts
@@ -1,5 +1,6 @@
 import { confirmMatch } from "./confirm-match.js";
 import { dropLostMessages } from "./drop-lost-messages.js";
+import { noteAcknowledgement } from "./note-acknowledgement.js";
 import { RaftMessageKind } from "./raft-message-kind.js";
 import type { RaftMessage } from "./raft-message.js";
 import { RaftRole } from "./raft-role.js";
@@ -20,7 +21,7 @@
     if (state.role !== RaftRole.Leader || message.term !== state.hard.term || peer === undefined) {
         return;
     }
-    peer.ackedSentAt = Math.max(peer.ackedSentAt, message.sentAt);
+    noteAcknowledgement(state.timing, peer, message.sentAt);
     if (message.isInstalled) {
         peer.snapshotOffset = undefined;
         peer.chunkSentAt = undefined;
--- a/packages/core/src/raft/handle-vote-request.ts
+++ b/packages/core/src/raft/handle-vote-request.ts
@@ -12,7 +12,7 @@
 type VoteRequest = Extract<RaftMessage, { kind: RaftMessageKind.PreVote | RaftMessageKind.Vote }>;
 
 /**
- * Replies to a vote or pre-vote request. Refuses within the minimum election timeout of the last contact with a leader,
+ * Replies to a vote or pre-vote request. Refuses while a leader may hold a lease that this keeper has acknowledged,
  * so that no other keeper is elected while that leader's lease is valid. A leadership transfer is exempt, as the leader
  * has released its lease.
  * @param state - Raft state of the keeper
@@ -39,7 +39,7 @@
 }
 
 function isLeaderActive(state: RaftState, now: number): boolean {
-    return state.role === RaftRole.Leader || now < state.lastLeaderContactAt + state.timing.minElectionTimeoutMs;
+    return state.role === RaftRole.Leader || now < state.votesFrom;
 }
 
 function isLogUpToDate(state: RaftState, message: VoteRequest): boolean {
--- a/packages/core/src/raft/is-lease-valid.ts
+++ b/packages/core/src/raft/is-lease-valid.ts
@@ -1,3 +1,4 @@
+import { computeLeaseEnd } from "./compute-lease-end.js";
 import { computeLeaseStart } from "./compute-lease-start.js";
 import { RaftRole } from "./raft-role.js";
 import type { RaftState } from "./raft-state.js";
@@ -15,6 +16,5 @@
     if (state.role !== RaftRole.Leader || readTerm(state, state.appliedIndex) !== state.hard.term) {
         return false;
     }
-    const leaseStart = computeLeaseStart(state, now);
-    return leaseStart > resumedAt && now < leaseStart + state.timing.leaseMs;
+    return now < computeLeaseEnd(state) && computeLeaseStart(state, now) > resumedAt;
 }
--- a/packages/core/src/raft/peer-progress.ts
+++ b/packages/core/src/raft/peer-progress.ts
@@ -15,6 +15,8 @@
     isProbing: boolean;
     /** Send time of the newest message that the peer has acknowledged, leader's monotonic milliseconds; -1 for none. */
     ackedSentAt: number;
+    /** Until when the peer has granted the lease, by the leader's monotonic clock, milliseconds; -1 for never. */
+    leaseUntil: number;
     /** UTF-16 code units of the snapshot that the peer has received; `undefined` when no transfer is in progress. */
     snapshotOffset: number | undefined;
     /** Send time of the snapshot chunk that waits for its reply; `undefined` for none. */
--- a/packages/core/src/raft/raft-message.ts
+++ b/packages/core/src/raft/raft-message.ts
@@ -39,6 +39,8 @@
     readonly commitIndex: number;
     /** Send time by the leader's monotonic clock, milliseconds; returned in the reply to extend the leader lease. */
     readonly sentAt: number;
+    /** Lease that the leader asks for, milliseconds; 0 or missing for the usual one. */
+    readonly leaseMs?: number | undefined;
 }
 
 interface AppendReply extends Envelope {
@@ -51,6 +53,8 @@
     readonly index: number;
     /** Copied from the message that is acknowledged. */
     readonly sentAt: number;
+    /** Lease that the sender grants, milliseconds; 0 or missing for the usual one, which is all that earlier releases grant. */
+    readonly leaseMs?: number | undefined;
 }
 
 interface SnapshotChunk extends Envelope {
--- a/packages/core/src/raft/raft-state.ts
+++ b/packages/core/src/raft/raft-state.ts
@@ -42,8 +42,13 @@
     electionDueAt: number;
     /** When this keeper, as the leader, sends the next heartbeat. */
     heartbeatDueAt: number;
-    /** When the last append or snapshot chunk from a leader arrived; at first, when this keeper started. */
-    lastLeaderContactAt: number;
+    /**
+     * Until when this keeper votes for no other than the leader that it last heard from, and starts no election, as it has
+     * acknowledged the leader's lease.
+     */
+    votesFrom: number;
+    /** Until when this keeper, as the leader, asks for a longer lease, as replies come slowly. */
+    slowUntil: number;
     /** When this keeper last became leader; 0 if never. */
     ledSince: number;
     /** Ids of the voters, including this keeper, that granted their vote in the current election or pre-vote. */
--- a/packages/core/src/raft/raft-timing.ts
+++ b/packages/core/src/raft/raft-timing.ts
@@ -10,4 +10,9 @@
      * `minElectionTimeoutMs` by a margin for clock drift.
      */
     readonly leaseMs: number;
+    /**
+     * The same while replies come slowly, `leaseMs` where left out. Voters that grant it vote for no other keeper for as much
+     * longer. A keeper that starts again waits for as long, as it may have granted one.
+     */
+    readonly maxLeaseMs?: number;
 }
--- a/packages/core/src/raft/replicated-log.soak.test.ts
+++ b/packages/core/src/raft/replicated-log.soak.test.ts
@@ -95,7 +95,15 @@
 
 describe("replicated log", () => {
     describe("under process kills, partitions, freezes, message loss, duplication, reordering and membership changes", () => {
-        it("keeps all committed entries, with one leader per term and one valid leader lease", () => {
+        // With slow messages, leaders ask for longer leases, which keepers of the release before don't grant.
+        it.each([
+            ["", {}],
+            [" while messages are slow", { maxDelayMs: 140 }],
+            [" while messages are slow, beside keepers of the release before", {
+                maxDelayMs: 140,
+                earlierKeepers: ["k0", "k3"],
+            }],
+        ])("keeps all committed entries, with one leader per term and one valid leader lease%s", (_, options) => {
             fc.assert(
                 fc.property(
                     fc.nat(),
@@ -103,7 +111,7 @@
                     fc.constantFrom(0, 30, 150),
                     fc.array(action, { minLength: 20, maxLength: 80 }),
                     (random, loss, maxWriteMs, steps) => {
-                        const cluster = new SimulatedCluster(5, createRandom(random), loss, { maxWriteMs });
+                        const cluster = new SimulatedCluster(5, createRandom(random), loss, { maxWriteMs, ...options });
                         for (const id of ["k1", "k2"]) {
                             cluster.sendMemberChange(({ voters, learners }) => ({
                                 voters,
--- a/packages/core/src/raft/update-peers.ts
+++ b/packages/core/src/raft/update-peers.ts
@@ -21,6 +21,7 @@
                 inFlightAppends: [],
                 isProbing: true,
                 ackedSentAt: -1,
+                leaseUntil: -1,
                 snapshotOffset: undefined,
                 chunkSentAt: undefined,
             });
--- a/packages/core/src/testing/simulated-cluster.ts
+++ b/packages/core/src/testing/simulated-cluster.ts
@@ -18,7 +18,13 @@
 import { takeCommittedEntries } from "../raft/take-committed-entries.js";
 import { tickRaft } from "../raft/tick-raft.js";
 
-const timing = { heartbeatIntervalMs: 50, minElectionTimeoutMs: 300, maxElectionTimeoutMs: 600, leaseMs: 240 };
+const timing = {
+    heartbeatIntervalMs: 50,
+    minElectionTimeoutMs: 300,
+    maxElectionTimeoutMs: 600,
+    leaseMs: 240,
+    maxLeaseMs: 400,
+};
 
 /** Behaviour of the simulated transport and of the snapshots. */
 interface SimulationOptions {
@@ -34,6 +40,8 @@
     readonly snapshotEntries: number;
     /** Longest duration of a write to disk, milliseconds. */
     readonly maxWriteMs: number;
+    /** Ids of the keepers of an earlier release, which grant and ask for the usual lease only. */
+    readonly earlierKeepers: readonly string[];
 }
 
 const defaultOptions: SimulationOptions = {
@@ -43,6 +51,7 @@
     duplicatePercent: 5,
     snapshotEntries: 40,
     maxWriteMs: 0,
+    earlierKeepers: [],
 };
 
 interface Disk {
@@ -139,7 +148,7 @@
         const { disk } = node;
         node.raft = createRaftState({
             id: node.id,
-            timing,
+            timing: this.options.earlierKeepers.includes(node.id) ? { ...timing, maxLeaseMs: timing.leaseMs } : timing,
             random: this.random,
             now: this.now,
             ...disk,
--- a/packages/daemon/src/job-scheduler/scheduler-daemon.ts
+++ b/packages/daemon/src/job-scheduler/scheduler-daemon.ts
@@ -59,6 +59,7 @@
     minElectionTimeoutMs: 320,
     maxElectionTimeoutMs: 560,
     leaseMs: 260,
+    maxLeaseMs: 420,
 };
 
 /** One process of the job scheduler: builds its components and runs the root of their supervisor tree. */
