--- a/packages/core/src/raft/compute-lease-start.ts
+++ b/packages/core/src/raft/compute-lease-start.ts
@@ -1,6 +1,5 @@
-import { computeQuorumValue } from "./compute-quorum-value.js";
-import type { PeerProgress } from "./peer-progress.js";
 import type { RaftState } from "./raft-state.js";
+import { readLeaseSpan } from "./read-lease-span.js";
 
 /**
  * Computes the start of the leader lease: the latest time such that a quorum of voters has acknowledged a message that
@@ -10,9 +9,5 @@
  * @returns monotonic milliseconds; -1 when no quorum has replied in this term or the leader is not a voter
  */
 export function computeLeaseStart(state: RaftState, now: number): number {
-    return computeQuorumValue(state, now, readAckedSentAt);
-}
-
-function readAckedSentAt({ ackedSentAt }: PeerProgress): number {
-    return ackedSentAt;
+    return Math.min(now, readLeaseSpan(state).start);
 }
--- a/packages/core/src/raft/create-raft-state.ts
+++ b/packages/core/src/raft/create-raft-state.ts
@@ -51,6 +51,7 @@
         // The last contact with a leader is not persisted. Assuming one at the start, with the longest lease, protects a
         // leader lease that this keeper acknowledged before its restart.
         votesFrom: computeVotesFrom(options.timing, options.timing.maxLeaseMs, options.now),
+        leaseSpan: undefined,
         slowUntil: -1,
         ledSince: 0,
         votes: new Set(),
--- a/packages/core/src/raft/handle-append-reply.ts
+++ b/packages/core/src/raft/handle-append-reply.ts
@@ -23,7 +23,7 @@
     if (state.role !== RaftRole.Leader || message.term !== state.hard.term || peer === undefined) {
         return;
     }
-    noteAcknowledgement(state.timing, peer, message.sentAt, message.leaseMs);
+    noteAcknowledgement(state, peer, message.sentAt, message.leaseMs);
     if (message.isAccepted) {
         confirmMatch(peer, message.index);
         updateCommitIndex(state);
--- a/packages/core/src/raft/handle-snapshot-reply.ts
+++ b/packages/core/src/raft/handle-snapshot-reply.ts
@@ -21,7 +21,7 @@
     if (state.role !== RaftRole.Leader || message.term !== state.hard.term || peer === undefined) {
         return;
     }
-    noteAcknowledgement(state.timing, peer, message.sentAt);
+    noteAcknowledgement(state, peer, message.sentAt);
     if (message.isInstalled) {
         peer.snapshotOffset = undefined;
         peer.chunkSentAt = undefined;
--- a/packages/core/src/raft/is-lease-valid.ts
+++ b/packages/core/src/raft/is-lease-valid.ts
@@ -1,7 +1,7 @@
-import { computeLeaseEnd } from "./compute-lease-end.js";
 import { computeLeaseStart } from "./compute-lease-start.js";
 import { RaftRole } from "./raft-role.js";
 import type { RaftState } from "./raft-state.js";
+import { readLeaseSpan } from "./read-lease-span.js";
 import { readTerm } from "./read-term.js";
 
 /**
@@ -16,5 +16,5 @@
     if (state.role !== RaftRole.Leader || readTerm(state, state.appliedIndex) !== state.hard.term) {
         return false;
     }
-    return now < computeLeaseEnd(state) && computeLeaseStart(state, now) > resumedAt;
+    return now < readLeaseSpan(state).end && computeLeaseStart(state, now) > resumedAt;
 }
--- a/packages/core/src/raft/raft-state.ts
+++ b/packages/core/src/raft/raft-state.ts
@@ -1,4 +1,5 @@
 import type { HardState } from "./hard-state.js";
+import type { LeaseSpan } from "./lease-span.js";
 import type { LogEntry } from "./log-entry.js";
 import type { Members } from "./members.js";
 import type { PeerProgress } from "./peer-progress.js";
@@ -47,6 +48,8 @@
      * acknowledged the leader's lease.
      */
     votesFrom: number;
+    /** Start and end of the leader lease; `undefined` until they are read after a reply or a change of members. */
+    leaseSpan: LeaseSpan | undefined;
     /** Until when this keeper, as the leader, asks for a longer lease, as replies come slowly. */
     slowUntil: number;
     /** When this keeper last became leader; 0 if never. */
--- a/packages/core/src/raft/start-following.ts
+++ b/packages/core/src/raft/start-following.ts
@@ -17,5 +17,6 @@
     state.role = RaftRole.Follower;
     state.leader = leader;
     state.peers.clear();
+    state.leaseSpan = undefined;
     setElectionTimeout(state, now);
 }
--- a/packages/core/src/raft/start-leading.ts
+++ b/packages/core/src/raft/start-leading.ts
@@ -15,6 +15,7 @@
     state.leader = state.id;
     state.ledSince = now;
     state.peers.clear();
+    state.leaseSpan = undefined;
     updatePeers(state);
     appendEntry(state, LogEntryKind.NoOp, "");
     sendAppendToPeers(state, now);
--- a/packages/core/src/raft/update-members.ts
+++ b/packages/core/src/raft/update-members.ts
@@ -10,4 +10,5 @@
     const entry = state.entries.findLast(candidate => candidate.kind === LogEntryKind.Members);
     state.members = entry === undefined ? state.snapshot.members : JSON.parse(entry.payload) as Members;
     state.membersIndex = entry?.index ?? 0;
+    state.leaseSpan = undefined;
 }
--- a/packages/core/src/raft/update-peers.ts
+++ b/packages/core/src/raft/update-peers.ts
@@ -6,6 +6,7 @@
  * @param state - Raft state of the leader
  */
 export function updatePeers(state: RaftState): void {
+    state.leaseSpan = undefined;
     const ids = new Set([...Object.keys(state.members.voters), ...Object.keys(state.members.learners)]);
     ids.delete(state.id);
     for (const id of state.peers.keys()) {
