--- a/packages/core/src/raft/lease-extension.test.ts
+++ b/packages/core/src/raft/lease-extension.test.ts
@@ -3,6 +3,7 @@
 import { createRandom } from "../testing/create-random.js";
 import { SimulatedCluster } from "../testing/simulated-cluster.js";
 import { isLeaseValid } from "./is-lease-valid.js";
+import { RaftRole } from "./raft-role.js";
 
 /** A message and its reply take 210 ms, of a lease of 240 ms. */
 const delayMs = 105;
@@ -25,7 +26,7 @@
         cluster.sendMemberChange(({ voters }) => ({ voters: { ...voters, [id]: id }, learners: {} }));
         cluster.run(3_000);
     }
-    const leader = cluster.nodes.find(({ raft }) => raft?.role === "leader");
+    const leader = cluster.nodes.find(({ raft }) => raft?.role === RaftRole.Leader);
     let lapsedMs = 0;
     for (let ms = 0; ms < 5_000; ms++) {
         cluster.run(1);
