--- a/packages/daemon/src/channel/channel-client.test.ts
+++ b/packages/daemon/src/channel/channel-client.test.ts
@@ -1,6 +1,12 @@
 import { afterEach, describe, expect, it } from "@jest/globals";
 import { createServer, type Server } from "node:http";
-import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
+import {
+    type AddressInfo,
+    connect,
+    createServer as createTcpServer,
+    type Server as TcpServer,
+    type Socket,
+} from "node:net";
 import Result from "true-myth/result";
 
 import { SystemClock } from "../clock/system-clock.js";
@@ -10,6 +16,8 @@
 import { ChannelClient } from "./channel-client.js";
 import { channelProtocol } from "./channel-protocol.js";
 import { ChannelServer } from "./channel-server.js";
+import { encodeFrame } from "./encode-frame.js";
+import { FrameKind } from "./frame-kind.js";
 
 type Handler = ConstructorParameters<typeof ChannelServer>[0];
 
@@ -206,6 +214,23 @@
             expect(await sendTo("")).toBeGreaterThan(body.length);
         });
 
+        it("ends the channel when what is said to be deflated is not, and hands nothing on", async () => {
+            const received: string[] = [];
+            const { address } = await startServer(async (path, content) => {
+                received.push(path);
+                return echo(path, content);
+            });
+            const [host, port] = address.split(":");
+            const socket = connect(Number(port), host);
+            const isClosed = new Promise<boolean>(resolve => socket.once("close", () => resolve(true)));
+            socket.write(`GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`);
+            await new Promise(resolve => socket.once("data", resolve));
+            const garbage = { kind: FrameKind.DeflatedNotice, id: 1, status: 0, path: "/n", body: Buffer.from("no") };
+            socket.write(Buffer.concat(encodeFrame(garbage)));
+            expect(await isClosed).toBe(true);
+            expect(received).toEqual([]);
+        });
+
         it("delivers it unchanged", async () => {
             const received: Buffer[] = [];
             const { address } = await startServer(async (path, content) => {
